Name the store package after what it holds, and give watches and lists a revision

Cause: a follower of the platform's store must know where to go on watching after a list and after a wait without news; the old interface told neither, and had no word for a history that is gone. Ruled out: a second interface beside ObjectStore.

--- a/packages/base/src/errorKinds/index.ts
+++ b/packages/base/src/errorKinds/index.ts
@@ -106,6 +106,12 @@
     retryAfterMs: 2_000,
     remedy: "The platform's store did not answer: come back after the stated time.",
   },
+  historyGone: {
+    httpStatus: 503,
+    ran: 'notRun',
+    retryAfterMs: 1_000,
+    remedy: "The platform's store dropped the changes that were asked for: read it again whole.",
+  },
   peerUnavailable: {
     httpStatus: 503,
     ran: 'notRun',
--- a/packages/callers/src/createCallerServer/index.ts
+++ b/packages/callers/src/createCallerServer/index.ts
@@ -12,7 +12,7 @@
   type Metrics,
   type Random,
 } from '@acaciacrank/base';
-import type { ListedInstance } from '@acaciacrank/platform';
+import type { ListedInstance } from '@acaciacrank/store';
 import type { ServiceAnswer } from '@acaciacrank/upstreams';
 import { randomUUID } from 'node:crypto';
 import {
--- a/packages/ctl/src/HttpOperatorPorts/index.ts
+++ b/packages/ctl/src/HttpOperatorPorts/index.ts
@@ -1,5 +1,5 @@
 import { RouterError, withTimeout, type Clock } from '@acaciacrank/base';
-import type { ListedInstance } from '@acaciacrank/platform';
+import type { ListedInstance } from '@acaciacrank/store';
 import { request } from 'undici';
 import { z } from 'zod';
 import { OperatorPorts } from '../OperatorPorts/index.js';
--- a/packages/ctl/src/OperatorPorts/index.ts
+++ b/packages/ctl/src/OperatorPorts/index.ts
@@ -1,4 +1,4 @@
-import type { ListedInstance } from '@acaciacrank/platform';
+import type { ListedInstance } from '@acaciacrank/store';
 import type { InstanceAnswer } from '../types.js';
 
 /** The operators' ports of instances. */
--- a/packages/ctl/src/_lib/readEnvironment/index.ts
+++ b/packages/ctl/src/_lib/readEnvironment/index.ts
@@ -10,7 +10,7 @@
   type EnvironmentDocument,
   type Manifest,
 } from '@acaciacrank/operators';
-import type { ObjectStore } from '@acaciacrank/platform';
+import type { ObjectStore } from '@acaciacrank/store';
 import { readFileSync } from 'node:fs';
 import type { CommandContext } from '../../types.js';
 
--- a/packages/ctl/src/askInstances/index.ts
+++ b/packages/ctl/src/askInstances/index.ts
@@ -1,5 +1,5 @@
 import { describeError } from '@acaciacrank/base';
-import type { ListedInstance } from '@acaciacrank/platform';
+import type { ListedInstance } from '@acaciacrank/store';
 import type { CommandContext, FleetView, InstanceView } from '../types.js';
 
 /** How many instances are asked at once. */
--- a/packages/ctl/src/createContext/index.ts
+++ b/packages/ctl/src/createContext/index.ts
@@ -1,5 +1,5 @@
 import { RouterError, SystemClock } from '@acaciacrank/base';
-import { HttpInstanceList, HttpObjectStore } from '@acaciacrank/platform';
+import { HttpInstanceList, HttpObjectStore } from '@acaciacrank/store';
 import { readFileSync } from 'node:fs';
 import { HttpOperatorPorts } from '../HttpOperatorPorts/index.js';
 import type { CommandContext } from '../types.js';
--- a/packages/ctl/src/runTry/index.ts
+++ b/packages/ctl/src/runTry/index.ts
@@ -6,7 +6,7 @@
   trialOf,
   type TrialRun,
 } from '@acaciacrank/operators';
-import type { ObjectStore } from '@acaciacrank/platform';
+import type { ObjectStore } from '@acaciacrank/store';
 import { describeAcceptance } from '../_lib/describeAcceptance/index.js';
 import { readDocumentFile } from '../_lib/readEnvironment/index.js';
 import { waitInForce } from '../_lib/waitInForce/index.js';
--- a/packages/ctl/src/types.ts
+++ b/packages/ctl/src/types.ts
@@ -2,7 +2,7 @@
  * Types that the commands share.
  */
 import type { Clock } from '@acaciacrank/base';
-import type { InstanceList, ListedInstance, ObjectStore } from '@acaciacrank/platform';
+import type { InstanceList, ListedInstance, ObjectStore } from '@acaciacrank/store';
 import type { OperatorPorts } from './OperatorPorts/index.js';
 
 /** What the commands work on. */
--- a/packages/fleet/src/MemberTable/index.ts
+++ b/packages/fleet/src/MemberTable/index.ts
@@ -5,7 +5,7 @@
   type FailureDomainId,
   type InstanceId,
 } from '@acaciacrank/base';
-import type { ListedInstance } from '@acaciacrank/platform';
+import type { ListedInstance } from '@acaciacrank/store';
 import type { MemberRecord } from '../types.js';
 
 /**
--- a/packages/fleet/src/Membership/index.ts
+++ b/packages/fleet/src/Membership/index.ts
@@ -9,7 +9,7 @@
   type Metrics,
   type Random,
 } from '@acaciacrank/base';
-import type { ListedInstance } from '@acaciacrank/platform';
+import type { ListedInstance } from '@acaciacrank/store';
 import type { FleetLinks } from '../FleetLinks/index.js';
 import type { FleetQuestions } from '../FleetQuestions/index.js';
 import { MemberTable, type Member, type MergeResult } from '../MemberTable/index.js';
--- a/packages/ledger/src/BudgetLedger/index.ts
+++ b/packages/ledger/src/BudgetLedger/index.ts
@@ -8,7 +8,7 @@
   type RequestId,
   type RequestKey,
 } from '@acaciacrank/base';
-import type { ObjectStore } from '@acaciacrank/platform';
+import type { ObjectStore } from '@acaciacrank/store';
 import type { GrantPeers, TransferredTokens } from '../GrantPeers/index.js';
 import type { GrantPolicy, GrantWish } from '../GrantPolicy/index.js';
 import { NoGrantPeers } from '../NoGrantPeers/index.js';
--- a/packages/ledger/src/PageWriter/index.ts
+++ b/packages/ledger/src/PageWriter/index.ts
@@ -1,5 +1,5 @@
 import { RouterError, type Clock, type Random } from '@acaciacrank/base';
-import type { ObjectStore, WriteCondition } from '@acaciacrank/platform';
+import type { ObjectStore, WriteCondition } from '@acaciacrank/store';
 import { applyOperation, type ApplyOperationOptions } from '../applyOperation/index.js';
 import { parsePage } from '../pageSchema/index.js';
 import type { LedgerPage, OperationResult, PageOperation } from '../types.js';
--- a/packages/ledger/src/PageWriter/test.ts
+++ b/packages/ledger/src/PageWriter/test.ts
@@ -8,7 +8,13 @@
   type InstanceId,
   type GrantId,
 } from '@acaciacrank/base';
-import { ObjectStore, type StoredObject, type WriteResult } from '@acaciacrank/platform';
+import {
+  ObjectStore,
+  type StoreChanges,
+  type StoredObject,
+  type StoreSnapshot,
+  type WriteResult,
+} from '@acaciacrank/store';
 import { PageWriter } from './index.js';
 import type { GrantOperation } from '../types.js';
 
@@ -61,12 +67,12 @@
     return Promise.resolve({ outcome: 'conflict' });
   }
 
-  override list(): Promise<StoredObject[]> {
-    return Promise.resolve([]);
+  override snapshot(): Promise<StoreSnapshot> {
+    return Promise.resolve({ objects: [], revision: 0 });
   }
 
-  override watch(): Promise<[]> {
-    return Promise.resolve([]);
+  override watch(): Promise<StoreChanges> {
+    return Promise.resolve({ changes: [], revision: 0 });
   }
 }
 
--- a/packages/ledger/src/RequestRecords/index.ts
+++ b/packages/ledger/src/RequestRecords/index.ts
@@ -6,7 +6,7 @@
   type RequestId,
   type RequestKey,
 } from '@acaciacrank/base';
-import type { ObjectStore } from '@acaciacrank/platform';
+import type { ObjectStore } from '@acaciacrank/store';
 import { z } from 'zod';
 
 const recordSchema = z.strictObject({
--- a/packages/ledger/src/readBudget/index.ts
+++ b/packages/ledger/src/readBudget/index.ts
@@ -1,4 +1,4 @@
-import type { ObjectStore } from '@acaciacrank/platform';
+import type { ObjectStore } from '@acaciacrank/store';
 import { availableTokens } from '../applyOperation/index.js';
 import { pageKeyOf } from '../pageKeyOf/index.js';
 import { parsePage } from '../pageSchema/index.js';
--- a/packages/ledger/src/topUpBudget/index.ts
+++ b/packages/ledger/src/topUpBudget/index.ts
@@ -1,5 +1,5 @@
 import { RouterError, type Clock } from '@acaciacrank/base';
-import { updateObject, type ObjectStore } from '@acaciacrank/platform';
+import { updateObject, type ObjectStore } from '@acaciacrank/store';
 import { applyOperation } from '../applyOperation/index.js';
 import { pageKeyOf } from '../pageKeyOf/index.js';
 import { parsePage } from '../pageSchema/index.js';
--- a/packages/operators/src/ConfigurationObjects/index.ts
+++ b/packages/operators/src/ConfigurationObjects/index.ts
@@ -2,7 +2,7 @@
  * Where the objects of an accepted document are read from, by digest.
  */
 import { RouterError, withTimeout, type Clock } from '@acaciacrank/base';
-import type { ObjectStore } from '@acaciacrank/platform';
+import type { ObjectStore } from '@acaciacrank/store';
 import { z } from 'zod';
 
 /** A source of configuration objects; what it answers is checked against the digest. */
--- a/packages/operators/src/ConfigurationWatcher/index.ts
+++ b/packages/operators/src/ConfigurationWatcher/index.ts
@@ -9,7 +9,7 @@
   type InstanceId,
   type Random,
 } from '@acaciacrank/base';
-import type { ObjectStore, StoredObject } from '@acaciacrank/platform';
+import type { ObjectStore, StoredObject } from '@acaciacrank/store';
 import type { CompiledEnvironment } from '../compileEnvironment/index.js';
 import {
   OrderedConfigurationObjects,
@@ -391,7 +391,7 @@
 
   async #watchOnce(sinceRevision: number): Promise<number> {
     const { store, clock, environment, watchTimeoutMs } = this.#options;
-    const changes = await withTimeout(
+    const { changes, revision } = await withTimeout(
       clock,
       watchTimeoutMs,
       (signal) => store.watch(manifestKey(environment), sinceRevision, signal),
@@ -399,10 +399,8 @@
     );
     // Until the first read is confirmed, a change only says that it is time to read.
     if (!this.#mayBegin && changes.length > 0) await this.refresh();
-    let revision = sinceRevision;
     for (const change of changes) {
       if (change.object !== undefined) await this.#take(parseManifest(change.object.value));
-      revision = Math.max(revision, change.revision);
     }
     return revision;
   }
--- a/packages/operators/src/_lib/writeObjects/index.ts
+++ b/packages/operators/src/_lib/writeObjects/index.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@acaciacrank/base';
-import type { ObjectStore } from '@acaciacrank/platform';
+import type { ObjectStore } from '@acaciacrank/store';
 import type { CompiledEnvironment } from '../../compileEnvironment/index.js';
 import { objectKey, type ConfigurationObjects } from '../../ConfigurationObjects/index.js';
 import { parseNode, type TreeNode } from '../../configurationTree/index.js';
--- a/packages/operators/src/acceptDocument/index.ts
+++ b/packages/operators/src/acceptDocument/index.ts
@@ -1,5 +1,5 @@
 import { digestText, RouterError, type Clock } from '@acaciacrank/base';
-import type { ObjectStore } from '@acaciacrank/platform';
+import type { ObjectStore } from '@acaciacrank/store';
 import { acceptRoot, type Acceptance, type AcceptRootOptions } from '../acceptRoot/index.js';
 import { collectGarbage } from '../collectGarbage/index.js';
 import { compileEnvironment, type CompileEnvironmentOptions } from '../compileEnvironment/index.js';
--- a/packages/operators/src/acceptRoot/index.ts
+++ b/packages/operators/src/acceptRoot/index.ts
@@ -1,5 +1,5 @@
 import { digestText, RouterError, type Clock, type Random } from '@acaciacrank/base';
-import type { ObjectStore, StoredObject } from '@acaciacrank/platform';
+import type { ObjectStore, StoredObject } from '@acaciacrank/store';
 import { StoreConfigurationObjects } from '../ConfigurationObjects/index.js';
 import { describeChanges, diffConfigurations } from '../diffConfigurations/index.js';
 import {
--- a/packages/operators/src/collectGarbage/index.ts
+++ b/packages/operators/src/collectGarbage/index.ts
@@ -1,5 +1,5 @@
 import { millisecondsInHour, RouterError, type Clock } from '@acaciacrank/base';
-import type { ObjectStore } from '@acaciacrank/platform';
+import type { ObjectStore } from '@acaciacrank/store';
 import { objectsOf, type CompiledEnvironment } from '../compileEnvironment/index.js';
 import {
   objectKey,
--- a/packages/operators/src/environmentStore/index.ts
+++ b/packages/operators/src/environmentStore/index.ts
@@ -3,7 +3,7 @@
   PrefixedObjectStore,
   type ListedInstance,
   type ObjectStore,
-} from '@acaciacrank/platform';
+} from '@acaciacrank/store';
 import { isTrial } from '../trialRuns/index.js';
 
 /**
--- a/packages/operators/src/promoteFromTrial/index.ts
+++ b/packages/operators/src/promoteFromTrial/index.ts
@@ -1,5 +1,5 @@
 import { digestText, RouterError, type Clock } from '@acaciacrank/base';
-import type { ObjectStore } from '@acaciacrank/platform';
+import type { ObjectStore } from '@acaciacrank/store';
 import { acceptParsed, type AcceptDocumentOptions } from '../acceptDocument/index.js';
 import type { Acceptance } from '../acceptRoot/index.js';
 import { environmentStore } from '../environmentStore/index.js';
--- a/packages/operators/src/readManifest/index.ts
+++ b/packages/operators/src/readManifest/index.ts
@@ -1,5 +1,5 @@
 import { RouterError } from '@acaciacrank/base';
-import type { ObjectStore } from '@acaciacrank/platform';
+import type { ObjectStore } from '@acaciacrank/store';
 import { manifestKey, parseManifest, type Manifest } from '../manifest/index.js';
 
 /**
--- a/packages/operators/src/rollbackVersion/index.ts
+++ b/packages/operators/src/rollbackVersion/index.ts
@@ -1,5 +1,5 @@
 import { RouterError, type Clock } from '@acaciacrank/base';
-import type { ObjectStore } from '@acaciacrank/platform';
+import type { ObjectStore } from '@acaciacrank/store';
 import { acceptRoot, type Acceptance, type AcceptRootOptions } from '../acceptRoot/index.js';
 import { StoreConfigurationObjects } from '../ConfigurationObjects/index.js';
 import { loadConfiguration } from '../loadConfiguration/index.js';
--- a/packages/operators/src/trialRuns/index.ts
+++ b/packages/operators/src/trialRuns/index.ts
@@ -3,7 +3,7 @@
  *
  * Promotion asks for it: a document that trial accepted but no instance took up was not tried.
  */
-import type { ObjectStore } from '@acaciacrank/platform';
+import type { ObjectStore } from '@acaciacrank/store';
 import { z } from 'zod';
 import { trialSuffix } from '../environmentSchema/index.js';
 
--- a/packages/router/src/Directory/index.ts
+++ b/packages/router/src/Directory/index.ts
@@ -6,7 +6,7 @@
 } from '@acaciacrank/base';
 import type { DirectoryAnswer } from '@acaciacrank/callers';
 import type { Member, Membership } from '@acaciacrank/fleet';
-import type { ListedInstance } from '@acaciacrank/platform';
+import type { ListedInstance } from '@acaciacrank/store';
 import { chooseInstances } from '@acaciacrank/routing';
 import { AccountDemand } from '../AccountDemand/index.js';
 
--- a/packages/router/src/Directory/test.ts
+++ b/packages/router/src/Directory/test.ts
@@ -8,7 +8,7 @@
   type InstanceId,
 } from '@acaciacrank/base';
 import { FleetQuestions, Membership, NoFleetLinks, type MemberRecord } from '@acaciacrank/fleet';
-import type { ListedInstance } from '@acaciacrank/platform';
+import type { ListedInstance } from '@acaciacrank/store';
 import { Directory } from './index.js';
 
 const account = 'one' as AccountId;
--- a/packages/router/src/EngineOrders/index.ts
+++ b/packages/router/src/EngineOrders/index.ts
@@ -8,7 +8,7 @@
   type UpstreamId,
 } from '@acaciacrank/base';
 import type { EngineServiceDocument, ServiceDocument } from '@acaciacrank/operators';
-import type { ListedInstance, ObjectStore } from '@acaciacrank/platform';
+import type { ListedInstance, ObjectStore } from '@acaciacrank/store';
 import {
   chooseInstances,
   estimatedLoad,
--- a/packages/router/src/HttpUpstreamClients/index.ts
+++ b/packages/router/src/HttpUpstreamClients/index.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@acaciacrank/base';
-import type { ListedInstance } from '@acaciacrank/platform';
+import type { ListedInstance } from '@acaciacrank/store';
 import { UpstreamClients } from '@acaciacrank/routing';
 import { HttpEngineClient, HttpServiceClient } from '@acaciacrank/upstreams';
 
--- a/packages/router/src/Instance/index.ts
+++ b/packages/router/src/Instance/index.ts
@@ -34,7 +34,7 @@
   type InstanceAddresses,
 } from '@acaciacrank/fleet';
 import { ConfigurationWatcher } from '@acaciacrank/operators';
-import type { InstanceList, ObjectStore } from '@acaciacrank/platform';
+import type { InstanceList, ObjectStore } from '@acaciacrank/store';
 import {
   AdmissionQueue,
   PrefixAffinity,
--- a/packages/router/src/runInstance/index.ts
+++ b/packages/router/src/runInstance/index.ts
@@ -16,7 +16,7 @@
   type WsFleetLinksOptions,
 } from '@acaciacrank/fleet';
 import { environmentList, environmentStore } from '@acaciacrank/operators';
-import { HttpInstanceList, HttpObjectStore } from '@acaciacrank/platform';
+import { HttpInstanceList, HttpObjectStore } from '@acaciacrank/store';
 import type { Server } from 'node:http';
 import { isIPv6, type AddressInfo } from 'node:net';
 import { describeInstance } from '../describeInstance/index.js';
--- a/packages/routing/src/UpstreamRegistry/index.ts
+++ b/packages/routing/src/UpstreamRegistry/index.ts
@@ -8,7 +8,7 @@
   type ServiceName,
   type UpstreamId,
 } from '@acaciacrank/base';
-import type { InstanceList, ListedInstance } from '@acaciacrank/platform';
+import type { InstanceList, ListedInstance } from '@acaciacrank/store';
 import type { CacheEvent, LoadReport } from '@acaciacrank/upstreams';
 import { setMaxListeners } from 'node:events';
 import { SentLog } from '../_lib/SentLog/index.js';
--- a/packages/routing/src/UpstreamRegistry/test.ts
+++ b/packages/routing/src/UpstreamRegistry/test.ts
@@ -7,7 +7,7 @@
   type ServiceName,
   type UpstreamId,
 } from '@acaciacrank/base';
-import { InstanceList, type ListedInstance } from '@acaciacrank/platform';
+import { InstanceList, type ListedInstance } from '@acaciacrank/store';
 import {
   EngineClient,
   type CacheEvent,
--- a/packages/routing/src/chooseInstances/index.ts
+++ b/packages/routing/src/chooseInstances/index.ts
@@ -1,5 +1,5 @@
 import { hashText, type AccountId, type FailureDomainId } from '@acaciacrank/base';
-import type { ListedInstance } from '@acaciacrank/platform';
+import type { ListedInstance } from '@acaciacrank/store';
 
 /** Options of {@link chooseInstances}. */
 export interface ChooseInstancesOptions {
--- a/packages/routing/src/chooseInstances/test.ts
+++ b/packages/routing/src/chooseInstances/test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import type { AccountId, FailureDomainId, InstanceId } from '@acaciacrank/base';
-import type { ListedInstance } from '@acaciacrank/platform';
+import type { ListedInstance } from '@acaciacrank/store';
 import { chooseInstances } from './index.js';
 
 const entry = (id: string): ListedInstance => ({
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -2,7 +2,7 @@
  * What routing decisions look at.
  */
 import type { FailureDomainId, ServiceName, UpstreamId } from '@acaciacrank/base';
-import type { ListedInstance } from '@acaciacrank/platform';
+import type { ListedInstance } from '@acaciacrank/store';
 import type { EngineClient, LoadReport, ServiceClient } from '@acaciacrank/upstreams';
 import type { ConcurrencyLimit } from './ConcurrencyLimit/index.js';
 import type { UpstreamHealth } from './UpstreamHealth/index.js';
--- a/packages/standins/src/MemoryPlatform/index.ts
+++ b/packages/standins/src/MemoryPlatform/index.ts
@@ -4,10 +4,12 @@
   ObjectStore,
   type ListedInstance,
   type StoreChange,
+  type StoreChanges,
+  type StoreSnapshot,
   type StoredObject,
   type WriteCondition,
   type WriteResult,
-} from '@acaciacrank/platform';
+} from '@acaciacrank/store';
 
 /** Calls that the platform has answered, by kind. */
 export interface PlatformCalls {
@@ -73,12 +75,13 @@
     return this.#copy(this.#objects.get(key));
   }
 
-  list(prefix: string): StoredObject[] {
+  snapshot(prefix: string): StoreSnapshot {
     this.calls.reads += 1;
-    return [...this.#objects.values()]
+    const objects = [...this.#objects.values()]
       .filter((object) => object.key.startsWith(prefix))
       .sort((a, b) => (a.key < b.key ? -1 : 1))
       .map((object) => this.#copy(object));
+    return { objects, revision: this.#revision };
   }
 
   write(key: string, value: unknown, condition: WriteCondition): WriteResult {
@@ -103,10 +106,10 @@
     sinceRevision: number,
     waitMs: number,
     signal: AbortSignal,
-  ): Promise<readonly StoreChange[]> {
+  ): Promise<StoreChanges> {
     this.calls.watches += 1;
     const ready = this.#changesSince(prefix, sinceRevision);
-    if (ready.length > 0 || signal.aborted) return ready;
+    if (ready.length > 0 || signal.aborted) return this.#answerWatch(ready, sinceRevision);
     const wakeUp = new AbortController();
     const waiter: Waiter = {
       prefix,
@@ -119,7 +122,7 @@
     await this.#clock.sleep(waitMs, wakeUp.signal);
     signal.removeEventListener('abort', waiter.wake);
     this.#waiters = this.#waiters.filter((other) => other !== waiter);
-    return this.#changesSince(prefix, sinceRevision);
+    return this.#answerWatch(this.#changesSince(prefix, sinceRevision), sinceRevision);
   }
 
   /** Tells the platform of an instance, as its own machinery does. */
@@ -171,6 +174,10 @@
     for (const waiter of this.#waiters) if (key.startsWith(waiter.prefix)) waiter.wake();
   }
 
+  #answerWatch(changes: StoreChange[], sinceRevision: number): StoreChanges {
+    return { changes, revision: changes.at(-1)?.revision ?? sinceRevision };
+  }
+
   /** Only the latest change of each key is kept: a watch that fell behind misses steps, not state. */
   #changesSince(prefix: string, sinceRevision: number): StoreChange[] {
     return this.#changes
@@ -222,16 +229,16 @@
     return this.#answer(this.#platform.remove(key, version));
   }
 
-  override async list(prefix: string): Promise<StoredObject[]> {
+  override async snapshot(prefix: string): Promise<StoreSnapshot> {
     await this.#reach();
-    return this.#platform.list(prefix);
+    return this.#platform.snapshot(prefix);
   }
 
   override async watch(
     prefix: string,
     sinceRevision: number,
     signal: AbortSignal,
-  ): Promise<readonly StoreChange[]> {
+  ): Promise<StoreChanges> {
     await this.#reach();
     const changes = await this.#platform.watch(prefix, sinceRevision, this.#watchWaitMs, signal);
     if (this.link.isDown) throw unavailable();
--- a/packages/standins/src/_lib/FaultyUpstreams/index.ts
+++ b/packages/standins/src/_lib/FaultyUpstreams/index.ts
@@ -2,7 +2,7 @@
  * Faults on the connections between an instance and its upstreams.
  */
 import { RouterError, type RequestId } from '@acaciacrank/base';
-import type { ListedInstance } from '@acaciacrank/platform';
+import type { ListedInstance } from '@acaciacrank/store';
 import { UpstreamClients } from '@acaciacrank/routing';
 import {
   EngineClient,
--- a/packages/standins/src/_lib/MemberFleet/index.ts
+++ b/packages/standins/src/_lib/MemberFleet/index.ts
@@ -7,7 +7,7 @@
   type InstanceId,
 } from '@acaciacrank/base';
 import { ConfigurationSpread, FleetQuestions, Membership, type Member } from '@acaciacrank/fleet';
-import type { ListedInstance } from '@acaciacrank/platform';
+import type { ListedInstance } from '@acaciacrank/store';
 import { MemoryFleet, type MemoryFleetLinks } from '../../MemoryFleet/index.js';
 
 /** One instance that has only its membership. */
--- a/packages/standins/src/benches/control/index.ts
+++ b/packages/standins/src/benches/control/index.ts
@@ -9,7 +9,7 @@
   type ServiceName,
   type UpstreamId,
 } from '@acaciacrank/base';
-import { HttpInstanceList, type ListedInstance } from '@acaciacrank/platform';
+import { HttpInstanceList, type ListedInstance } from '@acaciacrank/store';
 import { chooseSubset } from '@acaciacrank/routing';
 import { HttpEngineClient } from '@acaciacrank/upstreams';
 import type { ResultRow } from '../../printTable/index.js';
--- a/packages/standins/src/bin.ts
+++ b/packages/standins/src/bin.ts
@@ -9,7 +9,7 @@
   type ServiceName,
   type UpstreamId,
 } from '@acaciacrank/base';
-import type { ListedInstance } from '@acaciacrank/platform';
+import type { ListedInstance } from '@acaciacrank/store';
 import { cac } from 'cac';
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
--- a/packages/standins/src/compareWithRecords/index.ts
+++ b/packages/standins/src/compareWithRecords/index.ts
@@ -1,6 +1,6 @@
 import type { RequestKey } from '@acaciacrank/base';
 import { parsePage, type LedgerPage } from '@acaciacrank/ledger';
-import type { StoredObject } from '@acaciacrank/platform';
+import type { StoredObject } from '@acaciacrank/store';
 import type { EngineRecord } from '../StandinEngine/index.js';
 import type { ServiceRun } from '../StandinService/index.js';
 
--- a/packages/standins/src/configuration/_lib/FaultyObjectStore/index.ts
+++ b/packages/standins/src/configuration/_lib/FaultyObjectStore/index.ts
@@ -1,11 +1,12 @@
 import { RouterError } from '@acaciacrank/base';
 import {
   ObjectStore,
-  type StoreChange,
+  type StoreChanges,
+  type StoreSnapshot,
   type StoredObject,
   type WriteCondition,
   type WriteResult,
-} from '@acaciacrank/platform';
+} from '@acaciacrank/store';
 
 /** What can be wrong between one user and the store, call by call. */
 export interface StoreFaults {
@@ -91,17 +92,17 @@
     return this.#store.remove(key, version);
   }
 
-  override async list(prefix: string): Promise<StoredObject[]> {
+  override async snapshot(prefix: string): Promise<StoreSnapshot> {
     this.#reach();
     await this.faults.beforeList?.();
-    return this.#store.list(prefix);
+    return this.#store.snapshot(prefix);
   }
 
   override async watch(
     prefix: string,
     sinceRevision: number,
     signal: AbortSignal,
-  ): Promise<readonly StoreChange[]> {
+  ): Promise<StoreChanges> {
     this.#reach();
     const changes = await this.#store.watch(prefix, sinceRevision, signal);
     if (this.faults.isWatchSilent) await new Promise(() => undefined);
--- a/packages/standins/src/createPlatformServer/index.ts
+++ b/packages/standins/src/createPlatformServer/index.ts
@@ -1,5 +1,5 @@
 import { RouterError } from '@acaciacrank/base';
-import type { ListedInstance, WriteCondition, WriteResult } from '@acaciacrank/platform';
+import type { ListedInstance, WriteCondition, WriteResult } from '@acaciacrank/store';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { closedSignal, readText, sendJson, serveJson } from '../_lib/serveJson/index.js';
 import type { MemoryPlatform } from '../MemoryPlatform/index.js';
@@ -18,7 +18,7 @@
     if (url.pathname.startsWith('/objects/')) {
       await answerObject(platform, request, response, url);
     } else if (url.pathname === '/objects') {
-      sendJson(response, 200, platform.list(url.searchParams.get('prefix') ?? ''));
+      sendJson(response, 200, platform.snapshot(url.searchParams.get('prefix') ?? ''));
     } else if (url.pathname === '/watch') {
       const query = url.searchParams;
       const since = Number(query.get('since'));
--- a/packages/standins/src/demo/load.ts
+++ b/packages/standins/src/demo/load.ts
@@ -4,7 +4,7 @@
 import { SystemClock, type AccountId, type BudgetId } from '@acaciacrank/base';
 import { readBudget } from '@acaciacrank/ledger';
 import { environmentList } from '@acaciacrank/operators';
-import { HttpInstanceList, HttpObjectStore, type ListedInstance } from '@acaciacrank/platform';
+import { HttpInstanceList, HttpObjectStore, type ListedInstance } from '@acaciacrank/store';
 import { request } from 'undici';
 import { compareWithRecords, type StandinRecords } from '../compareWithRecords/index.js';
 import { runLoad } from '../runLoad/index.js';
--- a/packages/standins/src/experiments/configuration-spread/index.ts
+++ b/packages/standins/src/experiments/configuration-spread/index.ts
@@ -2,7 +2,7 @@
  * How soon an accepted version is in force on every instance that is reachable, by what is wrong.
  */
 import { acceptDocument, manifestKey } from '@acaciacrank/operators';
-import type { StoredObject } from '@acaciacrank/platform';
+import type { StoredObject } from '@acaciacrank/store';
 import { FaultyObjectStore } from '../../configuration/_lib/FaultyObjectStore/index.js';
 import { markedText } from '../../configuration/_lib/configurationDocument/index.js';
 import { createLocalFleet, type LocalFleet } from '../../createLocalFleet/index.js';
--- a/packages/standins/src/experiments/routing/_lib/SimulatedInstance/index.ts
+++ b/packages/standins/src/experiments/routing/_lib/SimulatedInstance/index.ts
@@ -9,7 +9,7 @@
   type ServiceName,
   type UpstreamId,
 } from '@acaciacrank/base';
-import type { InstanceList } from '@acaciacrank/platform';
+import type { InstanceList } from '@acaciacrank/store';
 import {
   AdmissionQueue,
   UpstreamRegistry,
--- a/packages/standins/src/experiments/routing/_lib/runCell/index.ts
+++ b/packages/standins/src/experiments/routing/_lib/runCell/index.ts
@@ -12,7 +12,7 @@
   type Random,
   type UpstreamId,
 } from '@acaciacrank/base';
-import type { ListedInstance } from '@acaciacrank/platform';
+import type { ListedInstance } from '@acaciacrank/store';
 import { chooseInstances } from '@acaciacrank/routing';
 import { LocalUpstreamClients } from '../../../../LocalUpstreamClients/index.js';
 import { MemoryInstanceList, MemoryPlatform } from '../../../../MemoryPlatform/index.js';
--- a/packages/standins/src/failures/ledger/test.ts
+++ b/packages/standins/src/failures/ledger/test.ts
@@ -24,7 +24,7 @@
   type PageBudget,
   type Reservation,
 } from '@acaciacrank/ledger';
-import type { WriteCondition, WriteResult } from '@acaciacrank/platform';
+import type { WriteCondition, WriteResult } from '@acaciacrank/store';
 import fc from 'fast-check';
 import { LocalGrantNetwork } from '../../LocalGrantNetwork/index.js';
 import { MemoryObjectStore, MemoryPlatform } from '../../MemoryPlatform/index.js';
--- a/packages/standins/src/failures/start/test.ts
+++ b/packages/standins/src/failures/start/test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { digestText, RouterError, type BudgetId } from '@acaciacrank/base';
-import { InstanceList, type ListedInstance } from '@acaciacrank/platform';
+import { InstanceList, type ListedInstance } from '@acaciacrank/store';
 import { createLocalFleet, type LocalInstance } from '../../createLocalFleet/index.js';
 
 const document = `environment: test
--- a/packages/standins/src/failures/watch/test.ts
+++ b/packages/standins/src/failures/watch/test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import { ManualClock } from '@acaciacrank/base';
 import { acceptDocument, ConfigurationWatcher } from '@acaciacrank/operators';
+import type { StoreChanges } from '@acaciacrank/store';
 import { storyDocument } from '../../faults/document.js';
 import { MemoryObjectStore, MemoryPlatform } from '../../MemoryPlatform/index.js';
 
@@ -8,11 +9,11 @@
 class HastyWatchStore extends MemoryObjectStore {
   watches = 0;
 
-  override watch(): Promise<[]> {
+  override watch(): Promise<StoreChanges> {
     this.watches += 1;
     // Without a bound this would never return, and the test would not end.
     if (this.watches > 1_000) return new Promise<never>(() => undefined);
-    return Promise.resolve([]);
+    return Promise.resolve({ changes: [], revision: 0 });
   }
 }
 
--- a/packages/standins/src/faults/StoryContext/index.ts
+++ b/packages/standins/src/faults/StoryContext/index.ts
@@ -1,7 +1,7 @@
 import { describeError, RouterError, type ClassName } from '@acaciacrank/base';
 import type { ChatCall, ChatFinalFrame, ServiceCall } from '@acaciacrank/callers';
 import { parsePage, type PageBill } from '@acaciacrank/ledger';
-import type { ObjectStore } from '@acaciacrank/platform';
+import type { ObjectStore } from '@acaciacrank/store';
 import type { ServiceAnswer } from '@acaciacrank/upstreams';
 import type { LocalFleet, LocalInstance } from '../../createLocalFleet/index.js';
 import { MemoryObjectStore } from '../../MemoryPlatform/index.js';
--- a/packages/standins/src/faults/mutations/index.ts
+++ b/packages/standins/src/faults/mutations/index.ts
@@ -8,11 +8,12 @@
   InstanceList,
   ObjectStore,
   type ListedInstance,
-  type StoreChange,
+  type StoreChanges,
+  type StoreSnapshot,
   type StoredObject,
   type WriteCondition,
   type WriteResult,
-} from '@acaciacrank/platform';
+} from '@acaciacrank/store';
 import type { Instance, InstanceOptions } from '@acaciacrank/router';
 import { UpstreamClients } from '@acaciacrank/routing';
 import {
@@ -65,15 +66,15 @@
     return this.#store.remove(key, version);
   }
 
-  override list(prefix: string): Promise<StoredObject[]> {
-    return this.#store.list(prefix);
+  override snapshot(prefix: string): Promise<StoreSnapshot> {
+    return this.#store.snapshot(prefix);
   }
 
   override watch(
     prefix: string,
     sinceRevision: number,
     signal: AbortSignal,
-  ): Promise<readonly StoreChange[]> {
+  ): Promise<StoreChanges> {
     return this.#store.watch(prefix, sinceRevision, signal);
   }
 }
@@ -166,7 +167,7 @@
     prefix: string,
     sinceRevision: number,
     signal: AbortSignal,
-  ): Promise<readonly StoreChange[]> {
+  ): Promise<StoreChanges> {
     await new Promise((resolve) => {
       signal.addEventListener('abort', resolve, { once: true });
     });
--- a/packages/standins/src/faults/wrapInstance/index.ts
+++ b/packages/standins/src/faults/wrapInstance/index.ts
@@ -7,11 +7,12 @@
   InstanceList,
   ObjectStore,
   type ListedInstance,
-  type StoreChange,
+  type StoreChanges,
+  type StoreSnapshot,
   type StoredObject,
   type WriteCondition,
   type WriteResult,
-} from '@acaciacrank/platform';
+} from '@acaciacrank/store';
 import type { InstanceOptions } from '@acaciacrank/router';
 import { UpstreamClients } from '@acaciacrank/routing';
 import {
@@ -142,15 +143,15 @@
     return this.#pass('store.remove', () => this.#store.remove(key, version));
   }
 
-  override list(prefix: string): Promise<StoredObject[]> {
-    return this.#pass('store.list', () => this.#store.list(prefix));
+  override snapshot(prefix: string): Promise<StoreSnapshot> {
+    return this.#pass('store.snapshot', () => this.#store.snapshot(prefix));
   }
 
   override watch(
     prefix: string,
     sinceRevision: number,
     signal: AbortSignal,
-  ): Promise<readonly StoreChange[]> {
+  ): Promise<StoreChanges> {
     return this.#pass(
       'store.watch',
       () => this.#store.watch(prefix, sinceRevision, signal),
--- a/packages/standins/src/operatorCommands/test.ts
+++ b/packages/standins/src/operatorCommands/test.ts
@@ -17,7 +17,7 @@
   type InstanceAnswer,
 } from '@acaciacrank/ctl';
 import { ConfigurationWatcher, environmentStore } from '@acaciacrank/operators';
-import type { ListedInstance } from '@acaciacrank/platform';
+import type { ListedInstance } from '@acaciacrank/store';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
--- a/packages/platform/src/HttpObjectStore/index.ts
+++ b/packages/store/src/HttpObjectStore/index.ts
@@ -3,7 +3,13 @@
 import { z } from 'zod';
 import { ObjectStore } from '../ObjectStore/index.js';
 import { requestJson, type JsonAnswer } from '../_lib/requestJson/index.js';
-import type { StoreChange, StoredObject, WriteCondition, WriteResult } from '../types.js';
+import type {
+  StoreChanges,
+  StoreSnapshot,
+  StoredObject,
+  WriteCondition,
+  WriteResult,
+} from '../types.js';
 
 /** Options of {@link HttpObjectStore}. */
 export interface HttpObjectStoreOptions {
@@ -22,6 +28,8 @@
   revision: z.number(),
   object: storedObjectSchema.optional(),
 });
+const changesSchema = z.object({ changes: z.array(changeSchema), revision: z.number() });
+const snapshotSchema = z.object({ objects: z.array(storedObjectSchema), revision: z.number() });
 
 /**
  * The object API over HTTP: `ETag` carries the version, `If-Match` and `If-None-Match: *` the
@@ -63,18 +71,18 @@
     return writeResultOf(await this.#call('DELETE', this.#objectUrl(key), headers));
   }
 
-  override async list(prefix: string): Promise<StoredObject[]> {
+  override async snapshot(prefix: string): Promise<StoreSnapshot> {
     const url = `${this.#url}/objects?prefix=${encodeURIComponent(prefix)}`;
     const answer = await this.#call('GET', url);
     expectStatus(answer, 200);
-    return z.array(storedObjectSchema).parse(answer.body);
+    return snapshotSchema.parse(answer.body);
   }
 
   override async watch(
     prefix: string,
     sinceRevision: number,
     signal: AbortSignal,
-  ): Promise<readonly StoreChange[]> {
+  ): Promise<StoreChanges> {
     const query = `prefix=${encodeURIComponent(prefix)}&since=${sinceRevision}&waitMs=${this.#watchWaitMs}`;
     const answer = await requestJson(this.#clock, this.#agent, {
       method: 'GET',
@@ -83,7 +91,7 @@
       signal,
     });
     expectStatus(answer, 200);
-    return z.array(changeSchema).parse(answer.body) as StoreChange[];
+    return changesSchema.parse(answer.body) as StoreChanges;
   }
 
   [Symbol.asyncDispose](): Promise<void> {
--- a/packages/platform/src/ObjectStore/index.ts
+++ b/packages/store/src/ObjectStore/index.ts
@@ -1,4 +1,10 @@
-import type { StoreChange, StoredObject, WriteCondition, WriteResult } from '../types.js';
+import type {
+  StoreChanges,
+  StoreSnapshot,
+  StoredObject,
+  WriteCondition,
+  WriteResult,
+} from '../types.js';
 
 /**
  * The platform's object API: versions, conditional updates and watches.
@@ -17,20 +23,22 @@
   /** Removes one object when it has the stated version. */
   abstract remove(key: string, version: number): Promise<WriteResult>;
 
+  /** All objects whose key begins with the prefix, and the revision to watch from. */
+  abstract snapshot(prefix: string): Promise<StoreSnapshot>;
+
   /** All objects whose key begins with the prefix, in order of key. */
-  abstract list(prefix: string): Promise<StoredObject[]>;
+  async list(prefix: string): Promise<readonly StoredObject[]> {
+    return (await this.snapshot(prefix)).objects;
+  }
 
   /**
    * Waits for changes under a prefix after a revision. One waiting watch counts as one call.
    *
    * @param prefix - which keys
-   * @param sinceRevision - the revision of the last change seen; 0 for all that is there
+   * @param sinceRevision - the revision up to which changes are known
    * @param signal - ends the wait
-   * @returns the changes, oldest first; empty when the wait ended without any
+   * @returns the changes after that revision
+   * @throws RouterError `historyGone` when the store no longer knows what followed that revision
    */
-  abstract watch(
-    prefix: string,
-    sinceRevision: number,
-    signal: AbortSignal,
-  ): Promise<readonly StoreChange[]>;
+  abstract watch(prefix: string, sinceRevision: number, signal: AbortSignal): Promise<StoreChanges>;
 }
--- a/packages/platform/src/PrefixedObjectStore/index.ts
+++ b/packages/store/src/PrefixedObjectStore/index.ts
@@ -1,5 +1,11 @@
 import { ObjectStore } from '../ObjectStore/index.js';
-import type { StoreChange, StoredObject, WriteCondition, WriteResult } from '../types.js';
+import type {
+  StoreChanges,
+  StoreSnapshot,
+  StoredObject,
+  WriteCondition,
+  WriteResult,
+} from '../types.js';
 
 /** A view of a store in which all keys have a prefix that its users do not see. */
 export class PrefixedObjectStore extends ObjectStore {
@@ -25,22 +31,23 @@
     return this.#store.remove(this.#prefix + key, version);
   }
 
-  override async list(prefix: string): Promise<StoredObject[]> {
-    const listed = await this.#store.list(this.#prefix + prefix);
-    return listed.map((stored) => this.#shown(stored));
+  override async snapshot(prefix: string): Promise<StoreSnapshot> {
+    const { objects, revision } = await this.#store.snapshot(this.#prefix + prefix);
+    return { objects: objects.map((stored) => this.#shown(stored)), revision };
   }
 
   override async watch(
     prefix: string,
     sinceRevision: number,
     signal: AbortSignal,
-  ): Promise<readonly StoreChange[]> {
-    const changes = await this.#store.watch(this.#prefix + prefix, sinceRevision, signal);
-    return changes.map((change) => ({
+  ): Promise<StoreChanges> {
+    const watched = await this.#store.watch(this.#prefix + prefix, sinceRevision, signal);
+    const changes = watched.changes.map((change) => ({
       ...change,
       key: this.#bare(change.key),
       object: change.object === undefined ? undefined : this.#shown(change.object),
     }));
+    return { changes, revision: watched.revision };
   }
 
   #shown(stored: StoredObject): StoredObject {
--- a/packages/platform/src/types.ts
+++ b/packages/store/src/types.ts
@@ -28,6 +28,21 @@
   readonly object: StoredObject | undefined;
 }
 
+/** What a watch answers. */
+export interface StoreChanges {
+  /** Oldest first; empty when the wait ended without any. */
+  readonly changes: readonly StoreChange[];
+  /** Where to go on watching from; at least the revision that was asked for. */
+  readonly revision: number;
+}
+
+/** All objects under a prefix, and the revision at which to begin to watch for changes. */
+export interface StoreSnapshot {
+  /** In order of key. */
+  readonly objects: readonly StoredObject[];
+  readonly revision: number;
+}
+
 /** What the platform's list says an instance is for. */
 export type InstanceRole = 'entry' | 'engine' | 'service';
 
--- a/packages/upstreams/src/StoreLease/index.ts
+++ b/packages/upstreams/src/StoreLease/index.ts
@@ -4,7 +4,7 @@
   type Clock,
   type InstanceId,
 } from '@acaciacrank/base';
-import type { ObjectStore, StoredObject } from '@acaciacrank/platform';
+import type { ObjectStore, StoredObject } from '@acaciacrank/store';
 import { z } from 'zod';
 
 const leaseSchema = z.strictObject({
