Forward opaque requests on the users' platform: the whole path, thin

Adds packages/forwarding (routes, upstreams, attempts, streams), prepaid pages, registrations, a follower of the store, and platform/ with the only names of the platform.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,11 +1,11 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'target/**'] },
   ...tseslint.configs.strict,
   ...tseslint.configs.stylistic,
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     languageOptions: {
       parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
     },
--- a/packages/base/src/createLog/index.ts
+++ b/packages/base/src/createLog/index.ts
@@ -3,6 +3,11 @@
 /** A structured log; lines are for changes of state only, counters tell the rest. */
 export type Log = bunyan;
 
+/** All that a log needs of the stream it writes to. */
+export interface LogSink {
+  write(line: string): unknown;
+}
+
 /** Options of {@link createLog}. */
 export interface CreateLogOptions {
   /** The lowest level that is written. */
@@ -10,7 +15,7 @@
   /** Fields on every line, for example the instance id. */
   fields?: Record<string, string>;
   /** Where lines go; standard error by default, so that standard output stays for results. */
-  stream?: NodeJS.WritableStream;
+  stream?: LogSink;
 }
 
 /**
@@ -29,6 +34,7 @@
     name,
     ...options.fields,
     level: options.level ?? 'info',
-    stream: options.stream ?? process.stderr,
+    // The declared type asks for a whole stream; only `write` is ever called.
+    stream: (options.stream ?? process.stderr) as NodeJS.WritableStream,
   });
 }
--- a/packages/base/src/errorKinds/index.ts
+++ b/packages/base/src/errorKinds/index.ts
@@ -88,6 +88,18 @@
     retryAfterMs: 2_000,
     remedy: 'Come back after the stated time; lower classes give way first.',
   },
+  notReady: {
+    httpStatus: 503,
+    ran: 'notRun',
+    retryAfterMs: 500,
+    remedy: 'The instance knows no configuration yet: come back, or use another instance.',
+  },
+  tokensHeldElsewhere: {
+    httpStatus: 429,
+    ran: 'notRun',
+    retryAfterMs: 1_000,
+    remedy: 'Other instances hold what is left of the budget: come back after the stated time.',
+  },
   instanceLeaving: {
     httpStatus: 503,
     ran: 'notRun',
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -13,6 +13,7 @@
 export * from './describeError/index.js';
 export * from './readSettings/index.js';
 export * from './createLog/index.js';
+export * from './createLogStream/index.js';
 export * from './Metrics/index.js';
 export * from './createRandom/index.js';
 export * from './hashText/index.js';
--- a/packages/callers/src/createCallerServer/index.ts
+++ b/packages/callers/src/createCallerServer/index.ts
@@ -23,11 +23,11 @@
   type ServerOptions,
   type ServerResponse,
 } from 'node:http';
-import { ByteBudget, type HeldBytes } from '../_lib/ByteBudget/index.js';
-import { CallerWriter } from '../_lib/CallerWriter/index.js';
-import { endToEndHeaders } from '../_lib/endToEndHeaders/index.js';
-import { readBody } from '../_lib/readBody/index.js';
-import { errorBody, writeError } from '../_lib/writeError/index.js';
+import { ByteBudget, type HeldBytes } from '../ByteBudget/index.js';
+import { CallerWriter } from '../CallerWriter/index.js';
+import { endToEndHeaders } from '../endToEndHeaders/index.js';
+import { readBody } from '../readBody/index.js';
+import { errorBody, writeError } from '../writeError/index.js';
 import type { ChatHandler } from '../ChatHandler/index.js';
 import { parseChatCall } from '../parseChatCall/index.js';
 import type { ServiceHandler } from '../ServiceHandler/index.js';
--- a/packages/callers/src/_lib/endToEndHeaders/index.ts
+++ b/packages/callers/src/endToEndHeaders/index.ts
@@ -47,3 +47,40 @@
   const values = typeof connection === 'string' ? [connection] : (connection ?? []);
   return values.flatMap((value) => value.split(',').map((name) => name.trim().toLowerCase()));
 }
+
+/**
+ * Like {@link endToEndHeaders}, for names and values in turn as they stood on the wire.
+ *
+ * @param headers - names and values in turn
+ * @param isKept - whether a header, by its name in lower case, passes as well
+ * @returns names and values in turn, repeated headers included
+ *
+ * @example
+ * endToEndRawHeaders(['ETag', 'a', 'Connection', 'close']);
+ * //=> ['ETag', 'a']
+ */
+export function endToEndRawHeaders(
+  headers: readonly string[],
+  isKept: (name: string) => boolean = () => true,
+): string[] {
+  const named = new Set<string>();
+  forEachRawHeader(headers, (name, value) => {
+    if (name === 'connection') namedByConnection(value).forEach((other) => named.add(other));
+  });
+  const passed: string[] = [];
+  forEachRawHeader(headers, (name, value, rawName) => {
+    if (!ownHeaders.has(name) && !named.has(name) && isKept(name)) passed.push(rawName, value);
+  });
+  return passed;
+}
+
+/** Visits names and values in turn; names in lower case, and as they stood on the wire. */
+export function forEachRawHeader(
+  headers: readonly string[],
+  visit: (name: string, value: string, rawName: string) => void,
+): void {
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    const rawName = headers[index] ?? '';
+    visit(rawName.toLowerCase(), headers[index + 1] ?? '', rawName);
+  }
+}
--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -10,3 +10,8 @@
 export * from './ServiceHandler/index.js';
 export * from './parseChatCall/index.js';
 export * from './createCallerServer/index.js';
+export * from './readBody/index.js';
+export * from './ByteBudget/index.js';
+export * from './CallerWriter/index.js';
+export * from './writeError/index.js';
+export * from './endToEndHeaders/index.js';
--- a/packages/callers/src/_lib/writeError/index.ts
+++ b/packages/callers/src/writeError/index.ts
@@ -32,13 +32,30 @@
   };
 }
 
+/** Options of {@link writeError}. */
+export interface WriteErrorOptions {
+  /**
+   * The step to which the time to come back is rounded up, in milliseconds: whole seconds as in RFC
+   * 9110 by default, less for callers that are known to read fractions.
+   */
+  retryAfterStepMs?: number;
+}
+
 /** Writes an error as a whole answer. */
-export function writeError(response: ServerResponse, error: RouterError, random: Random): void {
+export function writeError(
+  response: ServerResponse,
+  error: RouterError,
+  random: Random,
+  options: WriteErrorOptions = {},
+): void {
+  const stepMs = options.retryAfterStepMs ?? millisecondsInSecond;
   const body = errorBody(error, random);
   const headers: Record<string, string> = { 'content-type': 'application/json' };
   const { retryAfterMs } = body.error;
   if (retryAfterMs !== null) {
-    headers['retry-after'] = String(Math.ceil(retryAfterMs / millisecondsInSecond));
+    headers['retry-after'] = String(
+      (Math.ceil(retryAfterMs / stepMs) * stepMs) / millisecondsInSecond,
+    );
   }
   // What is left of a body that was refused is not read: the connection ends with the answer.
   if (!response.req.complete) headers.connection = 'close';
--- /dev/null
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -0,0 +1,288 @@
+import {
+  describeError,
+  DisposableStore,
+  StateStream,
+  type Clock,
+  type FailureDomainId,
+  type InstanceId,
+  type Log,
+  type Metrics,
+  type Random,
+  type UpstreamId,
+} from '@acaciacrank/base';
+import { InstanceRegistry, type RegisteredInstance } from '@acaciacrank/fleet';
+import { PrepaidAccounts, type GrantEvent, type Lifetime } from '@acaciacrank/ledger';
+import { RetryShare } from '@acaciacrank/routing';
+import { ObjectFollower, type ObjectStore, type StoredObject } from '@acaciacrank/store';
+import type { Server } from 'node:http';
+import { applyCallerLimits, createForwardServer, listenBacklog } from '../createForwardServer/index.js';
+import type { ForwardCodec } from '../ForwardCodec/index.js';
+import { ForwardHandler } from '../ForwardHandler/index.js';
+import { RouteTable } from '../RouteTable/index.js';
+import { UpstreamTable } from '../UpstreamTable/index.js';
+
+/** Where a forwarding instance listens and what it may use. */
+export interface ForwardingSettings {
+  readonly instanceId: InstanceId;
+  readonly failureDomain: FailureDomainId;
+  readonly callers: { readonly ip: string; readonly port: number };
+  /** Repeats that a service may receive from all instances together. */
+  readonly repeats: {
+    readonly perRequest: number;
+    readonly free: number;
+    readonly windowMs: number;
+  };
+  /** How long a planned stop may take, in milliseconds. */
+  readonly stopLimitMs: number;
+  /** How long callers keep the directory's answer at most, in milliseconds. */
+  readonly directoryKeepMs: number;
+}
+
+/** Options of {@link ForwardingInstance}. */
+export interface ForwardingInstanceOptions {
+  settings: ForwardingSettings;
+  /** Drawn anew at each start of the process. */
+  runId: string;
+  store: ObjectStore;
+  codec: ForwardCodec;
+  clock: Clock;
+  log: Log;
+  metrics: Metrics;
+  random?: Random;
+}
+
+/** The part of a planned stop's time that is kept for ending the process, in milliseconds. */
+const endMarginMs = 700;
+/** Callers keep a directory answer for up to three times its time; new ones come for so long. */
+const keepFactor = 3;
+/** How often a planned stop looks whether it is done, in milliseconds. */
+const stopPollMs = 50;
+
+/**
+ * One instance that forwards requests: its configuration, upstreams, tokens, registration and
+ * callers' port, wired together.
+ */
+export class ForwardingInstance {
+  readonly upstreams: UpstreamTable;
+  readonly tokens: PrepaidAccounts;
+  readonly registry: InstanceRegistry;
+  /** The configuration in force; undefined while none is known. */
+  readonly routes = new StateStream<RouteTable | undefined>(undefined);
+  readonly #options: Required<ForwardingInstanceOptions>;
+  readonly #cleanUp = new DisposableStore();
+  readonly #handler: ForwardHandler;
+  readonly #server: Server;
+  #phase: 'running' | 'leaving' | 'refusing' = 'running';
+
+  constructor(options: ForwardingInstanceOptions) {
+    this.#options = { random: Math.random, ...options };
+    const { clock, store, settings, codec, log, metrics, random } = this.#options;
+    const lifetime: Lifetime = { instanceId: settings.instanceId, runId: options.runId };
+    this.registry = this.#createRegistry(lifetime);
+    const instanceCount = () => this.registry.count();
+    this.upstreams = new UpstreamTable({
+      clock,
+      onChange: (change) => {
+        metrics.count('upstreamChanges', change.what);
+        log.info(change, 'upstream');
+      },
+    });
+    const onEvent = (event: GrantEvent) => {
+      metrics.count('grants', event.what);
+      log.info(event, 'grant');
+    };
+    this.tokens = new PrepaidAccounts({ lifetime, store, clock, instanceCount, onEvent });
+    const retries = new RetryShare({
+      clock,
+      repeatsPerRequest: settings.repeats.perRequest,
+      freeRepeats: settings.repeats.free,
+      windowMs: settings.repeats.windowMs,
+      instanceCount,
+    });
+    this.#handler = new ForwardHandler({
+      clock,
+      codec,
+      routes: () => this.routes.value,
+      upstreams: this.upstreams,
+      tokens: this.tokens,
+      retries,
+      ownDomain: settings.failureDomain,
+      isAccepting: () => this.#phase !== 'refusing',
+      isLeaving: () => this.#phase !== 'running',
+      random,
+      log,
+      metrics,
+    });
+    const onBadRequest = () => {
+      metrics.count('badRequests');
+    };
+    this.#server = createForwardServer({ handler: this.#handler, onBadRequest });
+  }
+
+  /** Whether callers should come: a configuration is known and no stop was asked for. */
+  get isReady(): boolean {
+    return this.#phase === 'running' && this.routes.value !== undefined;
+  }
+
+  /** Requests that have no final answer yet. */
+  get underWay(): number {
+    return this.#handler.underWay;
+  }
+
+  /** The addresses that callers should use, this instance's own among them while it is ready. */
+  callerAddresses(): readonly RegisteredInstance[] {
+    const { instanceId } = this.#options.settings;
+    return this.registry.live().filter((one) => one.instanceId !== instanceId || this.isReady);
+  }
+
+  /** Begins to listen and to follow the store. */
+  async start(): Promise<void> {
+    const { ip, port } = this.#options.settings.callers;
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen({ host: ip, port, backlog: listenBacklog }, resolve);
+    });
+    for (const follower of [this.#followConfiguration(), this.#followUpstreams()]) {
+      this.#cleanUp.add(follower);
+      this.#runTask('follow', follower.run());
+    }
+    this.#cleanUp.add(this.registry);
+    this.#runTask('registry', this.registry.run());
+    this.#cleanUp.add(this.tokens);
+    this.#runTask('tokens', this.tokens.run());
+  }
+
+  /**
+   * Leaves in steps: out of the directory first, then no new requests, then none at all.
+   *
+   * Callers keep the directory's old answer for a while, so their requests are served until none can
+   * come by it; what comes later is refused as not run.
+   */
+  async stop(): Promise<void> {
+    const { clock, log, settings } = this.#options;
+    const startedMs = clock.monotonicMs();
+    const endMs = startedMs + settings.stopLimitMs - endMarginMs;
+    const acceptUntilMs = startedMs + Math.min(
+      keepFactor * settings.directoryKeepMs,
+      (settings.stopLimitMs - endMarginMs) / 2,
+    );
+    this.#phase = 'leaving';
+    log.info({ underWay: this.underWay, stopLimitMs: settings.stopLimitMs }, 'stopping');
+    this.registry.leave().catch((thrown: unknown) => {
+      log.warn({ error: describeError(thrown).message }, 'leaving could not be written');
+    });
+    while (clock.monotonicMs() < endMs) {
+      const nowMs = clock.monotonicMs();
+      if (nowMs >= acceptUntilMs) this.#phase = 'refusing';
+      if (nowMs >= acceptUntilMs && this.underWay === 0) break;
+      await clock.sleep(stopPollMs);
+    }
+    await Promise.allSettled([this.tokens.close(), this.registry.remove()]);
+    this.#server.close();
+    this.#server.closeIdleConnections();
+    await this.#cleanUp.dispose();
+    log.info({ underWay: this.underWay }, 'stopped');
+  }
+
+  #createRegistry({ instanceId, runId }: Lifetime): InstanceRegistry {
+    const { store, clock, settings, log, metrics } = this.#options;
+    const { callers, failureDomain } = settings;
+    const callerAddress = `${callers.ip}:${callers.port}`;
+    return new InstanceRegistry({
+      store,
+      clock,
+      self: { instanceId, runId, callerAddress, failureDomain },
+      onChange: (change) => {
+        metrics.count('membershipChanges', change.what);
+        log.info(change, 'peer');
+      },
+    });
+  }
+
+  #followConfiguration(): ObjectFollower {
+    const { store, clock, codec, log, random } = this.#options;
+    const take = (stored: StoredObject | undefined) => {
+      if (stored?.key === codec.configurationKey) this.#applyConfiguration(stored);
+    };
+    return new ObjectFollower({
+      store,
+      clock,
+      random,
+      prefix: codec.configurationKey.slice(0, codec.configurationKey.indexOf('/') + 1),
+      onSnapshot: ({ objects }) => {
+        objects.forEach(take);
+      },
+      onChange: ({ object }) => {
+        take(object);
+      },
+      onLost: (error) => {
+        log.warn({ error: error.message }, 'store lost for the configuration');
+      },
+      onRegained: (awayMs) => {
+        log.info({ awayMs: Math.round(awayMs) }, 'store regained for the configuration');
+      },
+    });
+  }
+
+  /** Puts a configuration in force; never an older one than was in force in this life. */
+  #applyConfiguration(stored: StoredObject): void {
+    const { codec, log, metrics } = this.#options;
+    try {
+      const configuration = codec.readConfiguration(stored);
+      const inForce = this.routes.value?.configuration.version;
+      if (inForce !== undefined && configuration.version <= inForce) return;
+      const table = new RouteTable(configuration);
+      this.routes.set(table);
+      this.tokens.setLimits(table.prepaidLimits());
+      applyCallerLimits(this.#server, configuration.limits);
+      metrics.count('configurations', 'applied');
+      log.info({ version: configuration.version, was: inForce }, 'configuration in force');
+    } catch (thrown) {
+      metrics.count('configurations', 'refused');
+      log.error({ error: describeError(thrown).message }, 'configuration refused');
+    }
+  }
+
+  #followUpstreams(): ObjectFollower {
+    const { store, clock, codec, log, metrics, random } = this.#options;
+    const read = (stored: StoredObject) => {
+      const record = codec.readUpstream(stored);
+      if (record === undefined) {
+        metrics.count('unreadableUpstreams');
+        log.warn({ key: stored.key, version: stored.version }, 'upstream record left out');
+      }
+      return record;
+    };
+    const idOf = (key: string) => key.slice(codec.upstreamPrefix.length) as UpstreamId;
+    return new ObjectFollower({
+      store,
+      clock,
+      random,
+      prefix: codec.upstreamPrefix,
+      onSnapshot: ({ objects }) => {
+        this.upstreams.replaceAll(objects.map(read).filter((record) => record !== undefined));
+      },
+      onChange: ({ key, object }) => {
+        const record = object === undefined ? undefined : read(object);
+        if (record === undefined) this.upstreams.remove(idOf(key));
+        else this.upstreams.put(record);
+      },
+      onLost: (error) => {
+        this.upstreams.loseStore();
+        log.warn({ error: error.message }, 'store lost for upstreams');
+      },
+      onRegained: (awayMs) => {
+        this.upstreams.regainStore();
+        log.info({ awayMs: Math.round(awayMs) }, 'store regained for upstreams');
+      },
+    });
+  }
+
+  /** A task that ends by an error is a defect; the process goes on and says so. */
+  #runTask(name: string, task: Promise<void>): void {
+    task.catch((thrown: unknown) => {
+      this.#options.metrics.count('failedTasks', name);
+      this.#options.log.error({ task: name, error: describeError(thrown).fullStack }, 'task failed');
+    });
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -0,0 +1,166 @@
+import type { Clock, ServiceName, UpstreamId } from '@acaciacrank/base';
+import { StateStream } from '@acaciacrank/base';
+import { Upstream } from '../_lib/Upstream/index.js';
+import { lapsedGraceMs } from '../_lib/limits/index.js';
+import type { UpstreamRecord } from '../types.js';
+
+/** A change of what this instance believes of an upstream. */
+export interface UpstreamChange {
+  readonly upstreamId: UpstreamId;
+  readonly service: ServiceName;
+  readonly what: 'seen' | 'leaving' | 'lapsed' | 'gone' | 'leftOut';
+}
+
+/** Options of {@link UpstreamTable}. */
+export interface UpstreamTableOptions {
+  clock: Clock;
+  onChange: (change: UpstreamChange) => void;
+}
+
+/**
+ * The upstreams that may be used, as the store lists them.
+ *
+ * Records lapse while the store is away, since upstreams cannot renew them. A record that vanishes
+ * then, or just after, stays usable until the store has been back for {@link lapsedGraceMs}; one
+ * that is still missing by then is gone.
+ */
+export class UpstreamTable {
+  /** Ids of the upstreams that are known, after each change. */
+  readonly known = new StateStream<readonly UpstreamId[]>([]);
+  readonly #options: UpstreamTableOptions;
+  readonly #byId = new Map<UpstreamId, Upstream>();
+  readonly #byService = new Map<ServiceName, Upstream[]>();
+  readonly #lapsed = new Map<UpstreamId, Disposable>();
+  #isStoreLost = false;
+  #regainedMs = -Infinity;
+
+  constructor(options: UpstreamTableOptions) {
+    this.#options = options;
+  }
+
+  /** Upstreams of a service that may get new requests. */
+  usable(service: ServiceName): readonly Upstream[] {
+    return this.#byService.get(service) ?? [];
+  }
+
+  /** One upstream; undefined when it is not known. */
+  get(id: UpstreamId): Upstream | undefined {
+    return this.#byId.get(id);
+  }
+
+  /** All upstreams, for metrics. */
+  all(): readonly Upstream[] {
+    return [...this.#byId.values()];
+  }
+
+  /** Notes that the store stopped answering. */
+  loseStore(): void {
+    this.#isStoreLost = true;
+  }
+
+  /** Notes that the store answers again; what lapsed has a little time to come back. */
+  regainStore(): void {
+    this.#isStoreLost = false;
+    this.#regainedMs = this.#options.clock.monotonicMs();
+    for (const id of [...this.#lapsed.keys()]) this.#waitForReturn(id);
+  }
+
+  /** Takes over the whole list. */
+  replaceAll(records: readonly UpstreamRecord[]): void {
+    const listed = new Set(records.map(({ id }) => id));
+    for (const id of [...this.#byId.keys()]) if (!listed.has(id)) this.remove(id);
+    for (const record of records) this.put(record);
+  }
+
+  /** Takes over one record. */
+  put(record: UpstreamRecord): void {
+    this.#lapsed.get(record.id)?.[Symbol.dispose]();
+    this.#lapsed.delete(record.id);
+    const known = this.#byId.get(record.id);
+    if (known === undefined || isElsewhere(known.record, record)) {
+      if (known !== undefined) this.#drop(known);
+      this.#byId.set(record.id, new Upstream(record, this.#options.clock));
+      this.#tell(record, record.state === 'leaving' ? 'leaving' : 'seen');
+    } else {
+      const isNews = !known.isLeaving && record.state === 'leaving';
+      known.record = record;
+      known.isLeaving = record.state === 'leaving';
+      if (isNews) this.#tell(record, 'leaving');
+    }
+    this.#index();
+  }
+
+  /** Notes that a record vanished from the store. */
+  remove(id: UpstreamId): void {
+    const upstream = this.#byId.get(id);
+    if (upstream === undefined || this.#lapsed.has(id)) return;
+    const sinceRegainedMs = this.#options.clock.monotonicMs() - this.#regainedMs;
+    if (!this.#isStoreLost && sinceRegainedMs >= lapsedGraceMs) {
+      this.#forget(upstream);
+      return;
+    }
+    this.#tell(upstream.record, 'lapsed');
+    this.#waitForReturn(id);
+  }
+
+  /** Notes that another upstream answers at this one's address. */
+  forgetWrong(upstream: Upstream): void {
+    if (this.#byId.get(upstream.id) === upstream) this.#forget(upstream);
+  }
+
+  /** Tells that an upstream is left out by what was seen of it. */
+  tellLeftOut(upstream: Upstream): void {
+    this.#tell(upstream.record, 'leftOut');
+  }
+
+  #waitForReturn(id: UpstreamId): void {
+    const { clock } = this.#options;
+    this.#lapsed.get(id)?.[Symbol.dispose]();
+    const leftMs = this.#regainedMs + lapsedGraceMs - clock.monotonicMs();
+    const waitMs = this.#isStoreLost ? Number.MAX_SAFE_INTEGER : leftMs;
+    if (waitMs === Number.MAX_SAFE_INTEGER) {
+      this.#lapsed.set(id, { [Symbol.dispose]: () => undefined });
+      return;
+    }
+    const timer = clock.schedule(waitMs, () => {
+      this.#lapsed.delete(id);
+      const upstream = this.#byId.get(id);
+      if (upstream !== undefined) this.#forget(upstream);
+    });
+    this.#lapsed.set(id, timer);
+  }
+
+  #forget(upstream: Upstream): void {
+    this.#drop(upstream);
+    this.#tell(upstream.record, 'gone');
+    this.#index();
+  }
+
+  #drop(upstream: Upstream): void {
+    upstream.isLeaving = true;
+    this.#byId.delete(upstream.id);
+    upstream[Symbol.asyncDispose]().catch(() => {
+      // Its connections end with it.
+    });
+  }
+
+  #index(): void {
+    this.#byService.clear();
+    for (const upstream of this.#byId.values()) {
+      if (upstream.isLeaving) continue;
+      const list = this.#byService.get(upstream.record.service) ?? [];
+      list.push(upstream);
+      this.#byService.set(upstream.record.service, list);
+    }
+    this.known.set([...this.#byId.keys()]);
+  }
+
+  #tell(record: UpstreamRecord, what: UpstreamChange['what']): void {
+    this.#options.onChange({ upstreamId: record.id, service: record.service, what });
+  }
+}
+
+/** An id is one run of an upstream, but some start again under the id that they had. */
+function isElsewhere(known: UpstreamRecord, record: UpstreamRecord): boolean {
+  return known.ip !== record.ip || known.port !== record.port || known.service !== record.service;
+}
--- /dev/null
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -0,0 +1,151 @@
+/**
+ * One upstream: its connections, what this instance has under way there, and how it fares.
+ */
+import type { Clock, UpstreamId } from '@acaciacrank/base';
+import { Client } from 'undici';
+import type { ReportedLoad, UpstreamRecord } from '../../types.js';
+import {
+  connectLimitMs,
+  failuresToLeaveOut,
+  firstLeftOutMs,
+  idleConnectionMs,
+  longestIdleConnectionMs,
+  longestLeftOutMs,
+  silenceMs,
+} from '../limits/index.js';
+
+/** One request under way at an upstream. */
+export interface Send {
+  readonly sentMs: number;
+  /** When the upstream last sent something for it, or when it was sent. */
+  heardMs: number;
+  /** Prompt tokens that the engine has to read for it. */
+  readonly promptTokens: number;
+}
+
+/** An upstream in use. */
+export class Upstream implements AsyncDisposable {
+  record: UpstreamRecord;
+  /** Whether it may get new requests, as far as the store says. */
+  isLeaving: boolean;
+  /** The last load that it reported, and when. */
+  load: { readonly report: ReportedLoad; readonly atMs: number } | undefined;
+  readonly sends = new Set<Send>();
+  readonly #clock: Clock;
+  readonly #idle: Client[] = [];
+  readonly #open = new Set<Client>();
+  #failuresInRow = 0;
+  #leftOutMs = 0;
+  #leftOutUntilMs = 0;
+  #heardMs = 0;
+
+  constructor(record: UpstreamRecord, clock: Clock) {
+    this.record = record;
+    this.isLeaving = record.state === 'leaving';
+    this.#clock = clock;
+  }
+
+  get id(): UpstreamId {
+    return this.record.id;
+  }
+
+  /** Connections that are open or being opened. */
+  get openConnections(): number {
+    return this.#open.size;
+  }
+
+  /** Whether it should get requests only where no other can. */
+  isLeftOut(nowMs: number): boolean {
+    return nowMs < this.#leftOutUntilMs || this.#isSilent(nowMs);
+  }
+
+  /** Takes a connection for one request. */
+  takeConnection(): Client {
+    const idle = this.#idle.pop();
+    if (idle !== undefined) return idle;
+    const client = new Client(`http://${this.record.ip}:${this.record.port}`, {
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: idleConnectionMs,
+      keepAliveMaxTimeout: longestIdleConnectionMs,
+      connect: { timeout: connectLimitMs },
+    });
+    this.#open.add(client);
+    return client;
+  }
+
+  /**
+   * Puts a connection back, or drops it.
+   *
+   * Guards against bytes that belong to no request: a connection on which an answer went wrong may
+   * deliver the rest of it to the next request, so it is never used again.
+   */
+  returnConnection(client: Client, isSound: boolean): void {
+    if (isSound && this.#open.has(client)) {
+      this.#idle.push(client);
+      return;
+    }
+    this.#open.delete(client);
+    client.destroy().catch(() => {
+      // It is gone either way.
+    });
+  }
+
+  /** Notes that a request is sent there. */
+  begin(promptTokens: number): Send {
+    const nowMs = this.#clock.monotonicMs();
+    const send = { sentMs: nowMs, heardMs: nowMs, promptTokens };
+    this.sends.add(send);
+    return send;
+  }
+
+  /** Notes that something came for a request. */
+  hear(send: Send): void {
+    send.heardMs = this.#clock.monotonicMs();
+    this.#heardMs = send.heardMs;
+  }
+
+  /** Notes that a request has ended. */
+  end(send: Send): void {
+    this.sends.delete(send);
+  }
+
+  /** Notes that a request went well there. */
+  succeed(): void {
+    this.#failuresInRow = 0;
+    this.#leftOutMs = 0;
+    this.#leftOutUntilMs = 0;
+  }
+
+  /** Notes that a request failed there by the upstream's fault; returns whether it is left out now. */
+  fail(): boolean {
+    this.#failuresInRow += 1;
+    if (this.#failuresInRow < failuresToLeaveOut) return false;
+    this.leaveOut();
+    return true;
+  }
+
+  /** Leaves the upstream out for a while, longer each time in a row. */
+  leaveOut(): void {
+    this.#leftOutMs = Math.min(longestLeftOutMs, Math.max(firstLeftOutMs, 2 * this.#leftOutMs));
+    this.#leftOutUntilMs = this.#clock.monotonicMs() + this.#leftOutMs;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    const clients = [...this.#open];
+    this.#open.clear();
+    this.#idle.length = 0;
+    await Promise.all(clients.map((client) => client.close()));
+  }
+
+  /**
+   * Guards against an upstream that went dark: connections stay open and say nothing for good. It
+   * shows as requests that wait while nothing at all comes from there.
+   */
+  #isSilent(nowMs: number): boolean {
+    if (nowMs - this.#heardMs < silenceMs) return false;
+    for (const send of this.sends) if (nowMs - send.heardMs >= silenceMs) return true;
+    return false;
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/index.ts
@@ -0,0 +1,10 @@
+/**
+ * Forwarding of opaque requests, plain and streamed, to upstreams of the caller's route.
+ */
+export type * from './types.js';
+export * from './ForwardCodec/index.js';
+export * from './RouteTable/index.js';
+export * from './UpstreamTable/index.js';
+export * from './ForwardHandler/index.js';
+export * from './createForwardServer/index.js';
+export * from './ForwardingInstance/index.js';
--- /dev/null
+++ b/packages/ledger/src/PrepaidAccount/index.ts
@@ -0,0 +1,385 @@
+import { describeError, type AccountId, type Clock } from '@acaciacrank/base';
+import type { ObjectStore, StoredObject } from '@acaciacrank/store';
+import {
+  emptyPrepaidPage,
+  grantedTotal,
+  lifetimeKey,
+  parsePrepaidPage,
+  spentAtLeast,
+  withGrant,
+  type PrepaidPage,
+} from '../prepaidPage/index.js';
+import type { Lifetime } from '../types.js';
+
+/** What an attempt to set tokens aside came to. */
+export type ReserveOutcome = 'reserved' | 'exhausted' | 'heldElsewhere' | 'storeAway';
+
+/** One change of what this instance may spend, for logs. */
+export interface GrantEvent {
+  readonly accountId: AccountId;
+  readonly what: 'granted' | 'returned' | 'denied' | 'unknown';
+  readonly tokens: number;
+  /** Tokens of the account that nobody held when it was written. */
+  readonly remainingTokens: number | undefined;
+}
+
+/** Options of {@link PrepaidAccount}. */
+export interface PrepaidAccountOptions {
+  accountId: AccountId;
+  lifetime: Lifetime;
+  store: ObjectStore;
+  clock: Clock;
+  /** How many instances share the account now, this one included. */
+  instanceCount: () => number;
+  onEvent: (event: GrantEvent) => void;
+}
+
+/**
+ * How long stock should last at the present pace, in milliseconds. Stock is lost when the process
+ * dies, and carries the account through an outage of the store; outages of 5 to 9 s are planned for.
+ */
+const stockMs = 8_000;
+/** Below this share of the wanted stock more is asked for; leaves half an outage's stock in hand. */
+const refillShare = 0.5;
+/** The share of the prepaid tokens that an instance holds before it knows its pace, over all instances. */
+const openingShareOfAll = 0.1;
+/** All idle stock together may be this share of what nobody holds, so that the end comes gently. */
+const idleShareOfRemaining = 0.5;
+/** Idle stock is given back only when less than this share of the prepaid tokens is left to grant. */
+const returnBelowShare = 0.25;
+/** Weight of the last second in the pace. */
+const paceWeight = 0.35;
+/** How long a page that was read to be dry is believed, in milliseconds. */
+const dryMs = 400;
+/** Conditional writes tried in a row; each loser of a race learns the page from the answer. */
+const maxAttempts = 6;
+
+/**
+ * What this lifetime of the instance may spend of one client account.
+ *
+ * Grants are durable before they are drawn on. What may be spent is never more than what was read
+ * back from the store: the answer of a write can be lost and the write come into effect later.
+ */
+export class PrepaidAccount {
+  readonly #options: PrepaidAccountOptions;
+  /** The limit of the newest configuration. */
+  #prepaidTokens: number;
+  /** This lifetime's grant as it was last read back. */
+  #grantedTokens = 0;
+  /** A lower grant that was asked for and not confirmed; it binds at once. */
+  #lowering: { readonly grantedTokens: number; readonly atVersion: number } | undefined;
+  #reservedTokens = 0;
+  #spentTokens = 0;
+  #paceTokensPerMs = 0;
+  #spentAtTick = 0;
+  #tickMs: number;
+  #page: { readonly page: PrepaidPage; readonly version: number } | undefined;
+  /** What all lifetimes hold, as last seen, also from stale lists. */
+  #seenGrantedTotal = 0;
+  #isSuspended = false;
+  #dry: { readonly untilMs: number; readonly remainingTokens: number } | undefined;
+  #writing: Promise<ReserveOutcome> | undefined;
+
+  constructor(prepaidTokens: number, options: PrepaidAccountOptions) {
+    this.#prepaidTokens = prepaidTokens;
+    this.#options = options;
+    this.#tickMs = options.clock.monotonicMs();
+  }
+
+  /** Where the account's page lies. */
+  get key(): string {
+    return prepaidPageKey(this.#options.accountId);
+  }
+
+  /** Tokens that can be set aside without a call to the store. */
+  get stockTokens(): number {
+    const granted = Math.min(this.#grantedTokens, this.#lowering?.grantedTokens ?? Infinity);
+    return granted - this.#reservedTokens - this.#spentTokens;
+  }
+
+  /** Changes the limit; a lower one stops spending until the page is known to fit under it. */
+  setPrepaid(prepaidTokens: number): void {
+    const isLower = prepaidTokens < this.#prepaidTokens;
+    this.#prepaidTokens = prepaidTokens;
+    this.#dry = undefined;
+    if (!isLower) return;
+    this.#page = undefined;
+    this.#isSuspended = true;
+    void this.#fitUnderLimit();
+  }
+
+  /**
+   * Sets tokens aside if they are in stock.
+   *
+   * @param tokens - the most that the request can use
+   * @returns whether they are set aside; else {@link refill} may help
+   */
+  tryReserve(tokens: number): boolean {
+    if (this.#isSuspended || this.stockTokens < tokens) return false;
+    this.#reservedTokens += tokens;
+    return true;
+  }
+
+  /** Ends a reservation with what was truly used. */
+  settle(reservedTokens: number, usedTokens: number): void {
+    this.#reservedTokens -= reservedTokens;
+    this.#spentTokens += usedTokens;
+  }
+
+  /**
+   * Asks the store for more.
+   *
+   * @param neededTokens - what a waiting request needs; 0 to fill up stock
+   * @returns why there is no more, or `reserved` when stock grew enough
+   */
+  async refill(neededTokens: number): Promise<ReserveOutcome> {
+    while (this.#writing !== undefined) await this.#writing;
+    if (neededTokens > 0 && !this.#isSuspended && this.stockTokens >= neededTokens) return 'reserved';
+    const known = this.#knownDry(neededTokens);
+    if (known !== undefined) return known;
+    this.#writing = this.#ask(neededTokens);
+    try {
+      return await this.#writing;
+    } finally {
+      this.#writing = undefined;
+    }
+  }
+
+  /** Takes note of the page as some list showed it, which may be seconds old. */
+  observe(stored: StoredObject): void {
+    const page = parsePrepaidPage(stored.value);
+    if (page !== undefined && stored.version > (this.#page?.version ?? 0)) {
+      this.#seenGrantedTotal = grantedTotal(page);
+    }
+  }
+
+  /** Looks once a second whether to ask for more or to give back. */
+  tick(): void {
+    const nowMs = this.#options.clock.monotonicMs();
+    const elapsedMs = Math.max(1, nowMs - this.#tickMs);
+    const used = this.#spentTokens + this.#reservedTokens;
+    const pace = Math.max(0, used - this.#spentAtTick) / elapsedMs;
+    this.#paceTokensPerMs += paceWeight * (pace - this.#paceTokensPerMs);
+    this.#spentAtTick = used;
+    this.#tickMs = nowMs;
+    if (this.#writing !== undefined) return;
+    if (this.#isSuspended) void this.#fitUnderLimit();
+    else if (this.#isLow()) void this.refill(0);
+    else if (this.#isIdle()) void this.#giveBack(this.#wantedStock());
+  }
+
+  /** Gives back all that is not in use, before a planned end. */
+  async close(): Promise<void> {
+    while (this.#writing !== undefined) await this.#writing;
+    if (this.stockTokens > 0) await this.#giveBack(0);
+  }
+
+  get #remainingSeen(): number {
+    return Math.max(0, this.#prepaidTokens - this.#seenGrantedTotal);
+  }
+
+  #wantedStock(): number {
+    const instances = Math.max(1, this.#options.instanceCount());
+    const opening = (openingShareOfAll * this.#prepaidTokens) / instances;
+    const wanted = Math.max(opening, this.#paceTokensPerMs * stockMs);
+    const idle = Math.max(0, this.stockTokens);
+    const fair = (idleShareOfRemaining * (this.#remainingSeen + idle)) / instances;
+    return Math.floor(Math.min(wanted, fair));
+  }
+
+  #isLow(): boolean {
+    if (this.#dry !== undefined && this.#dry.untilMs > this.#tickMs) return false;
+    const wanted = this.#wantedStock();
+    return this.#remainingSeen > 0 && this.stockTokens < wanted * refillShare;
+  }
+
+  /** Guards against tokens that lie idle here while another instance refuses for want of them. */
+  #isIdle(): boolean {
+    const isNearEnd = this.#remainingSeen < this.#prepaidTokens * returnBelowShare;
+    return isNearEnd && this.stockTokens > 2 * this.#wantedStock() + 1;
+  }
+
+  #knownDry(neededTokens: number): ReserveOutcome | undefined {
+    if (this.#dry === undefined || this.#dry.untilMs <= this.#options.clock.monotonicMs()) {
+      return undefined;
+    }
+    if (this.stockTokens + this.#dry.remainingTokens >= neededTokens) return undefined;
+    return this.#refusal(neededTokens);
+  }
+
+  /** Whether nothing can help, or tokens that others hold may come back. */
+  #refusal(neededTokens: number): ReserveOutcome {
+    const page = this.#page?.page;
+    if (page === undefined) return 'heldElsewhere';
+    const ownUnreported = this.#spentTokens - (page.grants[this.#ownKey]?.spentTokens ?? 0);
+    const spent = spentAtLeast(page) + Math.max(0, ownUnreported);
+    return this.#prepaidTokens - spent < neededTokens ? 'exhausted' : 'heldElsewhere';
+  }
+
+  get #ownKey(): string {
+    return lifetimeKey(this.#options.lifetime);
+  }
+
+  async #ask(neededTokens: number): Promise<ReserveOutcome> {
+    let isFresh = false;
+    try {
+      for (let attempt = 1; attempt <= maxAttempts; attempt += 1) {
+        if (this.#page === undefined) {
+          await this.#read();
+          isFresh = true;
+        }
+        const remaining = this.#prepaidTokens - this.#seenGrantedTotal;
+        const shortage = Math.max(0, neededTokens - this.stockTokens);
+        const wish = Math.max(shortage, this.#wantedStock() - this.stockTokens);
+        const extra = Math.min(Math.ceil(wish), remaining);
+        if (this.#isSuspended || extra < shortage || extra <= 0) {
+          if (extra <= 0 && shortage === 0) return 'reserved';
+          if (isFresh) return this.#deny(neededTokens, remaining);
+          this.#page = undefined;
+          continue;
+        }
+        const result = await this.#write(this.#grantedTokens + extra);
+        if (result === 'written') {
+          this.#report('granted', extra);
+          return 'reserved';
+        }
+        isFresh = true;
+      }
+    } catch (thrown) {
+      this.#page = undefined;
+      this.#report('unknown', neededTokens);
+      return describeError(thrown).kind === 'storeUnavailable' ? 'storeAway' : 'heldElsewhere';
+    }
+    return 'heldElsewhere';
+  }
+
+  #deny(neededTokens: number, remainingTokens: number): ReserveOutcome {
+    const untilMs = this.#options.clock.monotonicMs() + dryMs;
+    this.#dry = { untilMs, remainingTokens: Math.max(0, remainingTokens) };
+    this.#report('denied', neededTokens);
+    return this.#refusal(neededTokens);
+  }
+
+  /** Lowers this lifetime's grant, so that others can have the rest. */
+  async #giveBack(keptTokens: number): Promise<void> {
+    const returned = Math.floor(this.stockTokens - keptTokens);
+    if (returned <= 0) return;
+    const work = this.#lower(returned);
+    this.#writing = work;
+    try {
+      await work;
+    } finally {
+      this.#writing = undefined;
+    }
+  }
+
+  async #lower(returnedTokens: number): Promise<ReserveOutcome> {
+    try {
+      for (let attempt = 1; attempt <= maxAttempts; attempt += 1) {
+        if (this.#page === undefined) await this.#read();
+        if (this.#page === undefined) return 'storeAway';
+        // Binds before it is sent: with the answer lost, the tokens may be another's already.
+        const lowered = Math.min(
+          this.#lowering?.grantedTokens ?? Infinity,
+          this.#grantedTokens - Math.min(returnedTokens, Math.max(0, this.stockTokens)),
+        );
+        this.#lowering = { grantedTokens: lowered, atVersion: this.#page.version };
+        if ((await this.#write(lowered)) === 'written') {
+          this.#report('returned', returnedTokens);
+          return 'reserved';
+        }
+      }
+    } catch {
+      this.#page = undefined;
+      this.#report('unknown', returnedTokens);
+      return 'storeAway';
+    }
+    return 'heldElsewhere';
+  }
+
+  /** After the limit was lowered: gives back what is idle until all grants fit under it. */
+  async #fitUnderLimit(): Promise<void> {
+    while (this.#writing !== undefined) await this.#writing;
+    if (!this.#isSuspended) return;
+    this.#writing = this.#fit();
+    try {
+      await this.#writing;
+    } finally {
+      this.#writing = undefined;
+    }
+  }
+
+  async #fit(): Promise<ReserveOutcome> {
+    try {
+      await this.#read();
+      if (this.#seenGrantedTotal > this.#prepaidTokens && this.stockTokens > 0) {
+        await this.#lower(this.stockTokens);
+      }
+    } catch (thrown) {
+      this.#page = undefined;
+      this.#report('unknown', 0);
+      return describeError(thrown).kind === 'storeUnavailable' ? 'storeAway' : 'heldElsewhere';
+    }
+    this.#isSuspended = this.#seenGrantedTotal > this.#prepaidTokens;
+    return 'reserved';
+  }
+
+  async #read(): Promise<void> {
+    const stored = await this.#options.store.read(this.key);
+    this.#learn(stored);
+  }
+
+  async #write(grantedTokens: number): Promise<'written' | 'conflict'> {
+    const { store, lifetime } = this.#options;
+    const { page, version } = this.#page ?? { page: emptyPrepaidPage, version: 0 };
+    const grant = { grantedTokens, spentTokens: this.#spentTokens };
+    const next = withGrant(page, lifetime, grant);
+    const condition =
+      version === 0 ? ({ kind: 'absent' } as const) : ({ kind: 'version', version } as const);
+    const result = await store.write(this.key, next, condition);
+    if (result.outcome === 'written') {
+      this.#learn({ key: this.key, version: result.version, value: next });
+      return 'written';
+    }
+    if (result.current === undefined) this.#page = undefined;
+    else this.#learn(result.current);
+    return 'conflict';
+  }
+
+  /** Takes over what the store says for certain. */
+  #learn(stored: StoredObject | undefined): void {
+    const page = stored === undefined ? emptyPrepaidPage : parsePrepaidPage(stored.value);
+    // A page that cannot be read must not pass for an empty one: all prepaid tokens would be
+    // granted a second time. Without a page nothing is granted.
+    if (page === undefined) throw new Error(`${this.key} does not parse`);
+    const version = stored?.version ?? 0;
+    this.#page = { page, version };
+    this.#seenGrantedTotal = grantedTotal(page);
+    this.#grantedTokens = page.grants[this.#ownKey]?.grantedTokens ?? 0;
+    // A write that lost its answer can still come into effect while its condition holds, and no
+    // longer once the object has another version.
+    if (this.#lowering !== undefined && version !== this.#lowering.atVersion) {
+      this.#lowering = undefined;
+    }
+  }
+
+  #report(what: GrantEvent['what'], tokens: number): void {
+    const remainingTokens =
+      this.#page === undefined ? undefined : this.#prepaidTokens - this.#seenGrantedTotal;
+    this.#options.onEvent({ accountId: this.#options.accountId, what, tokens, remainingTokens });
+  }
+}
+
+/** Where pages lie in the store. */
+export const prepaidPagePrefix = 'prepaid/';
+
+/**
+ * The key of an account's page.
+ *
+ * @example
+ * prepaidPageKey(accountId);
+ * //=> 'prepaid/hule930'
+ */
+export function prepaidPageKey(accountId: AccountId): string {
+  return `${prepaidPagePrefix}${accountId}`;
+}
--- /dev/null
+++ b/packages/ledger/src/PrepaidAccounts/index.ts
@@ -0,0 +1,119 @@
+import type { AccountId, Clock } from '@acaciacrank/base';
+import type { ObjectStore } from '@acaciacrank/store';
+import {
+  PrepaidAccount,
+  prepaidPageKey,
+  prepaidPagePrefix,
+  type GrantEvent,
+  type ReserveOutcome,
+} from '../PrepaidAccount/index.js';
+import type { Lifetime } from '../types.js';
+
+/** Options of {@link PrepaidAccounts}. */
+export interface PrepaidAccountsOptions {
+  lifetime: Lifetime;
+  store: ObjectStore;
+  clock: Clock;
+  /** How many instances share the accounts now, this one included. */
+  instanceCount: () => number;
+  onEvent: (event: GrantEvent) => void;
+}
+
+/** Tokens set aside for one request. */
+export interface TokenReservation {
+  readonly accountId: AccountId;
+  readonly tokens: number;
+}
+
+/** How often stock is looked after, in milliseconds; a fraction of what stock lasts. */
+const tickMs = 1_000;
+
+/** The prepaid tokens of all client accounts, as far as this instance may spend them. */
+export class PrepaidAccounts implements Disposable {
+  readonly #options: PrepaidAccountsOptions;
+  readonly #accounts = new Map<AccountId, PrepaidAccount>();
+  readonly #stop = new AbortController();
+
+  constructor(options: PrepaidAccountsOptions) {
+    this.#options = options;
+  }
+
+  /** Takes over the limits of a configuration. An account that is no longer named keeps its state. */
+  setLimits(limits: ReadonlyMap<AccountId, number>): void {
+    for (const [accountId, prepaidTokens] of limits) {
+      const known = this.#accounts.get(accountId);
+      if (known !== undefined) {
+        known.setPrepaid(prepaidTokens);
+        continue;
+      }
+      const account = new PrepaidAccount(prepaidTokens, { ...this.#options, accountId });
+      this.#accounts.set(accountId, account);
+      void account.refill(0);
+    }
+  }
+
+  /**
+   * Sets aside the most that a request can use.
+   *
+   * @param accountId - whose tokens
+   * @param tokens - the most that the request can use
+   * @returns the outcome; `reserved` must be followed by {@link settle} exactly once
+   */
+  async reserve(accountId: AccountId, tokens: number): Promise<ReserveOutcome> {
+    const account = this.#accounts.get(accountId);
+    if (account === undefined) return 'exhausted';
+    // Between a refill and its use another request may have taken the tokens, so ask once more.
+    for (let attempt = 0; attempt < 2; attempt += 1) {
+      if (account.tryReserve(tokens)) return 'reserved';
+      const outcome = await account.refill(tokens);
+      if (outcome !== 'reserved') return outcome;
+    }
+    return account.tryReserve(tokens) ? 'reserved' : 'heldElsewhere';
+  }
+
+  /** Ends a reservation with what was truly used. */
+  settle(reservation: TokenReservation, usedTokens: number): void {
+    this.#accounts.get(reservation.accountId)?.settle(reservation.tokens, usedTokens);
+  }
+
+  /** Tokens in stock here, for metrics. */
+  stockTokens(accountId: AccountId): number {
+    return this.#accounts.get(accountId)?.stockTokens ?? 0;
+  }
+
+  /** Looks after stock until disposed of. */
+  async run(): Promise<void> {
+    const { clock } = this.#options;
+    while (!this.#stop.signal.aborted) {
+      await clock.sleep(tickMs, this.#stop.signal);
+      await this.#observe();
+      for (const account of this.#accounts.values()) account.tick();
+    }
+  }
+
+  /** Gives all idle stock back to the store. */
+  async close(): Promise<void> {
+    this.#stop.abort();
+    await Promise.all([...this.#accounts.values()].map((account) => account.close()));
+  }
+
+  [Symbol.dispose](): void {
+    this.#stop.abort();
+  }
+
+  /** Sees how much others hold; a list that may be old is enough and costs the store little. */
+  async #observe(): Promise<void> {
+    if (this.#accounts.size === 0) return;
+    try {
+      const { store } = this.#options;
+      const { objects } = await store.snapshot(prepaidPagePrefix, { isStaleAllowed: true });
+      const byKey = new Map(objects.map((stored) => [stored.key, stored]));
+      for (const [accountId, account] of this.#accounts) {
+        const stored = byKey.get(prepaidPageKey(accountId));
+        if (stored !== undefined) account.observe(stored);
+      }
+    } catch {
+      // The follower of the configuration tells of a store that is away; old knowledge does here.
+    }
+  }
+}
--- a/packages/ledger/src/index.ts
+++ b/packages/ledger/src/index.ts
@@ -16,3 +16,6 @@
 export * from './topUpBudget/index.js';
 export * from './readBudget/index.js';
 export * from './RequestRecords/index.js';
+export * from './prepaidPage/index.js';
+export * from './PrepaidAccount/index.js';
+export * from './PrepaidAccounts/index.js';
--- a/packages/ledger/src/types.ts
+++ b/packages/ledger/src/types.ts
@@ -170,3 +170,10 @@
   readonly unbillableTokens: number;
   readonly availableTokens: number;
 }
+
+/** One run of an instance's process, from its start to its end. */
+export interface Lifetime {
+  readonly instanceId: InstanceId;
+  /** Drawn anew at each start, so that no two runs are ever taken for each other. */
+  readonly runId: string;
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -20,3 +20,5 @@
 export * from './UpstreamHealth/index.js';
 export * from './UpstreamUse/index.js';
 export * from './OutlierDetector/index.js';
+export * from './RetryShare/index.js';
+export * from './rankByKey/index.js';
--- a/packages/store/src/ObjectStore/index.ts
+++ b/packages/store/src/ObjectStore/index.ts
@@ -1,4 +1,5 @@
 import type {
+  SnapshotOptions,
   StoreChanges,
   StoreSnapshot,
   StoredObject,
@@ -24,7 +25,7 @@
   abstract remove(key: string, version: number): Promise<WriteResult>;
 
   /** All objects whose key begins with the prefix, and the revision to watch from. */
-  abstract snapshot(prefix: string): Promise<StoreSnapshot>;
+  abstract snapshot(prefix: string, options?: SnapshotOptions): Promise<StoreSnapshot>;
 
   /** All objects whose key begins with the prefix, in order of key. */
   async list(prefix: string): Promise<readonly StoredObject[]> {
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -8,3 +8,4 @@
 export * from './HttpInstanceList/index.js';
 export * from './PrefixedObjectStore/index.js';
 export * from './updateObject/index.js';
+export * from './ObjectFollower/index.js';
--- a/packages/store/src/types.ts
+++ b/packages/store/src/types.ts
@@ -19,7 +19,18 @@
 
 /** What a conditional write did. */
 export type WriteResult =
-  { readonly outcome: 'written'; readonly version: number } | { readonly outcome: 'conflict' };
+  | { readonly outcome: 'written'; readonly version: number }
+  | {
+      readonly outcome: 'conflict';
+      /** The object as it stands, where the store said so; saves the writer a read. */
+      readonly current?: StoredObject;
+    };
+
+/** How a snapshot may be taken. */
+export interface SnapshotOptions {
+  /** Take what the store has at hand, which may be seconds old and costs it less. */
+  isStaleAllowed?: boolean;
+}
 
 /** One change that a watch reports; `object` is undefined when the key was removed. */
 export interface StoreChange {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -19,7 +19,7 @@
   echo "0 passed, 1 failed"
   exit 1
 }
-step lint npx --no-install eslint packages --max-warnings 0
+step lint npx --no-install eslint packages platform --max-warnings 0
 step format npx --no-install prettier --check . --log-level warn
 mkdir -p .run
 npx --no-install ava --tap >.run/tests.tap
