--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -4,6 +4,7 @@
   withTimeout,
   type Clock,
   type FailureDomainId,
+  type InstanceId,
   type Log,
   type Metrics,
   type Random,
@@ -31,6 +32,7 @@
   tokens: PrepaidAccounts;
   retries: RetryShare;
   ownDomain: FailureDomainId;
+  instanceId: InstanceId;
   /** Whether new requests are taken; an instance that leaves refuses them at its end. */
   isAccepting: () => boolean;
   /** Whether connections end with their next answer. */
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -70,6 +70,7 @@
   readonly routes = new StateStream<RouteTable | undefined>(undefined);
   readonly #options: Required<ForwardingInstanceOptions>;
   readonly #cleanUp = new DisposableStore();
+  readonly #configurationFollower: ObjectFollower;
   readonly #handler: ForwardHandler;
   readonly #server: Server;
   #phase: 'running' | 'leaving' | 'refusing' = 'running';
@@ -79,6 +80,7 @@
     const { clock, store, settings, codec, log, metrics, random } = this.#options;
     const lifetime: Lifetime = { instanceId: settings.instanceId, runId: options.runId };
     this.registry = this.#createRegistry(lifetime);
+    this.#configurationFollower = this.#followConfiguration();
     const instanceCount = () => this.registry.count();
     this.upstreams = new UpstreamTable({
       clock,
@@ -91,7 +93,9 @@
       metrics.count('grants', event.what);
       log.info(event, 'grant');
     };
-    this.tokens = new PrepaidAccounts({ lifetime, store, clock, instanceCount, onEvent });
+    const isStoreAway = () => this.#configurationFollower.isLost;
+    const ledger = { lifetime, store, clock, instanceCount, onEvent, isStoreAway };
+    this.tokens = new PrepaidAccounts(ledger);
     const retries = new RetryShare({
       clock,
       repeatsPerRequest: settings.repeats.perRequest,
@@ -107,6 +111,7 @@
       tokens: this.tokens,
       retries,
       ownDomain: settings.failureDomain,
+      instanceId: settings.instanceId,
       isAccepting: () => this.#phase !== 'refusing',
       isLeaving: () => this.#phase !== 'running',
       random,
@@ -142,7 +147,7 @@
       this.#server.once('error', reject);
       this.#server.listen({ host: ip, port, backlog: listenBacklog }, resolve);
     });
-    for (const follower of [this.#followConfiguration(), this.#followUpstreams()]) {
+    for (const follower of [this.#configurationFollower, this.#followUpstreams()]) {
       this.#cleanUp.add(follower);
       this.#runTask('follow', follower.run());
     }
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -35,6 +35,8 @@
   upstream: Upstream;
   /** Where the prompt's parts may be fetched from; undefined for nowhere. */
   fetchFrom: string | undefined;
+  /** How long the upstream will read for it, in milliseconds. */
+  prefillMs: number;
   /** After this long without anything from the upstream, give it up; undefined for never. */
   silenceLimitMs: number | undefined;
 }
@@ -60,7 +62,7 @@
     if (call.gone.aborted) return { kind: 'callerGone' };
     if (leftMs <= returnMarginMs) return { kind: 'deadline' };
     const client = upstream.takeConnection();
-    const send = upstream.begin(call.head.tokens?.promptTokens ?? 0);
+    const send = upstream.begin(this.#options.prefillMs);
     const deadline = clock.schedule(leftMs, this.#ender('deadline'));
     const onGone = this.#ender('callerGone');
     call.gone.addEventListener('abort', onGone, { once: true });
@@ -68,7 +70,7 @@
     let isSound = false;
     try {
       const exchange = await openExchange(client, this.#request(leftMs), this.#options.codec);
-      this.#hear(send);
+      this.#hear(send, false);
       const result = await this.#receive(exchange, send);
       isSound = result.kind === 'answer' || result.kind === 'streamed' || result.kind === 'notRun';
       return result;
@@ -142,7 +144,7 @@
     const { call } = this.#options;
     const buffer = new EventBuffer();
     for await (const chunk of exchange.body as AsyncIterable<Buffer>) {
-      this.#hear(send);
+      this.#hear(send, true);
       const events = buffer.push(chunk);
       if (events.length > 0) await this.#write(exchange, events);
     }
@@ -176,8 +178,8 @@
     call.response.writeHead(exchange.status, codec.callerHeaders(exchange.headers));
   }
 
-  #hear(send: Send): void {
-    this.#options.upstream.hear(send);
+  #hear(send: Send, hasBegun: boolean): void {
+    this.#options.upstream.hear(send, hasBegun);
     this.#watchSilence();
   }
 
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -5,6 +5,7 @@
   RouterError,
   type Clock,
   type FailureDomainId,
+  type InstanceId,
   type Metrics,
   type Random,
   type UpstreamId,
@@ -15,7 +16,7 @@
 import { Attempt, type AttemptResult } from '../Attempt/index.js';
 import { isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
 import { maxUnsentAttempts, silenceMs } from '../limits/index.js';
-import { pickUpstream } from '../pickUpstream/index.js';
+import { pickUpstream, type Pick } from '../pickUpstream/index.js';
 import type { Upstream } from '../Upstream/index.js';
 
 /** What all dispatches of an instance share. */
@@ -25,6 +26,7 @@
   readonly upstreams: UpstreamTable;
   readonly retries: RetryShare;
   readonly ownDomain: FailureDomainId;
+  readonly instanceId: InstanceId;
   readonly random: Random;
   readonly metrics: Metrics;
 }
@@ -53,32 +55,40 @@
    */
   async run(): Promise<void> {
     for (;;) {
-      const upstream = this.#pick();
-      if (upstream === undefined) throw this.#noUpstream();
-      const result = await this.#attempt(upstream);
-      if (await this.#finish(upstream, result)) return;
+      const pick = this.#pick();
+      if (pick === undefined) throw this.#noUpstream();
+      const result = await this.#attempt(pick);
+      if (await this.#finish(pick.upstream, result)) return;
     }
   }
 
-  #pick(): Upstream | undefined {
-    const { upstreams, ownDomain, clock, random } = this.#parts;
+  #pick(): Pick | undefined {
+    const { upstreams, ownDomain, instanceId, clock, random } = this.#parts;
+    const { head, route, service } = this.#call;
     return pickUpstream({
-      candidates: upstreams.usable(this.#call.service.name),
+      candidates: upstreams.usable(service.name),
       tried: this.#tried,
-      promptParts: this.#call.head.promptParts,
+      promptParts: head.promptParts,
+      promptTokens: head.tokens?.promptTokens ?? 0,
+      gapTargetMs: route.gapTargetMs,
+      tokensPerEvent: service.engine?.tokensPerEvent ?? 1,
       ownDomain,
+      instanceId,
       nowMs: clock.monotonicMs(),
       random,
     });
   }
 
-  async #attempt(upstream: Upstream): Promise<AttemptResult> {
+  async #attempt({ upstream, fetchFrom, prefillMs, why }: Pick): Promise<AttemptResult> {
     const { clock, codec, retries } = this.#parts;
     const call = this.#call;
     if (this.#tried.size === 0) retries.recordRequest(call.service.name);
     this.#tried.add(upstream.id);
     call.story.add('sent', {
       upstreamId: upstream.id,
+      why,
+      fetchFrom,
+      backlogMs: Math.round(upstream.backlogMs),
       ownInFlight: upstream.sends.size,
       reportedRunning: upstream.load?.report.running,
       reportAgeMs:
@@ -88,7 +98,8 @@
       outOf: this.#parts.upstreams.usable(call.service.name).length,
     });
     const silenceLimitMs = this.#silenceLimitMs();
-    const attempt = new Attempt({ clock, codec, call, upstream, fetchFrom: undefined, silenceLimitMs });
+    const options = { clock, codec, call, upstream, fetchFrom, prefillMs, silenceLimitMs };
+    const attempt = new Attempt(options);
     const result = await attempt.run();
     if (result.kind !== 'notSent') call.progress.sends += 1;
     return result;
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -2,6 +2,7 @@
  * One upstream: its connections, what this instance has under way there, and how it fares.
  */
 import type { Clock, UpstreamId } from '@acaciacrank/base';
+import type { EngineWork } from '@acaciacrank/routing';
 import { Client } from 'undici';
 import type { ReportedLoad, UpstreamRecord } from '../../types.js';
 import {
@@ -19,12 +20,14 @@
   readonly sentMs: number;
   /** When the upstream last sent something for it, or when it was sent. */
   heardMs: number;
-  /** Prompt tokens that the engine has to read for it. */
-  readonly promptTokens: number;
+  /** How long the engine will read for it, as estimated when it was sent, in milliseconds. */
+  readonly prefillMs: number;
+  /** Whether its answer has begun, so that the prompt is read. */
+  hasBegun: boolean;
 }
 
 /** An upstream in use. */
-export class Upstream implements AsyncDisposable {
+export class Upstream implements AsyncDisposable, EngineWork {
   record: UpstreamRecord;
   /** Whether it may get new requests, as far as the store says. */
   isLeaving: boolean;
@@ -49,6 +52,23 @@
     return this.record.id;
   }
 
+  /** Reading that this instance has ordered here and that has not ended, in milliseconds. */
+  get backlogMs(): number {
+    let sumMs = 0;
+    for (const send of this.sends) if (!send.hasBegun) sumMs += send.prefillMs;
+    return sumMs;
+  }
+
+  /** Requests of this instance under way here. */
+  get running(): number {
+    return this.sends.size;
+  }
+
+  /** `IP:PORT` of this upstream. */
+  get address(): string {
+    return `${this.record.ip}:${this.record.port}`;
+  }
+
   /** Connections that are open or being opened. */
   get openConnections(): number {
     return this.#open.size;
@@ -63,7 +83,7 @@
   takeConnection(): Client {
     const idle = this.#idle.pop();
     if (idle !== undefined) return idle;
-    const client = new Client(`http://${this.record.ip}:${this.record.port}`, {
+    const client = new Client(`http://${this.address}`, {
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -93,15 +113,16 @@
   }
 
   /** Notes that a request is sent there. */
-  begin(promptTokens: number): Send {
+  begin(prefillMs: number): Send {
     const nowMs = this.#clock.monotonicMs();
-    const send = { sentMs: nowMs, heardMs: nowMs, promptTokens };
+    const send = { sentMs: nowMs, heardMs: nowMs, prefillMs, hasBegun: false };
     this.sends.add(send);
     return send;
   }
 
-  /** Notes that something came for a request. */
-  hear(send: Send): void {
+  /** Notes that something came for a request; its first event ends its reading. */
+  hear(send: Send, hasBegun: boolean): void {
+    send.hasBegun ||= hasBegun;
     send.heardMs = this.#clock.monotonicMs();
     this.#heardMs = send.heardMs;
   }
--- a/packages/forwarding/src/_lib/pickUpstream/index.ts
+++ b/packages/forwarding/src/_lib/pickUpstream/index.ts
@@ -1,8 +1,14 @@
 /**
  * Which upstream a request goes to.
  */
-import type { FailureDomainId, Random, UpstreamId } from '@acaciacrank/base';
-import { rankByKey } from '@acaciacrank/routing';
+import type { FailureDomainId, InstanceId, Random, UpstreamId } from '@acaciacrank/base';
+import {
+  estimatePrefill,
+  longestHarmlessPrompt,
+  placePrompt,
+  rankByKey,
+  splitEngines,
+} from '@acaciacrank/routing';
 import type { PromptPart } from '../../types.js';
 import type { Upstream } from '../Upstream/index.js';
 
@@ -12,17 +18,32 @@
   /** Upstreams that had the request already. */
   readonly tried: ReadonlySet<UpstreamId>;
   readonly promptParts: readonly PromptPart[];
+  readonly promptTokens: number;
+  /** The longest pause that the route's streams may have; undefined for plain answers. */
+  readonly gapTargetMs: number | undefined;
+  readonly tokensPerEvent: number;
   readonly ownDomain: FailureDomainId;
+  readonly instanceId: InstanceId;
   readonly nowMs: number;
   readonly random: Random;
 }
 
-/** A hot part's first engine may have this many requests more than the least busy one. */
-const spillRequests = 6;
+/** A choice, and what decided it. */
+export interface Pick {
+  readonly upstream: Upstream;
+  /** Where shared parts of the prompt may be copied from; undefined for nowhere. */
+  readonly fetchFrom: string | undefined;
+  /** How long the engine will read, in milliseconds; 0 for plain services. */
+  readonly prefillMs: number;
+  readonly why: 'only' | 'home' | 'spill' | 'long' | 'leastBusy';
+}
+
 /** What another failure domain counts for in a plain service's load, in requests: it is 1 to 3 ms away. */
 const farRequests = 0.5;
 /** A report older than this says nothing of the load now, in milliseconds. */
 const reportAgeLimitMs = 1_000;
+/** The share of engines set apart for long prompts. */
+const longShare = 0.45;
 
 /**
  * Chooses an upstream.
@@ -31,16 +52,18 @@
  * @returns the choice; undefined where no candidate is left
  *
  * @example
- * pickUpstream({ candidates, tried: new Set(), promptParts: [], ownDomain, nowMs, random })?.id;
+ * pickUpstream(request)?.upstream.id;
  */
-export function pickUpstream(request: PickRequest): Upstream | undefined {
+export function pickUpstream(request: PickRequest): Pick | undefined {
   const fresh = request.candidates.filter(({ id }) => !request.tried.has(id));
   const sound = fresh.filter((upstream) => !upstream.isLeftOut(request.nowMs));
   // With all of them left out the fault may be the instance's own, so any is better than none.
   const usable = sound.length > 0 ? sound : fresh;
-  if (usable.length < 2) return usable[0];
+  const [first] = usable;
+  if (first === undefined) return undefined;
   const shared = lastSharedPart(request.promptParts);
-  return shared === undefined ? leastBusy(usable, request) : firstWithRoom(usable, shared);
+  if (shared === undefined) return pickLeastBusy(usable, request);
+  return pickEngine(usable, shared, request);
 }
 
 /** The last part that other requests may share; the last part of all belongs to the request. */
@@ -48,13 +71,38 @@
   return parts.length > 1 ? parts[parts.length - 2] : parts[0];
 }
 
-function firstWithRoom(usable: readonly Upstream[], part: PromptPart): Upstream | undefined {
-  const least = Math.min(...usable.map(({ sends }) => sends.size));
-  const ranked = rankByKey(part.id, usable);
-  return ranked.find(({ sends }) => sends.size <= least + spillRequests);
+function pickEngine(
+  usable: readonly Upstream[],
+  shared: PromptPart,
+  request: PickRequest,
+): Pick | undefined {
+  const { promptTokens, gapTargetMs, tokensPerEvent } = request;
+  const { ordinary, long } = splitEngines(usable, longShare);
+  const own = request.promptParts.at(-1)?.tokens ?? 0;
+  const prefillMs = estimatePrefill(Math.min(own, promptTokens), promptTokens - own);
+  const place = placePrompt(shared.id, ordinary);
+  const isLong =
+    gapTargetMs !== undefined &&
+    promptTokens > longestHarmlessPrompt({ gapTargetMs, tokensPerEvent });
+  if (isLong) {
+    const upstream = leastRunning(long, request.instanceId);
+    const home = place?.home ?? place?.engine;
+    const fetchFrom = home === upstream ? undefined : home?.address;
+    return upstream && { upstream, fetchFrom, prefillMs, why: 'long' };
+  }
+  if (place === undefined) return undefined;
+  const why = place.home === undefined ? 'home' : 'spill';
+  return { upstream: place.engine, fetchFrom: place.home?.address, prefillMs, why };
+}
+
+/** Each instance begins with other engines, so that two do not meet at one without knowing. */
+function leastRunning(engines: readonly Upstream[], instanceId: InstanceId): Upstream | undefined {
+  const ranked = rankByKey(instanceId, engines);
+  const least = Math.min(...ranked.map(({ running }) => running));
+  return ranked.find(({ running }) => running === least);
 }
 
-function leastBusy(usable: readonly Upstream[], request: PickRequest): Upstream | undefined {
+function pickLeastBusy(usable: readonly Upstream[], request: PickRequest): Pick | undefined {
   const { ownDomain, nowMs, random } = request;
   const costed = usable.map((upstream) => {
     const reported =
@@ -65,5 +113,6 @@
     return { upstream, cost: upstream.sends.size + reported + distance + random() / 4 };
   });
   costed.sort((a, b) => a.cost - b.cost);
-  return costed[0]?.upstream;
+  const [best] = costed;
+  return best && { upstream: best.upstream, fetchFrom: undefined, prefillMs: 0, why: 'leastBusy' };
 }
--- a/packages/ledger/src/PrepaidAccount/index.ts
+++ b/packages/ledger/src/PrepaidAccount/index.ts
@@ -32,19 +32,25 @@
   /** How many instances share the account now, this one included. */
   instanceCount: () => number;
   onEvent: (event: GrantEvent) => void;
+  /** Whether the store is known not to answer. */
+  isStoreAway: () => boolean;
 }
 
 /**
  * How long stock should last at the present pace, in milliseconds. Stock is lost when the process
- * dies, and carries the account through an outage of the store; outages of 5 to 9 s are planned for.
+ * dies, and carries the account through an outage of the store; outages of 5 to 9 s are planned for,
+ * and the pace of a single instance varies.
  */
-const stockMs = 8_000;
-/** Below this share of the wanted stock more is asked for; leaves half an outage's stock in hand. */
-const refillShare = 0.5;
-/** The share of the prepaid tokens that an instance holds before it knows its pace, over all instances. */
-const openingShareOfAll = 0.1;
-/** All idle stock together may be this share of what nobody holds, so that the end comes gently. */
-const idleShareOfRemaining = 0.5;
+const stockMs = 13_000;
+/** Below this share of the wanted stock more is asked for; what is left outlasts an outage. */
+const refillShare = 0.7;
+/** The share of the prepaid tokens that all instances hold before they know their pace. */
+const openingShareOfAll = 0.3;
+/**
+ * Idle stock may be this share of what nobody holds, so that the end comes gently. It is not divided
+ * by instances: a client account's callers may all have met at one.
+ */
+const idleShareOfRemaining = 0.4;
 /** Idle stock is given back only when less than this share of the prepaid tokens is left to grant. */
 const returnBelowShare = 0.25;
 /** Weight of the last second in the pace. */
@@ -133,6 +139,8 @@
    * @returns why there is no more, or `reserved` when stock grew enough
    */
   async refill(neededTokens: number): Promise<ReserveOutcome> {
+    // A request that only the store could help is refused at once while the store is away.
+    if (this.#options.isStoreAway()) return 'storeAway';
     while (this.#writing !== undefined) await this.#writing;
     if (neededTokens > 0 && !this.#isSuspended && this.stockTokens >= neededTokens) return 'reserved';
     const known = this.#knownDry(neededTokens);
@@ -183,8 +191,8 @@
     const opening = (openingShareOfAll * this.#prepaidTokens) / instances;
     const wanted = Math.max(opening, this.#paceTokensPerMs * stockMs);
     const idle = Math.max(0, this.stockTokens);
-    const fair = (idleShareOfRemaining * (this.#remainingSeen + idle)) / instances;
-    return Math.floor(Math.min(wanted, fair));
+    const mostIdle = idleShareOfRemaining * (this.#remainingSeen + idle);
+    return Math.floor(Math.min(wanted, mostIdle));
   }
 
   #isLow(): boolean {
--- a/packages/ledger/src/PrepaidAccounts/index.ts
+++ b/packages/ledger/src/PrepaidAccounts/index.ts
@@ -17,6 +17,8 @@
   /** How many instances share the accounts now, this one included. */
   instanceCount: () => number;
   onEvent: (event: GrantEvent) => void;
+  /** Whether the store is known not to answer. */
+  isStoreAway: () => boolean;
 }
 
 /** Tokens set aside for one request. */
@@ -47,8 +49,8 @@
         continue;
       }
       const account = new PrepaidAccount(prepaidTokens, { ...this.#options, accountId });
+      // Opening stock waits for the first tick: by then it is known how many instances share it.
       this.#accounts.set(accountId, account);
-      void account.refill(0);
     }
   }
 
--- a/packages/store/src/ObjectFollower/index.ts
+++ b/packages/store/src/ObjectFollower/index.ts
@@ -97,7 +97,8 @@
       this.#revision = snapshot.revision;
       return;
     }
-    const watched = await store.watch(prefix, this.#revision, this.#stop.signal);
+    const options = { isImmediate: this.#isLost };
+    const watched = await store.watch(prefix, this.#revision, this.#stop.signal, options);
     if (this.#stop.signal.aborted) return;
     this.#hear();
     for (const change of watched.changes) onChange(change);
--- a/packages/store/src/ObjectStore/index.ts
+++ b/packages/store/src/ObjectStore/index.ts
@@ -3,6 +3,7 @@
   StoreChanges,
   StoreSnapshot,
   StoredObject,
+  WatchOptions,
   WriteCondition,
   WriteResult,
 } from '../types.js';
@@ -38,8 +39,14 @@
    * @param prefix - which keys
    * @param sinceRevision - the revision up to which changes are known
    * @param signal - ends the wait
+   * @param options - whether to wait at all
    * @returns the changes after that revision
    * @throws RouterError `historyGone` when the store no longer knows what followed that revision
    */
-  abstract watch(prefix: string, sinceRevision: number, signal: AbortSignal): Promise<StoreChanges>;
+  abstract watch(
+    prefix: string,
+    sinceRevision: number,
+    signal: AbortSignal,
+    options?: WatchOptions,
+  ): Promise<StoreChanges>;
 }
--- a/packages/store/src/types.ts
+++ b/packages/store/src/types.ts
@@ -26,6 +26,12 @@
       readonly current?: StoredObject;
     };
 
+/** How a watch may be made. */
+export interface WatchOptions {
+  /** Answer at once, with or without news: tells whether the store is back without waiting for it. */
+  isImmediate?: boolean;
+}
+
 /** How a snapshot may be taken. */
 export interface SnapshotOptions {
   /** Take what the store has at hand, which may be seconds old and costs it less. */
