--- a/packages/ledger/src/PrepaidAccount/index.ts
+++ b/packages/ledger/src/PrepaidAccount/index.ts
@@ -1,11 +1,11 @@
 import { describeError, type AccountId, type Clock } from '@acaciacrank/base';
 import type { ObjectStore, StoredObject } from '@acaciacrank/store';
 import {
+  boundAtLeast,
   emptyPrepaidPage,
   grantedTotal,
   lifetimeKey,
   parsePrepaidPage,
-  spentAtLeast,
   withGrant,
   type PrepaidPage,
 } from '../prepaidPage/index.js';
@@ -37,24 +37,36 @@
 }
 
 /**
- * How long stock should last at the present pace, in milliseconds. Stock is lost when the process
- * dies, and carries the account through an outage of the store; outages of 5 to 9 s are planned for,
- * and the pace of a single instance varies.
+ * How long stock should last at the present pace, in milliseconds. Stock carries the account through
+ * an outage of the store, 5 to 9 s long, and is lost when the process dies: with all instances dead
+ * at once the account loses this much of its time.
  */
-const stockMs = 13_000;
-/** Below this share of the wanted stock more is asked for; what is left outlasts an outage. */
-const refillShare = 0.7;
-/** The share of the prepaid tokens that all instances hold before they know their pace. */
-const openingShareOfAll = 0.3;
+const stockMs = 10_000;
+/**
+ * Below this share of the prepaid tokens left to grant, stock shrinks with what is left: what a death
+ * would lose is missed more when little else is left.
+ */
+const plentyShare = 0.6;
+/** The part of the largest request that is held beside what the pace asks for. */
+const largestShare = 0.5;
+/** Below this share of the wanted stock more is asked for. */
+const refillShare = 0.8;
+/** Above this multiple of the wanted stock the rest is given back, so that a death costs less. */
+const returnFactor = 1.5;
+/**
+ * The share of the prepaid tokens that all instances hold before they know their pace: what an
+ * account uses in {@link stockMs} when its tokens are meant for about a minute.
+ */
+const openingShareOfAll = 0.15;
 /**
  * Idle stock may be this share of what nobody holds, so that the end comes gently. It is not divided
  * by instances: a client account's callers may all have met at one.
  */
 const idleShareOfRemaining = 0.4;
-/** Idle stock is given back only when less than this share of the prepaid tokens is left to grant. */
-const returnBelowShare = 0.25;
-/** Weight of the last second in the pace. */
-const paceWeight = 0.35;
+/** Weight of the last second in the pace: a few seconds, since single requests are large. */
+const paceWeight = 0.25;
+/** How much of the largest request's size is remembered after a second. */
+const largestFade = 0.9;
 /** How long a page that was read to be dry is believed, in milliseconds. */
 const dryMs = 400;
 /** Conditional writes tried in a row; each loser of a race learns the page from the answer. */
@@ -76,7 +88,9 @@
   #lowering: { readonly grantedTokens: number; readonly atVersion: number } | undefined;
   #reservedTokens = 0;
   #spentTokens = 0;
-  #paceTokensPerMs = 0;
+  /** Undefined until the account is used for the first time. */
+  #paceTokensPerMs: number | undefined;
+  #largestTokens = 0;
   #spentAtTick = 0;
   #tickMs: number;
   #page: { readonly page: PrepaidPage; readonly version: number } | undefined;
@@ -100,7 +114,7 @@
   /** Tokens that can be set aside without a call to the store. */
   get stockTokens(): number {
     const granted = Math.min(this.#grantedTokens, this.#lowering?.grantedTokens ?? Infinity);
-    return granted - this.#reservedTokens - this.#spentTokens;
+    return granted - this.#boundTokens;
   }
 
   /** Changes the limit; a lower one stops spending until the page is known to fit under it. */
@@ -121,6 +135,7 @@
    * @returns whether they are set aside; else {@link refill} may help
    */
   tryReserve(tokens: number): boolean {
+    this.#largestTokens = Math.max(this.#largestTokens, tokens);
     if (this.#isSuspended || this.stockTokens < tokens) return false;
     this.#reservedTokens += tokens;
     return true;
@@ -165,9 +180,13 @@
   tick(): void {
     const nowMs = this.#options.clock.monotonicMs();
     const elapsedMs = Math.max(1, nowMs - this.#tickMs);
-    const used = this.#spentTokens + this.#reservedTokens;
+    const used = this.#spentTokens;
     const pace = Math.max(0, used - this.#spentAtTick) / elapsedMs;
-    this.#paceTokensPerMs += paceWeight * (pace - this.#paceTokensPerMs);
+    if (used > 0) {
+      const before = this.#paceTokensPerMs ?? this.#openingStock() / stockMs;
+      this.#paceTokensPerMs = before + paceWeight * (pace - before);
+    }
+    this.#largestTokens *= largestFade;
     this.#spentAtTick = used;
     this.#tickMs = nowMs;
     if (this.#writing !== undefined) return;
@@ -186,10 +205,15 @@
     return Math.max(0, this.#prepaidTokens - this.#seenGrantedTotal);
   }
 
+  #openingStock(): number {
+    return (openingShareOfAll * this.#prepaidTokens) / this.#options.instanceCount();
+  }
+
   #wantedStock(): number {
-    const instances = Math.max(1, this.#options.instanceCount());
-    const opening = (openingShareOfAll * this.#prepaidTokens) / instances;
-    const wanted = Math.max(opening, this.#paceTokensPerMs * stockMs);
+    const pace = this.#paceTokensPerMs;
+    const plenty = Math.min(1, this.#remainingSeen / (plentyShare * this.#prepaidTokens));
+    const steady = (pace ?? 0) * stockMs * plenty + largestShare * this.#largestTokens;
+    const wanted = pace === undefined ? this.#openingStock() : steady;
     const idle = Math.max(0, this.stockTokens);
     const mostIdle = idleShareOfRemaining * (this.#remainingSeen + idle);
     return Math.floor(Math.min(wanted, mostIdle));
@@ -203,8 +227,7 @@
 
   /** Guards against tokens that lie idle here while another instance refuses for want of them. */
   #isIdle(): boolean {
-    const isNearEnd = this.#remainingSeen < this.#prepaidTokens * returnBelowShare;
-    return isNearEnd && this.stockTokens > 2 * this.#wantedStock() + 1;
+    return this.stockTokens > returnFactor * this.#wantedStock() + 1;
   }
 
   #knownDry(neededTokens: number): ReserveOutcome | undefined {
@@ -219,11 +242,16 @@
   #refusal(neededTokens: number): ReserveOutcome {
     const page = this.#page?.page;
     if (page === undefined) return 'heldElsewhere';
-    const ownUnreported = this.#spentTokens - (page.grants[this.#ownKey]?.spentTokens ?? 0);
-    const spent = spentAtLeast(page) + Math.max(0, ownUnreported);
+    const ownUnreported = this.#boundTokens - (page.grants[this.#ownKey]?.boundTokens ?? 0);
+    const spent = boundAtLeast(page) + Math.max(0, ownUnreported);
     return this.#prepaidTokens - spent < neededTokens ? 'exhausted' : 'heldElsewhere';
   }
 
+  /** Spent, or set aside for requests under way. */
+  get #boundTokens(): number {
+    return this.#spentTokens + this.#reservedTokens;
+  }
+
   get #ownKey(): string {
     return lifetimeKey(this.#options.lifetime);
   }
@@ -340,7 +368,7 @@
   async #write(grantedTokens: number): Promise<'written' | 'conflict'> {
     const { store, lifetime } = this.#options;
     const { page, version } = this.#page ?? { page: emptyPrepaidPage, version: 0 };
-    const grant = { grantedTokens, spentTokens: this.#spentTokens };
+    const grant = { grantedTokens, boundTokens: this.#boundTokens };
     const next = withGrant(page, lifetime, grant);
     const condition =
       version === 0 ? ({ kind: 'absent' } as const) : ({ kind: 'version', version } as const);
--- a/packages/ledger/src/prepaidPage/index.ts
+++ b/packages/ledger/src/prepaidPage/index.ts
@@ -11,8 +11,8 @@
 const grantSchema = z.object({
   /** All that this lifetime may ever spend. */
   grantedTokens: z.number().int().nonnegative(),
-  /** What it had spent when it last wrote; only a lower bound of the truth. */
-  spentTokens: z.number().int().nonnegative(),
+  /** What it had spent, or set aside for requests under way, when it last wrote. */
+  boundTokens: z.number().int().nonnegative(),
 });
 
 const pageSchema = z.object({
@@ -52,7 +52,7 @@
  * All tokens that are spent or may still be.
  *
  * @example
- * grantedTotal({ endedTokens: 5, grants: { a: { grantedTokens: 10, spentTokens: 1 } } });
+ * grantedTotal({ endedTokens: 5, grants: { a: { grantedTokens: 10, boundTokens: 1 } } });
  * //=> 15
  */
 export function grantedTotal(page: PrepaidPage): number {
@@ -61,15 +61,15 @@
 }
 
 /**
- * The least that was spent for certain.
+ * What was spent or set aside, as far as the lifetimes have told.
  *
  * @example
- * spentAtLeast({ endedTokens: 5, grants: { a: { grantedTokens: 10, spentTokens: 1 } } });
+ * boundAtLeast({ endedTokens: 5, grants: { a: { grantedTokens: 10, boundTokens: 1 } } });
  * //=> 6
  */
-export function spentAtLeast(page: PrepaidPage): number {
+export function boundAtLeast(page: PrepaidPage): number {
   const grants = Object.values(page.grants);
-  return grants.reduce((sum, grant) => sum + grant.spentTokens, page.endedTokens);
+  return grants.reduce((sum, grant) => sum + grant.boundTokens, page.endedTokens);
 }
 
 /**
@@ -84,7 +84,7 @@
  * @returns the new page
  *
  * @example
- * withGrant(emptyPrepaidPage, lifetime, { grantedTokens: 10, spentTokens: 0 });
+ * withGrant(emptyPrepaidPage, lifetime, { grantedTokens: 10, boundTokens: 0 });
  */
 export function withGrant(page: PrepaidPage, lifetime: Lifetime, grant: PrepaidGrant): PrepaidPage {
   const own = lifetimeKey(lifetime);
