--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -44,6 +44,8 @@
 
 /** Body bound while no configuration is known, in bytes. */
 const unknownBodyBytes = 1_048_576;
+/** When to come back where another instance may serve at once, in milliseconds. */
+const elsewhereRetryMs = 100;
 /** Callers read fractions of a second, so waits are rounded up to this, in milliseconds. */
 const retryAfterStepMs = 100;
 
@@ -262,7 +264,10 @@
   if (outcome === 'heldElsewhere') {
     return new RouterError('tokensHeldElsewhere', `no ${tokens} tokens can be had at once`);
   }
-  return new RouterError('storeUnavailable', `the store did not grant ${tokens} tokens`);
+  // Another instance may have tokens in stock, so the caller should not wait for the store.
+  return new RouterError('storeUnavailable', `the store did not grant ${tokens} tokens`, {
+    retryAfterMs: elsewhereRetryMs,
+  });
 }
 
 /** Aborted when the connection closes before the answer is complete. */
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -15,7 +15,7 @@
   /** A whole answer, held in memory. */
   | { readonly kind: 'answer'; readonly status: number; readonly headers: RawHeaders; readonly body: Buffer }
   /** A stream that was passed on to its end. */
-  | { readonly kind: 'streamed' }
+  | { readonly kind: 'streamed'; readonly longestGapMs: number }
   /** No byte left this instance. */
   | { readonly kind: 'notSent'; readonly reason: string }
   /** The upstream says that it did not run the request. */
@@ -150,7 +150,7 @@
     }
     if (buffer.isPartial) return { kind: 'broken', reason: 'the stream ended inside an event' };
     if (!call.response.headersSent) this.#writeHead(exchange);
-    return { kind: 'streamed' };
+    return { kind: 'streamed', longestGapMs: Math.round(send.longestGapMs) };
   }
 
   async #write(exchange: Exchange, events: readonly StreamEvent[]): Promise<void> {
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -190,6 +190,7 @@
 
 function describe(result: AttemptResult): Record<string, string | number | boolean> {
   if (result.kind === 'answer') return { status: result.status, bytes: result.body.byteLength };
+  if (result.kind === 'streamed') return { longestGapMs: result.longestGapMs };
   if (result.kind === 'notRun') return { status: result.status };
   if (result.kind === 'notSent' || result.kind === 'broken') return { reason: result.reason };
   return {};
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -24,6 +24,8 @@
   readonly prefillMs: number;
   /** Whether its answer has begun, so that the prompt is read. */
   hasBegun: boolean;
+  /** The longest time between two parts of its answer, in milliseconds. */
+  longestGapMs: number;
 }
 
 /** An upstream in use. */
@@ -115,16 +117,18 @@
   /** Notes that a request is sent there. */
   begin(prefillMs: number): Send {
     const nowMs = this.#clock.monotonicMs();
-    const send = { sentMs: nowMs, heardMs: nowMs, prefillMs, hasBegun: false };
+    const send = { sentMs: nowMs, heardMs: nowMs, prefillMs, hasBegun: false, longestGapMs: 0 };
     this.sends.add(send);
     return send;
   }
 
   /** Notes that something came for a request; its first event ends its reading. */
   hear(send: Send, hasBegun: boolean): void {
+    const nowMs = this.#clock.monotonicMs();
+    if (send.hasBegun) send.longestGapMs = Math.max(send.longestGapMs, nowMs - send.heardMs);
     send.hasBegun ||= hasBegun;
-    send.heardMs = this.#clock.monotonicMs();
-    this.#heardMs = send.heardMs;
+    send.heardMs = nowMs;
+    this.#heardMs = nowMs;
   }
 
   /** Notes that a request has ended. */
--- a/packages/ledger/src/PrepaidAccount/index.ts
+++ b/packages/ledger/src/PrepaidAccount/index.ts
@@ -46,7 +46,7 @@
  * Below this share of the prepaid tokens left to grant, stock shrinks with what is left: what a death
  * would lose is missed more when little else is left.
  */
-const plentyShare = 0.6;
+const plentyShare = 0.5;
 /** The part of the largest request that is held beside what the pace asks for. */
 const largestShare = 0.5;
 /** Below this share of the wanted stock more is asked for. */
@@ -91,7 +91,9 @@
   /** Undefined until the account is used for the first time. */
   #paceTokensPerMs: number | undefined;
   #largestTokens = 0;
-  #spentAtTick = 0;
+  /** Everything that was ever set aside; tells the pace without waiting for requests to end. */
+  #askedTokens = 0;
+  #askedAtTick = 0;
   #tickMs: number;
   #page: { readonly page: PrepaidPage; readonly version: number } | undefined;
   /** What all lifetimes hold, as last seen, also from stale lists. */
@@ -138,6 +140,7 @@
     this.#largestTokens = Math.max(this.#largestTokens, tokens);
     if (this.#isSuspended || this.stockTokens < tokens) return false;
     this.#reservedTokens += tokens;
+    this.#askedTokens += tokens;
     return true;
   }
 
@@ -180,14 +183,13 @@
   tick(): void {
     const nowMs = this.#options.clock.monotonicMs();
     const elapsedMs = Math.max(1, nowMs - this.#tickMs);
-    const used = this.#spentTokens;
-    const pace = Math.max(0, used - this.#spentAtTick) / elapsedMs;
-    if (used > 0) {
+    const pace = (this.#askedTokens - this.#askedAtTick) / elapsedMs;
+    if (this.#askedTokens > 0) {
       const before = this.#paceTokensPerMs ?? this.#openingStock() / stockMs;
       this.#paceTokensPerMs = before + paceWeight * (pace - before);
     }
     this.#largestTokens *= largestFade;
-    this.#spentAtTick = used;
+    this.#askedAtTick = this.#askedTokens;
     this.#tickMs = nowMs;
     if (this.#writing !== undefined) return;
     if (this.#isSuspended) void this.#fitUnderLimit();
