--- a/packages/base/src/createLogStream/index.ts
+++ b/packages/base/src/createLogStream/index.ts
@@ -1,4 +1,4 @@
-import { SonicBoom } from 'sonic-boom';
+import sonicBoom, { type SonicBoom } from 'sonic-boom';
 
 /** Options of {@link createLogStream}. */
 export interface CreateLogStreamOptions {
@@ -31,7 +31,7 @@
  * const stream = createLogStream({ onDrop: () => metrics.count('droppedLogLines') });
  */
 export function createLogStream(options: CreateLogStreamOptions): SonicBoom {
-  const stream = new SonicBoom({
+  const stream = new sonicBoom.SonicBoom({
     fd: options.fileDescriptor ?? process.stdout.fd,
     sync: false,
     minLength: gatheredBytes,
--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -44,6 +44,8 @@
 
 /** Body bound while no configuration is known, in bytes. */
 const unknownBodyBytes = 1_048_576;
+/** How long an instance counts as short of tokens after a refusal, in milliseconds: one directory answer. */
+const shortMs = 3_000;
 /** When to come back where another instance may serve at once, in milliseconds. */
 const elsewhereRetryMs = 100;
 /** Callers read fractions of a second, so waits are rounded up to this, in milliseconds. */
@@ -55,6 +57,7 @@
   readonly #bodies = new ByteBudget(heldBytesLimit);
   readonly #parts: DispatchParts;
   #underWay = 0;
+  #shortUntilMs = -Infinity;
 
   constructor(options: ForwardHandlerOptions) {
     this.#options = options;
@@ -66,6 +69,16 @@
     return this.#underWay;
   }
 
+  /**
+   * Whether requests were refused just now because the store could not be asked for tokens.
+   *
+   * Guards against callers that stay with an instance that is cut off and has used up its stock,
+   * while others can grant: it shows as refusals at one instance only.
+   */
+  get isShortOfTokens(): boolean {
+    return this.#options.clock.monotonicMs() < this.#shortUntilMs;
+  }
+
   /** Serves one request; its answer is complete, or visibly broken, when this returns. */
   async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const story = new RequestStory(this.#options.clock);
@@ -181,6 +194,7 @@
       tokens,
       stockTokens: ledger.stockTokens(account.accountId),
     });
+    if (outcome === 'storeAway') this.#shortUntilMs = clock.monotonicMs() + shortMs;
     if (outcome !== 'reserved') throw refusalFor(outcome, tokens);
   }
 
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -137,7 +137,9 @@
   /** The addresses that callers should use, this instance's own among them while it is ready. */
   callerAddresses(): readonly RegisteredInstance[] {
     const { instanceId } = this.#options.settings;
-    return this.registry.live().filter((one) => one.instanceId !== instanceId || this.isReady);
+    const others = this.registry.live().filter((one) => one.instanceId !== instanceId);
+    const isWanted = this.isReady && (!this.#handler.isShortOfTokens || others.length === 0);
+    return isWanted ? this.registry.live() : others;
   }
 
   /** Begins to listen and to follow the store. */
--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -30,7 +30,8 @@
   readonly #options: UpstreamTableOptions;
   readonly #byId = new Map<UpstreamId, Upstream>();
   readonly #byService = new Map<ServiceName, Upstream[]>();
-  readonly #lapsed = new Map<UpstreamId, Disposable>();
+  /** Upstreams whose records vanished, with the end of their grace once that has begun. */
+  readonly #lapsed = new Map<UpstreamId, Disposable | undefined>();
   #isStoreLost = false;
   #regainedMs = -Infinity;
 
@@ -62,7 +63,7 @@
   regainStore(): void {
     this.#isStoreLost = false;
     this.#regainedMs = this.#options.clock.monotonicMs();
-    for (const id of [...this.#lapsed.keys()]) this.#waitForReturn(id);
+    for (const id of [...this.#lapsed.keys()]) this.#beginGrace(id);
   }
 
   /** Takes over the whole list. */
@@ -100,7 +101,8 @@
       return;
     }
     this.#tell(upstream.record, 'lapsed');
-    this.#waitForReturn(id);
+    this.#lapsed.set(id, undefined);
+    if (!this.#isStoreLost) this.#beginGrace(id);
   }
 
   /** Notes that another upstream answers at this one's address. */
@@ -113,16 +115,11 @@
     this.#tell(upstream.record, 'leftOut');
   }
 
-  #waitForReturn(id: UpstreamId): void {
+  #beginGrace(id: UpstreamId): void {
     const { clock } = this.#options;
     this.#lapsed.get(id)?.[Symbol.dispose]();
     const leftMs = this.#regainedMs + lapsedGraceMs - clock.monotonicMs();
-    const waitMs = this.#isStoreLost ? Number.MAX_SAFE_INTEGER : leftMs;
-    if (waitMs === Number.MAX_SAFE_INTEGER) {
-      this.#lapsed.set(id, { [Symbol.dispose]: () => undefined });
-      return;
-    }
-    const timer = clock.schedule(waitMs, () => {
+    const timer = clock.schedule(leftMs, () => {
       this.#lapsed.delete(id);
       const upstream = this.#byId.get(id);
       if (upstream !== undefined) this.#forget(upstream);
--- a/packages/ledger/src/PrepaidAccount/index.ts
+++ b/packages/ledger/src/PrepaidAccount/index.ts
@@ -47,17 +47,15 @@
  * would lose is missed more when little else is left.
  */
 const plentyShare = 0.5;
-/** The part of the largest request that is held beside what the pace asks for. */
-const largestShare = 0.5;
 /** Below this share of the wanted stock more is asked for. */
-const refillShare = 0.8;
+const refillShare = 0.65;
 /** Above this multiple of the wanted stock the rest is given back, so that a death costs less. */
-const returnFactor = 1.5;
+const returnFactor = 1.4;
 /**
  * The share of the prepaid tokens that all instances hold before they know their pace: what an
  * account uses in {@link stockMs} when its tokens are meant for about a minute.
  */
-const openingShareOfAll = 0.15;
+const openingShareOfAll = 0.25;
 /**
  * Idle stock may be this share of what nobody holds, so that the end comes gently. It is not divided
  * by instances: a client account's callers may all have met at one.
@@ -65,8 +63,6 @@
 const idleShareOfRemaining = 0.4;
 /** Weight of the last second in the pace: a few seconds, since single requests are large. */
 const paceWeight = 0.25;
-/** How much of the largest request's size is remembered after a second. */
-const largestFade = 0.9;
 /** How long a page that was read to be dry is believed, in milliseconds. */
 const dryMs = 400;
 /** Conditional writes tried in a row; each loser of a race learns the page from the answer. */
@@ -90,7 +86,6 @@
   #spentTokens = 0;
   /** Undefined until the account is used for the first time. */
   #paceTokensPerMs: number | undefined;
-  #largestTokens = 0;
   /** Everything that was ever set aside; tells the pace without waiting for requests to end. */
   #askedTokens = 0;
   #askedAtTick = 0;
@@ -137,7 +132,6 @@
    * @returns whether they are set aside; else {@link refill} may help
    */
   tryReserve(tokens: number): boolean {
-    this.#largestTokens = Math.max(this.#largestTokens, tokens);
     if (this.#isSuspended || this.stockTokens < tokens) return false;
     this.#reservedTokens += tokens;
     this.#askedTokens += tokens;
@@ -188,7 +182,6 @@
       const before = this.#paceTokensPerMs ?? this.#openingStock() / stockMs;
       this.#paceTokensPerMs = before + paceWeight * (pace - before);
     }
-    this.#largestTokens *= largestFade;
     this.#askedAtTick = this.#askedTokens;
     this.#tickMs = nowMs;
     if (this.#writing !== undefined) return;
@@ -214,8 +207,7 @@
   #wantedStock(): number {
     const pace = this.#paceTokensPerMs;
     const plenty = Math.min(1, this.#remainingSeen / (plentyShare * this.#prepaidTokens));
-    const steady = (pace ?? 0) * stockMs * plenty + largestShare * this.#largestTokens;
-    const wanted = pace === undefined ? this.#openingStock() : steady;
+    const wanted = pace === undefined ? this.#openingStock() : pace * stockMs * plenty;
     const idle = Math.max(0, this.stockTokens);
     const mostIdle = idleShareOfRemaining * (this.#remainingSeen + idle);
     return Math.floor(Math.min(wanted, mostIdle));
--- a/packages/store/src/ObjectFollower/index.ts
+++ b/packages/store/src/ObjectFollower/index.ts
@@ -25,7 +25,7 @@
  * Mean pause before a failed call is made again, in milliseconds: short against the two seconds in
  * which a change must be in force, long enough that a refusing store sees few calls.
  */
-const defaultRetryMs = 250;
+const defaultRetryMs = 350;
 
 /**
  * Follows all objects under a prefix: reads them once, then watches for changes.
