--- a/packages/standins/src/failures/prepaid/test.ts
+++ b/packages/standins/src/failures/prepaid/test.ts
@@ -8,6 +8,7 @@
 } from '@acaciacrank/base';
 import {
   grantedTotal,
+  lifetimeKey,
   parsePrepaidPage,
   PrepaidAccounts,
   prepaidPageKey,
@@ -23,6 +24,8 @@
   readonly ledger: PrepaidAccounts;
   readonly cut: { isAway: boolean };
   readonly run: Promise<void>;
+  readonly lifetime: Lifetime;
+  spentTokens: number;
 }
 
 interface World {
@@ -66,19 +69,31 @@
     isStoreAway: () => cut.isAway,
   });
   ledger.setLimits(new Map([[accountId, world.prepaidTokens]]));
-  return { ledger, cut, run: ledger.run() };
+  return { ledger, cut, run: ledger.run(), lifetime, spentTokens: 0 };
 }
 
 /** Spends like one request: its most is set aside, then less or all of it is used. */
-async function spend(world: World, { ledger }: Holder, tokens: number): Promise<boolean> {
+async function spend(world: World, holder: Holder, tokens: number): Promise<boolean> {
+  const { ledger } = holder;
   const outcome = await world.clock.runUntil(ledger.reserve(accountId, tokens));
   if (outcome !== 'reserved') return false;
   const used = Math.ceil(tokens * (0.5 + world.random() / 2));
   world.spentTokens += used;
+  holder.spentTokens += used;
   ledger.settle({ accountId, tokens }, used);
   return true;
 }
 
+/** All that a holder has spent, and what it would spend without asking the store. */
+function mayStillSpend({ ledger, spentTokens }: Holder): number {
+  return spentTokens + Math.max(0, ledger.stockTokens(accountId));
+}
+
+function grantInStore({ platform }: World, { lifetime }: Holder): number {
+  const page = parsePrepaidPage(platform.read(pageKey)?.value);
+  return page?.grants[lifetimeKey(lifetime)]?.grantedTokens ?? 0;
+}
+
 // Instances are killed and started again, cut off from the store and back, and the answers of their
 // writes are lost or the writes come into effect seconds later. An instance that believed a write
 // that was never read back, or that drew on tokens it had given back, would let the client account
@@ -100,6 +115,7 @@
       } else if (luck < 0.03) holder.cut.isAway = !holder.cut.isAway;
       else await spend(world, holder, Math.ceil(200 + world.random() ** 4 * 20_000));
       t.true(world.spentTokens <= world.prepaidTokens);
+      for (const held of holders) t.true(mayStillSpend(held) <= grantInStore(world, held));
     }
     const page = parsePrepaidPage(world.platform.read(pageKey)?.value);
     t.true(page !== undefined && grantedTotal(page) <= world.prepaidTokens);
