--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -107,7 +107,7 @@
     story: RequestStory,
     admission: Admission,
   ): ForwardCall {
-    const { clock, codec } = this.#options;
+    const { codec } = this.#options;
     const routes = this.#options.routes();
     if (routes === undefined) throw new RouterError('notReady', 'no configuration is known yet');
     if (!this.#options.isAccepting()) throw new RouterError('instanceLeaving', 'the instance ends');
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -15,7 +15,11 @@
 import { RetryShare } from '@acaciacrank/routing';
 import { ObjectFollower, type ObjectStore, type StoredObject } from '@acaciacrank/store';
 import type { Server } from 'node:http';
-import { applyCallerLimits, createForwardServer, listenBacklog } from '../createForwardServer/index.js';
+import {
+  applyCallerLimits,
+  createForwardServer,
+  listenBacklog,
+} from '../createForwardServer/index.js';
 import type { ForwardCodec } from '../ForwardCodec/index.js';
 import { ForwardHandler } from '../ForwardHandler/index.js';
 import { RouteTable } from '../RouteTable/index.js';
@@ -129,6 +133,12 @@
     return this.#phase === 'running' && this.routes.value !== undefined;
   }
 
+  /** The port on which callers connect; undefined before {@link start}. */
+  get callersPort(): number | undefined {
+    const address = this.#server.address();
+    return typeof address === 'object' && address !== null ? address.port : undefined;
+  }
+
   /** Requests that have no final answer yet. */
   get underWay(): number {
     return this.#handler.underWay;
@@ -169,10 +179,9 @@
     const { clock, log, settings } = this.#options;
     const startedMs = clock.monotonicMs();
     const endMs = startedMs + settings.stopLimitMs - endMarginMs;
-    const acceptUntilMs = startedMs + Math.min(
-      keepFactor * settings.directoryKeepMs,
-      (settings.stopLimitMs - endMarginMs) / 2,
-    );
+    const acceptUntilMs =
+      startedMs +
+      Math.min(keepFactor * settings.directoryKeepMs, (settings.stopLimitMs - endMarginMs) / 2);
     this.#phase = 'leaving';
     log.info({ underWay: this.underWay, stopLimitMs: settings.stopLimitMs }, 'stopping');
     this.registry.leave().catch((thrown: unknown) => {
@@ -289,7 +298,10 @@
   #runTask(name: string, task: Promise<void>): void {
     task.catch((thrown: unknown) => {
       this.#options.metrics.count('failedTasks', name);
-      this.#options.log.error({ task: name, error: describeError(thrown).fullStack }, 'task failed');
+      this.#options.log.error(
+        { task: name, error: describeError(thrown).fullStack },
+        'task failed',
+      );
     });
   }
 }
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -13,7 +13,12 @@
 /** How one attempt ended. */
 export type AttemptResult =
   /** A whole answer, held in memory. */
-  | { readonly kind: 'answer'; readonly status: number; readonly headers: RawHeaders; readonly body: Buffer }
+  | {
+      readonly kind: 'answer';
+      readonly status: number;
+      readonly headers: RawHeaders;
+      readonly body: Buffer;
+    }
   /** A stream that was passed on to its end. */
   | { readonly kind: 'streamed'; readonly longestGapMs: number }
   /** No byte left this instance. */
--- a/packages/forwarding/src/_lib/openExchange/index.ts
+++ b/packages/forwarding/src/_lib/openExchange/index.ts
@@ -46,7 +46,7 @@
   codec: ForwardCodec,
 ): Promise<Exchange> {
   const answer = await client.request({
-    method: request.method as 'GET',
+    method: request.method,
     path: request.path,
     headers: request.headers,
     body: request.body.byteLength === 0 ? null : request.body,
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -1,7 +1,13 @@
 /**
  * What a forwarding instance knows of routes, upstreams and requests, in the project's own words.
  */
-import type { AccountId, FailureDomainId, RequestId, ServiceName, UpstreamId } from '@acaciacrank/base';
+import type {
+  AccountId,
+  FailureDomainId,
+  RequestId,
+  ServiceName,
+  UpstreamId,
+} from '@acaciacrank/base';
 
 /**
  * What may be done with a request again: `repeatable` may run more than once, `once` may not,
--- a/packages/ledger/src/PrepaidAccount/index.ts
+++ b/packages/ledger/src/PrepaidAccount/index.ts
@@ -154,7 +154,8 @@
     // A request that only the store could help is refused at once while the store is away.
     if (this.#options.isStoreAway()) return 'storeAway';
     while (this.#writing !== undefined) await this.#writing;
-    if (neededTokens > 0 && !this.#isSuspended && this.stockTokens >= neededTokens) return 'reserved';
+    if (neededTokens > 0 && !this.#isSuspended && this.stockTokens >= neededTokens)
+      return 'reserved';
     const known = this.#knownDry(neededTokens);
     if (known !== undefined) return known;
     this.#writing = this.#ask(neededTokens);
--- a/packages/ledger/src/prepaidPage/index.ts
+++ b/packages/ledger/src/prepaidPage/index.ts
@@ -110,6 +110,12 @@
  * lifetimeKey({ instanceId, runId: '5f' });
  * //=> 'a1~5f'
  */
-export function lifetimeKey({ instanceId, runId }: { instanceId: InstanceId; runId: string }): string {
+export function lifetimeKey({
+  instanceId,
+  runId,
+}: {
+  instanceId: InstanceId;
+  runId: string;
+}): string {
   return `${instanceId}${keySeparator}${runId}`;
 }
