Speak the published store protocol everywhere, and remove the made-up one

The instance, the operators' command line and the demonstration now use platform/'s store client; the instance list lies in the store; the stand-in store serves the published protocol. Removed: HttpObjectStore, HttpInstanceList and their calls.

--- a/packages/router/src/formatMetrics/index.ts
+++ b/packages/base/src/formatMetrics/index.ts
@@ -1,4 +1,5 @@
-import { millisecondsInSecond, type HistogramSummary, type Metrics } from '@acaciacrank/base';
+import { millisecondsInSecond } from '../constants/index.js';
+import type { HistogramSummary, Metrics } from '../Metrics/index.js';
 
 /** A value that is read when metrics are asked for. */
 export interface Gauge {
--- a/packages/router/src/formatMetrics/test.ts
+++ b/packages/base/src/formatMetrics/test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { Metrics } from '@acaciacrank/base';
+import { Metrics } from '../Metrics/index.js';
 import { formatMetrics } from './index.js';
 
 test('counters come first, with units, types and labels', (t) => {
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -15,6 +15,7 @@
 export * from './createLog/index.js';
 export * from './createLogStream/index.js';
 export * from './Metrics/index.js';
+export * from './formatMetrics/index.js';
 export * from './createRandom/index.js';
 export * from './hashText/index.js';
 export * from './digestText/index.js';
--- a/packages/ctl/src/createContext/index.ts
+++ b/packages/ctl/src/createContext/index.ts
@@ -1,5 +1,6 @@
 import { RouterError, SystemClock } from '@acaciacrank/base';
-import { HttpInstanceList, HttpObjectStore } from '@acaciacrank/store';
+import { PlatformObjectStore } from '@acaciacrank/platform';
+import { StoredInstanceList } from '@acaciacrank/store';
 import { readFileSync } from 'node:fs';
 import { HttpOperatorPorts } from '../HttpOperatorPorts/index.js';
 import type { CommandContext } from '../types.js';
@@ -42,10 +43,11 @@
     );
   }
   const clock = new SystemClock();
+  const store = new PlatformObjectStore({ url, clock });
   return {
     clock,
-    store: new HttpObjectStore({ url, clock }),
-    list: new HttpInstanceList({ url, clock }),
+    store,
+    list: new StoredInstanceList(store),
     ports: new HttpOperatorPorts({ clock, key: readKey(options.keyFile) }),
     waitMs: options.waitMs ?? defaultWaitMs,
   };
--- a/packages/operators/src/ConfigurationWatcher/index.ts
+++ b/packages/operators/src/ConfigurationWatcher/index.ts
@@ -383,6 +383,8 @@
         if (isIdle) await clock.sleep(retryMs, this.#stop.signal);
         revision = seen;
       } catch (error) {
+        // Changes that the store dropped are not to be had: begin with all that is there.
+        if (describeError(error).kind === 'historyGone') revision = 0;
         this.#note(this.#offered?.version, error);
         await clock.sleep(retryMs, this.#stop.signal);
       }
--- a/packages/router/src/createOperatorServer/index.ts
+++ b/packages/router/src/createOperatorServer/index.ts
@@ -10,7 +10,7 @@
 import { timingSafeEqual } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { InstanceStatus } from '../describeInstance/index.js';
-import { formatMetrics, type Gauge } from '../formatMetrics/index.js';
+import { formatMetrics, type Gauge } from '@acaciacrank/base';
 import { formatStatusPage } from '../formatStatusPage/index.js';
 
 /** Options of {@link createOperatorServer}. */
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -9,7 +9,6 @@
 export * from './Instance/index.js';
 export * from './HttpUpstreamClients/index.js';
 export * from './describeInstance/index.js';
-export * from './formatMetrics/index.js';
 export * from './formatStatusPage/index.js';
 export * from './PeerConfigurationObjects/index.js';
 export * from './createOperatorServer/index.js';
--- a/packages/router/src/runInstance/index.ts
+++ b/packages/router/src/runInstance/index.ts
@@ -16,7 +16,8 @@
   type WsFleetLinksOptions,
 } from '@acaciacrank/fleet';
 import { environmentList, environmentStore } from '@acaciacrank/operators';
-import { HttpInstanceList, HttpObjectStore } from '@acaciacrank/store';
+import { PlatformObjectStore } from '@acaciacrank/platform';
+import { StoredInstanceList } from '@acaciacrank/store';
 import type { Server } from 'node:http';
 import { isIPv6, type AddressInfo } from 'node:net';
 import { describeInstance } from '../describeInstance/index.js';
@@ -87,7 +88,7 @@
 async function createInstance(settings: InstanceSettings, owned: DisposableStore, log: Log) {
   const clock = new SystemClock();
   const instanceId = settings.instanceId as InstanceId;
-  const platform = { url: settings.platformUrl, clock };
+  const store = owned.add(new PlatformObjectStore({ url: settings.platformUrl, clock }));
   const metrics = new Metrics();
   const random = createRandom(instanceSeed(instanceId, clock.wallMs()));
   const { links, fleetUrl } = await openLinks(settings, owned, { clock, random, metrics, log });
@@ -99,8 +100,8 @@
       clock,
       random,
       metrics,
-      store: environmentStore(owned.add(new HttpObjectStore(platform)), settings.environment),
-      list: environmentList(owned.add(new HttpInstanceList(platform)), settings.environment),
+      store: environmentStore(store, settings.environment),
+      list: environmentList(new StoredInstanceList(store), settings.environment),
       clients: new HttpUpstreamClients(clock),
       links,
       log,
--- a/packages/standins/src/benches/_lib/startLoopbackFleet/index.ts
+++ b/packages/standins/src/benches/_lib/startLoopbackFleet/index.ts
@@ -16,8 +16,13 @@
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { createEngineServer } from '../../../createEngineServer/index.js';
-import { createPlatformServer } from '../../../createPlatformServer/index.js';
-import { MemoryObjectStore, MemoryPlatform } from '../../../MemoryPlatform/index.js';
+import { createStoreServer } from '@acaciacrank/platform';
+import {
+  listedKey,
+  MemoryObjectStore,
+  MemoryPlatform,
+  type ListedInstance,
+} from '@acaciacrank/store';
 import { StandinEngine } from '../../../StandinEngine/index.js';
 
 /** The key of the one client account. */
@@ -63,16 +68,17 @@
     fullBatchSlowdown: 1,
     tokenGapMs,
   });
-  const platformUrl = await listen(createPlatformServer(platform), owned);
+  const platformUrl = await listen(createStoreServer(platform), owned);
   const engineUrl = await listen(createEngineServer(engine), owned);
-  platform.setInstance({
+  const engineEntry: ListedInstance = {
     id: 'engine-1' as InstanceId,
     role: 'engine',
     service: 'engines' as ServiceName,
     url: engineUrl,
     failureDomain: 'bench' as FailureDomainId,
     state: 'live',
-  });
+  };
+  platform.write(listedKey(engineEntry.id), engineEntry, { kind: 'none' });
   await acceptDocument(new MemoryObjectStore(platform, clock), clock, document);
   const running = owned.add(
     await runInstance({
--- a/packages/standins/src/benches/control/index.ts
+++ b/packages/standins/src/benches/control/index.ts
@@ -9,12 +9,16 @@
   type ServiceName,
   type UpstreamId,
 } from '@acaciacrank/base';
-import { HttpInstanceList, type ListedInstance } from '@acaciacrank/store';
+import { createStoreServer, PlatformObjectStore } from '@acaciacrank/platform';
+import {
+  listedKey,
+  MemoryPlatform,
+  StoredInstanceList,
+  type ListedInstance,
+} from '@acaciacrank/store';
 import { chooseSubset } from '@acaciacrank/routing';
 import { HttpEngineClient } from '@acaciacrank/upstreams';
 import type { ResultRow } from '../../printTable/index.js';
-import { createPlatformServer } from '../../createPlatformServer/index.js';
-import { MemoryPlatform } from '../../MemoryPlatform/index.js';
 import { startLoopbackFleet } from '../_lib/startLoopbackFleet/index.js';
 import type { AddressInfo } from 'node:net';
 import { roundHundredths } from '../_lib/roundHundredths/index.js';
@@ -42,20 +46,23 @@
 
 async function readList(instances: number, upstreams: number): Promise<ResultRow> {
   const platform = new MemoryPlatform(clock);
-  for (let at = 0; at < instances + upstreams; at += 1)
-    platform.setInstance(entryOf(at, instances));
-  const server = createPlatformServer(platform);
+  for (let at = 0; at < instances + upstreams; at += 1) {
+    const entry = entryOf(at, instances);
+    platform.write(listedKey(entry.id), entry, { kind: 'none' });
+  }
+  const server = createStoreServer(platform);
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
   const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
-  const list = new HttpInstanceList({ url, clock });
+  const store = new PlatformObjectStore({ url, clock });
+  const list = new StoredInstanceList(store);
   const before = process.cpuUsage();
   for (let read = 0; read < listReads; read += 1) await list.read();
   const { user, system } = process.cpuUsage(before);
-  await list[Symbol.asyncDispose]();
+  await store[Symbol.asyncDispose]();
   server.close();
-  const listBytes = JSON.stringify(platform.instances()).length;
+  const listBytes = JSON.stringify(platform.objects()).length;
   return {
     listBytes,
     listCpuMs: roundHundredths((user + system) / listReads / microsecondsInMillisecond),
--- a/packages/standins/src/benches/ledger/_lib/measureCalls/index.ts
+++ b/packages/standins/src/benches/ledger/_lib/measureCalls/index.ts
@@ -1,7 +1,7 @@
 import { createRandom, ManualClock, type InstanceId } from '@acaciacrank/base';
 import { BudgetLedger, DemandGrantPolicy } from '@acaciacrank/ledger';
 import { LocalGrantNetwork } from '../../../../LocalGrantNetwork/index.js';
-import { MemoryObjectStore, MemoryPlatform } from '../../../../MemoryPlatform/index.js';
+import { MemoryObjectStore, MemoryPlatform } from '@acaciacrank/store';
 import { benchBudget, benchRequest } from '../benchBudget/index.js';
 
 /** One setting of the measurement. */
--- a/packages/standins/src/benches/ledger/_lib/measureCosts/index.ts
+++ b/packages/standins/src/benches/ledger/_lib/measureCosts/index.ts
@@ -10,7 +10,7 @@
 } from '@acaciacrank/ledger';
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
-import { MemoryObjectStore, MemoryPlatform } from '../../../../MemoryPlatform/index.js';
+import { MemoryObjectStore, MemoryPlatform } from '@acaciacrank/store';
 import { benchBudget, benchRequest } from '../benchBudget/index.js';
 
 const applyOptions = { nowMs: 1_000, graceMs: 1_000, keyProtectionMs: Infinity };
--- a/packages/standins/src/benches/routing/index.ts
+++ b/packages/standins/src/benches/routing/index.ts
@@ -12,7 +12,7 @@
 import { AdmissionQueue, PrefixAffinity, UpstreamRegistry } from '@acaciacrank/routing';
 import type { RunOptions } from '../../_lib/runNamed/index.js';
 import { LocalUpstreamClients } from '../../LocalUpstreamClients/index.js';
-import { MemoryInstanceList, MemoryPlatform } from '../../MemoryPlatform/index.js';
+import { MemoryInstanceList, MemoryPlatform } from '@acaciacrank/store';
 import type { ResultRow } from '../../printTable/index.js';
 import { StandinEngine } from '../../StandinEngine/index.js';
 import { roundHundredths } from '../_lib/roundHundredths/index.js';
--- a/packages/standins/src/bin.ts
+++ b/packages/standins/src/bin.ts
@@ -9,16 +9,14 @@
   type ServiceName,
   type UpstreamId,
 } from '@acaciacrank/base';
-import type { ListedInstance } from '@acaciacrank/store';
+import { createStoreServer, PlatformObjectStore } from '@acaciacrank/platform';
+import { listedKey, MemoryPlatform, type ListedInstance } from '@acaciacrank/store';
 import { cac } from 'cac';
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { request } from 'undici';
 import { createEngineServer } from './createEngineServer/index.js';
-import { createPlatformServer } from './createPlatformServer/index.js';
 import { createServiceServer } from './createServiceServer/index.js';
 import { runDemoLoad } from './demo/load.js';
-import { MemoryPlatform } from './MemoryPlatform/index.js';
 import { StandinEngine } from './StandinEngine/index.js';
 import { StandinService } from './StandinService/index.js';
 
@@ -46,9 +44,8 @@
 }
 
 async function register(platformUrl: string, entry: ListedInstance): Promise<void> {
-  const body = JSON.stringify(entry);
-  const answer = await request(`${platformUrl}/instances`, { method: 'PUT', body });
-  await answer.body.dump();
+  await using store = new PlatformObjectStore({ url: platformUrl, clock });
+  await store.write(listedKey(entry.id), entry, { kind: 'none' });
 }
 
 async function listUpstream(
@@ -67,9 +64,9 @@
 }
 
 const cli = cac('standins');
-cli.command('platform <port>', 'Object store and instance list').action(async (port: string) => {
+cli.command('platform <port>', 'Object store').action(async (port: string) => {
   process.stdout.write(
-    `${await listen(createPlatformServer(new MemoryPlatform(clock, 300)), Number(port))}\n`,
+    `${await listen(createStoreServer(new MemoryPlatform(clock)), Number(port))}\n`,
   );
 });
 cli
--- a/packages/standins/src/configuration/acceptance/test.ts
+++ b/packages/standins/src/configuration/acceptance/test.ts
@@ -11,7 +11,7 @@
   trialOf,
   type Acceptance,
 } from '@acaciacrank/operators';
-import { MemoryObjectStore, MemoryPlatform } from '../../MemoryPlatform/index.js';
+import { MemoryObjectStore, MemoryPlatform } from '@acaciacrank/store';
 import { markedText, markOf } from '../_lib/configurationDocument/index.js';
 import { FaultyObjectStore } from '../_lib/FaultyObjectStore/index.js';
 
--- a/packages/standins/src/configuration/garbage/test.ts
+++ b/packages/standins/src/configuration/garbage/test.ts
@@ -12,7 +12,7 @@
   type Acceptance,
   type EnvironmentDocument,
 } from '@acaciacrank/operators';
-import { MemoryObjectStore, MemoryPlatform } from '../../MemoryPlatform/index.js';
+import { MemoryObjectStore, MemoryPlatform } from '@acaciacrank/store';
 import { makeDocument } from '../_lib/configurationDocument/index.js';
 import { FaultyObjectStore } from '../_lib/FaultyObjectStore/index.js';
 
--- a/packages/standins/src/configuration/watcher/test.ts
+++ b/packages/standins/src/configuration/watcher/test.ts
@@ -9,7 +9,7 @@
   readManifest,
   type ConfigurationWatcherOptions,
 } from '@acaciacrank/operators';
-import { MemoryObjectStore, MemoryPlatform } from '../../MemoryPlatform/index.js';
+import { MemoryObjectStore, MemoryPlatform } from '@acaciacrank/store';
 import { makeDocument, markedText, markOf } from '../_lib/configurationDocument/index.js';
 import { FaultyObjectStore } from '../_lib/FaultyObjectStore/index.js';
 
--- a/packages/standins/src/createLocalFleet/index.ts
+++ b/packages/standins/src/createLocalFleet/index.ts
@@ -12,7 +12,7 @@
 import { Writable } from 'node:stream';
 import { LocalUpstreamClients } from '../LocalUpstreamClients/index.js';
 import { MemoryFleet, type MemoryFleetLinks } from '../MemoryFleet/index.js';
-import { MemoryInstanceList, MemoryObjectStore, MemoryPlatform } from '../MemoryPlatform/index.js';
+import { MemoryInstanceList, MemoryObjectStore, MemoryPlatform } from '@acaciacrank/store';
 import { StandinEngine, type StandinEngineOptions } from '../StandinEngine/index.js';
 import { StandinService } from '../StandinService/index.js';
 
--- a/packages/standins/src/demo/load.ts
+++ b/packages/standins/src/demo/load.ts
@@ -4,7 +4,8 @@
 import { SystemClock, type AccountId, type BudgetId } from '@acaciacrank/base';
 import { readBudget } from '@acaciacrank/ledger';
 import { environmentList } from '@acaciacrank/operators';
-import { HttpInstanceList, HttpObjectStore, type ListedInstance } from '@acaciacrank/store';
+import { PlatformObjectStore } from '@acaciacrank/platform';
+import { StoredInstanceList, type ListedInstance, type ObjectStore } from '@acaciacrank/store';
 import { request } from 'undici';
 import { compareWithRecords, type StandinRecords } from '../compareWithRecords/index.js';
 import { runLoad } from '../runLoad/index.js';
@@ -31,8 +32,8 @@
  */
 export async function runDemoLoad(platformUrl: string, durationMs: number): Promise<boolean> {
   const clock = new SystemClock();
-  const store = new HttpObjectStore({ url: platformUrl, clock });
-  const list = new HttpInstanceList({ url: platformUrl, clock });
+  const store = new PlatformObjectStore({ url: platformUrl, clock });
+  const list = new StoredInstanceList(store);
   const listed = await environmentList(list, 'demo').read();
   const urls = listed.filter((entry) => entry.role === 'entry').map((entry) => entry.url);
   const outcomes = await runLoad({ urls, traffic: demoTraffic, durationMs });
@@ -49,7 +50,7 @@
 
 async function readRecords(
   listed: readonly ListedInstance[],
-  store: HttpObjectStore,
+  store: ObjectStore,
 ): Promise<StandinRecords> {
   const engines = listed.filter((entry) => entry.role === 'engine');
   const services = listed.filter((entry) => entry.role === 'service');
--- a/packages/standins/src/experiments/configuration-size/index.ts
+++ b/packages/standins/src/experiments/configuration-size/index.ts
@@ -15,7 +15,7 @@
   type DocumentSize,
 } from '../../configuration/_lib/configurationDocument/index.js';
 import { FaultyObjectStore } from '../../configuration/_lib/FaultyObjectStore/index.js';
-import { MemoryObjectStore, MemoryPlatform } from '../../MemoryPlatform/index.js';
+import { MemoryObjectStore, MemoryPlatform } from '@acaciacrank/store';
 import type { NamedRun, RunOptions } from '../../_lib/runNamed/index.js';
 import type { ResultRow } from '../../printTable/index.js';
 
--- a/packages/standins/src/experiments/configuration-spread/index.ts
+++ b/packages/standins/src/experiments/configuration-spread/index.ts
@@ -6,7 +6,7 @@
 import { FaultyObjectStore } from '../../configuration/_lib/FaultyObjectStore/index.js';
 import { markedText } from '../../configuration/_lib/configurationDocument/index.js';
 import { createLocalFleet, type LocalFleet } from '../../createLocalFleet/index.js';
-import { MemoryObjectStore } from '../../MemoryPlatform/index.js';
+import { MemoryObjectStore } from '@acaciacrank/store';
 import type { NamedRun, RunOptions } from '../../_lib/runNamed/index.js';
 import type { ResultRow } from '../../printTable/index.js';
 
--- a/packages/standins/src/experiments/grants/_lib/runPolicy/index.ts
+++ b/packages/standins/src/experiments/grants/_lib/runPolicy/index.ts
@@ -15,11 +15,7 @@
   type Reservation,
 } from '@acaciacrank/ledger';
 import { LocalGrantNetwork } from '../../../../LocalGrantNetwork/index.js';
-import {
-  MemoryObjectStore,
-  MemoryPlatform,
-  type PlatformCalls,
-} from '../../../../MemoryPlatform/index.js';
+import { MemoryObjectStore, MemoryPlatform, type PlatformCalls } from '@acaciacrank/store';
 import { cutOffInstances, instanceCount, isWithin, runMs, type FaultCase } from '../cases/index.js';
 import { lossTimesMs, placeRequest, replaceAfterMs } from '../placeRequest/index.js';
 import { topUpTokensOf } from '../runOracle/index.js';
--- a/packages/standins/src/experiments/membership/_lib/configurationStories/test.ts
+++ b/packages/standins/src/experiments/membership/_lib/configurationStories/test.ts
@@ -3,7 +3,7 @@
 import { acceptDocument } from '@acaciacrank/operators';
 import { MemberFleet } from '../../../../_lib/MemberFleet/index.js';
 import { createLocalFleet } from '../../../../createLocalFleet/index.js';
-import { MemoryObjectStore } from '../../../../MemoryPlatform/index.js';
+import { MemoryObjectStore } from '@acaciacrank/store';
 import { configurationStories } from './index.js';
 
 // The store answers one instance only, which gets a new version. All others must act on it within
--- a/packages/standins/src/experiments/routing/_lib/runCell/index.ts
+++ b/packages/standins/src/experiments/routing/_lib/runCell/index.ts
@@ -15,7 +15,7 @@
 import type { ListedInstance } from '@acaciacrank/store';
 import { chooseInstances } from '@acaciacrank/routing';
 import { LocalUpstreamClients } from '../../../../LocalUpstreamClients/index.js';
-import { MemoryInstanceList, MemoryPlatform } from '../../../../MemoryPlatform/index.js';
+import { MemoryInstanceList, MemoryPlatform } from '@acaciacrank/store';
 import type { ResultRow } from '../../../../printTable/index.js';
 import { StandinEngine } from '../../../../StandinEngine/index.js';
 import { rowsOf, type RequestOutcome } from '../outcomes/index.js';
--- a/packages/standins/src/failures/ledger/test.ts
+++ b/packages/standins/src/failures/ledger/test.ts
@@ -27,7 +27,7 @@
 import type { WriteCondition, WriteResult } from '@acaciacrank/store';
 import fc from 'fast-check';
 import { LocalGrantNetwork } from '../../LocalGrantNetwork/index.js';
-import { MemoryObjectStore, MemoryPlatform } from '../../MemoryPlatform/index.js';
+import { MemoryObjectStore, MemoryPlatform } from '@acaciacrank/store';
 
 const budget = { accountId: 'a' as AccountId, budgetId: 'b' as BudgetId, openingTokens: 1_500 };
 const instanceCount = 3;
--- a/packages/standins/src/failures/ledgerBounds/test.ts
+++ b/packages/standins/src/failures/ledgerBounds/test.ts
@@ -17,7 +17,7 @@
   type BudgetLedgerOptions,
 } from '@acaciacrank/ledger';
 import { LocalGrantNetwork } from '../../LocalGrantNetwork/index.js';
-import { MemoryObjectStore, MemoryPlatform } from '../../MemoryPlatform/index.js';
+import { MemoryObjectStore, MemoryPlatform } from '@acaciacrank/store';
 
 const budget = {
   accountId: 'a' as AccountId,
--- a/packages/standins/src/failures/orders/test.ts
+++ b/packages/standins/src/failures/orders/test.ts
@@ -10,7 +10,7 @@
   type OrderRequest,
 } from '@acaciacrank/upstreams';
 import { LocalEngineClient } from '../../LocalUpstreamClients/index.js';
-import { MemoryObjectStore, MemoryPlatform } from '../../MemoryPlatform/index.js';
+import { MemoryObjectStore, MemoryPlatform } from '@acaciacrank/store';
 import { StandinEngine, type StandinEngineOptions } from '../../StandinEngine/index.js';
 
 const leaseMs = 15_000;
--- a/packages/standins/src/failures/prepaid/test.ts
+++ b/packages/standins/src/failures/prepaid/test.ts
@@ -14,7 +14,7 @@
   prepaidPageKey,
   type Lifetime,
 } from '@acaciacrank/ledger';
-import { MemoryObjectStore, MemoryPlatform } from '../../MemoryPlatform/index.js';
+import { MemoryObjectStore, MemoryPlatform } from '@acaciacrank/store';
 import { UnreliableStore } from '../../_lib/UnreliableStore/index.js';
 
 const accountId = 'one' as AccountId;
--- a/packages/standins/src/failures/requestRecords/test.ts
+++ b/packages/standins/src/failures/requestRecords/test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import { ManualClock, type InstanceId, type RequestId, type RequestKey } from '@acaciacrank/base';
 import { RequestRecords } from '@acaciacrank/ledger';
-import { MemoryObjectStore, MemoryPlatform } from '../../MemoryPlatform/index.js';
+import { MemoryObjectStore, MemoryPlatform } from '@acaciacrank/store';
 
 const key = 'k' as RequestKey;
 const id = (name: string) => name as RequestId;
--- a/packages/standins/src/failures/watch/test.ts
+++ b/packages/standins/src/failures/watch/test.ts
@@ -3,7 +3,7 @@
 import { acceptDocument, ConfigurationWatcher } from '@acaciacrank/operators';
 import type { StoreChanges } from '@acaciacrank/store';
 import { storyDocument } from '../../faults/document.js';
-import { MemoryObjectStore, MemoryPlatform } from '../../MemoryPlatform/index.js';
+import { MemoryObjectStore, MemoryPlatform } from '@acaciacrank/store';
 
 /** Answers every watch at once, with nothing. */
 class HastyWatchStore extends MemoryObjectStore {
--- a/packages/standins/src/faults/StoryContext/index.ts
+++ b/packages/standins/src/faults/StoryContext/index.ts
@@ -4,7 +4,7 @@
 import type { ObjectStore } from '@acaciacrank/store';
 import type { ServiceAnswer } from '@acaciacrank/upstreams';
 import type { LocalFleet, LocalInstance } from '../../createLocalFleet/index.js';
-import { MemoryObjectStore } from '../../MemoryPlatform/index.js';
+import { MemoryObjectStore } from '@acaciacrank/store';
 import { accountKey, budget } from '../document.js';
 import type { StepGate } from '../StepGate/index.js';
 import type { Violation } from '../types.js';
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,14 +1,12 @@
 /**
  * Small stand-ins for the systems served, and what experiments and fault runs share.
  */
-export * from './MemoryPlatform/index.js';
 export * from './LocalGrantNetwork/index.js';
 export * from './MemoryFleet/index.js';
 export * from './StandinEngine/index.js';
 export * from './StandinControl/index.js';
 export * from './StandinService/index.js';
 export * from './LocalUpstreamClients/index.js';
-export * from './createPlatformServer/index.js';
 export * from './createEngineServer/index.js';
 export * from './createServiceServer/index.js';
 export * from './createLocalFleet/index.js';
--- a/packages/standins/src/operatorCommands/test.ts
+++ b/packages/standins/src/operatorCommands/test.ts
@@ -22,7 +22,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { markedText } from '../configuration/_lib/configurationDocument/index.js';
-import { MemoryInstanceList, MemoryObjectStore, MemoryPlatform } from '../MemoryPlatform/index.js';
+import { MemoryInstanceList, MemoryObjectStore, MemoryPlatform } from '@acaciacrank/store';
 
 /** Ports of instances in this process; one that is not reachable does not answer. */
 class LocalPorts extends OperatorPorts {
--- a/packages/standins/src/MemoryPlatform/index.ts
+++ b/packages/store/src/MemoryPlatform/index.ts
@@ -1,15 +1,15 @@
 import { RouterError, type Clock } from '@acaciacrank/base';
-import {
-  InstanceList,
-  ObjectStore,
-  type ListedInstance,
-  type StoreChange,
-  type StoreChanges,
-  type StoreSnapshot,
-  type StoredObject,
-  type WriteCondition,
-  type WriteResult,
-} from '@acaciacrank/store';
+import { InstanceList } from '../InstanceList/index.js';
+import { ObjectStore } from '../ObjectStore/index.js';
+import type {
+  ListedInstance,
+  StoreChange,
+  StoreChanges,
+  StoreSnapshot,
+  StoredObject,
+  WriteCondition,
+  WriteResult,
+} from '../types.js';
 
 /** Calls that the platform has answered, by kind. */
 export interface PlatformCalls {
@@ -38,7 +38,6 @@
   readonly calls: PlatformCalls = { reads: 0, writes: 0, conflicts: 0, watches: 0 };
   readonly #clock: Clock;
   readonly #objects = new Map<string, StoredObject>();
-  readonly #versions = new Map<string, number>();
   readonly #changes: StoreChange[] = [];
   readonly #instances = new Map<string, ListedInstance>();
   #waiters: Waiter[] = [];
@@ -87,7 +86,7 @@
   write(key: string, value: unknown, condition: WriteCondition): WriteResult {
     this.calls.writes += 1;
     if (!this.#holds(key, condition)) return this.#conflict();
-    const version = this.#nextVersion(key);
+    const version = this.#revision + 1;
     this.#commit(key, { key, version, value: this.#copy(value) });
     return { outcome: 'written', version };
   }
@@ -95,7 +94,7 @@
   remove(key: string, version: number): WriteResult {
     this.calls.writes += 1;
     if (!this.#holds(key, { kind: 'version', version })) return this.#conflict();
-    const removedVersion = this.#nextVersion(key);
+    const removedVersion = this.#revision + 1;
     this.#commit(key, undefined);
     return { outcome: 'written', version: removedVersion };
   }
@@ -157,12 +156,6 @@
     return { outcome: 'conflict' };
   }
 
-  #nextVersion(key: string): number {
-    const version = (this.#versions.get(key) ?? 0) + 1;
-    this.#versions.set(key, version);
-    return version;
-  }
-
   #commit(key: string, object: StoredObject | undefined): void {
     if (object === undefined) this.#objects.delete(key);
     else this.#objects.set(key, object);
--- a/packages/store/src/ObjectStore/index.ts
+++ b/packages/store/src/ObjectStore/index.ts
@@ -37,7 +37,7 @@
    * Waits for changes under a prefix after a revision. One waiting watch counts as one call.
    *
    * @param prefix - which keys
-   * @param sinceRevision - the revision up to which changes are known
+   * @param sinceRevision - the revision up to which changes are known; 0 for all that is there
    * @param signal - ends the wait
    * @param options - whether to wait at all
    * @returns the changes after that revision
--- /dev/null
+++ b/packages/store/src/StoredInstanceList/index.ts
@@ -0,0 +1,49 @@
+import { RouterError } from '@acaciacrank/base';
+import { z } from 'zod';
+import { InstanceList } from '../InstanceList/index.js';
+import type { ObjectStore } from '../ObjectStore/index.js';
+import type { ListedInstance } from '../types.js';
+
+const listedSchema = z.object({
+  id: z.string(),
+  role: z.enum(['entry', 'engine', 'service']),
+  service: z.string().optional(),
+  url: z.string(),
+  fleetUrl: z.string().optional(),
+  operatorsUrl: z.string().optional(),
+  environment: z.string().optional(),
+  failureDomain: z.string(),
+  state: z.enum(['live', 'leaving']),
+});
+
+const listedPrefix = 'listed/';
+
+/**
+ * Where an instance's row of the list lies in the store.
+ *
+ * @example
+ * listedKey('entry-1');
+ * //=> 'listed/entry-1'
+ */
+export function listedKey(id: string): string {
+  return `${listedPrefix}${id}`;
+}
+
+/** The instance list as objects of the store, one for each instance. */
+export class StoredInstanceList extends InstanceList {
+  readonly #store: ObjectStore;
+
+  constructor(store: ObjectStore) {
+    super();
+    this.#store = store;
+  }
+
+  override async read(): Promise<readonly ListedInstance[]> {
+    const { objects } = await this.#store.snapshot(listedPrefix, { isStaleAllowed: true });
+    const parsed = z.array(listedSchema).safeParse(objects.map(({ value }) => value));
+    if (parsed.success) return parsed.data as unknown as ListedInstance[];
+    throw new RouterError('storeUnavailable', 'the instance list does not parse', {
+      cause: parsed.error,
+    });
+  }
+}
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -4,8 +4,8 @@
 export type * from './types.js';
 export * from './ObjectStore/index.js';
 export * from './InstanceList/index.js';
-export * from './HttpObjectStore/index.js';
-export * from './HttpInstanceList/index.js';
+export * from './MemoryPlatform/index.js';
+export * from './StoredInstanceList/index.js';
 export * from './PrefixedObjectStore/index.js';
 export * from './updateObject/index.js';
 export * from './ObjectFollower/index.js';
