End an answer without a length by its connection, and take a reset for a cut answer

The HTTP library takes a reset for its end; a crash closes the connection in good order besides. Answers were given a length here and so vouched for.

--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -2,6 +2,7 @@
  * One request at one upstream, from taking a connection to the end of the answer.
  */
 import { describeError, RouterError, type Clock } from '@acaciacrank/base';
+import type { ServerResponse } from 'node:http';
 import type { Readable } from 'node:stream';
 import type { ForwardCodec, RawHeaders } from '../../ForwardCodec/index.js';
 import { EventBuffer, type StreamEvent } from '../EventBuffer/index.js';
@@ -18,6 +19,7 @@
       readonly status: number;
       readonly headers: RawHeaders;
       readonly body: Buffer;
+      readonly isFramed: boolean;
     }
   /** A stream that was passed on to its end. */
   | { readonly kind: 'streamed'; readonly longestGapMs: number }
@@ -66,7 +68,7 @@
     const leftMs = call.deadlineMs - clock.monotonicMs();
     if (call.gone.aborted) return { kind: 'callerGone' };
     if (leftMs <= returnMarginMs) return { kind: 'deadline' };
-    const client = upstream.takeConnection();
+    const connection = upstream.takeConnection();
     const send = upstream.begin(this.#options.prefillMs);
     const deadline = clock.schedule(leftMs, this.#ender('deadline'));
     const onGone = this.#ender('callerGone');
@@ -74,9 +76,14 @@
     this.#watchSilence();
     let isSound = false;
     try {
-      const exchange = await openExchange(client, this.#request(leftMs), this.#options.codec);
+      const exchange = await openExchange(
+        connection.client,
+        this.#request(leftMs),
+        this.#options.codec,
+      );
       this.#hear(send, false);
       const result = await this.#receive(exchange, send);
+      if (connection.wasReset) return this.#failure(new Error('the answer was reset on the way'));
       isSound = result.kind === 'answer' || result.kind === 'streamed' || result.kind === 'notRun';
       return result;
     } catch (thrown) {
@@ -86,7 +93,7 @@
       this.#silence?.[Symbol.dispose]();
       call.gone.removeEventListener('abort', onGone);
       upstream.end(send);
-      upstream.returnConnection(client, isSound);
+      upstream.returnConnection(connection, isSound);
     }
   }
 
@@ -135,7 +142,8 @@
     }
     if (isSuccess && call.route.kind === 'stream') return this.#passOn(exchange, send);
     const body = await readWhole(exchange.body);
-    return { kind: 'answer', status, headers: exchange.headers, body };
+    const { headers, isFramed } = exchange;
+    return { kind: 'answer', status, headers, body, isFramed };
   }
 
   #spoilt(exchange: Exchange, reason: string): AttemptResult {
@@ -180,6 +188,7 @@
   #writeHead(exchange: Exchange): void {
     const { call, codec } = this.#options;
     call.story.add('firstEvent', { upstreamId: this.#options.upstream.id });
+    if (!exchange.isFramed) endWithConnection(call.response);
     call.response.writeHead(exchange.status, codec.callerHeaders(exchange.headers));
   }
 
@@ -202,6 +211,19 @@
   }
 }
 
+/**
+ * Makes an answer's end the end of its connection, as the upstream's was.
+ *
+ * Guards against an upstream that crashes within an answer without a length: the operating system
+ * closes its connection in good order, so that the cut answer looks whole. Given a length or chunks
+ * here, it would be vouched for by this instance; ended by its connection, its reader knows no more
+ * and no less than from the upstream itself.
+ */
+export function endWithConnection(response: ServerResponse): void {
+  response.shouldKeepAlive = false;
+  response.useChunkedEncodingByDefault = false;
+}
+
 /** Whether an event may come after another; ids that are numbers must be in turn. */
 function follows(last: string | undefined, next: string | undefined): boolean {
   if (last === undefined || next === undefined) return true;
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -13,7 +13,7 @@
 import type { RetryShare } from '@acaciacrank/routing';
 import type { ForwardCodec } from '../../ForwardCodec/index.js';
 import type { UpstreamTable } from '../../UpstreamTable/index.js';
-import { Attempt, type AttemptResult } from '../Attempt/index.js';
+import { Attempt, endWithConnection, type AttemptResult } from '../Attempt/index.js';
 import { isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
 import { maxUnsentAttempts, silenceMs } from '../limits/index.js';
 import { pickUpstream, type Pick } from '../pickUpstream/index.js';
@@ -33,6 +33,8 @@
 
 /** A plain answer that takes longer than this many target latencies is asked for elsewhere as well. */
 const slowAnswerFactor = 1.5;
+type PlainAnswer = Extract<AttemptResult, { kind: 'answer' }>;
+
 /** A server error may be the upstream's alone, so that another one answers. */
 const firstServerError = 500;
 
@@ -126,11 +128,7 @@
       case 'answer':
         call.progress.mayHaveRun = true;
         if (result.status >= firstServerError && this.#mayRepeat()) return false;
-        call.response.writeHead(result.status, [
-          ...this.#parts.codec.callerHeaders(result.headers),
-          'content-length',
-          String(result.body.byteLength),
-        ]);
+        this.#writeAnswerHead(result);
         await call.writer.end(result.body);
         return true;
       case 'notSent':
@@ -157,6 +155,14 @@
     }
   }
 
+  #writeAnswerHead({ status, headers, body, isFramed }: PlainAnswer): void {
+    const { response } = this.#call;
+    const passed = this.#parts.codec.callerHeaders(headers);
+    if (isFramed) passed.push('content-length', String(body.byteLength));
+    else endWithConnection(response);
+    response.writeHead(status, passed);
+  }
+
   /** Whether another upstream may be tried, by the route, the service's retries and the choice. */
   #mayRepeat(): boolean {
     const { route, progress, service } = this.#call;
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -3,14 +3,11 @@
  */
 import type { Clock, UpstreamId } from '@acaciacrank/base';
 import type { EngineWork } from '@acaciacrank/routing';
-import { Client } from 'undici';
 import type { ReportedLoad, UpstreamRecord } from '../../types.js';
+import { UpstreamConnection } from '../UpstreamConnection/index.js';
 import {
-  connectLimitMs,
   failuresToLeaveOut,
   firstLeftOutMs,
-  idleConnectionMs,
-  longestIdleConnectionMs,
   longestLeftOutMs,
   silenceMs,
 } from '../limits/index.js';
@@ -37,8 +34,8 @@
   load: { readonly report: ReportedLoad; readonly atMs: number } | undefined;
   readonly sends = new Set<Send>();
   readonly #clock: Clock;
-  readonly #idle: Client[] = [];
-  readonly #open = new Set<Client>();
+  readonly #idle: UpstreamConnection[] = [];
+  readonly #open = new Set<UpstreamConnection>();
   #failuresInRow = 0;
   #leftOutMs = 0;
   #leftOutUntilMs = 0;
@@ -82,19 +79,12 @@
   }
 
   /** Takes a connection for one request. */
-  takeConnection(): Client {
+  takeConnection(): UpstreamConnection {
     const idle = this.#idle.pop();
     if (idle !== undefined) return idle;
-    const client = new Client(`http://${this.address}`, {
-      pipelining: 1,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      keepAliveTimeout: idleConnectionMs,
-      keepAliveMaxTimeout: longestIdleConnectionMs,
-      connect: { timeout: connectLimitMs },
-    });
-    this.#open.add(client);
-    return client;
+    const connection = new UpstreamConnection(this.address);
+    this.#open.add(connection);
+    return connection;
   }
 
   /**
@@ -103,15 +93,13 @@
    * Guards against bytes that belong to no request: a connection on which an answer went wrong may
    * deliver the rest of it to the next request, so it is never used again.
    */
-  returnConnection(client: Client, isSound: boolean): void {
-    if (isSound && this.#open.has(client)) {
-      this.#idle.push(client);
+  returnConnection(connection: UpstreamConnection, isSound: boolean): void {
+    if (isSound && this.#open.has(connection)) {
+      this.#idle.push(connection);
       return;
     }
-    this.#open.delete(client);
-    client.destroy().catch(() => {
-      // It is gone either way.
-    });
+    this.#open.delete(connection);
+    connection.drop();
   }
 
   /** Notes that a request is sent there. */
@@ -158,10 +146,10 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    const clients = [...this.#open];
+    const connections = [...this.#open];
     this.#open.clear();
     this.#idle.length = 0;
-    await Promise.all(clients.map((client) => client.close()));
+    await Promise.all(connections.map(({ client }) => client.close()));
   }
 
   /**
--- a/packages/forwarding/src/_lib/openExchange/index.ts
+++ b/packages/forwarding/src/_lib/openExchange/index.ts
@@ -1,6 +1,7 @@
 /**
  * Sends one request to one upstream and reads the head of its answer.
  */
+import { forEachRawHeader } from '@acaciacrank/callers';
 import type { Client } from 'undici';
 import type { Readable } from 'node:stream';
 import type { ForwardCodec, RawHeaders } from '../../ForwardCodec/index.js';
@@ -21,6 +22,8 @@
   readonly headers: RawHeaders;
   readonly head: AnswerHead;
   readonly body: Readable;
+  /** Whether the answer says itself where it ends; else its connection's end is its own. */
+  readonly isFramed: boolean;
 }
 
 /** Codes of errors that end a connect call; no byte of the request has left then. */
@@ -59,9 +62,18 @@
     headers,
     head: codec.readAnswer(answer.statusCode, headers),
     body: answer.body,
+    isFramed: isFramed(headers),
   };
 }
 
+function isFramed(headers: RawHeaders): boolean {
+  let hasFrame = false;
+  forEachRawHeader(headers, (name) => {
+    hasFrame ||= name === 'content-length' || name === 'transfer-encoding';
+  });
+  return hasFrame;
+}
+
 /**
  * Whether an error means that no byte of the request reached the upstream.
  *
