--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -4,18 +4,18 @@
   withTimeout,
   type Clock,
   type FailureDomainId,
-  type InstanceId,
   type Log,
   type Metrics,
   type Random,
 } from '@acaciacrank/base';
 import { ByteBudget, CallerWriter, readBody, writeError } from '@acaciacrank/callers';
 import type { PrepaidAccounts, ReserveOutcome } from '@acaciacrank/ledger';
-import type { RetryShare } from '@acaciacrank/routing';
+import type { ChooserPlace, RetryShare } from '@acaciacrank/routing';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Dispatch, type DispatchParts } from '../_lib/Dispatch/index.js';
 import type { ForwardCall } from '../_lib/ForwardCall/index.js';
 import { callerStallLimitMs, heldBytesLimit, tokenWaitLimitMs } from '../_lib/limits/index.js';
+import { PartPlaces } from '../_lib/PartPlaces/index.js';
 import { RequestStory } from '../_lib/RequestStory/index.js';
 import type { ForwardCodec } from '../ForwardCodec/index.js';
 import type { RouteTable } from '../RouteTable/index.js';
@@ -32,7 +32,8 @@
   tokens: PrepaidAccounts;
   retries: RetryShare;
   ownDomain: FailureDomainId;
-  instanceId: InstanceId;
+  /** This instance among the others. */
+  place: () => ChooserPlace;
   /** Whether new requests are taken; an instance that leaves refuses them at its end. */
   isAccepting: () => boolean;
   /** Whether connections end with their next answer. */
@@ -61,7 +62,7 @@
 
   constructor(options: ForwardHandlerOptions) {
     this.#options = options;
-    this.#parts = options;
+    this.#parts = { ...options, parts: new PartPlaces() };
   }
 
   /** Requests that have no final answer yet. */
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -115,7 +115,7 @@
       tokens: this.tokens,
       retries,
       ownDomain: settings.failureDomain,
-      instanceId: settings.instanceId,
+      place: () => this.registry.place(),
       isAccepting: () => this.#phase !== 'refusing',
       isLeaving: () => this.#phase !== 'running',
       random,
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -5,17 +5,17 @@
   RouterError,
   type Clock,
   type FailureDomainId,
-  type InstanceId,
   type Metrics,
   type Random,
   type UpstreamId,
 } from '@acaciacrank/base';
-import type { RetryShare } from '@acaciacrank/routing';
+import type { ChooserPlace, RetryShare } from '@acaciacrank/routing';
 import type { ForwardCodec } from '../../ForwardCodec/index.js';
 import type { UpstreamTable } from '../../UpstreamTable/index.js';
 import { Attempt, endWithConnection, type AttemptResult } from '../Attempt/index.js';
 import { isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
 import { maxUnsentAttempts, silenceMs } from '../limits/index.js';
+import type { PartPlaces } from '../PartPlaces/index.js';
 import { pickUpstream, type Pick } from '../pickUpstream/index.js';
 import type { Upstream } from '../Upstream/index.js';
 
@@ -26,7 +26,9 @@
   readonly upstreams: UpstreamTable;
   readonly retries: RetryShare;
   readonly ownDomain: FailureDomainId;
-  readonly instanceId: InstanceId;
+  /** This instance among the others. */
+  readonly place: () => ChooserPlace;
+  readonly parts: PartPlaces;
   readonly random: Random;
   readonly metrics: Metrics;
 }
@@ -65,7 +67,7 @@
   }
 
   #pick(): Pick | undefined {
-    const { upstreams, ownDomain, instanceId, clock, random } = this.#parts;
+    const { upstreams, ownDomain, place, parts, clock, random } = this.#parts;
     const { head, route, service } = this.#call;
     return pickUpstream({
       candidates: upstreams.usable(service.name),
@@ -75,7 +77,8 @@
       gapTargetMs: route.gapTargetMs,
       tokensPerEvent: service.engine?.tokensPerEvent ?? 1,
       ownDomain,
-      instanceId,
+      place: place(),
+      parts,
       nowMs: clock.monotonicMs(),
       random,
     });
--- a/packages/forwarding/src/_lib/pickUpstream/index.ts
+++ b/packages/forwarding/src/_lib/pickUpstream/index.ts
@@ -1,15 +1,17 @@
 /**
  * Which upstream a request goes to.
  */
-import type { FailureDomainId, InstanceId, Random, UpstreamId } from '@acaciacrank/base';
+import type { FailureDomainId, Random, UpstreamId } from '@acaciacrank/base';
 import {
+  chooseOwn,
   estimatePrefill,
   longestHarmlessPrompt,
   placePrompt,
-  rankByKey,
   splitEngines,
+  type ChooserPlace,
 } from '@acaciacrank/routing';
 import type { PromptPart } from '../../types.js';
+import type { PartPlaces } from '../PartPlaces/index.js';
 import type { Upstream } from '../Upstream/index.js';
 
 /** What a choice goes by. */
@@ -23,11 +25,16 @@
   readonly gapTargetMs: number | undefined;
   readonly tokensPerEvent: number;
   readonly ownDomain: FailureDomainId;
-  readonly instanceId: InstanceId;
+  /** This instance among the others. */
+  readonly place: ChooserPlace;
+  /** Where parts were read last. */
+  readonly parts: PartPlaces;
   readonly nowMs: number;
   readonly random: Random;
 }
 
+type PromptLength = 'ordinary' | 'medium' | 'long';
+
 /** A choice, and what decided it. */
 export interface Pick {
   readonly upstream: Upstream;
@@ -35,15 +42,20 @@
   readonly fetchFrom: string | undefined;
   /** How long the engine will read, in milliseconds; 0 for plain services. */
   readonly prefillMs: number;
-  readonly why: 'only' | 'home' | 'spill' | 'long' | 'leastBusy';
+  readonly why: PromptLength | 'leastBusy';
 }
 
 /** What another failure domain counts for in a plain service's load, in requests: it is 1 to 3 ms away. */
 const farRequests = 0.5;
 /** A report older than this says nothing of the load now, in milliseconds. */
 const reportAgeLimitMs = 1_000;
-/** The share of engines set apart for long prompts. */
-const longShare = 0.45;
+/**
+ * The shares of engines for ordinary, medium and long prompts, about what each has to be read where
+ * few prompts hold most of the tokens.
+ */
+const groupShares = [0.4, 0.3, 0.3] as const;
+/** Prompts up to this share of the longest harmless length are ordinary: two may be read at once. */
+const ordinaryShare = 0.5;
 
 /**
  * Chooses an upstream.
@@ -76,30 +88,30 @@
   shared: PromptPart,
   request: PickRequest,
 ): Pick | undefined {
-  const { promptTokens, gapTargetMs, tokensPerEvent } = request;
-  const { ordinary, long } = splitEngines(usable, longShare);
+  const { promptTokens, parts, place: chooser } = request;
+  const [ordinary = [], medium = [], long = []] = splitEngines(usable, groupShares);
   const own = request.promptParts.at(-1)?.tokens ?? 0;
   const prefillMs = estimatePrefill(Math.min(own, promptTokens), promptTokens - own);
-  const place = placePrompt(shared.id, ordinary);
-  const isLong =
-    gapTargetMs !== undefined &&
-    promptTokens > longestHarmlessPrompt({ gapTargetMs, tokensPerEvent });
-  if (isLong) {
-    const upstream = leastRunning(long, request.instanceId);
-    const home = place?.home ?? place?.engine;
-    const fetchFrom = home === upstream ? undefined : home?.address;
-    return upstream && { upstream, fetchFrom, prefillMs, why: 'long' };
-  }
-  if (place === undefined) return undefined;
-  const why = place.home === undefined ? 'home' : 'spill';
-  return { upstream: place.engine, fetchFrom: place.home?.address, prefillMs, why };
+  const home = placePrompt(shared.id, ordinary);
+  const length = lengthOf(request);
+  const upstream =
+    length === 'ordinary' ? home?.engine : chooseOwn(length === 'medium' ? medium : long, chooser);
+  if (upstream === undefined) return undefined;
+  // The part is copied from where this instance sent it last, or where all instances begin.
+  const lastId = parts.last(shared.id);
+  const last = usable.find(({ id }) => id === lastId);
+  const holder = last ?? home?.home ?? home?.engine;
+  const fetchFrom = holder === upstream ? undefined : holder?.address;
+  parts.note(shared.id, upstream.id);
+  return { upstream, fetchFrom, prefillMs, why: length };
 }
 
-/** Each instance begins with other engines, so that two do not meet at one without knowing. */
-function leastRunning(engines: readonly Upstream[], instanceId: InstanceId): Upstream | undefined {
-  const ranked = rankByKey(instanceId, engines);
-  const least = Math.min(...ranked.map(({ running }) => running));
-  return ranked.find(({ running }) => running === least);
+/** How a prompt's reading bears on the streams of its engine. */
+function lengthOf({ promptTokens, gapTargetMs, tokensPerEvent }: PickRequest): PromptLength {
+  if (gapTargetMs === undefined) return 'ordinary';
+  const harmless = longestHarmlessPrompt({ gapTargetMs, tokensPerEvent });
+  if (promptTokens <= ordinaryShare * harmless) return 'ordinary';
+  return promptTokens <= harmless ? 'medium' : 'long';
 }
 
 function pickLeastBusy(usable: readonly Upstream[], request: PickRequest): Pick | undefined {
--- a/packages/ledger/src/PrepaidAccount/index.ts
+++ b/packages/ledger/src/PrepaidAccount/index.ts
@@ -61,10 +61,12 @@
  * by instances: a client account's callers may all have met at one.
  */
 const idleShareOfRemaining = 0.4;
+/** Less than this share of the prepaid tokens is not worth the call that gives it back. */
+const leastReturnShare = 0.005;
 /** Weight of the last second in the pace: a few seconds, since single requests are large. */
 const paceWeight = 0.25;
 /** How long a page that was read to be dry is believed, in milliseconds. */
-const dryMs = 400;
+const dryMs = 1_000;
 /** Conditional writes tried in a row; each loser of a race learns the page from the answer. */
 const maxAttempts = 6;
 
@@ -222,7 +224,11 @@
 
   /** Guards against tokens that lie idle here while another instance refuses for want of them. */
   #isIdle(): boolean {
-    return this.stockTokens > returnFactor * this.#wantedStock() + 1;
+    const wanted = this.#wantedStock();
+    const excess = this.stockTokens - wanted;
+    return (
+      this.stockTokens > returnFactor * wanted && excess > leastReturnShare * this.#prepaidTokens
+    );
   }
 
   #knownDry(neededTokens: number): ReserveOutcome | undefined {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -25,3 +25,4 @@
 export * from './estimatePrefill/index.js';
 export * from './splitEngines/index.js';
 export * from './placePrompt/index.js';
+export * from './chooseOwn/index.js';
--- a/packages/routing/src/splitEngines/index.ts
+++ b/packages/routing/src/splitEngines/index.ts
@@ -1,33 +1,33 @@
 import { rankByKey, type Identified } from '../rankByKey/index.js';
 
-/** Engines by what they are for. */
-export interface EngineSplit<Engine> {
-  /** For prompts that leave the streams beside them on time. */
-  readonly ordinary: readonly Engine[];
-  /** For prompts that do not; kept apart, so that they hold up only each other. */
-  readonly long: readonly Engine[];
-}
-
 /**
- * Sets some engines of a service apart for long prompts.
+ * Divides engines into groups for prompts of different lengths.
  *
  * Answers loads in which few prompts hold most of the tokens: a long prompt holds up all streams of
  * its engine, so spread over all engines a few of them make most streams late. All instances find
- * the same split without a message, and a lost engine changes the part of one other at most.
+ * the same groups without a message, and a lost engine changes the group of few others.
  *
  * @param engines - usable engines, in any order
- * @param longShare - the share of engines to set apart
- * @returns the split; with fewer than three engines nothing is set apart
+ * @param shares - the share of engines of each group; they add up to 1
+ * @returns one group for each share; too few engines for that are one group, given for each
  *
  * @example
- * splitEngines(engines, 0.4).long.length;
+ * const [ordinary, long] = splitEngines(engines, [0.6, 0.4]);
  */
 export function splitEngines<Engine extends Identified>(
   engines: readonly Engine[],
-  longShare: number,
-): EngineSplit<Engine> {
-  const count = Math.round(engines.length * longShare);
-  if (engines.length < 3 || count === 0) return { ordinary: engines, long: engines };
-  const ranked = rankByKey('long prompts', engines);
-  return { long: ranked.slice(0, count), ordinary: ranked.slice(count) };
+  shares: readonly number[],
+): Engine[][] {
+  const ranked = rankByKey('prompt lengths', engines);
+  if (engines.length < shares.length) return shares.map(() => ranked);
+  let end = ranked.length;
+  const groups = shares.map((share, index) => {
+    const left = shares.length - 1 - index;
+    const count = Math.max(1, Math.min(end - left, Math.round(share * ranked.length)));
+    const start = left === 0 ? 0 : end - count;
+    const group = ranked.slice(start, end);
+    end = start;
+    return group;
+  });
+  return groups;
 }
