--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -5,6 +5,7 @@
 import type { ServerResponse } from 'node:http';
 import type { Readable } from 'node:stream';
 import type { ForwardCodec, RawHeaders } from '../../ForwardCodec/index.js';
+import type { MovedRun } from '../../types.js';
 import { EventBuffer, type StreamEvent } from '../EventBuffer/index.js';
 import type { ForwardCall } from '../ForwardCall/index.js';
 import { heldBytesLimit, returnMarginMs } from '../limits/index.js';
@@ -44,6 +45,10 @@
   fetchFrom: string | undefined;
   /** How long the upstream will read for it, in milliseconds. */
   prefillMs: number;
+  /** Where the run's memory lies, when it goes on from another engine. */
+  movedFrom: MovedRun | undefined;
+  /** Called once when the first event came. */
+  onBegun: () => void;
   /** After this long without anything from the upstream, give it up; undefined for never. */
   silenceLimitMs: number | undefined;
 }
@@ -105,7 +110,7 @@
   }
 
   #request(leftMs: number) {
-    const { call, upstream, codec, fetchFrom } = this.#options;
+    const { call, upstream, codec, fetchFrom, movedFrom } = this.#options;
     const { request } = call;
     const headers = codec.upstreamHeaders(request.rawHeaders, {
       upstreamId: upstream.id,
@@ -114,6 +119,7 @@
       resumeAfter: call.progress.lastEventId ?? call.head.resumeAfter,
       priority: undefined,
       fetchFrom,
+      movedFrom,
     });
     return {
       method: request.method ?? 'GET',
@@ -157,6 +163,7 @@
     const { call } = this.#options;
     const buffer = new EventBuffer();
     for await (const chunk of exchange.body as AsyncIterable<Buffer>) {
+      if (!send.hasBegun) this.#options.onBegun();
       this.#hear(send, true);
       const events = buffer.push(chunk);
       if (events.length > 0) await this.#write(exchange, events);
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -16,7 +16,8 @@
 import { isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
 import { maxUnsentAttempts, silenceMs } from '../limits/index.js';
 import type { PartPlaces } from '../PartPlaces/index.js';
-import { pickUpstream, type Pick } from '../pickUpstream/index.js';
+import { moveRun, type MoveResult } from '../moveRun/index.js';
+import { pickMoveTarget, pickUpstream, type Pick } from '../pickUpstream/index.js';
 import type { Upstream } from '../Upstream/index.js';
 
 /** What all dispatches of an instance share. */
@@ -46,6 +47,11 @@
   readonly #call: ForwardCall;
   readonly #tried = new Set<UpstreamId>();
   #unsent = 0;
+  /** A move of the run that is under way. */
+  #moving: Promise<MoveResult | undefined> | undefined;
+  #moveTarget: Upstream | undefined;
+  /** Where the run goes on next. */
+  #moved: Pick | undefined;
 
   constructor(parts: DispatchParts, call: ForwardCall) {
     this.#parts = parts;
@@ -59,9 +65,11 @@
    */
   async run(): Promise<void> {
     for (;;) {
-      const pick = this.#pick();
+      const pick = this.#moved ?? this.#pick();
+      this.#moved = undefined;
       if (pick === undefined) throw this.#noUpstream();
       const result = await this.#attempt(pick);
+      if (result.kind === 'broken' && (await this.#goesOn(pick.upstream))) continue;
       if (await this.#finish(pick.upstream, result)) return;
     }
   }
@@ -84,7 +92,8 @@
     });
   }
 
-  async #attempt({ upstream, fetchFrom, prefillMs, why }: Pick): Promise<AttemptResult> {
+  async #attempt(pick: Pick): Promise<AttemptResult> {
+    const { upstream, fetchFrom, prefillMs, movedFrom, why } = pick;
     const { clock, codec, retries } = this.#parts;
     const call = this.#call;
     if (this.#tried.size === 0) retries.recordRequest(call.service.name);
@@ -103,13 +112,59 @@
       outOf: this.#parts.upstreams.usable(call.service.name).length,
     });
     const silenceLimitMs = this.#silenceLimitMs();
-    const options = { clock, codec, call, upstream, fetchFrom, prefillMs, silenceLimitMs };
-    const attempt = new Attempt(options);
+    const onBegun = () => {
+      if (why === 'long' && call.service.engine?.canMove === true) this.#beginMove(upstream);
+    };
+    const attempt = new Attempt({
+      clock,
+      codec,
+      call,
+      upstream,
+      fetchFrom,
+      prefillMs,
+      movedFrom,
+      onBegun,
+      silenceLimitMs,
+    });
     const result = await attempt.run();
     if (result.kind !== 'notSent') call.progress.sends += 1;
     return result;
   }
 
+  /**
+   * Moves a stream away from the engine that read its long prompt.
+   *
+   * Answers long prompts that follow each other at one engine: while the next one is read, each
+   * stream there pauses for too long. The memory is copied while the stream goes on, then the run
+   * stops for the little that is new.
+   */
+  #beginMove(source: Upstream): void {
+    const { upstreams, clock, codec, metrics } = this.#parts;
+    const call = this.#call;
+    const { requestId } = call.head;
+    const target = pickMoveTarget(upstreams.usable(call.service.name), source, clock.monotonicMs());
+    if (target === undefined || requestId === undefined) return;
+    this.#moveTarget = target;
+    this.#moving = moveRun({ codec, source, requestId, target: target.address }).then((moved) => {
+      metrics.count('moves', moved === undefined ? 'refused' : 'made');
+      call.story.add('moved', { upstreamId: target.id, isMade: moved !== undefined });
+      return moved;
+    });
+  }
+
+  /** After a stream ended without its end: whether that was a move, so that it goes on elsewhere. */
+  async #goesOn(source: Upstream): Promise<boolean> {
+    const moving = this.#moving;
+    const target = this.#moveTarget;
+    this.#moving = undefined;
+    if (moving === undefined || target === undefined) return false;
+    const movedFrom = await moving;
+    if (movedFrom === undefined) return false;
+    const upstream = movedFrom.isAtTarget ? target : source;
+    this.#moved = { upstream, fetchFrom: undefined, prefillMs: 0, why: 'moved', movedFrom };
+    return true;
+  }
+
   /** How long to wait for a silent upstream, where another one may be asked instead. */
   #silenceLimitMs(): number | undefined {
     const { route, progress } = this.#call;
--- a/packages/forwarding/src/_lib/pickUpstream/index.ts
+++ b/packages/forwarding/src/_lib/pickUpstream/index.ts
@@ -10,7 +10,7 @@
   splitEngines,
   type ChooserPlace,
 } from '@acaciacrank/routing';
-import type { PromptPart } from '../../types.js';
+import type { MovedRun, PromptPart } from '../../types.js';
 import type { PartPlaces } from '../PartPlaces/index.js';
 import type { Upstream } from '../Upstream/index.js';
 
@@ -42,7 +42,9 @@
   readonly fetchFrom: string | undefined;
   /** How long the engine will read, in milliseconds; 0 for plain services. */
   readonly prefillMs: number;
-  readonly why: PromptLength | 'leastBusy';
+  readonly why: PromptLength | 'leastBusy' | 'moved';
+  /** Where the run's memory lies, when the request goes on at another engine. */
+  readonly movedFrom?: MovedRun;
 }
 
 /** What another failure domain counts for in a plain service's load, in requests: it is 1 to 3 ms away. */
@@ -106,6 +108,24 @@
   return { upstream, fetchFrom, prefillMs, why: length };
 }
 
+/**
+ * Chooses where a stream goes on whose long prompt was just read.
+ *
+ * @param candidates - usable engines
+ * @param source - where it runs
+ * @param nowMs - on the monotonic clock
+ * @returns an engine that reads no long prompts; undefined where there is none
+ */
+export function pickMoveTarget(
+  candidates: readonly Upstream[],
+  source: Upstream,
+  nowMs: number,
+): Upstream | undefined {
+  const [ordinary = []] = splitEngines(candidates, groupShares);
+  const usable = ordinary.filter((one) => one !== source && !one.isLeftOut(nowMs));
+  return usable.sort((a, b) => a.running - b.running)[0];
+}
+
 /** How a prompt's reading bears on the streams of its engine. */
 function lengthOf({ promptTokens, gapTargetMs, tokensPerEvent }: PickRequest): PromptLength {
   if (gapTargetMs === undefined) return 'ordinary';
