--- a/packages/base/src/errorKinds/index.ts
+++ b/packages/base/src/errorKinds/index.ts
@@ -97,7 +97,7 @@
   tokensHeldElsewhere: {
     httpStatus: 429,
     ran: 'notRun',
-    retryAfterMs: 100,
+    retryAfterMs: 1_000,
     remedy: 'Other instances hold what is left of the budget: come back after the stated time.',
   },
   instanceLeaving: {
--- a/packages/ledger/src/PrepaidAccount/index.ts
+++ b/packages/ledger/src/PrepaidAccount/index.ts
@@ -42,25 +42,21 @@
  * at once the account loses this much of its time.
  */
 const stockMs = 10_000;
-/**
- * Below this share of the prepaid tokens left to grant, stock shrinks with what is left: what a death
- * would lose is missed more when little else is left.
- */
-const plentyShare = 0.5;
 /** Below this share of the wanted stock more is asked for. */
 const refillShare = 0.65;
 /** Above this multiple of the wanted stock the rest is given back, so that a death costs less. */
-const returnFactor = 1.4;
+const returnFactor = 1.25;
 /**
  * The share of the prepaid tokens that all instances hold before they know their pace: what an
  * account uses in {@link stockMs} when its tokens are meant for about a minute.
  */
 const openingShareOfAll = 0.25;
 /**
- * Idle stock may be this share of what nobody holds, so that the end comes gently. It is not divided
- * by instances: a client account's callers may all have met at one.
+ * The idle stock of all instances together is at most this share of what the account has not spent.
+ * Near its end an account whose stock is lost with a process is refused all that it asks for later,
+ * though it has paid; so stock shrinks with what is left.
  */
-const idleShareOfRemaining = 0.4;
+const idleShareOfUnspent = 0.25;
 /** Less than this share of the prepaid tokens is not worth the call that gives it back. */
 const leastReturnShare = 0.005;
 /** Weight of the last second in the pace: a few seconds, since single requests are large. */
@@ -86,13 +82,18 @@
   #lowering: { readonly grantedTokens: number; readonly atVersion: number } | undefined;
   #reservedTokens = 0;
   #spentTokens = 0;
-  /** Undefined until the account is used for the first time. */
+  /** Undefined until the account is used for the first time, here or elsewhere. */
   #paceTokensPerMs: number | undefined;
   /** Everything that was ever set aside; tells the pace without waiting for requests to end. */
   #askedTokens = 0;
   #askedAtTick = 0;
   #tickMs: number;
   #page: { readonly page: PrepaidPage; readonly version: number } | undefined;
+  /** What all lifetimes have spent or set aside, as far as they have told. */
+  #seenBound = 0;
+  #boundAtTick = 0;
+  /** The pace of all instances together, as far as their pages tell. */
+  #fleetPaceTokensPerMs = 0;
   /** What all lifetimes hold, as last seen, also from stale lists. */
   #seenGrantedTotal = 0;
   #isSuspended = false;
@@ -172,7 +173,7 @@
   observe(stored: StoredObject): void {
     const page = parsePrepaidPage(stored.value);
     if (page !== undefined && stored.version > (this.#page?.version ?? 0)) {
-      this.#seenGrantedTotal = grantedTotal(page);
+      this.#see(page);
     }
   }
 
@@ -181,11 +182,15 @@
     const nowMs = this.#options.clock.monotonicMs();
     const elapsedMs = Math.max(1, nowMs - this.#tickMs);
     const pace = (this.#askedTokens - this.#askedAtTick) / elapsedMs;
-    if (this.#askedTokens > 0) {
+    // Unused anywhere, an account keeps its opening stock; used elsewhere only, it is not wanted here.
+    if (this.#askedTokens > 0 || this.#seenBound > 0) {
       const before = this.#paceTokensPerMs ?? this.#openingStock() / stockMs;
       this.#paceTokensPerMs = before + paceWeight * (pace - before);
     }
     this.#askedAtTick = this.#askedTokens;
+    const fleetPace = Math.max(0, this.#seenBound - this.#boundAtTick) / elapsedMs;
+    this.#fleetPaceTokensPerMs += paceWeight * (fleetPace - this.#fleetPaceTokensPerMs);
+    this.#boundAtTick = this.#seenBound;
     this.#tickMs = nowMs;
     if (this.#writing !== undefined) return;
     if (this.#isSuspended) void this.#fitUnderLimit();
@@ -209,11 +214,10 @@
 
   #wantedStock(): number {
     const pace = this.#paceTokensPerMs;
-    const plenty = Math.min(1, this.#remainingSeen / (plentyShare * this.#prepaidTokens));
-    const wanted = pace === undefined ? this.#openingStock() : pace * stockMs * plenty;
-    const idle = Math.max(0, this.stockTokens);
-    const mostIdle = idleShareOfRemaining * (this.#remainingSeen + idle);
-    return Math.floor(Math.min(wanted, mostIdle));
+    if (pace === undefined) return Math.floor(this.#openingStock());
+    const mostOfAll = idleShareOfUnspent * Math.max(0, this.#prepaidTokens - this.#seenBound);
+    const ownShare = pace <= 0 ? 0 : Math.min(1, pace / Math.max(pace, this.#fleetPaceTokensPerMs));
+    return Math.floor(Math.min(pace * stockMs, mostOfAll * ownShare));
   }
 
   #isLow(): boolean {
@@ -383,6 +387,11 @@
     return 'conflict';
   }
 
+  #see(page: PrepaidPage): void {
+    this.#seenGrantedTotal = grantedTotal(page);
+    this.#seenBound = boundAtLeast(page);
+  }
+
   /** Takes over what the store says for certain. */
   #learn(stored: StoredObject | undefined): void {
     const page = stored === undefined ? emptyPrepaidPage : parsePrepaidPage(stored.value);
@@ -391,7 +400,7 @@
     if (page === undefined) throw new Error(`${this.key} does not parse`);
     const version = stored?.version ?? 0;
     this.#page = { page, version };
-    this.#seenGrantedTotal = grantedTotal(page);
+    this.#see(page);
     this.#grantedTokens = page.grants[this.#ownKey]?.grantedTokens ?? 0;
     // A write that lost its answer can still come into effect while its condition holds, and no
     // longer once the object has another version.
--- a/packages/standins/src/failures/prepaid/test.ts
+++ b/packages/standins/src/failures/prepaid/test.ts
@@ -194,3 +194,17 @@
   await world.clock.advance(3_000);
   t.false(await spend(world, holder, 1_000));
 });
+
+// All callers of an account have met at one instance. What the others took at the start lies idle
+// there, and is lost to the account when their processes die.
+test('opening stock is given back by instances that its callers do not use', async (t) => {
+  const world = createWorld(15, 5_000_000);
+  const holders = [0, 1, 2, 3].map((i) => startHolder(world, i, { lost: 0, late: 0 }));
+  const [used, ...others] = holders;
+  if (used === undefined) return;
+  for (let step = 0; step < 200; step += 1) {
+    await world.clock.advance(100);
+    await spend(world, used, 4_000);
+  }
+  for (const { ledger } of others) t.true(ledger.stockTokens(accountId) < 0.01 * 5_000_000);
+});
