--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -98,7 +98,7 @@
       log.info(event, 'grant');
     };
     const isStoreAway = () => this.#configurationFollower.isLost;
-    const ledger = { lifetime, store, clock, instanceCount, onEvent, isStoreAway };
+    const ledger = { lifetime, store, clock, random, instanceCount, onEvent, isStoreAway };
     this.tokens = new PrepaidAccounts(ledger);
     const retries = new RetryShare({
       clock,
--- a/packages/ledger/src/PrepaidAccount/index.ts
+++ b/packages/ledger/src/PrepaidAccount/index.ts
@@ -1,4 +1,4 @@
-import { describeError, type AccountId, type Clock } from '@acaciacrank/base';
+import { describeError, type AccountId, type Clock, type Random } from '@acaciacrank/base';
 import type { ObjectStore, StoredObject } from '@acaciacrank/store';
 import {
   boundAtLeast,
@@ -32,6 +32,7 @@
   /** How many instances share the account now, this one included. */
   instanceCount: () => number;
   onEvent: (event: GrantEvent) => void;
+  random: Random;
   /** Whether the store is known not to answer. */
   isStoreAway: () => boolean;
 }
@@ -45,7 +46,7 @@
 /** Below this share of the wanted stock more is asked for. */
 const refillShare = 0.65;
 /** Above this multiple of the wanted stock the rest is given back, so that a death costs less. */
-const returnFactor = 1.25;
+const returnFactor = 1.4;
 /**
  * The share of the prepaid tokens that all instances hold before they know their pace: what an
  * account uses in {@link stockMs} when its tokens are meant for about a minute.
@@ -57,10 +58,17 @@
  * though it has paid; so stock shrinks with what is left.
  */
 const idleShareOfUnspent = 0.25;
-/** Less than this share of the prepaid tokens is not worth the call that gives it back. */
-const leastReturnShare = 0.005;
+/**
+ * Less than this share of the prepaid tokens is not worth the call that moves it, unless a request
+ * waits for it: a large fleet would else write for each instance and account every second.
+ */
+const leastMoveShare = 0.004;
+/** The longest pause after a lost race for a page, in milliseconds, for each instance that shares it. */
+const conflictPauseMs = 4;
 /** Weight of the last second in the pace: a few seconds, since single requests are large. */
 const paceWeight = 0.25;
+/** The same where only other instances see the account's callers, who may come here any moment. */
+const idlePaceWeight = 0.06;
 /** How long a page that was read to be dry is believed, in milliseconds. */
 const dryMs = 1_000;
 /** Conditional writes tried in a row; each loser of a race learns the page from the answer. */
@@ -185,7 +193,8 @@
     // Unused anywhere, an account keeps its opening stock; used elsewhere only, it is not wanted here.
     if (this.#askedTokens > 0 || this.#seenBound > 0) {
       const before = this.#paceTokensPerMs ?? this.#openingStock() / stockMs;
-      this.#paceTokensPerMs = before + paceWeight * (pace - before);
+      const weight = this.#askedTokens > 0 ? paceWeight : idlePaceWeight;
+      this.#paceTokensPerMs = before + weight * (pace - before);
     }
     this.#askedAtTick = this.#askedTokens;
     const fleetPace = Math.max(0, this.#seenBound - this.#boundAtTick) / elapsedMs;
@@ -223,7 +232,12 @@
   #isLow(): boolean {
     if (this.#dry !== undefined && this.#dry.untilMs > this.#tickMs) return false;
     const wanted = this.#wantedStock();
-    return this.#remainingSeen > 0 && this.stockTokens < wanted * refillShare;
+    const missing = wanted - this.stockTokens;
+    return (
+      this.#remainingSeen > 0 &&
+      this.stockTokens < wanted * refillShare &&
+      missing > leastMoveShare * this.#prepaidTokens
+    );
   }
 
   /** Guards against tokens that lie idle here while another instance refuses for want of them. */
@@ -231,7 +245,7 @@
     const wanted = this.#wantedStock();
     const excess = this.stockTokens - wanted;
     return (
-      this.stockTokens > returnFactor * wanted && excess > leastReturnShare * this.#prepaidTokens
+      this.stockTokens > returnFactor * wanted && excess > leastMoveShare * this.#prepaidTokens
     );
   }
 
@@ -285,6 +299,7 @@
           return 'reserved';
         }
         isFresh = true;
+        await this.#pauseAfterConflict();
       }
     } catch (thrown) {
       this.#page = undefined;
@@ -329,6 +344,7 @@
           this.#report('returned', returnedTokens);
           return 'reserved';
         }
+        await this.#pauseAfterConflict();
       }
     } catch {
       this.#page = undefined;
@@ -409,6 +425,12 @@
     }
   }
 
+  /** Spreads the losers of a race: all at once again, all but one of them would lose again. */
+  async #pauseAfterConflict(): Promise<void> {
+    const { clock, random, instanceCount } = this.#options;
+    await clock.sleep(random() * conflictPauseMs * instanceCount());
+  }
+
   #report(what: GrantEvent['what'], tokens: number): void {
     const remainingTokens =
       this.#page === undefined ? undefined : this.#prepaidTokens - this.#seenGrantedTotal;
--- a/packages/ledger/src/PrepaidAccounts/index.ts
+++ b/packages/ledger/src/PrepaidAccounts/index.ts
@@ -1,4 +1,4 @@
-import type { AccountId, Clock } from '@acaciacrank/base';
+import type { AccountId, Clock, Random } from '@acaciacrank/base';
 import type { ObjectStore } from '@acaciacrank/store';
 import {
   PrepaidAccount,
@@ -17,6 +17,7 @@
   /** How many instances share the accounts now, this one included. */
   instanceCount: () => number;
   onEvent: (event: GrantEvent) => void;
+  random: Random;
   /** Whether the store is known not to answer. */
   isStoreAway: () => boolean;
 }
@@ -49,7 +50,6 @@
         continue;
       }
       const account = new PrepaidAccount(prepaidTokens, { ...this.#options, accountId });
-      // Opening stock waits for the first tick: by then it is known how many instances share it.
       this.#accounts.set(accountId, account);
     }
   }
@@ -85,9 +85,12 @@
 
   /** Looks after stock until disposed of. */
   async run(): Promise<void> {
-    const { clock } = this.#options;
+    const { clock, random } = this.#options;
+    // By the second tick it is known how many instances share what is taken at the start.
+    await clock.sleep(tickMs, this.#stop.signal);
     while (!this.#stop.signal.aborted) {
-      await clock.sleep(tickMs, this.#stop.signal);
+      // Instances that start together would else race for every page at the same moment, for ever.
+      await clock.sleep(tickMs * (0.7 + 0.6 * random()), this.#stop.signal);
       await this.#observe();
       for (const account of this.#accounts.values()) account.tick();
     }
