--- a/packages/forwarding/src/_lib/moveRun/index.ts
+++ b/packages/forwarding/src/_lib/moveRun/index.ts
@@ -48,7 +48,7 @@
   let isSound = false;
   try {
     const answer = await connection.client.request({
-      method: call.method as 'POST',
+      method: call.method,
       path: call.path,
       headers: call.headers,
       body: call.body,
