--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -143,7 +143,7 @@
       return this.#spoilt(exchange, 'answer of another request');
     }
     const isSuccess = status >= 200 && status < 300;
-    if (isSuccess && (!head.isSealed || head.requestId === undefined)) {
+    if (isSuccess && (!head.isSigned || head.requestId === undefined)) {
       return this.#spoilt(exchange, 'success that the upstream does not vouch for');
     }
     if (isSuccess && call.route.kind === 'stream') return this.#passOn(exchange, send);
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -17,7 +17,7 @@
 import { maxUnsentAttempts, silenceMs } from '../limits/index.js';
 import type { PartPlaces } from '../PartPlaces/index.js';
 import { moveRun, type MoveResult } from '../moveRun/index.js';
-import { pickMoveTarget, pickUpstream, type Pick } from '../pickUpstream/index.js';
+import { pickMoveTarget, pickUpstream, type UpstreamPick } from '../pickUpstream/index.js';
 import type { Upstream } from '../Upstream/index.js';
 
 /** What all dispatches of an instance share. */
@@ -51,7 +51,7 @@
   #moving: Promise<MoveResult | undefined> | undefined;
   #moveTarget: Upstream | undefined;
   /** Where the run goes on next. */
-  #moved: Pick | undefined;
+  #moved: UpstreamPick | undefined;
 
   constructor(parts: DispatchParts, call: ForwardCall) {
     this.#parts = parts;
@@ -74,7 +74,7 @@
     }
   }
 
-  #pick(): Pick | undefined {
+  #pick(): UpstreamPick | undefined {
     const { upstreams, ownDomain, place, parts, clock, random } = this.#parts;
     const { head, route, service } = this.#call;
     return pickUpstream({
@@ -92,7 +92,7 @@
     });
   }
 
-  async #attempt(pick: Pick): Promise<AttemptResult> {
+  async #attempt(pick: UpstreamPick): Promise<AttemptResult> {
     const { upstream, fetchFrom, prefillMs, movedFrom, why } = pick;
     const { clock, codec, retries } = this.#parts;
     const call = this.#call;
--- a/packages/forwarding/src/_lib/pickUpstream/index.ts
+++ b/packages/forwarding/src/_lib/pickUpstream/index.ts
@@ -36,7 +36,7 @@
 type PromptLength = 'ordinary' | 'medium' | 'long';
 
 /** A choice, and what decided it. */
-export interface Pick {
+export interface UpstreamPick {
   readonly upstream: Upstream;
   /** Where shared parts of the prompt may be copied from; undefined for nowhere. */
   readonly fetchFrom: string | undefined;
@@ -68,7 +68,7 @@
  * @example
  * pickUpstream(request)?.upstream.id;
  */
-export function pickUpstream(request: PickRequest): Pick | undefined {
+export function pickUpstream(request: PickRequest): UpstreamPick | undefined {
   const fresh = request.candidates.filter(({ id }) => !request.tried.has(id));
   const sound = fresh.filter((upstream) => !upstream.isLeftOut(request.nowMs));
   // With all of them left out the fault may be the instance's own, so any is better than none.
@@ -89,7 +89,7 @@
   usable: readonly Upstream[],
   shared: PromptPart,
   request: PickRequest,
-): Pick | undefined {
+): UpstreamPick | undefined {
   const { promptTokens, parts, place: chooser } = request;
   const [ordinary = [], medium = [], long = []] = splitEngines(usable, groupShares);
   const own = request.promptParts.at(-1)?.tokens ?? 0;
@@ -134,7 +134,10 @@
   return promptTokens <= harmless ? 'medium' : 'long';
 }
 
-function pickLeastBusy(usable: readonly Upstream[], request: PickRequest): Pick | undefined {
+function pickLeastBusy(
+  usable: readonly Upstream[],
+  request: PickRequest,
+): UpstreamPick | undefined {
   const { ownDomain, nowMs, random } = request;
   const costed = usable.map((upstream) => {
     const reported =
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -136,7 +136,7 @@
 export interface AnswerHead {
   readonly requestId: string | undefined;
   /** Whether the upstream vouches for this answer. */
-  readonly isSealed: boolean;
+  readonly isSigned: boolean;
   /** Whether the upstream says that it did not run the request and never will. */
   readonly isNotRun: boolean;
   /** Whether another upstream than the one meant has answered. */
