--- a/packages/ledger/src/PrepaidAccount/index.ts
+++ b/packages/ledger/src/PrepaidAccount/index.ts
@@ -23,13 +23,12 @@
   readonly remainingTokens: number | undefined;
 }
 
-/** Options of {@link PrepaidAccount}. */
-export interface PrepaidAccountOptions {
-  accountId: AccountId;
+/** Options of `PrepaidAccounts`, which each of its accounts shares. */
+export interface PrepaidAccountsOptions {
   lifetime: Lifetime;
   store: ObjectStore;
   clock: Clock;
-  /** How many instances share the account now, this one included. */
+  /** How many instances share the accounts now, this one included. */
   instanceCount: () => number;
   onEvent: (event: GrantEvent) => void;
   random: Random;
@@ -37,6 +36,11 @@
   isStoreAway: () => boolean;
 }
 
+/** Options of {@link PrepaidAccount}. */
+export interface PrepaidAccountOptions extends PrepaidAccountsOptions {
+  accountId: AccountId;
+}
+
 /**
  * How long stock should last at the present pace, in milliseconds. Stock carries the account through
  * an outage of the store, 5 to 9 s long, and is lost when the process dies: with all instances dead
--- a/packages/ledger/src/PrepaidAccounts/index.ts
+++ b/packages/ledger/src/PrepaidAccounts/index.ts
@@ -1,26 +1,11 @@
-import type { AccountId, Clock, Random } from '@acaciacrank/base';
-import type { ObjectStore } from '@acaciacrank/store';
+import type { AccountId } from '@acaciacrank/base';
 import {
   PrepaidAccount,
   prepaidPageKey,
   prepaidPagePrefix,
-  type GrantEvent,
+  type PrepaidAccountsOptions,
   type ReserveOutcome,
 } from '../PrepaidAccount/index.js';
-import type { Lifetime } from '../types.js';
-
-/** Options of {@link PrepaidAccounts}. */
-export interface PrepaidAccountsOptions {
-  lifetime: Lifetime;
-  store: ObjectStore;
-  clock: Clock;
-  /** How many instances share the accounts now, this one included. */
-  instanceCount: () => number;
-  onEvent: (event: GrantEvent) => void;
-  random: Random;
-  /** Whether the store is known not to answer. */
-  isStoreAway: () => boolean;
-}
 
 /** Tokens set aside for one request. */
 export interface TokenReservation {
