Take requests for a shorter part of a planned stop

Requests were taken for 3.65 of 8 s, and a stream of over 3.65 s taken then was cut at 7.3 s. Ruled out: the refusals after that (answered at once).

--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -22,6 +22,7 @@
 } from '../createForwardServer/index.js';
 import type { ForwardCodec } from '../ForwardCodec/index.js';
 import { ForwardHandler } from '../ForwardHandler/index.js';
+import { planStop } from '../_lib/planStop/index.js';
 import { RouteTable } from '../RouteTable/index.js';
 import { UpstreamTable } from '../UpstreamTable/index.js';
 
@@ -55,10 +56,6 @@
   random?: Random;
 }
 
-/** The part of a planned stop's time that is kept for ending the process, in milliseconds. */
-const endMarginMs = 700;
-/** Callers keep a directory answer for up to three times its time; new ones come for so long. */
-const keepFactor = 3;
 /** How often a planned stop looks whether it is done, in milliseconds. */
 const stopPollMs = 50;
 
@@ -178,10 +175,9 @@
   async stop(): Promise<void> {
     const { clock, log, settings } = this.#options;
     const startedMs = clock.monotonicMs();
-    const endMs = startedMs + settings.stopLimitMs - endMarginMs;
-    const acceptUntilMs =
-      startedMs +
-      Math.min(keepFactor * settings.directoryKeepMs, (settings.stopLimitMs - endMarginMs) / 2);
+    const plan = planStop(settings.stopLimitMs, settings.directoryKeepMs);
+    const endMs = startedMs + plan.endMs;
+    const acceptUntilMs = startedMs + plan.acceptMs;
     this.#phase = 'leaving';
     log.info({ underWay: this.underWay, stopLimitMs: settings.stopLimitMs }, 'stopping');
     this.registry.leave().catch((thrown: unknown) => {
