Remove state that nothing reads, parse a request's headers once, write one pattern once

UpstreamTable listed all ids at each change for a stream without subscribers; the handler decoded the caller's headers again for the log line; PrepaidAccount marked its writes in three copies.

--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -19,7 +19,14 @@
 import { RequestStory } from '../_lib/RequestStory/index.js';
 import type { ForwardCodec } from '../ForwardCodec/index.js';
 import type { RouteTable } from '../RouteTable/index.js';
-import type { ForwardAccount, Route, RouteTarget, ServiceTraits, TokenDemand } from '../types.js';
+import type {
+  CallHead,
+  ForwardAccount,
+  Route,
+  RouteTarget,
+  ServiceTraits,
+  TokenDemand,
+} from '../types.js';
 import type { UpstreamTable } from '../UpstreamTable/index.js';
 
 /** Options of {@link ForwardHandler}. */
@@ -83,7 +90,8 @@
   /** Serves one request; its answer is complete, or visibly broken, when this returns. */
   async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const story = new RequestStory(this.#options.clock);
-    const admission: Admission = { routeName: undefined, accountId: undefined };
+    const head = this.#options.codec.readCall(request.headers);
+    const admission: Admission = { head, routeName: undefined, accountId: undefined };
     this.#underWay += 1;
     if (this.#options.isLeaving()) response.shouldKeepAlive = false;
     let outcome = 'answered';
@@ -97,7 +105,7 @@
       outcome = this.#answerError(response, thrown, story);
     } finally {
       this.#underWay -= 1;
-      this.#tell(request, response, story, admission, outcome);
+      this.#tell(response, story, admission, outcome);
     }
   }
 
@@ -108,11 +116,10 @@
     story: RequestStory,
     admission: Admission,
   ): ForwardCall {
-    const { codec } = this.#options;
     const routes = this.#options.routes();
     if (routes === undefined) throw new RouterError('notReady', 'no configuration is known yet');
     if (!this.#options.isAccepting()) throw new RouterError('instanceLeaving', 'the instance ends');
-    const head = codec.readCall(request.headers);
+    const { head } = admission;
     const route = routes.match(request.headers.host ?? '', request.url ?? '/');
     if (route === undefined) throw new RouterError('notFound', 'no route matches host and path');
     admission.routeName = route.name;
@@ -132,7 +139,7 @@
       deadlineMs: story.receivedMs + waitMs,
       gone: goneSignal(response),
       story,
-      progress: { mayHaveRun: false, sends: 0, events: 0, lastEventId: undefined, usedTokens: 0 },
+      progress: { mayHaveRun: false, sends: 0, events: 0, lastEventId: undefined },
     };
   }
 
@@ -215,19 +222,18 @@
   }
 
   #tell(
-    request: IncomingMessage,
     response: ServerResponse,
     story: RequestStory,
     admission: Admission,
     outcome: string,
   ): void {
-    const { log, metrics, codec } = this.#options;
-    const { routeName = '(none)', accountId = '(none)' } = admission;
+    const { log, metrics } = this.#options;
+    const { head, routeName = '(none)', accountId = '(none)' } = admission;
     const { elapsedMs } = story;
     metrics.count('requests', outcome);
     metrics.record('requestMs', `${accountId}/${routeName}`, elapsedMs);
     const status = response.headersSent ? response.statusCode : 0;
-    const { requestId } = codec.readCall(request.headers);
+    const { requestId } = head;
     log.info(
       { requestId, accountId, route: routeName, status, elapsedMs, outcome, steps: story.steps },
       'request',
@@ -237,6 +243,7 @@
 
 /** What is known of a request for its log line, as far as it came. */
 interface Admission {
+  readonly head: CallHead;
   routeName: string | undefined;
   accountId: string | undefined;
 }
--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -1,5 +1,4 @@
 import type { Clock, ServiceName, UpstreamId } from '@acaciacrank/base';
-import { StateStream } from '@acaciacrank/base';
 import { Upstream } from '../_lib/Upstream/index.js';
 import { lapsedGraceMs } from '../_lib/limits/index.js';
 import type { UpstreamRecord } from '../types.js';
@@ -25,8 +24,6 @@
  * that is still missing by then is gone.
  */
 export class UpstreamTable {
-  /** Ids of the upstreams that are known, after each change. */
-  readonly known = new StateStream<readonly UpstreamId[]>([]);
   readonly #options: UpstreamTableOptions;
   readonly #byId = new Map<UpstreamId, Upstream>();
   readonly #byService = new Map<ServiceName, Upstream[]>();
@@ -149,7 +146,6 @@
       list.push(upstream);
       this.#byService.set(upstream.record.service, list);
     }
-    this.known.set([...this.#byId.keys()]);
   }
 
   #tell(record: UpstreamRecord, what: UpstreamChange['what']): void {
--- a/packages/forwarding/src/_lib/ForwardCall/index.ts
+++ b/packages/forwarding/src/_lib/ForwardCall/index.ts
@@ -34,8 +34,6 @@
   events: number;
   /** The id of the last event passed on. */
   lastEventId: string | undefined;
-  /** Tokens that it used, as far as is known. */
-  usedTokens: number;
 }
 
 /** Whether a request may be sent again although it may have run. */
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -14,7 +14,6 @@
 
 /** One request under way at an upstream. */
 export interface Send {
-  readonly sentMs: number;
   /** When the upstream last sent something for it, or when it was sent. */
   heardMs: number;
   /** How long the engine will read for it, as estimated when it was sent, in milliseconds. */
@@ -68,11 +67,6 @@
     return `${this.record.ip}:${this.record.port}`;
   }
 
-  /** Connections that are open or being opened. */
-  get openConnections(): number {
-    return this.#open.size;
-  }
-
   /** Whether it should get requests only where no other can. */
   isLeftOut(nowMs: number): boolean {
     return nowMs < this.#leftOutUntilMs || this.#isSilent(nowMs);
@@ -105,7 +99,7 @@
   /** Notes that a request is sent there. */
   begin(prefillMs: number): Send {
     const nowMs = this.#clock.monotonicMs();
-    const send = { sentMs: nowMs, heardMs: nowMs, prefillMs, hasBegun: false, longestGapMs: 0 };
+    const send = { heardMs: nowMs, prefillMs, hasBegun: false, longestGapMs: 0 };
     this.sends.add(send);
     return send;
   }
--- a/packages/forwarding/src/_lib/limits/index.ts
+++ b/packages/forwarding/src/_lib/limits/index.ts
@@ -10,8 +10,6 @@
 export const longestIdleConnectionMs = 30_000;
 /** Upstreams tried one after the other when none could be connected to. */
 export const maxUnsentAttempts = 3;
-/** The part of an upstream's connections that all instances together plan to use. */
-export const usedConnectionShare = 0.8;
 /** How long a request may wait for tokens from the store, in milliseconds: two slow calls. */
 export const tokenWaitLimitMs = 1_000;
 /** An upstream that sent nothing for this long while it owed something is left out, in milliseconds. */
--- a/packages/ledger/src/PrepaidAccount/index.ts
+++ b/packages/ledger/src/PrepaidAccount/index.ts
@@ -173,12 +173,7 @@
       return 'reserved';
     const known = this.#knownDry(neededTokens);
     if (known !== undefined) return known;
-    this.#writing = this.#ask(neededTokens);
-    try {
-      return await this.#writing;
-    } finally {
-      this.#writing = undefined;
-    }
+    return this.#alone(this.#ask(neededTokens));
   }
 
   /** Takes note of the page as some list showed it, which may be seconds old. */
@@ -324,10 +319,14 @@
   async #giveBack(keptTokens: number): Promise<void> {
     const returned = Math.floor(this.stockTokens - keptTokens);
     if (returned <= 0) return;
-    const work = this.#lower(returned);
+    await this.#alone(this.#lower(returned));
+  }
+
+  /** Marks a change of the page as under way, so that no other one begins here. */
+  async #alone(work: Promise<ReserveOutcome>): Promise<ReserveOutcome> {
     this.#writing = work;
     try {
-      await work;
+      return await work;
     } finally {
       this.#writing = undefined;
     }
@@ -362,12 +361,7 @@
   async #fitUnderLimit(): Promise<void> {
     while (this.#writing !== undefined) await this.#writing;
     if (!this.#isSuspended) return;
-    this.#writing = this.#fit();
-    try {
-      await this.#writing;
-    } finally {
-      this.#writing = undefined;
-    }
+    await this.#alone(this.#fit());
   }
 
   async #fit(): Promise<ReserveOutcome> {
