Gather an account's prepaid tokens at one instance, and lend them over links

Stocks ran dry one by one while others held tokens.

Ruled out: writing less often (leaves the stocks split), asking all peers for tokens (27 questions a request).

Instances that the store turns away alone now borrow from the next peer (test only).

--- a/packages/fleet/src/InstanceRegistry/index.ts
+++ b/packages/fleet/src/InstanceRegistry/index.ts
@@ -9,6 +9,10 @@
   /** `IP:PORT` where callers connect. */
   readonly callerAddress: string;
   readonly failureDomain: FailureDomainId;
+  /** `ws://IP:PORT` where peers connect. */
+  readonly fleetUrl: string;
+  /** Drawn anew at each start; whoever connects has to prove that it could read it here. */
+  readonly linkKey: string;
   readonly state: 'live' | 'leaving';
   /** Rises while the instance lives. */
   readonly heartbeat: number;
@@ -21,6 +25,8 @@
   self: Omit<RegisteredInstance, 'heartbeat' | 'state'>;
   /** Called when an instance appears, leaves or is taken for dead. */
   onChange?: (change: MembershipChange) => void;
+  /** Called after each list with the other instances that are not known to be gone. */
+  onList?: (others: readonly RegisteredInstance[]) => void;
 }
 
 /** A change of what this instance believes about the fleet. */
@@ -53,6 +59,8 @@
   runId: z.string(),
   callerAddress: z.string(),
   failureDomain: z.string(),
+  fleetUrl: z.string(),
+  linkKey: z.string(),
   state: z.enum(['live', 'leaving']),
   heartbeat: z.number(),
 });
@@ -179,6 +187,9 @@
       if (!listed.has(instanceId)) this.#forget(instanceId, seen);
       else this.#judge(seen);
     }
+    const { self, onList } = this.#options;
+    const known = [...this.#seen.values()].map(({ instance }) => instance);
+    onList?.(known.filter(({ instanceId }) => instanceId !== self.instanceId));
   }
 
   #advanceListClock(): void {
--- a/packages/fleet/src/InstanceRegistry/test.ts
+++ b/packages/fleet/src/InstanceRegistry/test.ts
@@ -61,6 +61,8 @@
       runId: 'r',
       callerAddress: `${name}:1`,
       failureDomain: 'here' as FailureDomainId,
+      fleetUrl: `ws://${name}:2`,
+      linkKey: 'key',
     },
     onChange: ({ instanceId, what }) => events.push(`${instanceId} ${what}`),
   });
--- a/packages/fleet/src/WsFleetLinks/index.ts
+++ b/packages/fleet/src/WsFleetLinks/index.ts
@@ -46,6 +46,7 @@
 interface Peer {
   readonly id: InstanceId;
   url: string | undefined;
+  key: string | undefined;
   readonly queue: Uint8Array[];
   /** The newest connection with a finished handshake, whichever side opened it. */
   socket: FrameSocket | undefined;
@@ -124,11 +125,12 @@
 
   override setPeers(peers: readonly FleetPeer[]): void {
     const named = new Set(peers.map(({ id }) => id));
-    for (const { id, fleetUrl } of peers) {
+    for (const { id, fleetUrl, key } of peers) {
       if (id === this.#options.instanceId) continue;
       const peer = this.#peerOf(id);
-      if (peer.url !== fleetUrl) peer.socket?.[Symbol.dispose]();
+      if (peer.url !== fleetUrl || peer.key !== key) peer.socket?.[Symbol.dispose]();
       peer.url = fleetUrl;
+      peer.key = key;
     }
     for (const peer of this.#peers.values()) {
       // A peer that connected from outside the list stays: the list may lag behind it.
@@ -149,6 +151,7 @@
     const peer: Peer = {
       id,
       url: undefined,
+      key: undefined,
       queue: [],
       socket: undefined,
       wake: () => undefined,
@@ -197,7 +200,8 @@
     const frames = this.#frames(socket);
     try {
       await opened(socket);
-      await initiate(frames, this.#options, peer.id, this.#options.clock);
+      const keys = peer.key === undefined ? this.#options.keys : [peer.key];
+      await initiate(frames, { ...this.#options, keys }, peer.id, this.#options.clock);
     } catch (error) {
       this.#refuse(frames, error);
       return false;
--- a/packages/fleet/src/messageSchemas/index.ts
+++ b/packages/fleet/src/messageSchemas/index.ts
@@ -23,6 +23,20 @@
   remainingMs: z.number().nonnegative(),
 });
 
+/** A lifetime of an instance, as the ledger names it. */
+const lifetime = z.string().max(128);
+
+/** What a peer asks the home of an account's prepaid tokens for. */
+const loanSchema = z.object({
+  accountId: z.string().max(256) as unknown as z.ZodType<AccountId>,
+  borrower: lifetime,
+  limitVersion: counter,
+  givenTo: lifetime,
+  givenTokens: counter,
+  neededTokens: counter,
+  wantedTokens: counter,
+});
+
 /** Checks what one instance says of a member, itself included. */
 export const memberRecordSchema = z.object({
   id: instanceId,
@@ -69,6 +83,8 @@
     budget: budgetSchema,
     tokens: counter,
   }),
+  /** "Lend me prepaid tokens, and take in what I gave you"; see `LoanQuestion` of the ledger. */
+  z.object({ kind: z.literal('prepaidTokens'), loan: loanSchema }),
 ]);
 
 /** Checks one reply to a question. */
@@ -85,6 +101,13 @@
     life: z.string().max(64),
     transfers: z.array(transferSchema).max(64),
   }),
+  z.object({
+    kind: z.literal('prepaidTokens'),
+    lender: lifetime,
+    /** All tokens that the lender ever passed on to the asker's lifetime. */
+    lentTokens: counter,
+    outcome: z.enum(['lent', 'exhausted', 'heldElsewhere', 'storeAway', 'behind']),
+  }),
   /** The peer could not answer. */
   z.object({ kind: z.literal('failed'), reason: z.string().max(512) }),
 ]);
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -10,16 +10,23 @@
   type Random,
   type UpstreamId,
 } from '@acaciacrank/base';
-import { InstanceRegistry, type RegisteredInstance } from '@acaciacrank/fleet';
+import {
+  FleetQuestions,
+  InstanceRegistry,
+  WsFleetLinks,
+  type RegisteredInstance,
+} from '@acaciacrank/fleet';
 import { PrepaidAccounts, type GrantEvent, type Lifetime } from '@acaciacrank/ledger';
 import { RetryShare } from '@acaciacrank/routing';
 import { ObjectFollower, type ObjectStore, type StoredObject } from '@acaciacrank/store';
+import { randomBytes } from 'node:crypto';
 import type { Server } from 'node:http';
 import {
   applyCallerLimits,
   createForwardServer,
   listenBacklog,
 } from '../createForwardServer/index.js';
+import { FleetPrepaidPeers } from '../FleetPrepaidPeers/index.js';
 import type { ForwardCodec } from '../ForwardCodec/index.js';
 import { ForwardHandler } from '../ForwardHandler/index.js';
 import { planStop } from '../_lib/planStop/index.js';
@@ -31,6 +38,8 @@
   readonly instanceId: InstanceId;
   readonly failureDomain: FailureDomainId;
   readonly callers: { readonly ip: string; readonly port: number };
+  /** Where the links of the other instances arrive. */
+  readonly fleet: { readonly ip: string; readonly port: number };
   /** Repeats that a service may receive from all instances together. */
   readonly repeats: {
     readonly perRequest: number;
@@ -56,6 +65,16 @@
   random?: Random;
 }
 
+/** Length of the key by which peers prove themselves, in bytes: that of the digest it goes into. */
+const linkKeyBytes = 32;
+/** Names the links of this path towards the product's other ones. */
+const linkEnvironment = 'forwarding';
+/**
+ * Pings and silence of links, in milliseconds. A link that went silent for good holds up the tokens
+ * of a client account until another is opened; peers are a few milliseconds away.
+ */
+const linkTimes = { pingMs: 500, silenceMs: 1_500 };
+
 /** How often a planned stop looks whether it is done, in milliseconds. */
 const stopPollMs = 50;
 
@@ -74,6 +93,8 @@
   readonly #configurationFollower: ObjectFollower;
   readonly #handler: ForwardHandler;
   readonly #server: Server;
+  readonly #links: WsFleetLinks;
+  readonly #linkKey = randomBytes(linkKeyBytes).toString('hex');
   #phase: 'running' | 'leaving' | 'refusing' = 'running';
 
   constructor(options: ForwardingInstanceOptions) {
@@ -82,6 +103,7 @@
     const lifetime: Lifetime = { instanceId: settings.instanceId, runId: options.runId };
     this.registry = this.#createRegistry(lifetime);
     this.#configurationFollower = this.#followConfiguration();
+    this.#links = this.#createLinks();
     const instanceCount = () => this.registry.count();
     this.upstreams = new UpstreamTable({
       clock,
@@ -95,7 +117,8 @@
       log.info(event, 'grant');
     };
     const isStoreAway = () => this.#configurationFollower.isLost;
-    const ledger = { lifetime, store, clock, random, instanceCount, onEvent, isStoreAway };
+    const peers = this.#createPrepaidPeers();
+    const ledger = { lifetime, store, clock, random, peers, onEvent, isStoreAway };
     this.tokens = new PrepaidAccounts(ledger);
     const retries = new RetryShare({
       clock,
@@ -151,7 +174,9 @@
 
   /** Begins to listen and to follow the store. */
   async start(): Promise<void> {
-    const { ip, port } = this.#options.settings.callers;
+    const { callers, fleet } = this.#options.settings;
+    const { ip, port } = callers;
+    await this.#links.listen(fleet);
     await new Promise<void>((resolve, reject) => {
       this.#server.once('error', reject);
       this.#server.listen({ host: ip, port, backlog: listenBacklog }, resolve);
@@ -160,6 +185,7 @@
       this.#cleanUp.add(follower);
       this.#runTask('follow', follower.run());
     }
+    this.#cleanUp.add(this.#links);
     this.#cleanUp.add(this.registry);
     this.#runTask('registry', this.registry.run());
     this.#cleanUp.add(this.tokens);
@@ -198,12 +224,22 @@
 
   #createRegistry({ instanceId, runId }: Lifetime): InstanceRegistry {
     const { store, clock, settings, log, metrics } = this.#options;
-    const { callers, failureDomain } = settings;
+    const { callers, fleet, failureDomain } = settings;
     const callerAddress = `${callers.ip}:${callers.port}`;
+    const fleetUrl = `ws://${fleet.ip}:${fleet.port}`;
+    const linkKey = this.#linkKey;
     return new InstanceRegistry({
       store,
       clock,
-      self: { instanceId, runId, callerAddress, failureDomain },
+      self: { instanceId, runId, callerAddress, failureDomain, fleetUrl, linkKey },
+      onList: (others) => {
+        const peerOf = (one: RegisteredInstance) => ({
+          id: one.instanceId,
+          fleetUrl: one.fleetUrl,
+          key: one.linkKey,
+        });
+        this.#links.setPeers(others.map(peerOf));
+      },
       onChange: (change) => {
         metrics.count('membershipChanges', change.what);
         log.info(change, 'peer');
@@ -211,6 +247,32 @@
     });
   }
 
+  #createLinks(): WsFleetLinks {
+    const { settings, clock, random, metrics, log } = this.#options;
+    const identity = {
+      instanceId: settings.instanceId,
+      environment: linkEnvironment,
+      keys: [this.#linkKey],
+    };
+    return new WsFleetLinks({ ...identity, ...linkTimes, clock, random, metrics, log });
+  }
+
+  #createPrepaidPeers(): FleetPrepaidPeers {
+    const { settings, clock, log, metrics } = this.#options;
+    const questions = new FleetQuestions({ links: this.#links, clock });
+    this.#cleanUp.add(questions);
+    return new FleetPrepaidPeers({
+      questions,
+      clock,
+      instanceId: settings.instanceId,
+      live: () => this.registry.live().map(({ instanceId }) => instanceId),
+      onReach: (peer, isReached) => {
+        metrics.count('peerReach', isReached ? 'regained' : 'lost');
+        log.info({ peer, isReached }, isReached ? 'peer answers again' : 'peer does not answer');
+      },
+    });
+  }
+
   #followConfiguration(): ObjectFollower {
     const { store, clock, codec, log, random } = this.#options;
     const take = (stored: StoredObject | undefined) => {
@@ -245,7 +307,7 @@
       if (inForce !== undefined && configuration.version <= inForce) return;
       const table = new RouteTable(configuration);
       this.routes.set(table);
-      this.tokens.setLimits(table.prepaidLimits());
+      this.tokens.setLimits(table.prepaidLimits(), configuration.version);
       applyCallerLimits(this.#server, configuration.limits);
       metrics.count('configurations', 'applied');
       log.info({ version: configuration.version, was: inForce }, 'configuration in force');
--- a/packages/ledger/src/PrepaidAccount/index.ts
+++ b/packages/ledger/src/PrepaidAccount/index.ts
@@ -1,14 +1,16 @@
-import { describeError, type AccountId, type Clock, type Random } from '@acaciacrank/base';
-import type { ObjectStore, StoredObject } from '@acaciacrank/store';
 import {
-  boundAtLeast,
-  emptyPrepaidPage,
-  grantedTotal,
-  lifetimeKey,
-  parsePrepaidPage,
-  withGrant,
-  type PrepaidPage,
-} from '../prepaidPage/index.js';
+  describeError,
+  type AccountId,
+  type Clock,
+  type InstanceId,
+  type Random,
+} from '@acaciacrank/base';
+import type { ObjectStore, StoredObject } from '@acaciacrank/store';
+import { LoanBook } from '../_lib/LoanBook/index.js';
+import { PrepaidGrant } from '../_lib/PrepaidGrant/index.js';
+import { homeStockMs, openingStock, wantedStock } from '../_lib/prepaidStock/index.js';
+import type { LoanAnswer, LoanOutcome, LoanQuestion, PrepaidPeers } from '../PrepaidPeers/index.js';
+import { boundAtLeast, lifetimeKey } from '../prepaidPage/index.js';
 import type { Lifetime } from '../types.js';
 
 /** What an attempt to set tokens aside came to. */
@@ -17,7 +19,7 @@
 /** One change of what this instance may spend, for logs. */
 export interface GrantEvent {
   readonly accountId: AccountId;
-  readonly what: 'granted' | 'returned' | 'denied' | 'unknown';
+  readonly what: 'granted' | 'returned' | 'denied' | 'unknown' | 'borrowed' | 'lent';
   readonly tokens: number;
   /** Tokens of the account that nobody held when it was written. */
   readonly remainingTokens: number | undefined;
@@ -28,8 +30,7 @@
   lifetime: Lifetime;
   store: ObjectStore;
   clock: Clock;
-  /** How many instances share the accounts now, this one included. */
-  instanceCount: () => number;
+  peers: PrepaidPeers;
   onEvent: (event: GrantEvent) => void;
   random: Random;
   /** Whether the store is known not to answer. */
@@ -41,34 +42,25 @@
   accountId: AccountId;
 }
 
-/**
- * How long stock should last at the present pace, in milliseconds. Stock carries the account through
- * an outage of the store, 5 to 9 s long, and is lost when the process dies: with all instances dead
- * at once the account loses this much of its time.
- */
-const stockMs = 10_000;
-/** Below this share of the wanted stock more is asked for. */
-const refillShare = 0.65;
+/** An account's limit, and the version of the configuration that says so. */
+export interface PrepaidLimit {
+  readonly prepaidTokens: number;
+  readonly version: number;
+}
+
+/** Below this share of the wanted stock more is asked for: one instance asks for all, so it can often. */
+const refillShare = 0.85;
 /** Above this multiple of the wanted stock the rest is given back, so that a death costs less. */
 const returnFactor = 1.4;
-/**
- * The share of the prepaid tokens that all instances hold before they know their pace: what an
- * account uses in {@link stockMs} when its tokens are meant for about a minute.
- */
-const openingShareOfAll = 0.25;
-/**
- * The idle stock of all instances together is at most this share of what the account has not spent.
- * Near its end an account whose stock is lost with a process is refused all that it asks for later,
- * though it has paid; so stock shrinks with what is left.
- */
-const idleShareOfUnspent = 0.25;
 /**
  * Less than this share of the prepaid tokens is not worth the call that moves it, unless a request
  * waits for it: a large fleet would else write for each instance and account every second.
  */
 const leastMoveShare = 0.004;
-/** The longest pause after a lost race for a page, in milliseconds, for each instance that shares it. */
-const conflictPauseMs = 4;
+/** A loan beyond what a waiting request needs is at most this share of the lender's stock. */
+const lentShare = 0.25;
+/** The longest pause after a lost race for a page, in milliseconds: a few calls to the store. */
+const conflictPauseMs = 30;
 /** Weight of the last second in the pace: a few seconds, since single requests are large. */
 const paceWeight = 0.25;
 /** The same where only other instances see the account's callers, who may come here any moment. */
@@ -81,61 +73,66 @@
 /**
  * What this lifetime of the instance may spend of one client account.
  *
- * Grants are durable before they are drawn on. What may be spent is never more than what was read
- * back from the store: the answer of a write can be lost and the write come into effect later.
+ * Grants are durable before they are drawn on. The stock of an account is gathered at one instance,
+ * its home, from which the others borrow what they need for a second or two: one stock for all serves
+ * an outage of the store far better than as many small ones, each of which runs dry on its own, and
+ * only the home calls the store. An instance that cannot reach the home goes to the store itself.
  */
 export class PrepaidAccount {
   readonly #options: PrepaidAccountOptions;
+  readonly #grant: PrepaidGrant;
+  readonly #loans = new LoanBook();
   /** The limit of the newest configuration. */
-  #prepaidTokens: number;
-  /** This lifetime's grant as it was last read back. */
-  #grantedTokens = 0;
-  /** A lower grant that was asked for and not confirmed; it binds at once. */
-  #lowering: { readonly grantedTokens: number; readonly atVersion: number } | undefined;
+  #limit: PrepaidLimit;
   #reservedTokens = 0;
   #spentTokens = 0;
   /** Undefined until the account is used for the first time, here or elsewhere. */
   #paceTokensPerMs: number | undefined;
-  /** Everything that was ever set aside; tells the pace without waiting for requests to end. */
+  /** Everything that was ever set aside or lent; tells the pace without waiting for requests to end. */
   #askedTokens = 0;
   #askedAtTick = 0;
   #tickMs: number;
-  #page: { readonly page: PrepaidPage; readonly version: number } | undefined;
-  /** What all lifetimes have spent or set aside, as far as they have told. */
-  #seenBound = 0;
   #boundAtTick = 0;
   /** The pace of all instances together, as far as their pages tell. */
   #fleetPaceTokensPerMs = 0;
-  /** What all lifetimes hold, as last seen, also from stale lists. */
-  #seenGrantedTotal = 0;
   #isSuspended = false;
-  #dry: { readonly untilMs: number; readonly remainingTokens: number } | undefined;
+  #dry: Dryness | undefined;
   #writing: Promise<ReserveOutcome> | undefined;
-
-  constructor(prepaidTokens: number, options: PrepaidAccountOptions) {
-    this.#prepaidTokens = prepaidTokens;
+  /** The lifetime at the home that answered last. */
+  #lender = '';
+  #isFilling = false;
+  /** Questions to the home that are under way. */
+  #borrowing = 0;
+
+  constructor(limit: PrepaidLimit, options: PrepaidAccountOptions) {
+    this.#limit = limit;
     this.#options = options;
+    this.#grant = new PrepaidGrant(options);
     this.#tickMs = options.clock.monotonicMs();
   }
 
   /** Where the account's page lies. */
   get key(): string {
-    return prepaidPageKey(this.#options.accountId);
+    return this.#grant.key;
   }
 
-  /** Tokens that can be set aside without a call to the store. */
+  /** Tokens that can be set aside without a call to the store or a peer. */
   get stockTokens(): number {
-    const granted = Math.min(this.#grantedTokens, this.#lowering?.grantedTokens ?? Infinity);
-    return granted - this.#boundTokens;
+    return this.#grant.tokens - this.#drawnTokens;
+  }
+
+  /** Whether the account's stock is gathered here. */
+  get isHome(): boolean {
+    return this.#options.peers.homeOf(this.#options.accountId) === undefined;
   }
 
   /** Changes the limit; a lower one stops spending until the page is known to fit under it. */
-  setPrepaid(prepaidTokens: number): void {
-    const isLower = prepaidTokens < this.#prepaidTokens;
-    this.#prepaidTokens = prepaidTokens;
+  setLimit(limit: PrepaidLimit): void {
+    const isLower = limit.prepaidTokens < this.#limit.prepaidTokens;
+    this.#limit = limit;
     this.#dry = undefined;
     if (!isLower) return;
-    this.#page = undefined;
+    this.#grant.forgetPage();
     this.#isSuspended = true;
     void this.#fitUnderLimit();
   }
@@ -160,49 +157,47 @@
   }
 
   /**
-   * Asks the store for more.
+   * Gets more, from the account's home or else from the store.
    *
    * @param neededTokens - what a waiting request needs; 0 to fill up stock
    * @returns why there is no more, or `reserved` when stock grew enough
    */
   async refill(neededTokens: number): Promise<ReserveOutcome> {
-    // A request that only the store could help is refused at once while the store is away.
-    if (this.#options.isStoreAway()) return 'storeAway';
-    while (this.#writing !== undefined) await this.#writing;
-    if (neededTokens > 0 && !this.#isSuspended && this.stockTokens >= neededTokens)
-      return 'reserved';
     const known = this.#knownDry(neededTokens);
     if (known !== undefined) return known;
-    return this.#alone(this.#ask(neededTokens));
+    const { peers, accountId } = this.#options;
+    const borrowed = await this.#borrow(peers.homeOf(accountId), neededTokens);
+    if (borrowed === 'lent') return 'reserved';
+    if (borrowed === 'exhausted' || borrowed === 'heldElsewhere') {
+      const remainingTokens = Math.max(0, neededTokens - 1 - this.stockTokens);
+      return this.#believeDry(borrowed, remainingTokens);
+    }
+    const granted = await this.#refillFromStore(neededTokens);
+    if (granted !== 'storeAway' || neededTokens === 0) return granted;
+    // The store may turn away this instance alone, and the home too; others can still be granted.
+    const helped = await this.#borrow(peers.backupOf(accountId), neededTokens);
+    return helped === 'lent' ? 'reserved' : granted;
+  }
+
+  /** Answers a peer: takes in what it gave, and lends what it asks for. */
+  async answerLoan(question: LoanQuestion): Promise<LoanAnswer> {
+    const lender = this.#ownKey;
+    if (question.givenTo === lender) this.#take(question.borrower, question.givenTokens);
+    const outcome = await this.#lend(question);
+    return { lender, lentTokens: this.#loans.lentTo(question.borrower), outcome };
   }
 
   /** Takes note of the page as some list showed it, which may be seconds old. */
   observe(stored: StoredObject): void {
-    const page = parsePrepaidPage(stored.value);
-    if (page !== undefined && stored.version > (this.#page?.version ?? 0)) {
-      this.#see(page);
-    }
+    this.#grant.observe(stored);
   }
 
   /** Looks once a second whether to ask for more or to give back. */
   tick(): void {
-    const nowMs = this.#options.clock.monotonicMs();
-    const elapsedMs = Math.max(1, nowMs - this.#tickMs);
-    const pace = (this.#askedTokens - this.#askedAtTick) / elapsedMs;
-    // Unused anywhere, an account keeps its opening stock; used elsewhere only, it is not wanted here.
-    if (this.#askedTokens > 0 || this.#seenBound > 0) {
-      const before = this.#paceTokensPerMs ?? this.#openingStock() / stockMs;
-      const weight = this.#askedTokens > 0 ? paceWeight : idlePaceWeight;
-      this.#paceTokensPerMs = before + weight * (pace - before);
-    }
-    this.#askedAtTick = this.#askedTokens;
-    const fleetPace = Math.max(0, this.#seenBound - this.#boundAtTick) / elapsedMs;
-    this.#fleetPaceTokensPerMs += paceWeight * (fleetPace - this.#fleetPaceTokensPerMs);
-    this.#boundAtTick = this.#seenBound;
-    this.#tickMs = nowMs;
-    if (this.#writing !== undefined) return;
+    this.#measurePace();
+    if (this.#writing !== undefined || this.#isFilling) return;
     if (this.#isSuspended) void this.#fitUnderLimit();
-    else if (this.#isLow()) void this.refill(0);
+    else if (this.#isLow()) void this.#fill();
     else if (this.#isIdle()) void this.#giveBack(this.#wantedStock());
   }
 
@@ -212,31 +207,57 @@
     if (this.stockTokens > 0) await this.#giveBack(0);
   }
 
-  get #remainingSeen(): number {
-    return Math.max(0, this.#prepaidTokens - this.#seenGrantedTotal);
+  /** What is gone of this lifetime's own grant: spent, set aside or lent, less what was borrowed. */
+  get #drawnTokens(): number {
+    return this.#spentTokens + this.#reservedTokens - this.#loans.balanceTokens;
+  }
+
+  get #ownKey(): string {
+    return lifetimeKey(this.#options.lifetime);
+  }
+
+  get #unheldSeen(): number {
+    return Math.max(0, this.#limit.prepaidTokens - this.#grant.seenGrantedTokens);
+  }
+
+  get #situation() {
+    return {
+      prepaidTokens: this.#limit.prepaidTokens,
+      seenBoundTokens: this.#grant.seenBoundTokens,
+      paceTokensPerMs: this.#paceTokensPerMs,
+      fleetPaceTokensPerMs: this.#fleetPaceTokensPerMs,
+      isHome: this.isHome,
+    };
   }
 
-  #openingStock(): number {
-    return (openingShareOfAll * this.#prepaidTokens) / this.#options.instanceCount();
+  #measurePace(): void {
+    const nowMs = this.#options.clock.monotonicMs();
+    const elapsedMs = Math.max(1, nowMs - this.#tickMs);
+    const seenBound = this.#grant.seenBoundTokens;
+    const pace = Math.max(0, this.#askedTokens - this.#askedAtTick) / elapsedMs;
+    // Unused anywhere, an account keeps its opening stock; used elsewhere only, it is not wanted here.
+    if (this.#askedTokens > 0 || seenBound > 0) {
+      const before = this.#paceTokensPerMs ?? openingStock(this.#situation) / homeStockMs;
+      const weight = this.#askedTokens > 0 ? paceWeight : idlePaceWeight;
+      this.#paceTokensPerMs = before + weight * (pace - before);
+    }
+    this.#askedAtTick = this.#askedTokens;
+    const fleetPace = Math.max(0, seenBound - this.#boundAtTick) / elapsedMs;
+    this.#fleetPaceTokensPerMs += paceWeight * (fleetPace - this.#fleetPaceTokensPerMs);
+    this.#boundAtTick = seenBound;
+    this.#tickMs = nowMs;
   }
 
   #wantedStock(): number {
-    const pace = this.#paceTokensPerMs;
-    if (pace === undefined) return Math.floor(this.#openingStock());
-    const mostOfAll = idleShareOfUnspent * Math.max(0, this.#prepaidTokens - this.#seenBound);
-    const ownShare = pace <= 0 ? 0 : Math.min(1, pace / Math.max(pace, this.#fleetPaceTokensPerMs));
-    return Math.floor(Math.min(pace * stockMs, mostOfAll * ownShare));
+    return wantedStock(this.#situation);
   }
 
   #isLow(): boolean {
     if (this.#dry !== undefined && this.#dry.untilMs > this.#tickMs) return false;
     const wanted = this.#wantedStock();
-    const missing = wanted - this.stockTokens;
-    return (
-      this.#remainingSeen > 0 &&
-      this.stockTokens < wanted * refillShare &&
-      missing > leastMoveShare * this.#prepaidTokens
-    );
+    if (this.stockTokens >= wanted * refillShare) return false;
+    if (wanted - this.stockTokens <= leastMoveShare * this.#limit.prepaidTokens) return false;
+    return !this.isHome || this.#unheldSeen > 0;
   }
 
   /** Guards against tokens that lie idle here while another instance refuses for want of them. */
@@ -244,56 +265,129 @@
     const wanted = this.#wantedStock();
     const excess = this.stockTokens - wanted;
     return (
-      this.stockTokens > returnFactor * wanted && excess > leastMoveShare * this.#prepaidTokens
+      this.stockTokens > returnFactor * wanted &&
+      excess > leastMoveShare * this.#limit.prepaidTokens
     );
   }
 
-  #knownDry(neededTokens: number): ReserveOutcome | undefined {
-    if (this.#dry === undefined || this.#dry.untilMs <= this.#options.clock.monotonicMs()) {
-      return undefined;
+  async #fill(): Promise<void> {
+    this.#isFilling = true;
+    try {
+      await this.refill(0);
+    } finally {
+      this.#isFilling = false;
     }
-    if (this.stockTokens + this.#dry.remainingTokens >= neededTokens) return undefined;
-    return this.#refusal(neededTokens);
   }
 
-  /** Whether nothing can help, or tokens that others hold may come back. */
-  #refusal(neededTokens: number): ReserveOutcome {
-    const page = this.#page?.page;
-    if (page === undefined) return 'heldElsewhere';
-    const ownUnreported = this.#boundTokens - (page.grants[this.#ownKey]?.boundTokens ?? 0);
-    const spent = boundAtLeast(page) + Math.max(0, ownUnreported);
-    return this.#prepaidTokens - spent < neededTokens ? 'exhausted' : 'heldElsewhere';
+  /** Asks a peer; undefined where there is none, or it does not answer. */
+  async #borrow(
+    peer: InstanceId | undefined,
+    neededTokens: number,
+  ): Promise<LoanOutcome | undefined> {
+    const { peers } = this.#options;
+    if (peer === undefined) return undefined;
+    const missing = Math.max(0, neededTokens - this.stockTokens);
+    // Requests that wait side by side would else each fill up the stock.
+    const wanted = this.#borrowing > 0 ? 0 : Math.max(0, this.#wantedStock() - this.stockTokens);
+    this.#borrowing += 1;
+    const answer = await peers.ask(peer, this.#question(missing, wanted));
+    this.#borrowing -= 1;
+    if (answer === undefined) return undefined;
+    this.#lender = answer.lender;
+    const taken = this.#take(answer.lender, answer.lentTokens);
+    if (taken > 0) this.#report('borrowed', taken);
+    return answer.outcome;
+  }
+
+  #question(neededTokens: number, wantedTokens: number): LoanQuestion {
+    return {
+      accountId: this.#options.accountId,
+      borrower: this.#ownKey,
+      limitVersion: this.#limit.version,
+      givenTo: this.#lender,
+      givenTokens: this.#loans.lentTo(this.#lender),
+      neededTokens: Math.ceil(neededTokens),
+      wantedTokens: Math.ceil(wantedTokens),
+    };
+  }
+
+  #take(lender: string, totalTokens: number): number {
+    const taken = this.#loans.take(lender, totalTokens);
+    if (taken > 0) this.#dry = undefined;
+    return taken;
+  }
+
+  async #lend(question: LoanQuestion): Promise<LoanOutcome> {
+    const { neededTokens, wantedTokens, limitVersion, borrower } = question;
+    if (neededTokens + wantedTokens <= 0) return 'lent';
+    // A borrower that knows a newer limit must not get what was granted under the older one.
+    if (limitVersion > this.#limit.version) return 'behind';
+    if (this.#isSuspended) return 'heldElsewhere';
+    if (this.stockTokens < neededTokens) {
+      const outcome = await this.#refillFromStore(neededTokens);
+      if (outcome !== 'reserved') return outcome;
+    }
+    if (this.#isSuspended || this.stockTokens < neededTokens) return 'heldElsewhere';
+    const spare = Math.floor((this.stockTokens - neededTokens) * lentShare);
+    const tokens = neededTokens + Math.max(0, Math.min(wantedTokens, spare));
+    if (tokens === 0) return 'heldElsewhere';
+    this.#loans.lend(borrower, tokens);
+    this.#askedTokens += tokens;
+    return 'lent';
   }
 
-  /** Spent, or set aside for requests under way. */
-  get #boundTokens(): number {
-    return this.#spentTokens + this.#reservedTokens;
+  #knownDry(neededTokens: number): ReserveOutcome | undefined {
+    const dry = this.#dry;
+    if (dry === undefined || dry.untilMs <= this.#options.clock.monotonicMs()) return undefined;
+    return this.stockTokens + dry.remainingTokens >= neededTokens ? undefined : dry.outcome;
   }
 
-  get #ownKey(): string {
-    return lifetimeKey(this.#options.lifetime);
+  #believeDry(outcome: ReserveOutcome, remainingTokens: number): ReserveOutcome {
+    const untilMs = this.#options.clock.monotonicMs() + dryMs;
+    this.#dry = { untilMs, remainingTokens, outcome };
+    return outcome;
+  }
+
+  async #refillFromStore(neededTokens: number): Promise<ReserveOutcome> {
+    // A request that only the store could help is refused at once while the store is away.
+    if (this.#options.isStoreAway()) return 'storeAway';
+    while (this.#writing !== undefined) await this.#writing;
+    if (neededTokens > 0 && !this.#isSuspended && this.stockTokens >= neededTokens)
+      return 'reserved';
+    const known = this.#knownDry(neededTokens);
+    if (known !== undefined) return known;
+    return this.#alone(this.#ask(neededTokens));
+  }
+
+  /** Whether nothing can help, or tokens that others hold may come back. */
+  #refusal(neededTokens: number): ReserveOutcome {
+    const { page, toldTokens } = this.#grant;
+    if (page === undefined) return 'heldElsewhere';
+    const untold = Math.max(0, this.#drawnTokens - toldTokens);
+    const spent = boundAtLeast(page) + untold;
+    return this.#limit.prepaidTokens - spent < neededTokens ? 'exhausted' : 'heldElsewhere';
   }
 
   async #ask(neededTokens: number): Promise<ReserveOutcome> {
     let isFresh = false;
     try {
       for (let attempt = 1; attempt <= maxAttempts; attempt += 1) {
-        if (this.#page === undefined) {
-          await this.#read();
+        if (this.#grant.page === undefined) {
+          await this.#grant.read();
           isFresh = true;
         }
-        const remaining = this.#prepaidTokens - this.#seenGrantedTotal;
+        const remaining = this.#limit.prepaidTokens - this.#grant.seenGrantedTokens;
         const shortage = Math.max(0, neededTokens - this.stockTokens);
         const wish = Math.max(shortage, this.#wantedStock() - this.stockTokens);
         const extra = Math.min(Math.ceil(wish), remaining);
         if (this.#isSuspended || extra < shortage || extra <= 0) {
           if (extra <= 0 && shortage === 0) return 'reserved';
           if (isFresh) return this.#deny(neededTokens, remaining);
-          this.#page = undefined;
+          this.#grant.forgetPage();
           continue;
         }
-        const result = await this.#write(this.#grantedTokens + extra);
-        if (result === 'written') {
+        const granted = this.#grant.storedTokens + extra;
+        if ((await this.#grant.write(granted, this.#drawnTokens)) === 'written') {
           this.#report('granted', extra);
           return 'reserved';
         }
@@ -301,25 +395,49 @@
         await this.#pauseAfterConflict();
       }
     } catch (thrown) {
-      this.#page = undefined;
-      this.#report('unknown', neededTokens);
-      return describeError(thrown).kind === 'storeUnavailable' ? 'storeAway' : 'heldElsewhere';
+      return this.#failed(thrown, neededTokens);
     }
     return 'heldElsewhere';
   }
 
+  #failed(thrown: unknown, tokens: number): ReserveOutcome {
+    this.#grant.forgetPage();
+    this.#report('unknown', tokens);
+    return describeError(thrown).kind === 'storeUnavailable' ? 'storeAway' : 'heldElsewhere';
+  }
+
   #deny(neededTokens: number, remainingTokens: number): ReserveOutcome {
-    const untilMs = this.#options.clock.monotonicMs() + dryMs;
-    this.#dry = { untilMs, remainingTokens: Math.max(0, remainingTokens) };
     this.#report('denied', neededTokens);
-    return this.#refusal(neededTokens);
+    return this.#believeDry(this.#refusal(neededTokens), Math.max(0, remainingTokens));
   }
 
-  /** Lowers this lifetime's grant, so that others can have the rest. */
+  /** Passes idle tokens on, so that others can have them: to the home, or where it is here, to the store. */
   async #giveBack(keptTokens: number): Promise<void> {
-    const returned = Math.floor(this.stockTokens - keptTokens);
-    if (returned <= 0) return;
-    await this.#alone(this.#lower(returned));
+    await this.#giveToHome(keptTokens);
+    const idle = Math.floor(this.stockTokens - keptTokens);
+    if (idle > 0) await this.#alone(this.#lower(idle));
+  }
+
+  /**
+   * Gives the home what was borrowed and is idle.
+   *
+   * Guards against a home that is gone: what is given to it is lost to the account. So it is asked
+   * first, and gets the tokens only right after it has answered.
+   */
+  async #giveToHome(keptTokens: number): Promise<void> {
+    const { peers, accountId } = this.#options;
+    const home = peers.homeOf(accountId);
+    if (home === undefined || this.#loans.balanceTokens <= 0) return;
+    const answer = await peers.ask(home, this.#question(0, 0));
+    if (answer === undefined) return;
+    this.#lender = answer.lender;
+    this.#take(answer.lender, answer.lentTokens);
+    const idle = Math.floor(this.stockTokens - keptTokens);
+    const given = Math.min(idle, this.#loans.balanceTokens);
+    if (given <= 0) return;
+    this.#loans.lend(answer.lender, given);
+    this.#report('lent', given);
+    await peers.ask(home, this.#question(0, 0));
   }
 
   /** Marks a change of the page as under way, so that no other one begins here. */
@@ -335,24 +453,19 @@
   async #lower(returnedTokens: number): Promise<ReserveOutcome> {
     try {
       for (let attempt = 1; attempt <= maxAttempts; attempt += 1) {
-        if (this.#page === undefined) await this.#read();
-        if (this.#page === undefined) return 'storeAway';
-        // Binds before it is sent: with the answer lost, the tokens may be another's already.
-        const lowered = Math.min(
-          this.#lowering?.grantedTokens ?? Infinity,
-          this.#grantedTokens - Math.min(returnedTokens, Math.max(0, this.stockTokens)),
-        );
-        this.#lowering = { grantedTokens: lowered, atVersion: this.#page.version };
-        if ((await this.#write(lowered)) === 'written') {
-          this.#report('returned', returnedTokens);
+        if (this.#grant.page === undefined) await this.#grant.read();
+        const idle = Math.min(returnedTokens, Math.max(0, this.stockTokens));
+        const returned = Math.min(idle, this.#grant.storedTokens);
+        if (returned <= 0) return 'reserved';
+        const lowered = this.#grant.bindLower(this.#grant.storedTokens - returned);
+        if ((await this.#grant.write(lowered, this.#drawnTokens)) === 'written') {
+          this.#report('returned', returned);
           return 'reserved';
         }
         await this.#pauseAfterConflict();
       }
-    } catch {
-      this.#page = undefined;
-      this.#report('unknown', returnedTokens);
-      return 'storeAway';
+    } catch (thrown) {
+      return this.#failed(thrown, returnedTokens);
     }
     return 'heldElsewhere';
   }
@@ -361,91 +474,43 @@
   async #fitUnderLimit(): Promise<void> {
     while (this.#writing !== undefined) await this.#writing;
     if (!this.#isSuspended) return;
+    await this.#giveToHome(0);
     await this.#alone(this.#fit());
   }
 
   async #fit(): Promise<ReserveOutcome> {
     try {
-      await this.#read();
-      if (this.#seenGrantedTotal > this.#prepaidTokens && this.stockTokens > 0) {
+      await this.#grant.read();
+      const { prepaidTokens } = this.#limit;
+      if (this.#grant.seenGrantedTokens > prepaidTokens && this.stockTokens > 0) {
         await this.#lower(this.stockTokens);
       }
+      this.#isSuspended = this.#grant.seenGrantedTokens > this.#limit.prepaidTokens;
     } catch (thrown) {
-      this.#page = undefined;
-      this.#report('unknown', 0);
-      return describeError(thrown).kind === 'storeUnavailable' ? 'storeAway' : 'heldElsewhere';
+      return this.#failed(thrown, 0);
     }
-    this.#isSuspended = this.#seenGrantedTotal > this.#prepaidTokens;
     return 'reserved';
   }
 
-  async #read(): Promise<void> {
-    const stored = await this.#options.store.read(this.key);
-    this.#learn(stored);
-  }
-
-  async #write(grantedTokens: number): Promise<'written' | 'conflict'> {
-    const { store, lifetime } = this.#options;
-    const { page, version } = this.#page ?? { page: emptyPrepaidPage, version: 0 };
-    const grant = { grantedTokens, boundTokens: this.#boundTokens };
-    const next = withGrant(page, lifetime, grant);
-    const condition =
-      version === 0 ? ({ kind: 'absent' } as const) : ({ kind: 'version', version } as const);
-    const result = await store.write(this.key, next, condition);
-    if (result.outcome === 'written') {
-      this.#learn({ key: this.key, version: result.version, value: next });
-      return 'written';
-    }
-    if (result.current === undefined) this.#page = undefined;
-    else this.#learn(result.current);
-    return 'conflict';
-  }
-
-  #see(page: PrepaidPage): void {
-    this.#seenGrantedTotal = grantedTotal(page);
-    this.#seenBound = boundAtLeast(page);
-  }
-
-  /** Takes over what the store says for certain. */
-  #learn(stored: StoredObject | undefined): void {
-    const page = stored === undefined ? emptyPrepaidPage : parsePrepaidPage(stored.value);
-    // A page that cannot be read must not pass for an empty one: all prepaid tokens would be
-    // granted a second time. Without a page nothing is granted.
-    if (page === undefined) throw new Error(`${this.key} does not parse`);
-    const version = stored?.version ?? 0;
-    this.#page = { page, version };
-    this.#see(page);
-    this.#grantedTokens = page.grants[this.#ownKey]?.grantedTokens ?? 0;
-    // A write that lost its answer can still come into effect while its condition holds, and no
-    // longer once the object has another version.
-    if (this.#lowering !== undefined && version !== this.#lowering.atVersion) {
-      this.#lowering = undefined;
-    }
-  }
-
   /** Spreads the losers of a race: all at once again, all but one of them would lose again. */
   async #pauseAfterConflict(): Promise<void> {
-    const { clock, random, instanceCount } = this.#options;
-    await clock.sleep(random() * conflictPauseMs * instanceCount());
+    const { clock, random } = this.#options;
+    await clock.sleep(random() * conflictPauseMs);
   }
 
   #report(what: GrantEvent['what'], tokens: number): void {
-    const remainingTokens =
-      this.#page === undefined ? undefined : this.#prepaidTokens - this.#seenGrantedTotal;
+    const isKnown = this.#grant.page !== undefined;
+    const remainingTokens = isKnown
+      ? this.#limit.prepaidTokens - this.#grant.seenGrantedTokens
+      : undefined;
     this.#options.onEvent({ accountId: this.#options.accountId, what, tokens, remainingTokens });
   }
 }
 
-/** Where pages lie in the store. */
-export const prepaidPagePrefix = 'prepaid/';
-
-/**
- * The key of an account's page.
- *
- * @example
- * prepaidPageKey(accountId);
- * //=> 'prepaid/hule930'
- */
-export function prepaidPageKey(accountId: AccountId): string {
-  return `${prepaidPagePrefix}${accountId}`;
+/** What is known of an account without tokens to be had. */
+interface Dryness {
+  readonly untilMs: number;
+  /** What could still be had, in tokens. */
+  readonly remainingTokens: number;
+  readonly outcome: ReserveOutcome;
 }
--- a/packages/ledger/src/PrepaidAccounts/index.ts
+++ b/packages/ledger/src/PrepaidAccounts/index.ts
@@ -1,11 +1,12 @@
 import type { AccountId } from '@acaciacrank/base';
+import { prepaidPagePrefix } from '../_lib/PrepaidGrant/index.js';
 import {
   PrepaidAccount,
-  prepaidPageKey,
-  prepaidPagePrefix,
   type PrepaidAccountsOptions,
   type ReserveOutcome,
 } from '../PrepaidAccount/index.js';
+import type { LoanAnswer, LoanQuestion } from '../PrepaidPeers/index.js';
+import { lifetimeKey } from '../prepaidPage/index.js';
 
 /** Tokens set aside for one request. */
 export interface TokenReservation {
@@ -15,27 +16,39 @@
 
 /** How often stock is looked after, in milliseconds; a fraction of what stock lasts. */
 const tickMs = 1_000;
+/**
+ * How many ticks pass between two looks at what other instances hold: their pages change by calls of
+ * other homes only, which matter for the pace and where a page was dry.
+ */
+const ticksToObserve = 4;
 
 /** The prepaid tokens of all client accounts, as far as this instance may spend them. */
 export class PrepaidAccounts implements Disposable {
   readonly #options: PrepaidAccountsOptions;
   readonly #accounts = new Map<AccountId, PrepaidAccount>();
   readonly #stop = new AbortController();
+  readonly #serving: Disposable;
 
   constructor(options: PrepaidAccountsOptions) {
     this.#options = options;
+    this.#serving = options.peers.serve((question) => this.#answerLoan(question));
   }
 
-  /** Takes over the limits of a configuration. An account that is no longer named keeps its state. */
-  setLimits(limits: ReadonlyMap<AccountId, number>): void {
+  /**
+   * Takes over the limits of a configuration. An account that is no longer named keeps its state.
+   *
+   * @param limits - the prepaid tokens of each account
+   * @param version - the configuration's version
+   */
+  setLimits(limits: ReadonlyMap<AccountId, number>, version: number): void {
     for (const [accountId, prepaidTokens] of limits) {
+      const limit = { prepaidTokens, version };
       const known = this.#accounts.get(accountId);
       if (known !== undefined) {
-        known.setPrepaid(prepaidTokens);
+        known.setLimit(limit);
         continue;
       }
-      const account = new PrepaidAccount(prepaidTokens, { ...this.#options, accountId });
-      this.#accounts.set(accountId, account);
+      this.#accounts.set(accountId, new PrepaidAccount(limit, { ...this.#options, accountId }));
     }
   }
 
@@ -71,12 +84,12 @@
   /** Looks after stock until disposed of. */
   async run(): Promise<void> {
     const { clock, random } = this.#options;
-    // By the second tick it is known how many instances share what is taken at the start.
+    // By the second tick it is known which instances share the accounts.
     await clock.sleep(tickMs, this.#stop.signal);
-    while (!this.#stop.signal.aborted) {
+    for (let tick = 0; !this.#stop.signal.aborted; tick += 1) {
       // Instances that start together would else race for every page at the same moment, for ever.
       await clock.sleep(tickMs * (0.7 + 0.6 * random()), this.#stop.signal);
-      await this.#observe();
+      if (tick % ticksToObserve === 0) await this.#observe();
       for (const account of this.#accounts.values()) account.tick();
     }
   }
@@ -84,22 +97,31 @@
   /** Gives all idle stock back to the store. */
   async close(): Promise<void> {
     this.#stop.abort();
+    this.#serving[Symbol.dispose]();
     await Promise.all([...this.#accounts.values()].map((account) => account.close()));
   }
 
   [Symbol.dispose](): void {
     this.#stop.abort();
+    this.#serving[Symbol.dispose]();
+  }
+
+  async #answerLoan(question: LoanQuestion): Promise<LoanAnswer> {
+    const account = this.#accounts.get(question.accountId);
+    if (account !== undefined) return account.answerLoan(question);
+    return { lender: lifetimeKey(this.#options.lifetime), lentTokens: 0, outcome: 'behind' };
   }
 
   /** Sees how much others hold; a list that may be old is enough and costs the store little. */
   async #observe(): Promise<void> {
-    if (this.#accounts.size === 0) return;
+    const accounts = [...this.#accounts.values()].filter((account) => account.isHome);
+    if (accounts.length === 0) return;
     try {
       const { store } = this.#options;
       const { objects } = await store.snapshot(prepaidPagePrefix, { isStaleAllowed: true });
       const byKey = new Map(objects.map((stored) => [stored.key, stored]));
-      for (const [accountId, account] of this.#accounts) {
-        const stored = byKey.get(prepaidPageKey(accountId));
+      for (const account of accounts) {
+        const stored = byKey.get(account.key);
         if (stored !== undefined) account.observe(stored);
       }
     } catch {
--- a/packages/ledger/src/index.ts
+++ b/packages/ledger/src/index.ts
@@ -17,5 +17,8 @@
 export * from './readBudget/index.js';
 export * from './RequestRecords/index.js';
 export * from './prepaidPage/index.js';
+export * from './PrepaidPeers/index.js';
+export * from './NoPrepaidPeers/index.js';
+export { prepaidPageKey, prepaidPagePrefix } from './_lib/PrepaidGrant/index.js';
 export * from './PrepaidAccount/index.js';
 export * from './PrepaidAccounts/index.js';
