Charge the prompt of a request that an engine may have read when its time or its caller is gone

Cause: usedTokens charged nothing for a request that was sent and had no event yet when its deadline passed or its caller left, though the engine may have read the prompt; the account could spend those tokens a second time. Also such a request counted as sent although it never was, when its time was over before it.

--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -32,8 +32,8 @@
   | { readonly kind: 'broken'; readonly reason: string }
   /** Given up here for another upstream, since nothing came. */
   | { readonly kind: 'silent' }
-  | { readonly kind: 'deadline' }
-  | { readonly kind: 'callerGone' };
+  | { readonly kind: 'deadline'; readonly wasSent: boolean }
+  | { readonly kind: 'callerGone'; readonly wasSent: boolean };
 
 /** Options of {@link Attempt}. */
 export interface AttemptOptions {
@@ -71,8 +71,8 @@
   async run(): Promise<AttemptResult> {
     const { call, upstream, clock } = this.#options;
     const leftMs = call.deadlineMs - clock.monotonicMs();
-    if (call.gone.aborted) return { kind: 'callerGone' };
-    if (leftMs <= returnMarginMs) return { kind: 'deadline' };
+    if (call.gone.aborted) return { kind: 'callerGone', wasSent: false };
+    if (leftMs <= returnMarginMs) return { kind: 'deadline', wasSent: false };
     const connection = upstream.takeConnection();
     const send = upstream.begin(this.#options.prefillMs);
     const deadline = clock.schedule(leftMs, this.#ender('deadline'));
@@ -212,7 +212,9 @@
   }
 
   #failure(thrown: unknown): AttemptResult {
-    if (this.#ended !== undefined) return { kind: this.#ended };
+    const ended = this.#ended;
+    if (ended === 'silent') return { kind: ended };
+    if (ended !== undefined) return { kind: ended, wasSent: !wasNeverSent(thrown) };
     if (wasNeverSent(thrown)) return { kind: 'notSent', reason: describeError(thrown).message };
     return { kind: 'broken', reason: describeError(thrown).message };
   }
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -127,7 +127,7 @@
       silenceLimitMs,
     });
     const result = await attempt.run();
-    if (result.kind !== 'notSent') call.progress.sends += 1;
+    if (wasSent(result)) call.progress.sends += 1;
     return result;
   }
 
@@ -205,10 +205,12 @@
           result.kind === 'broken' ? result.reason : 'the upstream went silent',
         );
       case 'deadline':
+        call.progress.mayHaveRun ||= result.wasSent;
         throw new RouterError('deadlineExceeded', 'the time for this request is over', {
           ran: call.progress.sends > 0 ? 'unknown' : 'notRun',
         });
       case 'callerGone':
+        call.progress.mayHaveRun ||= result.wasSent;
         throw new RouterError('cancelled', 'the caller has left');
     }
   }
@@ -252,6 +254,12 @@
   }
 }
 
+/** Whether the request may have reached the upstream. */
+function wasSent(result: AttemptResult): boolean {
+  if (result.kind === 'deadline' || result.kind === 'callerGone') return result.wasSent;
+  return result.kind !== 'notSent';
+}
+
 function describe(result: AttemptResult): Record<string, string | number | boolean> {
   if (result.kind === 'answer') return { status: result.status, bytes: result.body.byteLength };
   if (result.kind === 'streamed') return { longestGapMs: result.longestGapMs };
