--- a/packages/fleet/src/InstanceRegistry/index.ts
+++ b/packages/fleet/src/InstanceRegistry/index.ts
@@ -40,8 +40,11 @@
 /** Where registrations lie in the store. */
 export const registrationPrefix = 'instances/';
 
-/** How often this instance writes that it lives, in milliseconds; each write is a priced call. */
-const heartbeatMs = 3_000;
+/**
+ * How often this instance writes that it lives, in milliseconds: a third of the time after which it
+ * is taken for dead. Each write is a priced call.
+ */
+const heartbeatMs = 4_000;
 /** How often the list is read, in milliseconds; stale reads cost a tenth. */
 const listMs = 1_000;
 /**
--- a/packages/fleet/src/WsFleetLinks/test.ts
+++ b/packages/fleet/src/WsFleetLinks/test.ts
@@ -181,3 +181,22 @@
   t.is(first.metrics.counter('linkMessagesDropped', 'queueFull'), 200 - 128);
   await eventually(() => first.metrics.counter('linkMessagesDropped', 'unreachable') === 128);
 });
+
+// Each instance draws a key of its own at its start. One that was started again refuses whoever still
+// holds the key of its last life, and is reached again once the new key is known.
+test('a peer is reached with the key that it has now', async (t) => {
+  await using owned = new DisposableStore();
+  const clock = new ManualClock();
+  const first = await openEnd(owned, clock, a, { keys: ['key of a'] });
+  const second = await openEnd(owned, clock, b, { keys: ['key of b'] });
+  const fleetUrl = `ws://127.0.0.1:${second.port}`;
+  first.links.setPeers([{ id: b, fleetUrl, key: 'an older key' }]);
+  first.links.send(b, changed(1));
+  await eventually(() => first.metrics.counter('linkMessagesDropped', 'unreachable') > 0);
+  t.deepEqual(second.versions, []);
+  first.links.setPeers([{ id: b, fleetUrl, key: 'key of b' }]);
+  await clock.advance(10_000);
+  first.links.send(b, changed(2));
+  await eventually(() => second.versions.length > 0);
+  t.deepEqual(second.versions, [2]);
+});
--- a/packages/forwarding/src/FleetPrepaidPeers/index.ts
+++ b/packages/forwarding/src/FleetPrepaidPeers/index.ts
@@ -54,9 +54,11 @@
     const { questions } = this.#options;
     try {
       const asked = { kind: 'prepaidTokens', loan: question } as const;
-      const answer = await questions.ask(peer, asked, { timeoutMs: answerLimitMs });
+      const { lender, lentTokens, outcome } = await questions.ask(peer, asked, {
+        timeoutMs: answerLimitMs,
+      });
       if (this.#unreached.delete(peer)) this.#options.onReach(peer, true);
-      return answer;
+      return { lender, lentTokens, outcome };
     } catch {
       this.#noteUnreached(peer);
       return undefined;
