--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -54,8 +54,6 @@
 const unknownBodyBytes = 1_048_576;
 /** How long an instance counts as short of tokens after a refusal, in milliseconds: one directory answer. */
 const shortMs = 3_000;
-/** When to come back where another instance may serve at once, in milliseconds. */
-const elsewhereRetryMs = 100;
 /** Callers read fractions of a second, so waits are rounded up to this, in milliseconds. */
 const retryAfterStepMs = 100;
 
@@ -286,10 +284,8 @@
   if (outcome === 'heldElsewhere') {
     return new RouterError('tokensHeldElsewhere', `no ${tokens} tokens can be had at once`);
   }
-  // Another instance may have tokens in stock, so the caller should not wait for the store.
-  return new RouterError('storeUnavailable', `the store did not grant ${tokens} tokens`, {
-    retryAfterMs: elsewhereRetryMs,
-  });
+  // The instances lend each other what they have, so nothing is to be had before the store is back.
+  return new RouterError('storeUnavailable', `the store did not grant ${tokens} tokens`);
 }
 
 /** Aborted when the connection closes before the answer is complete. */
