Gather changes of upstreams for 0.3 s before the next watch

Ruled out: gathering the configuration as well (storms of it are rare and it has to be in force soon).

--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -75,6 +75,12 @@
  */
 const linkTimes = { pingMs: 500, silenceMs: 1_500 };
 
+/**
+ * How long changes of upstreams are gathered, in milliseconds: a small part of the two seconds in
+ * which an upstream that leaves must get nothing more.
+ */
+const gatherUpstreamsMs = 300;
+
 /** How often a planned stop looks whether it is done, in milliseconds. */
 const stopPollMs = 50;
 
@@ -333,6 +339,7 @@
       clock,
       random,
       prefix: codec.upstreamPrefix,
+      gatherMs: gatherUpstreamsMs,
       onSnapshot: ({ objects }) => {
         this.upstreams.replaceAll(objects.map(read).filter((record) => record !== undefined));
       },
--- a/packages/store/src/ObjectFollower/index.ts
+++ b/packages/store/src/ObjectFollower/index.ts
@@ -18,6 +18,8 @@
   onRegained?: (awayMs: number) => void;
   /** The mean pause before a failed call is made again, in milliseconds. */
   retryMs?: number;
+  /** How long to gather further changes after one before the next watch, in milliseconds; 0 by default. */
+  gatherMs?: number;
   random?: Random;
 }
 
@@ -35,7 +37,7 @@
  */
 export class ObjectFollower implements Disposable {
   readonly #options: Required<
-    Pick<ObjectFollowerOptions, 'retryMs' | 'random' | 'onLost' | 'onRegained'>
+    Pick<ObjectFollowerOptions, 'retryMs' | 'gatherMs' | 'random' | 'onLost' | 'onRegained'>
   > &
     ObjectFollowerOptions;
   readonly #stop = new AbortController();
@@ -46,6 +48,7 @@
   constructor(options: ObjectFollowerOptions) {
     this.#options = {
       retryMs: defaultRetryMs,
+      gatherMs: 0,
       random: Math.random,
       onLost: () => undefined,
       onRegained: () => undefined,
@@ -103,6 +106,18 @@
     this.#hear();
     for (const change of watched.changes) onChange(change);
     this.#revision = watched.revision;
+    if (watched.changes.length > 0) await this.#gather();
+  }
+
+  /**
+   * Waits a little for more changes, so that one watch tells of all of them.
+   *
+   * Guards against a call for each change and instance while many upstreams come and go: 33 instances
+   * that each watch again at once make 33 calls for every one.
+   */
+  async #gather(): Promise<void> {
+    const { clock, gatherMs } = this.#options;
+    if (gatherMs > 0) await clock.sleep(gatherMs, this.#stop.signal);
   }
 
   #fail(error: RouterError): void {
--- a/packages/store/src/ObjectFollower/test.ts
+++ b/packages/store/src/ObjectFollower/test.ts
@@ -44,13 +44,14 @@
   }
 }
 
-function follow(steps: Step[]) {
+function follow(steps: Step[], gatherMs = 0) {
   const clock = new ManualClock();
   const store = new ScriptedStore(steps);
   const events: string[] = [];
   const follower = new ObjectFollower({
     store,
     clock,
+    gatherMs,
     prefix: 'a/',
     random: () => 0.5,
     onSnapshot: ({ objects }) => events.push(`all ${objects.map(({ key }) => key).join()}`),
@@ -99,3 +100,19 @@
   t.true(store.calls.length > 5 && store.calls.length < 30);
   t.deepEqual(events, ['all ', 'lost']);
 });
+
+// Dozens of upstreams come and go within a second. An instance that watches again after each of them
+// makes a call for every one; the store serves a bounded number of calls from all instances.
+test('changes are gathered before the next watch', async (t) => {
+  const change = { key: 'k/a', revision: 8, object: undefined };
+  const steps: Step[] = [
+    { objects: [], revision: 7 },
+    { changes: [change], revision: 8 },
+    { changes: [], revision: 8 },
+  ];
+  const { clock, store } = follow(steps, 300);
+  await clock.advance(299);
+  t.deepEqual(store.calls, ['snapshot', 'watch 7']);
+  await clock.advance(1);
+  t.deepEqual(store.calls, ['snapshot', 'watch 7', 'watch 8', 'watch 8']);
+});
