Let idle stock of prepaid tokens be 0.35 of what is unspent

Cause: with stock gathered at one instance the old bound of 0.25 binds in cuts of 8 s from the store. What a death of all instances costs is inherent: stock that outlives an outage dies with them.

--- a/packages/ledger/src/_lib/prepaidStock/index.ts
+++ b/packages/ledger/src/_lib/prepaidStock/index.ts
@@ -34,7 +34,7 @@
  * stock is lost with a process is refused all that it asks for later, though it has paid; so stock
  * shrinks with what is left.
  */
-const idleShareOfUnspent = 0.25;
+const idleShareOfUnspent = 0.35;
 
 /** What an account starts with where its stock is gathered, in tokens. */
 export function openingStock({ prepaidTokens, isHome }: StockSituation): number {
