Soak the real programs under seeded faults, and check nine promises from outside

Instances run as processes of their own between stand-ins; signals, proxies and a store that misbehaves are injected in series that overlap.

--- /dev/null
+++ b/packages/soak/src/_lib/UpstreamStandin/index.ts
@@ -0,0 +1,94 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Observations } from '../Observations/index.js';
+import { requestKinds } from '../soakDocument/index.js';
+
+/** Options of {@link UpstreamStandin}. */
+export interface UpstreamStandinOptions {
+  readonly id: string;
+  readonly service: string;
+  readonly observations: Observations;
+  /** Milliseconds from the start of the run. */
+  readonly now: () => number;
+}
+
+/** How long a plain answer and the pause between two events take, in milliseconds. */
+const workMs = { plain: 15, event: 20 } as const;
+/** How many events a stream has. */
+const eventsOfStream = 8;
+
+/** A plain service, or an engine that answers with events, which tells what it receives and runs. */
+export class UpstreamStandin implements AsyncDisposable {
+  /** When it said that it leaves. */
+  leavingSinceMs: number | undefined;
+  readonly #options: UpstreamStandinOptions;
+  readonly #server: Server;
+
+  constructor(options: UpstreamStandinOptions) {
+    this.#options = options;
+    this.#server = createServer((request, response) => {
+      this.#answer(request, response).catch(() => {
+        response.destroy();
+      });
+    });
+  }
+
+  /** Its name in the store. */
+  get id(): string {
+    return this.#options.id;
+  }
+
+  /** Which service it belongs to. */
+  get service(): string {
+    return this.#options.service;
+  }
+
+  /** Begins to listen. */
+  async listen(): Promise<number> {
+    await new Promise<void>((resolve) => this.#server.listen(0, '127.0.0.1', resolve));
+    return (this.#server.address() as AddressInfo).port;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#server.closeAllConnections();
+    await new Promise<void>((resolve) => this.#server.close(() => resolve()));
+  }
+
+  async #answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { service, observations, id: ownId } = this.#options;
+    const id = String(request.headers['x-request-id']);
+    for await (const chunk of request) void chunk;
+    if (request.headers['x-expect-instance'] !== ownId) {
+      response.writeHead(421, { 'x-not-executed': '1' }).end();
+      return;
+    }
+    observations.arrive(service, id, this.leavingSinceMs);
+    const kind = requestKinds.find(({ path }) => request.url?.startsWith(path));
+    const promptTokens = Number(String(request.headers['x-token-count'] ?? '0').split(',')[0]);
+    const account = String(request.headers['x-tenant'] ?? '');
+    observations.run(id, kind?.isRepeatable ?? false, account, promptTokens);
+    const head = { 'x-request-id': id, 'x-response-seal': `seal.${id}`, 'x-server-load': '1,0,16' };
+    if (kind?.isStream === true) await this.#stream(id, request, response, head);
+    else {
+      await sleep(workMs.plain);
+      response.writeHead(200, head).end(`${id} ${service} whole`);
+    }
+  }
+
+  async #stream(
+    id: string,
+    request: IncomingMessage,
+    response: ServerResponse,
+    head: Record<string, string>,
+  ): Promise<void> {
+    response.writeHead(200, { ...head, 'content-type': 'text/event-stream' });
+    const after = Number(request.headers['last-event-id'] ?? 0);
+    for (let event = after + 1; event <= eventsOfStream; event += 1) {
+      await sleep(workMs.event);
+      if (response.destroyed) return;
+      response.write(`id: ${event}\ndata: ${id} ${event} of ${eventsOfStream}\n\n`);
+    }
+    response.end();
+  }
+}
--- /dev/null
+++ b/packages/soak/src/runSoak/test.ts
@@ -0,0 +1,48 @@
+import test from 'ava';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import type { DeliberateBreak, FaultKind, PromiseName, SoakOptions } from '../types.js';
+import { runSoak } from './index.js';
+
+function optionsFor(name: string, changes: Partial<SoakOptions> = {}): SoakOptions {
+  const directory = join(tmpdir(), `acaciacrank-soak-${process.pid}`, name);
+  const base = { seed: 1, durationMs: 8_000, instances: 2, requestsPerSecond: 40, directory };
+  return { ...base, ...changes };
+}
+
+// Real instances serve callers while processes and connections fail around them. Whatever fails, no
+// promise may be broken.
+test.serial('a short soak keeps every promise', async (t) => {
+  const report = await runSoak(optionsFor('sound', { durationMs: 12_000 }));
+  t.deepEqual(report.violations, []);
+  t.true(report.served > 0);
+});
+
+/** One planned fault in calm surroundings, for breaks of what happens then. */
+function only(kind: FaultKind): Partial<SoakOptions> {
+  return { faults: [{ kind, atMs: 2_000, forMs: 0, target: 0 }] };
+}
+
+/** Each deliberate break, the promise whose check has to find it, and the faults that it needs. */
+const breaks: readonly (readonly [DeliberateBreak, PromiseName, Partial<SoakOptions>])[] = [
+  ['runTwice', 'atMostOnce', { faults: [] }],
+  ['refuseAfterRun', 'trueRefusal', { faults: [] }],
+  ['cutAnswer', 'wholeAnswer', { faults: [] }],
+  ['raiseLimit', 'prepaid', { faults: [] }],
+  ['repeatArrivals', 'retryBudget', { faults: [] }],
+  ['holdConfiguration', 'configuration', only('changeConfiguration')],
+  ['holdLeaving', 'leavingUpstream', only('leaveUpstream')],
+  ['killForStop', 'plannedStop', only('stop')],
+  ['refuseAll', 'served', { faults: [] }],
+];
+
+// A check that cannot fail proves nothing: each promise is broken on purpose, without a word to the
+// checks, and has to be found within a short run.
+for (const [deliberateBreak, promise, faults] of breaks) {
+  test.serial(`the check of ${promise} finds ${deliberateBreak}`, async (t) => {
+    const changes = { ...faults, deliberateBreak, requestsPerSecond: 120 };
+    const report = await runSoak(optionsFor(deliberateBreak, changes));
+    const found = new Set(report.violations.map((violation) => violation.promise));
+    t.true(found.has(promise), `found ${[...found].join(', ')}`);
+  });
+}
