--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -2,6 +2,7 @@
   describeError,
   DisposableStore,
   StateStream,
+  withTimeout,
   type Clock,
   type FailureDomainId,
   type InstanceId,
@@ -81,6 +82,9 @@
  */
 const gatherUpstreamsMs = 300;
 
+/** Time kept for closing what is open at the end of a planned stop, in milliseconds. */
+const lastStepsMs = 300;
+
 /** How often a planned stop looks whether it is done, in milliseconds. */
 const stopPollMs = 50;
 
@@ -221,13 +225,32 @@
       if (nowMs >= acceptUntilMs && this.underWay === 0) break;
       await clock.sleep(stopPollMs);
     }
-    await Promise.allSettled([this.tokens.close(), this.registry.remove()]);
+    await this.#giveUpStock(startedMs + settings.stopLimitMs - lastStepsMs);
     this.#server.close();
     this.#server.closeIdleConnections();
     await this.#cleanUp.dispose();
     log.info({ underWay: this.underWay }, 'stopped');
   }
 
+  /**
+   * Gives stock back and ends the registration, for as long as there is time.
+   *
+   * Guards against a store that does not answer the last writes of a stop: each is tried again until
+   * the process is killed, in the middle of whatever it does. It shows as a process that is still
+   * there when its time is over. What is not given back counts as spent.
+   */
+  async #giveUpStock(endMs: number): Promise<void> {
+    const { clock, log } = this.#options;
+    const leftMs = Math.max(0, endMs - clock.monotonicMs());
+    const work = () => Promise.allSettled([this.tokens.close(), this.registry.remove()]);
+    const bounds = { kind: 'storeUnavailable', what: 'the last writes of a stop' } as const;
+    try {
+      await withTimeout(clock, leftMs, work, bounds);
+    } catch (thrown) {
+      log.warn({ error: describeError(thrown).message }, 'stock could not be given back');
+    }
+  }
+
   #createRegistry({ instanceId, runId }: Lifetime): InstanceRegistry {
     const { store, clock, settings, log, metrics } = this.#options;
     const { callers, fleet, failureDomain } = settings;
