--- a/packages/ledger/src/PrepaidAccount/index.ts
+++ b/packages/ledger/src/PrepaidAccount/index.ts
@@ -6,6 +6,7 @@
   type Random,
 } from '@acaciacrank/base';
 import type { ObjectStore, StoredObject } from '@acaciacrank/store';
+import { AccountPace } from '../_lib/AccountPace/index.js';
 import { LoanBook } from '../_lib/LoanBook/index.js';
 import { PrepaidGrant } from '../_lib/PrepaidGrant/index.js';
 import { homeStockMs, openingStock, wantedStock } from '../_lib/prepaidStock/index.js';
@@ -61,10 +62,6 @@
 const lentShare = 0.25;
 /** The longest pause after a lost race for a page, in milliseconds: a few calls to the store. */
 const conflictPauseMs = 30;
-/** Weight of the last second in the pace: a few seconds, since single requests are large. */
-const paceWeight = 0.25;
-/** The same where only other instances see the account's callers, who may come here any moment. */
-const idlePaceWeight = 0.06;
 /** How long a page that was read to be dry is believed, in milliseconds. */
 const dryMs = 1_000;
 /** Conditional writes tried in a row; each loser of a race learns the page from the answer. */
@@ -86,15 +83,9 @@
   #limit: PrepaidLimit;
   #reservedTokens = 0;
   #spentTokens = 0;
-  /** Undefined until the account is used for the first time, here or elsewhere. */
-  #paceTokensPerMs: number | undefined;
+  readonly #pace: AccountPace;
   /** Everything that was ever set aside or lent; tells the pace without waiting for requests to end. */
   #askedTokens = 0;
-  #askedAtTick = 0;
-  #tickMs: number;
-  #boundAtTick = 0;
-  /** The pace of all instances together, as far as their pages tell. */
-  #fleetPaceTokensPerMs = 0;
   #isSuspended = false;
   #dry: Dryness | undefined;
   #writing: Promise<ReserveOutcome> | undefined;
@@ -108,7 +99,7 @@
     this.#limit = limit;
     this.#options = options;
     this.#grant = new PrepaidGrant(options);
-    this.#tickMs = options.clock.monotonicMs();
+    this.#pace = new AccountPace(options.clock.monotonicMs());
   }
 
   /** Where the account's page lies. */
@@ -194,7 +185,12 @@
 
   /** Looks once a second whether to ask for more or to give back. */
   tick(): void {
-    this.#measurePace();
+    this.#pace.measure({
+      nowMs: this.#options.clock.monotonicMs(),
+      askedTokens: this.#askedTokens,
+      seenBoundTokens: this.#grant.seenBoundTokens,
+      openingTokensPerMs: openingStock(this.#situation) / homeStockMs,
+    });
     if (this.#writing !== undefined || this.#isFilling) return;
     if (this.#isSuspended) void this.#fitUnderLimit();
     else if (this.#isLow()) void this.#fill();
@@ -224,36 +220,18 @@
     return {
       prepaidTokens: this.#limit.prepaidTokens,
       seenBoundTokens: this.#grant.seenBoundTokens,
-      paceTokensPerMs: this.#paceTokensPerMs,
-      fleetPaceTokensPerMs: this.#fleetPaceTokensPerMs,
+      paceTokensPerMs: this.#pace.tokensPerMs,
+      fleetPaceTokensPerMs: this.#pace.fleetTokensPerMs,
       isHome: this.isHome,
     };
   }
 
-  #measurePace(): void {
-    const nowMs = this.#options.clock.monotonicMs();
-    const elapsedMs = Math.max(1, nowMs - this.#tickMs);
-    const seenBound = this.#grant.seenBoundTokens;
-    const pace = Math.max(0, this.#askedTokens - this.#askedAtTick) / elapsedMs;
-    // Unused anywhere, an account keeps its opening stock; used elsewhere only, it is not wanted here.
-    if (this.#askedTokens > 0 || seenBound > 0) {
-      const before = this.#paceTokensPerMs ?? openingStock(this.#situation) / homeStockMs;
-      const weight = this.#askedTokens > 0 ? paceWeight : idlePaceWeight;
-      this.#paceTokensPerMs = before + weight * (pace - before);
-    }
-    this.#askedAtTick = this.#askedTokens;
-    const fleetPace = Math.max(0, seenBound - this.#boundAtTick) / elapsedMs;
-    this.#fleetPaceTokensPerMs += paceWeight * (fleetPace - this.#fleetPaceTokensPerMs);
-    this.#boundAtTick = seenBound;
-    this.#tickMs = nowMs;
-  }
-
   #wantedStock(): number {
     return wantedStock(this.#situation);
   }
 
   #isLow(): boolean {
-    if (this.#dry !== undefined && this.#dry.untilMs > this.#tickMs) return false;
+    if (this.#dry !== undefined && this.#dry.untilMs > this.#pace.atMs) return false;
     const wanted = this.#wantedStock();
     if (this.stockTokens >= wanted * refillShare) return false;
     if (wanted - this.stockTokens <= leastMoveShare * this.#limit.prepaidTokens) return false;
--- a/packages/soak/src/_lib/FaultProxy/index.ts
+++ b/packages/soak/src/_lib/FaultProxy/index.ts
@@ -1,4 +1,5 @@
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { closeServer, listenOnLoopback } from '../listenOnLoopback/index.js';
 
 /** What a proxy does to the bytes that pass it. */
 export type ProxyMode = 'pass' | 'refuse' | 'dropForward' | 'dropBack' | 'delay';
@@ -35,12 +36,8 @@
   }
 
   /** Begins to listen. */
-  async listen(): Promise<number> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(0, '127.0.0.1', resolve);
-    });
-    return this.port;
+  listen(): Promise<number> {
+    return listenOnLoopback(this.#server);
   }
 
   /** Changes what happens from now on. */
@@ -63,11 +60,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     for (const socket of this.#sockets) socket.destroy();
-    await new Promise<void>((resolve) => {
-      this.#server.close(() => {
-        resolve();
-      });
-    });
+    await closeServer(this.#server);
   }
 
   #take(near: Socket): void {
--- a/packages/soak/src/_lib/StoreStandin/index.ts
+++ b/packages/soak/src/_lib/StoreStandin/index.ts
@@ -2,7 +2,7 @@
 import { createStoreServer } from '@acaciacrank/platform';
 import type { MemoryPlatform } from '@acaciacrank/store';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { closeServer, listenOnLoopback } from '../listenOnLoopback/index.js';
 
 /** How the store fails now. */
 export type StoreMode = 'well' | 'busy' | 'slow' | 'losesAnswers' | 'forgets';
@@ -28,14 +28,13 @@
   }
 
   /** Begins to listen. */
-  async listen(): Promise<number> {
-    await new Promise<void>((resolve) => this.#server.listen(0, '127.0.0.1', resolve));
-    return (this.#server.address() as AddressInfo).port;
+  listen(): Promise<number> {
+    return listenOnLoopback(this.#server);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.#server.closeAllConnections();
-    await new Promise<void>((resolve) => this.#server.close(() => resolve()));
+    await closeServer(this.#server);
   }
 
   #answer(request: IncomingMessage, response: ServerResponse): void {
--- a/packages/soak/src/_lib/UpstreamStandin/index.ts
+++ b/packages/soak/src/_lib/UpstreamStandin/index.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { closeServer, listenOnLoopback } from '../listenOnLoopback/index.js';
 import type { Observations } from '../Observations/index.js';
 import { requestKinds } from '../soakDocument/index.js';
 
@@ -45,14 +45,13 @@
   }
 
   /** Begins to listen. */
-  async listen(): Promise<number> {
-    await new Promise<void>((resolve) => this.#server.listen(0, '127.0.0.1', resolve));
-    return (this.#server.address() as AddressInfo).port;
+  listen(): Promise<number> {
+    return listenOnLoopback(this.#server);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.#server.closeAllConnections();
-    await new Promise<void>((resolve) => this.#server.close(() => resolve()));
+    await closeServer(this.#server);
   }
 
   async #answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/packages/soak/src/runSoak/index.ts
+++ b/packages/soak/src/runSoak/index.ts
@@ -8,6 +8,7 @@
 import { CallerLoad } from '../_lib/CallerLoad/index.js';
 import { FaultProxy } from '../_lib/FaultProxy/index.js';
 import { InstanceProcess, stopLimitMs } from '../_lib/InstanceProcess/index.js';
+import { closeServer } from '../_lib/listenOnLoopback/index.js';
 import { Observations } from '../_lib/Observations/index.js';
 import { planFaults } from '../_lib/planFaults/index.js';
 import { soakDocument } from '../_lib/soakDocument/index.js';
@@ -313,7 +314,7 @@
       resolve(true);
     });
   });
-  if (isListening) await new Promise<void>((resolve) => server.close(() => resolve()));
+  if (isListening) await closeServer(server);
   return isListening;
 }
 
