--- a/packages/soak/src/runSoak/test.ts
+++ b/packages/soak/src/runSoak/test.ts
@@ -18,6 +18,18 @@
   t.true(report.served > 0);
 });
 
+// The platform asks an instance to stop a second time while its planned stop is under way. The second
+// signal ended the process at once, with all requests that it served (seed 218, 0.25 minutes).
+test.serial('an instance that is asked to stop twice still stops by plan', async (t) => {
+  const stop = { kind: 'stop', forMs: 8_500, target: 0 } as const;
+  const faults = [
+    { ...stop, atMs: 1_500 },
+    { ...stop, atMs: 2_300 },
+  ];
+  const report = await runSoak(optionsFor('twice', { faults, requestsPerSecond: 120 }));
+  t.deepEqual(report.violations, []);
+});
+
 /** One planned fault in calm surroundings, for breaks of what happens then. */
 function only(kind: FaultKind): Partial<SoakOptions> {
   return { faults: [{ kind, atMs: 2_000, forMs: 0, target: 0 }] };
