Ask the home for what a request needs, also when it had no stock to spare

Cause: found by reading: a wish for stock that the home could not meet just then counted as an account without tokens, so that the borrower refused all requests of the next second by itself. Test first (heldElsewhere in place of reserved).

--- a/packages/ledger/src/PrepaidAccount/index.ts
+++ b/packages/ledger/src/PrepaidAccount/index.ts
@@ -159,6 +159,8 @@
     const { peers, accountId } = this.#options;
     const borrowed = await this.#borrow(peers.homeOf(accountId), neededTokens);
     if (borrowed === 'lent') return 'reserved';
+    // Stock that could not be had just now says nothing of what a request can get.
+    if (borrowed !== undefined && neededTokens === 0) return 'heldElsewhere';
     if (borrowed === 'exhausted' || borrowed === 'heldElsewhere') {
       const remainingTokens = Math.max(0, neededTokens - 1 - this.stockTokens);
       return this.#believeDry(borrowed, remainingTokens);
--- /dev/null
+++ b/packages/ledger/src/PrepaidAccount/test.ts
@@ -0,0 +1,65 @@
+import test from 'ava';
+import { ManualClock, type AccountId, type InstanceId } from '@acaciacrank/base';
+import { MemoryObjectStore, MemoryPlatform } from '@acaciacrank/store';
+import {
+  PrepaidPeers,
+  type LoanAnswer,
+  type LoanOutcome,
+  type LoanQuestion,
+} from '../PrepaidPeers/index.js';
+import { PrepaidAccount } from './index.js';
+
+const home = 'home' as InstanceId;
+
+/** A home that lends what a request needs, and does with wishes for stock as the test says. */
+class ScriptedHome extends PrepaidPeers {
+  stockOutcome: LoanOutcome = 'lent';
+  #lentTokens = 0;
+
+  override homeOf(): InstanceId {
+    return home;
+  }
+
+  override backupOf(): undefined {
+    return undefined;
+  }
+
+  override ask(_peer: InstanceId, { neededTokens }: LoanQuestion): Promise<LoanAnswer> {
+    this.#lentTokens += neededTokens;
+    const outcome = neededTokens > 0 ? 'lent' : this.stockOutcome;
+    return Promise.resolve({ lender: 'home~1', lentTokens: this.#lentTokens, outcome });
+  }
+
+  override serve(): Disposable {
+    return { [Symbol.dispose]: () => undefined };
+  }
+}
+
+// The instance that gathers an account's stock has run out of it for a moment, and another one asks it
+// for some to keep. Nothing can be lent just then; taken for an account without tokens, that refused
+// every request of the next second, though the home lends what a request needs.
+test('a home without stock to spare is still asked for what a request needs', async (t) => {
+  const clock = new ManualClock();
+  const peers = new ScriptedHome();
+  const account = new PrepaidAccount(
+    { prepaidTokens: 1_000_000, version: 1 },
+    {
+      accountId: 'one' as AccountId,
+      lifetime: { instanceId: 'other' as InstanceId, runId: 'r' },
+      store: new MemoryObjectStore(new MemoryPlatform(clock), clock),
+      clock,
+      peers,
+      onEvent: () => undefined,
+      random: () => 0.5,
+      isStoreAway: () => false,
+    },
+  );
+  t.is(await account.refill(50_000), 'reserved');
+  t.true(account.tryReserve(50_000));
+  peers.stockOutcome = 'heldElsewhere';
+  await clock.advance(1_000);
+  account.tick();
+  await clock.advance(10);
+  t.is(await account.refill(10_000), 'reserved');
+  t.true(account.tryReserve(10_000));
+});
