--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -84,6 +84,8 @@
 
 /** Time kept for closing what is open at the end of a planned stop, in milliseconds. */
 const lastStepsMs = 300;
+/** Time kept for the end of the process itself, in milliseconds. */
+const exitMs = 150;
 
 /** How often a planned stop looks whether it is done, in milliseconds. */
 const stopPollMs = 50;
@@ -105,6 +107,7 @@
   readonly #server: Server;
   readonly #links: WsFleetLinks;
   readonly #linkKey = randomBytes(linkKeyBytes).toString('hex');
+  #fleetPort: number | undefined;
   #phase: 'running' | 'leaving' | 'refusing' = 'running';
 
   constructor(options: ForwardingInstanceOptions) {
@@ -169,6 +172,11 @@
     return typeof address === 'object' && address !== null ? address.port : undefined;
   }
 
+  /** The port on which links of other instances arrive; undefined before {@link start}. */
+  get fleetPort(): number | undefined {
+    return this.#fleetPort;
+  }
+
   /** Requests that have no final answer yet. */
   get underWay(): number {
     return this.#handler.underWay;
@@ -186,7 +194,7 @@
   async start(): Promise<void> {
     const { callers, fleet } = this.#options.settings;
     const { ip, port } = callers;
-    await this.#links.listen(fleet);
+    this.#fleetPort = await this.#links.listen(fleet);
     await new Promise<void>((resolve, reject) => {
       this.#server.once('error', reject);
       this.#server.listen({ host: ip, port, backlog: listenBacklog }, resolve);
@@ -225,29 +233,30 @@
       if (nowMs >= acceptUntilMs && this.underWay === 0) break;
       await clock.sleep(stopPollMs);
     }
-    await this.#giveUpStock(startedMs + settings.stopLimitMs - lastStepsMs);
+    const limitMs = startedMs + settings.stopLimitMs;
+    const giveUp = () => Promise.allSettled([this.tokens.close(), this.registry.remove()]);
+    await this.#within(limitMs - lastStepsMs, 'giving stock back', giveUp);
     this.#server.close();
     this.#server.closeIdleConnections();
-    await this.#cleanUp.dispose();
+    await this.#within(limitMs - exitMs, 'closing', () => this.#cleanUp.dispose());
     log.info({ underWay: this.underWay }, 'stopped');
   }
 
   /**
-   * Gives stock back and ends the registration, for as long as there is time.
+   * Does a last step of a planned stop, for as long as there is time.
    *
-   * Guards against a store that does not answer the last writes of a stop: each is tried again until
-   * the process is killed, in the middle of whatever it does. It shows as a process that is still
-   * there when its time is over. What is not given back counts as spent.
+   * Guards against a store that does not answer the last writes, and against a peer whose connection
+   * hangs halfway: waited for, either would last until the process is killed, in the middle of
+   * whatever it does. It shows as a process that is still there when its time is over. Stock that is
+   * not given back counts as spent.
    */
-  async #giveUpStock(endMs: number): Promise<void> {
+  async #within(endMs: number, what: string, work: () => Promise<unknown>): Promise<void> {
     const { clock, log } = this.#options;
     const leftMs = Math.max(0, endMs - clock.monotonicMs());
-    const work = () => Promise.allSettled([this.tokens.close(), this.registry.remove()]);
-    const bounds = { kind: 'storeUnavailable', what: 'the last writes of a stop' } as const;
     try {
-      await withTimeout(clock, leftMs, work, bounds);
+      await withTimeout(clock, leftMs, work, { kind: 'deadlineExceeded', what });
     } catch (thrown) {
-      log.warn({ error: describeError(thrown).message }, 'stock could not be given back');
+      log.warn({ error: describeError(thrown).message }, 'a planned stop was cut short');
     }
   }
 
--- a/packages/soak/src/runSoak/index.ts
+++ b/packages/soak/src/runSoak/index.ts
@@ -21,8 +21,8 @@
   /index\.js$/,
   'bin.js',
 );
-/** The ports that instances listen on. */
-const ports = { least: 20_000, most: 32_000 } as const;
+/** The ports that instances listen on: a range for each process, shared by one in a hundred. */
+const ports = { least: 20_000, each: 120, ranges: 100 } as const;
 /** How many upstreams each service has. */
 const upstreamCounts = { app: 3, records: 2, lm: 3 } as const;
 /** How long the instances have before load begins, and how long they may take at the most, in milliseconds. */
@@ -292,13 +292,17 @@
 }
 
 /**
- * Ports that nobody listens on now, below those that the system gives to connections: one of these
- * could be taken between the look and the start of the process.
+ * Ports that nobody listens on now.
+ *
+ * Guards against ports that are taken between the look and the start of the instance. They lie below
+ * those that the system gives to connections, and in a range of this process: the port of an instance
+ * that was just killed looks free to another soak.
  */
 async function freePorts(count: number): Promise<number[]> {
   const found: number[] = [];
+  const least = ports.least + (process.pid % ports.ranges) * ports.each;
   while (found.length < count) {
-    const port = randomInt(ports.least, ports.most);
+    const port = randomInt(least, least + ports.each);
     if (!found.includes(port) && (await isFree(port))) found.push(port);
   }
   return found;
