Look up the soak's ports once for all instances

Cause: three of ten runs with a narrow range ended before they began: the ports of one instance were looked up while the one before it did not listen yet, so two got the same.

--- a/packages/soak/src/runSoak/index.ts
+++ b/packages/soak/src/runSoak/index.ts
@@ -23,6 +23,8 @@
 );
 /** The ports that instances listen on: a range for each process, shared by one in a hundred. */
 const ports = { least: 20_000, each: 120, ranges: 100 } as const;
+/** For callers, readiness, the directory and links. */
+const portsOfInstance = 4;
 /** How many upstreams each service has. */
 const upstreamCounts = { app: 3, records: 2, lm: 3 } as const;
 /** How long the instances have before load begins, and how long they may take at the most, in milliseconds. */
@@ -116,10 +118,11 @@
     for (const [service, count] of Object.entries(upstreamCounts)) {
       for (let index = 0; index < count; index += 1) await this.#addUpstream(service);
     }
+    const free = await freePorts(portsOfInstance * instances);
     for (let index = 0; index < instances; index += 1) {
       const proxy = this.#owned.add(new FaultProxy(storePort));
       this.#storeProxies.push(proxy);
-      const [front = 0, ready = 0, directoryPort = 0, fleet = 0] = await freePorts(4);
+      const [front = 0, ready = 0, directoryPort = 0, fleet = 0] = free.splice(0, portsOfInstance);
       const instance = new InstanceProcess({
         name: `instance-${index}`,
         program,
@@ -292,11 +295,12 @@
 }
 
 /**
- * Ports that nobody listens on now.
+ * Ports that nobody listens on now, for all instances at once.
  *
- * Guards against ports that are taken between the look and the start of the instance. They lie below
- * those that the system gives to connections, and in a range of this process: the port of an instance
- * that was just killed looks free to another soak.
+ * Guards against ports that are given twice, which shows as an instance that never gets ready: until
+ * an instance listens its ports look free, also while it is down after a kill. So one look serves all
+ * instances of a soak, each soak has a range of its own, and the ranges lie below the ports that the
+ * system gives to connections.
  */
 async function freePorts(count: number): Promise<number[]> {
   const found: number[] = [];
