--- a/packages/ledger/src/_lib/LoanBook/index.ts
+++ b/packages/ledger/src/_lib/LoanBook/index.ts
@@ -9,12 +9,11 @@
 export class LoanBook {
   readonly #lent = new Map<string, number>();
   readonly #taken = new Map<string, number>();
-  #lentTokens = 0;
-  #takenTokens = 0;
+  #balanceTokens = 0;
 
   /** Tokens that others gave, less those that were given away. */
   get balanceTokens(): number {
-    return this.#takenTokens - this.#lentTokens;
+    return this.#balanceTokens;
   }
 
   /** Everything that was ever given to a lifetime. */
@@ -25,7 +24,7 @@
   /** Gives tokens away; they are no longer to be spent here when this returns. */
   lend(borrower: string, tokens: number): void {
     this.#lent.set(borrower, this.lentTo(borrower) + tokens);
-    this.#lentTokens += tokens;
+    this.#balanceTokens -= tokens;
   }
 
   /**
@@ -39,7 +38,7 @@
     const known = this.#taken.get(lender) ?? 0;
     if (totalTokens <= known) return 0;
     this.#taken.set(lender, totalTokens);
-    this.#takenTokens += totalTokens - known;
+    this.#balanceTokens += totalTokens - known;
     return totalTokens - known;
   }
 }
