Wait for answers of the store while their bytes come, and read only the newest configuration after an outage

Cause: an answer was given 0.8 s in all (a watch its wait and 0.6 s), so a configuration of a thousand routes over a link of 16 Mbit/s was given up while it came, and a watch after a cut brought every version on the way. Ruled out: a slow store (its first byte came in time in the log of KNOWN-RED).

--- a/packages/base/src/withTimeout/index.ts
+++ b/packages/base/src/withTimeout/index.ts
@@ -10,13 +10,20 @@
   what: string;
   /** Aborts the work from outside as well. */
   signal?: AbortSignal;
+  /**
+   * How long work that keeps making progress may take in all, in milliseconds; the limit by default,
+   * so that progress extends nothing.
+   */
+  longestMs?: number;
 }
 
 /**
  * Runs work with a bound on its time; the work's signal is aborted when time runs out.
  *
+ * Work that calls `onProgress` has the whole limit again from then on, up to `longestMs` in all.
+ *
  * @param clock - measures the time
- * @param limitMs - how long the work may take
+ * @param limitMs - how long the work may take without progress
  * @param work - what to run
  * @param options - the error's kind and words
  * @returns what the work returns
@@ -31,23 +38,33 @@
 export async function withTimeout<Value>(
   clock: Clock,
   limitMs: number,
-  work: (signal: AbortSignal) => Promise<Value>,
+  work: (signal: AbortSignal, onProgress: () => void) => Promise<Value>,
   options: WithTimeoutOptions,
 ): Promise<Value> {
   const abort = new AbortController();
+  const latestMs = clock.monotonicMs() + (options.longestMs ?? limitMs);
   const onOuterAbort = () => {
     abort.abort();
   };
   options.signal?.addEventListener('abort', onOuterAbort, { once: true });
   let timer: Disposable | undefined;
+  let extend: () => void = () => undefined;
   const timeout = new Promise<never>((_, reject) => {
-    timer = clock.schedule(limitMs, () => {
+    const onTimeout = () => {
       abort.abort();
       reject(new RouterError(options.kind, `${options.what} took longer than ${limitMs} ms`));
-    });
+    };
+    extend = () => {
+      timer?.[Symbol.dispose]();
+      timer = clock.schedule(Math.min(limitMs, latestMs - clock.monotonicMs()), onTimeout);
+    };
+    extend();
   });
+  const onProgress = () => {
+    if (!abort.signal.aborted) extend();
+  };
   try {
-    return await Promise.race([work(abort.signal), timeout]);
+    return await Promise.race([work(abort.signal, onProgress), timeout]);
   } finally {
     timer?.[Symbol.dispose]();
     options.signal?.removeEventListener('abort', onOuterAbort);
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -321,6 +321,8 @@
       clock,
       random,
       prefix: codec.configurationKey.slice(0, codec.configurationKey.indexOf('/') + 1),
+      // Several large versions in one answer would delay the one that counts over a narrow link.
+      isNewestEnough: true,
       onSnapshot: ({ objects }) => {
         objects.forEach(take);
       },
--- a/packages/store/src/ObjectFollower/index.ts
+++ b/packages/store/src/ObjectFollower/index.ts
@@ -20,6 +20,11 @@
   retryMs?: number;
   /** How long to gather further changes after one before the next watch, in milliseconds; 0 by default. */
   gatherMs?: number;
+  /**
+   * Whether the newest state is all that matters, so that after an outage it is read as it stands in
+   * place of every change that led there.
+   */
+  isNewestEnough?: boolean;
   random?: Random;
 }
 
@@ -37,7 +42,10 @@
  */
 export class ObjectFollower implements Disposable {
   readonly #options: Required<
-    Pick<ObjectFollowerOptions, 'retryMs' | 'gatherMs' | 'random' | 'onLost' | 'onRegained'>
+    Pick<
+      ObjectFollowerOptions,
+      'retryMs' | 'gatherMs' | 'isNewestEnough' | 'random' | 'onLost' | 'onRegained'
+    >
   > &
     ObjectFollowerOptions;
   readonly #stop = new AbortController();
@@ -49,6 +57,7 @@
     this.#options = {
       retryMs: defaultRetryMs,
       gatherMs: 0,
+      isNewestEnough: false,
       random: Math.random,
       onLost: () => undefined,
       onRegained: () => undefined,
@@ -121,7 +130,8 @@
   }
 
   #fail(error: RouterError): void {
-    if (error.kind === 'historyGone') this.#revision = undefined;
+    const { isNewestEnough } = this.#options;
+    if (isNewestEnough || error.kind === 'historyGone') this.#revision = undefined;
     if (this.#isLost) return;
     this.#isLost = true;
     this.#options.onLost(error);
--- a/packages/store/src/ObjectFollower/test.ts
+++ b/packages/store/src/ObjectFollower/test.ts
@@ -44,7 +44,10 @@
   }
 }
 
-function follow(steps: Step[], gatherMs = 0) {
+function follow(
+  steps: Step[],
+  { gatherMs = 0, isNewestEnough = false }: { gatherMs?: number; isNewestEnough?: boolean } = {},
+) {
   const clock = new ManualClock();
   const store = new ScriptedStore(steps);
   const events: string[] = [];
@@ -52,6 +55,7 @@
     store,
     clock,
     gatherMs,
+    isNewestEnough,
     prefix: 'a/',
     random: () => 0.5,
     onSnapshot: ({ objects }) => events.push(`all ${objects.map(({ key }) => key).join()}`),
@@ -110,9 +114,23 @@
     { changes: [change], revision: 8 },
     { changes: [], revision: 8 },
   ];
-  const { clock, store } = follow(steps, 300);
+  const { clock, store } = follow(steps, { gatherMs: 300 });
   await clock.advance(299);
   t.deepEqual(store.calls, ['snapshot', 'watch 7']);
   await clock.advance(1);
   t.deepEqual(store.calls, ['snapshot', 'watch 7', 'watch 8', 'watch 8']);
 });
+
+// Large versions follow each other while an instance is cut off. All of them come in one answer over a
+// narrow link, and the one that counts comes last, seconds after the cut is over.
+test('where the newest state is enough, it alone is read after an outage', async (t) => {
+  const steps = [
+    { objects: [object('a/1')], revision: 5 },
+    away(),
+    { objects: [object('a/1')], revision: 20 },
+  ];
+  const { clock, store, events } = follow(steps, { isNewestEnough: true });
+  await clock.advance(2_000);
+  t.deepEqual(store.calls, ['snapshot', 'watch 5', 'snapshot', 'watch 20']);
+  t.deepEqual(events, ['all a/1', 'lost', 'regained', 'all a/1']);
+});
