Place prompts by what this instance learns of the engines, over all of them

Hypothesis: groups of engines by prompt length and moves of streams answer pauses that a model written down for one kind of engine predicts; on engines with smaller chunks no prompt harms its neighbours and most engines idle. So reading times are learnt (asymmetric least squares over the last 192 prompts), each prompt goes where it is read first, counting what is queued there and what it takes to have its shared parts there, and parts are remembered at every engine that was sent them.

Removed with their tests, since the mechanisms go: groups, own engines, moves of running streams. The test that a hot part spills to three engines at most becomes one of the cost that bounds the spill.

--- a/packages/forwarding/src/ForwardCodec/index.ts
+++ b/packages/forwarding/src/ForwardCodec/index.ts
@@ -2,9 +2,7 @@
 import type {
   AnswerHead,
   CallHead,
-  EncodedCall,
   ForwardConfiguration,
-  MoveCall,
   UpstreamFields,
   UpstreamRecord,
 } from '../types.js';
@@ -39,12 +37,6 @@
   /** Reads the headers of an upstream's answer. */
   abstract readAnswer(status: number, headers: RawHeaders): AnswerHead;
 
-  /** Makes the call that copies a run's memory to another engine. */
-  abstract moveCall(move: MoveCall): EncodedCall;
-
-  /** Reads the handle of a copied run from the answer; undefined where there is none. */
-  abstract readMoveAnswer(body: string): string | undefined;
-
   /** Makes the headers that a caller gets from those that the upstream sent. */
   abstract callerHeaders(upstreamHeaders: RawHeaders): string[];
 }
--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -10,9 +10,10 @@
 } from '@acaciacrank/base';
 import { ByteBudget, CallerWriter, readBody, writeError } from '@acaciacrank/callers';
 import type { PrepaidAccounts, ReserveOutcome } from '@acaciacrank/ledger';
-import type { ChooserPlace, RetryShare } from '@acaciacrank/routing';
+import type { RetryShare } from '@acaciacrank/routing';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Dispatch, type DispatchParts } from '../_lib/Dispatch/index.js';
+import { EngineModels } from '../_lib/EngineModels/index.js';
 import type { ForwardCall } from '../_lib/ForwardCall/index.js';
 import { callerStallLimitMs, heldBytesLimit, tokenWaitLimitMs } from '../_lib/limits/index.js';
 import { PartPlaces } from '../_lib/PartPlaces/index.js';
@@ -39,8 +40,6 @@
   tokens: PrepaidAccounts;
   retries: RetryShare;
   ownDomain: FailureDomainId;
-  /** This instance among the others. */
-  place: () => ChooserPlace;
   /** Whether new requests are taken; an instance that leaves refuses them at its end. */
   isAccepting: () => boolean;
   /** Whether connections end with their next answer. */
@@ -67,7 +66,10 @@
 
   constructor(options: ForwardHandlerOptions) {
     this.#options = options;
-    this.#parts = { ...options, parts: new PartPlaces() };
+    const models = new EngineModels((service, fit) => {
+      options.log.info({ service, ...fit }, 'engines learnt');
+    });
+    this.#parts = { ...options, parts: new PartPlaces(), models };
   }
 
   /** Requests that have no final answer yet. */
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -148,7 +148,6 @@
       tokens: this.tokens,
       retries,
       ownDomain: settings.failureDomain,
-      place: () => this.registry.place(),
       isAccepting: () => this.#phase !== 'refusing',
       isLeaving: () => this.#phase !== 'running',
       random,
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -5,12 +5,11 @@
 import type { ServerResponse } from 'node:http';
 import type { Readable } from 'node:stream';
 import type { ForwardCodec, RawHeaders } from '../../ForwardCodec/index.js';
-import type { MovedRun } from '../../types.js';
 import { EventBuffer, type StreamEvent } from '../EventBuffer/index.js';
 import type { ForwardCall } from '../ForwardCall/index.js';
 import { heldBytesLimit, returnMarginMs } from '../limits/index.js';
 import { openExchange, wasNeverSent, type Exchange } from '../openExchange/index.js';
-import type { Send, Upstream } from '../Upstream/index.js';
+import type { Reading, Send, Upstream } from '../Upstream/index.js';
 
 /** How one attempt ended. */
 export type AttemptResult =
@@ -43,12 +42,10 @@
   upstream: Upstream;
   /** Where the prompt's parts may be fetched from; undefined for nowhere. */
   fetchFrom: string | undefined;
-  /** How long the upstream will read for it, in milliseconds. */
-  prefillMs: number;
-  /** Where the run's memory lies, when it goes on from another engine. */
-  movedFrom: MovedRun | undefined;
+  /** What the engine will read for it; undefined for plain services. */
+  reading: Reading | undefined;
   /** Called once when the first event came. */
-  onBegun: () => void;
+  onBegun: (send: Send) => void;
   /** After this long without anything from the upstream, give it up; undefined for never. */
   silenceLimitMs: number | undefined;
 }
@@ -74,7 +71,7 @@
     if (call.gone.aborted) return { kind: 'callerGone', wasSent: false };
     if (leftMs <= returnMarginMs) return { kind: 'deadline', wasSent: false };
     const connection = upstream.takeConnection();
-    const send = upstream.begin(this.#options.prefillMs);
+    const send = upstream.begin(this.#options.reading);
     const deadline = clock.schedule(leftMs, this.#ender('deadline'));
     const onGone = this.#ender('callerGone');
     call.gone.addEventListener('abort', onGone, { once: true });
@@ -110,7 +107,7 @@
   }
 
   #request(leftMs: number) {
-    const { call, upstream, codec, fetchFrom, movedFrom } = this.#options;
+    const { call, upstream, codec, fetchFrom } = this.#options;
     const { request } = call;
     const headers = codec.upstreamHeaders(request.rawHeaders, {
       upstreamId: upstream.id,
@@ -119,7 +116,6 @@
       resumeAfter: call.progress.lastEventId ?? call.head.resumeAfter,
       priority: undefined,
       fetchFrom,
-      movedFrom,
     });
     return {
       method: request.method ?? 'GET',
@@ -163,7 +159,7 @@
     const { call } = this.#options;
     const buffer = new EventBuffer();
     for await (const chunk of exchange.body as AsyncIterable<Buffer>) {
-      if (!send.hasBegun) this.#options.onBegun();
+      if (!send.hasBegun) this.#options.onBegun(send);
       this.#hear(send, true);
       const events = buffer.push(chunk);
       if (events.length > 0) await this.#write(exchange, events);
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -9,16 +9,16 @@
   type Random,
   type UpstreamId,
 } from '@acaciacrank/base';
-import type { ChooserPlace, RetryShare } from '@acaciacrank/routing';
+import type { EngineModel, RetryShare } from '@acaciacrank/routing';
 import type { ForwardCodec } from '../../ForwardCodec/index.js';
 import type { UpstreamTable } from '../../UpstreamTable/index.js';
 import { Attempt, endWithConnection, type AttemptResult } from '../Attempt/index.js';
 import { isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
+import type { EngineModels } from '../EngineModels/index.js';
 import { maxUnsentAttempts, silenceMs } from '../limits/index.js';
 import type { PartPlaces } from '../PartPlaces/index.js';
-import { moveRun, type MoveResult } from '../moveRun/index.js';
-import { pickMoveTarget, pickUpstream, type UpstreamPick } from '../pickUpstream/index.js';
-import type { Upstream } from '../Upstream/index.js';
+import { pickUpstream, type UpstreamPick } from '../pickUpstream/index.js';
+import type { Send, Upstream } from '../Upstream/index.js';
 
 /** What all dispatches of an instance share. */
 export interface DispatchParts {
@@ -27,9 +27,8 @@
   readonly upstreams: UpstreamTable;
   readonly retries: RetryShare;
   readonly ownDomain: FailureDomainId;
-  /** This instance among the others. */
-  readonly place: () => ChooserPlace;
   readonly parts: PartPlaces;
+  readonly models: EngineModels;
   readonly random: Random;
   readonly metrics: Metrics;
 }
@@ -47,11 +46,6 @@
   readonly #call: ForwardCall;
   readonly #tried = new Set<UpstreamId>();
   #unsent = 0;
-  /** A move of the run that is under way. */
-  #moving: Promise<MoveResult | undefined> | undefined;
-  #moveTarget: Upstream | undefined;
-  /** Where the run goes on next. */
-  #moved: UpstreamPick | undefined;
 
   constructor(parts: DispatchParts, call: ForwardCall) {
     this.#parts = parts;
@@ -65,27 +59,24 @@
    */
   async run(): Promise<void> {
     for (;;) {
-      const pick = this.#moved ?? this.#pick();
-      this.#moved = undefined;
+      const pick = this.#pick();
       if (pick === undefined) throw this.#noUpstream();
       const result = await this.#attempt(pick);
-      if (result.kind === 'broken' && (await this.#goesOn(pick.upstream))) continue;
       if (await this.#finish(pick.upstream, result)) return;
     }
   }
 
   #pick(): UpstreamPick | undefined {
-    const { upstreams, ownDomain, place, parts, clock, random } = this.#parts;
-    const { head, route, service } = this.#call;
+    const { upstreams, ownDomain, parts, clock, random } = this.#parts;
+    const { head, service } = this.#call;
     return pickUpstream({
       candidates: upstreams.usable(service.name),
       tried: this.#tried,
       promptParts: head.promptParts,
       promptTokens: head.tokens?.promptTokens ?? 0,
-      gapTargetMs: route.gapTargetMs,
-      tokensPerEvent: service.engine?.tokensPerEvent ?? 1,
+      engine: service.engine,
+      model: this.#model,
       ownDomain,
-      place: place(),
       parts,
       nowMs: clock.monotonicMs(),
       random,
@@ -93,7 +84,7 @@
   }
 
   async #attempt(pick: UpstreamPick): Promise<AttemptResult> {
-    const { upstream, fetchFrom, prefillMs, movedFrom, why } = pick;
+    const { upstream, fetchFrom, reading, why } = pick;
     const { clock, codec, retries } = this.#parts;
     const call = this.#call;
     if (this.#tried.size === 0) retries.recordRequest(call.service.name);
@@ -103,6 +94,7 @@
       why,
       fetchFrom,
       backlogMs: Math.round(upstream.backlogMs),
+      readMs: reading === undefined ? undefined : Math.round(reading.expectedMs),
       ownInFlight: upstream.sends.size,
       reportedRunning: upstream.load?.report.running,
       reportAgeMs:
@@ -112,8 +104,8 @@
       outOf: this.#parts.upstreams.usable(call.service.name).length,
     });
     const silenceLimitMs = this.#silenceLimitMs();
-    const onBegun = () => {
-      if (why === 'long' && call.service.engine?.canMove === true) this.#beginMove(upstream);
+    const onBegun = (send: Send) => {
+      this.#learnFrom(send);
     };
     const attempt = new Attempt({
       clock,
@@ -121,8 +113,7 @@
       call,
       upstream,
       fetchFrom,
-      prefillMs,
-      movedFrom,
+      reading,
       onBegun,
       silenceLimitMs,
     });
@@ -131,38 +122,16 @@
     return result;
   }
 
-  /**
-   * Moves a stream away from the engine that read its long prompt.
-   *
-   * Answers long prompts that follow each other at one engine: while the next one is read, each
-   * stream there pauses for too long. The memory is copied while the stream goes on, then the run
-   * stops for the little that is new.
-   */
-  #beginMove(source: Upstream): void {
-    const { upstreams, clock, codec, metrics } = this.#parts;
-    const call = this.#call;
-    const { requestId } = call.head;
-    const target = pickMoveTarget(upstreams.usable(call.service.name), source, clock.monotonicMs());
-    if (target === undefined || requestId === undefined) return;
-    this.#moveTarget = target;
-    this.#moving = moveRun({ codec, source, requestId, target: target.address }).then((moved) => {
-      metrics.count('moves', moved === undefined ? 'refused' : 'made');
-      call.story.add('moved', { upstreamId: target.id, isMade: moved !== undefined });
-      return moved;
-    });
+  /** Learns from a prompt that was read alone, as far as this instance sees. */
+  #learnFrom({ reading, sentMs, isAlone }: Send): void {
+    if (reading === undefined || !isAlone || !reading.isHeld) return;
+    const { promptTokens, newTokens } = reading;
+    const elapsedMs = this.#parts.clock.monotonicMs() - sentMs;
+    this.#model.observeRead({ newTokens, cachedTokens: promptTokens - newTokens, elapsedMs });
   }
 
-  /** After a stream ended without its end: whether that was a move, so that it goes on elsewhere. */
-  async #goesOn(source: Upstream): Promise<boolean> {
-    const moving = this.#moving;
-    const target = this.#moveTarget;
-    this.#moving = undefined;
-    if (moving === undefined || target === undefined) return false;
-    const movedFrom = await moving;
-    if (movedFrom === undefined) return false;
-    const upstream = movedFrom.isAtTarget ? target : source;
-    this.#moved = { upstream, fetchFrom: undefined, prefillMs: 0, why: 'moved', movedFrom };
-    return true;
+  get #model(): EngineModel {
+    return this.#parts.models.of(this.#call.service.name);
   }
 
   /** How long to wait for a silent upstream, where another one may be asked instead. */
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -12,12 +12,24 @@
   silenceMs,
 } from '../limits/index.js';
 
+/** What an engine reads for a request, as estimated when it was sent. */
+export interface Reading {
+  readonly expectedMs: number;
+  readonly promptTokens: number;
+  /** Tokens of the prompt that no other request shares. */
+  readonly newTokens: number;
+  /** Whether the engine is known to hold all the others. */
+  readonly isHeld: boolean;
+}
+
 /** One request under way at an upstream. */
 export interface Send {
+  readonly sentMs: number;
   /** When the upstream last sent something for it, or when it was sent. */
   heardMs: number;
-  /** How long the engine will read for it, as estimated when it was sent, in milliseconds. */
-  readonly prefillMs: number;
+  readonly reading: Reading | undefined;
+  /** Whether nothing else of this instance was read there when it was sent. */
+  readonly isAlone: boolean;
   /** Whether its answer has begun, so that the prompt is read. */
   hasBegun: boolean;
   /** The longest time between two parts of its answer, in milliseconds. */
@@ -53,7 +65,7 @@
   /** Reading that this instance has ordered here and that has not ended, in milliseconds. */
   get backlogMs(): number {
     let sumMs = 0;
-    for (const send of this.sends) if (!send.hasBegun) sumMs += send.prefillMs;
+    for (const send of this.#unread()) sumMs += send.reading?.expectedMs ?? 0;
     return sumMs;
   }
 
@@ -97,9 +109,16 @@
   }
 
   /** Notes that a request is sent there. */
-  begin(prefillMs: number): Send {
+  begin(reading: Reading | undefined): Send {
     const nowMs = this.#clock.monotonicMs();
-    const send = { heardMs: nowMs, prefillMs, hasBegun: false, longestGapMs: 0 };
+    const send = {
+      sentMs: nowMs,
+      heardMs: nowMs,
+      reading,
+      isAlone: this.#unread().length === 0,
+      hasBegun: false,
+      longestGapMs: 0,
+    };
     this.sends.add(send);
     return send;
   }
@@ -146,6 +165,11 @@
     await Promise.all(connections.map(({ client }) => client.close()));
   }
 
+  /** Requests whose prompts are being read, or wait for that. */
+  #unread(): readonly Send[] {
+    return [...this.sends].filter((send) => send.reading !== undefined && !send.hasBegun);
+  }
+
   /**
    * Guards against an upstream that went dark: connections stay open and say nothing for good. It
    * shows as requests that wait while nothing at all comes from there.
--- a/packages/forwarding/src/_lib/pickUpstream/index.ts
+++ b/packages/forwarding/src/_lib/pickUpstream/index.ts
@@ -2,17 +2,10 @@
  * Which upstream a request goes to.
  */
 import type { FailureDomainId, Random, UpstreamId } from '@acaciacrank/base';
-import {
-  chooseOwn,
-  estimatePrefill,
-  longestHarmlessPrompt,
-  placePrompt,
-  splitEngines,
-  type ChooserPlace,
-} from '@acaciacrank/routing';
-import type { MovedRun, PromptPart } from '../../types.js';
+import { placePrompt, type EngineModel } from '@acaciacrank/routing';
+import type { EngineTraits, PromptPart } from '../../types.js';
 import type { PartPlaces } from '../PartPlaces/index.js';
-import type { Upstream } from '../Upstream/index.js';
+import type { Reading, Upstream } from '../Upstream/index.js';
 
 /** What a choice goes by. */
 export interface PickRequest {
@@ -21,43 +14,35 @@
   readonly tried: ReadonlySet<UpstreamId>;
   readonly promptParts: readonly PromptPart[];
   readonly promptTokens: number;
-  /** The longest pause that the route's streams may have; undefined for plain answers. */
-  readonly gapTargetMs: number | undefined;
-  readonly tokensPerEvent: number;
+  /** What the service says of its engines. */
+  readonly engine: EngineTraits | undefined;
+  /** What was learnt of them. */
+  readonly model: EngineModel;
   readonly ownDomain: FailureDomainId;
-  /** This instance among the others. */
-  readonly place: ChooserPlace;
-  /** Where parts were read last. */
+  /** Where parts were read. */
   readonly parts: PartPlaces;
   readonly nowMs: number;
   readonly random: Random;
 }
 
-type PromptLength = 'ordinary' | 'medium' | 'long';
-
 /** A choice, and what decided it. */
 export interface UpstreamPick {
   readonly upstream: Upstream;
   /** Where shared parts of the prompt may be copied from; undefined for nowhere. */
   readonly fetchFrom: string | undefined;
-  /** How long the engine will read, in milliseconds; 0 for plain services. */
-  readonly prefillMs: number;
-  readonly why: PromptLength | 'leastBusy' | 'moved';
-  /** Where the run's memory lies, when the request goes on at another engine. */
-  readonly movedFrom?: MovedRun;
+  /** What the engine will read; undefined for plain services. */
+  readonly reading: Reading | undefined;
+  readonly why: 'held' | 'spilled' | 'leastBusy';
 }
 
 /** What another failure domain counts for in a plain service's load, in requests: it is 1 to 3 ms away. */
 const farRequests = 0.5;
 /** A report older than this says nothing of the load now, in milliseconds. */
 const reportAgeLimitMs = 1_000;
-/**
- * The shares of engines for ordinary, medium and long prompts, about what each has to be read where
- * few prompts hold most of the tokens.
- */
-const groupShares = [0.4, 0.3, 0.3] as const;
-/** Prompts up to this share of the longest harmless length are ordinary: two may be read at once. */
-const ordinaryShare = 0.5;
+/** Shared parts are copied where that takes less than this share of reading them. */
+const worthwhileCopyShare = 0.5;
+const bitsInByte = 8;
+const bitsInMegabitPerMs = 1_000;
 
 /**
  * Chooses an upstream.
@@ -90,48 +75,37 @@
   shared: PromptPart,
   request: PickRequest,
 ): UpstreamPick | undefined {
-  const { promptTokens, parts, place: chooser } = request;
-  const [ordinary = [], medium = [], long = []] = splitEngines(usable, groupShares);
-  const own = request.promptParts.at(-1)?.tokens ?? 0;
-  const prefillMs = estimatePrefill(Math.min(own, promptTokens), promptTokens - own);
-  const home = placePrompt(shared.id, ordinary);
-  const length = lengthOf(request);
-  const upstream =
-    length === 'ordinary' ? home?.engine : chooseOwn(length === 'medium' ? medium : long, chooser);
-  if (upstream === undefined) return undefined;
-  // The part is copied from where this instance sent it last, or where all instances begin.
-  const lastId = parts.last(shared.id);
-  const last = usable.find(({ id }) => id === lastId);
-  const holder = last ?? home?.home ?? home?.engine;
-  const fetchFrom = holder === upstream ? undefined : holder?.address;
-  parts.note(shared.id, upstream.id);
-  return { upstream, fetchFrom, prefillMs, why: length };
-}
-
-/**
- * Chooses where a stream goes on whose long prompt was just read.
- *
- * @param candidates - usable engines
- * @param source - where it runs
- * @param nowMs - on the monotonic clock
- * @returns an engine that reads no long prompts; undefined where there is none
- */
-export function pickMoveTarget(
-  candidates: readonly Upstream[],
-  source: Upstream,
-  nowMs: number,
-): Upstream | undefined {
-  const [ordinary = []] = splitEngines(candidates, groupShares);
-  const usable = ordinary.filter((one) => one !== source && !one.isLeftOut(nowMs));
-  return usable.sort((a, b) => a.running - b.running)[0];
+  const { promptTokens, parts, model, nowMs } = request;
+  const ownTokens = Math.min(request.promptParts.at(-1)?.tokens ?? 0, promptTokens);
+  const sharedTokens = promptTokens - ownTokens;
+  const ownMs = model.readMs(ownTokens, sharedTokens);
+  const sharedMs = Math.max(0, model.readMs(promptTokens, 0) - ownMs);
+  const holders = parts.holders(shared.id, nowMs);
+  const place = placePrompt({ key: shared.id, sharedMs, holders }, usable);
+  if (place === undefined) return undefined;
+  const { engine: upstream, holder } = place;
+  parts.note(shared.id, upstream.id, nowMs);
+  const copySharedMs = copyMs(sharedTokens, request.engine);
+  const isCopied = holder !== undefined && copySharedMs < worthwhileCopyShare * sharedMs;
+  const extraMs = isCopied ? copySharedMs : sharedMs;
+  return {
+    upstream,
+    fetchFrom: isCopied ? holder.address : undefined,
+    reading: {
+      expectedMs: ownMs + (holder === undefined ? 0 : extraMs),
+      promptTokens,
+      newTokens: ownTokens,
+      isHeld: holders.has(upstream.id),
+    },
+    why: holder === undefined ? 'held' : 'spilled',
+  };
 }
 
-/** How a prompt's reading bears on the streams of its engine. */
-function lengthOf({ promptTokens, gapTargetMs, tokensPerEvent }: PickRequest): PromptLength {
-  if (gapTargetMs === undefined) return 'ordinary';
-  const harmless = longestHarmlessPrompt({ gapTargetMs, tokensPerEvent });
-  if (promptTokens <= ordinaryShare * harmless) return 'ordinary';
-  return promptTokens <= harmless ? 'medium' : 'long';
+/** How long it takes to copy tokens from one engine to another, in milliseconds. */
+function copyMs(tokens: number, engine: EngineTraits | undefined): number {
+  const { cacheBytesPerToken, copyMbps } = engine ?? {};
+  if (cacheBytesPerToken === undefined || copyMbps === undefined) return Infinity;
+  return (tokens * cacheBytesPerToken * bitsInByte) / (copyMbps * bitsInMegabitPerMs);
 }
 
 function pickLeastBusy(
@@ -149,5 +123,7 @@
   });
   costed.sort((a, b) => a.cost - b.cost);
   const [best] = costed;
-  return best && { upstream: best.upstream, fetchFrom: undefined, prefillMs: 0, why: 'leastBusy' };
+  return (
+    best && { upstream: best.upstream, fetchFrom: undefined, reading: undefined, why: 'leastBusy' }
+  );
 }
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -49,8 +49,10 @@
   readonly cacheTokens: number;
   /** Tokens in one event of a stream. */
   readonly tokensPerEvent: number;
-  /** Whether a running stream can go on at another engine with its memory. */
-  readonly canMove: boolean;
+  /** Bytes of memory of one cached token; undefined where that is not told. */
+  readonly cacheBytesPerToken: number | undefined;
+  /** How fast engines copy memory to each other, in Mbit/s; undefined where they do not. */
+  readonly copyMbps: number | undefined;
 }
 
 /** A service as the configuration names it. */
@@ -156,30 +158,4 @@
   readonly priority: number | undefined;
   /** `IP:PORT` of an engine that may hold parts of the prompt. */
   readonly fetchFrom: string | undefined;
-  /** Where the memory of this very run lies, when it goes on at another engine. */
-  readonly movedFrom: MovedRun | undefined;
-}
-
-/** The memory of a run that was copied from one engine to another. */
-export interface MovedRun {
-  /** `IP:PORT` of the engine that ran it. */
-  readonly source: string;
-  readonly handle: string;
-}
-
-/** A call to an engine that copies a run's memory to another one. */
-export interface MoveCall {
-  readonly requestId: RequestId;
-  /** `IP:PORT` of the engine that the run is to go on at. */
-  readonly target: string;
-  /** Whether the run stops; else it goes on while the copy is made. */
-  readonly isLast: boolean;
-}
-
-/** A call as it stands on the wire. */
-export interface EncodedCall {
-  readonly method: string;
-  readonly path: string;
-  readonly headers: string[];
-  readonly body: Buffer;
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -22,7 +22,5 @@
 export * from './OutlierDetector/index.js';
 export * from './RetryShare/index.js';
 export * from './rankByKey/index.js';
-export * from './estimatePrefill/index.js';
-export * from './splitEngines/index.js';
+export * from './EngineModel/index.js';
 export * from './placePrompt/index.js';
-export * from './chooseOwn/index.js';
--- a/packages/routing/src/placePrompt/index.ts
+++ b/packages/routing/src/placePrompt/index.ts
@@ -8,51 +8,64 @@
   readonly running: number;
 }
 
+/** A prompt, as far as its place goes by it. */
+export interface PromptToPlace {
+  /** The last part that other prompts share. */
+  readonly key: string;
+  /** What it takes to have the shared parts at an engine that does not hold them, in milliseconds. */
+  readonly sharedMs: number;
+  /** Engines that are known to hold the shared parts. */
+  readonly holders: ReadonlySet<string>;
+}
+
 /** Where a prompt goes. */
 export interface PromptPlace<Engine> {
   readonly engine: Engine;
   /** The engine that most likely holds the shared parts; undefined where it is the same. */
-  readonly home: Engine | undefined;
+  readonly holder: Engine | undefined;
 }
 
-/** Beyond this many engines from the first choice a shared part is not spread. */
-const maxHomes = 3;
 /** What a running stream counts for, in milliseconds of reading: it slows each step a little. */
 const runningMs = 1;
 /**
- * What each step away from the first choice counts for, in milliseconds: the shared part has to be
- * copied or read again there.
+ * What each step away from the first choice counts for, in milliseconds: instances that see nothing of
+ * each other then spill a part to the same few engines.
  */
-const strayMs = 60;
+const orderMs = 5;
 
 /**
- * Chooses an engine for a prompt by its shared part, and near-by ones in the same order when the
- * first choice has much to read.
+ * Chooses the engine at which a prompt is read first, counting what is read there before it and what
+ * it takes to have the shared parts there.
  *
- * Answers a hot part: its first engine would read one prompt after the other while others idle.
- * The spill is bounded to few engines, so that the part is not read again everywhere.
+ * Answers two loads. Prompts with large shared parts: sent anywhere, each engine would read every part
+ * again. A hot part: its first engine would read one prompt after the other while others idle, so it
+ * spills where the wait is longer than reading the part once more.
  *
- * @param key - the last part that other prompts share
- * @param engines - candidates, at least one
+ * @param prompt - the shared parts and what they cost
+ * @param engines - candidates
  * @returns the place; undefined without candidates
  *
  * @example
- * placePrompt('5c1e07a2', engines)?.engine;
+ * placePrompt({ key: '5c1e07a2', sharedMs: 90, holders: new Set() }, engines)?.engine;
  */
 export function placePrompt<Engine extends EngineWork>(
-  key: string,
+  { key, sharedMs, holders }: PromptToPlace,
   engines: readonly Engine[],
 ): PromptPlace<Engine> | undefined {
-  const homes = rankByKey(key, engines).slice(0, maxHomes);
-  const [first] = homes;
-  if (first === undefined) return undefined;
-  let best = first;
+  const ranked = rankByKey(key, engines);
+  const known = ranked.filter(({ id }) => holders.has(id));
+  // Where nothing is known of a part, another instance has most likely sent it to the first choice.
+  const supposed = known.length > 0 ? known : ranked.slice(0, 1);
+  let best: Engine | undefined;
   let bestCostMs = Infinity;
-  homes.forEach((engine, index) => {
-    const costMs = engine.backlogMs + engine.running * runningMs + index * strayMs;
+  ranked.forEach((engine, index) => {
+    const fetchMs = supposed.includes(engine) ? 0 : sharedMs;
+    const costMs = engine.backlogMs + engine.running * runningMs + fetchMs + index * orderMs;
     if (costMs >= bestCostMs) return;
     best = engine;
     bestCostMs = costMs;
   });
-  return { engine: best, home: best === first ? undefined : first };
+  if (best === undefined) return undefined;
+  const [holder] = supposed;
+  return { engine: best, holder: supposed.includes(best) ? undefined : holder };
 }
