Let idle stock shrink with the square of what an account has left

Half of the unspent times its share strands little there and as much as before early on.

On virtual time an account that loses all its instances at 70% of its use ends at 88.3% with the old bound, above 92% with this one (the new test, which failed before).

--- a/packages/ledger/src/_lib/prepaidStock/index.ts
+++ b/packages/ledger/src/_lib/prepaidStock/index.ts
@@ -30,15 +30,28 @@
  */
 const openingShareOfAll = 0.25;
 /**
- * Idle stock is at most this share of what the account has not spent. Near its end an account whose
- * stock is lost with a process is refused all that it asks for later, though it has paid; so stock
- * shrinks with what is left.
+ * Idle stock of an untouched account is at most this share of its tokens: all instances may die at any
+ * moment, and what they hold then is lost.
  */
-const idleShareOfUnspent = 0.35;
+const idleShareOfAll = 0.5;
 
 /** What an account starts with where its stock is gathered, in tokens. */
-export function openingStock({ prepaidTokens, isHome }: StockSituation): number {
-  return isHome ? openingShareOfAll * prepaidTokens : 0;
+export function openingStock(situation: StockSituation): number {
+  if (!situation.isHome) return 0;
+  return Math.min(openingShareOfAll * situation.prepaidTokens, mostIdle(situation));
+}
+
+/**
+ * The most that may lie idle at all instances together, in tokens.
+ *
+ * Answers the death of all instances at once. What they held counts as spent. To an account that is
+ * never used up this costs nothing; one that is has paid for what it is refused, and the less it has
+ * left, the surer it is to get there. So stock shrinks with the square of what is left.
+ */
+function mostIdle({ prepaidTokens, seenBoundTokens }: StockSituation): number {
+  const unspentTokens = Math.max(0, prepaidTokens - seenBoundTokens);
+  const unspentShare = unspentTokens / Math.max(1, prepaidTokens);
+  return idleShareOfAll * unspentTokens * unspentShare;
 }
 
 /**
@@ -50,11 +63,10 @@
  * wantedStock({ ...situation, paceTokensPerMs: 2, isHome: true });
  */
 export function wantedStock(situation: StockSituation): number {
-  const { prepaidTokens, seenBoundTokens, isHome, fleetPaceTokensPerMs } = situation;
+  const { isHome, fleetPaceTokensPerMs } = situation;
   const pace = situation.paceTokensPerMs;
   if (pace === undefined) return Math.floor(openingStock(situation));
-  const mostOfAll = idleShareOfUnspent * Math.max(0, prepaidTokens - seenBoundTokens);
   const ownShare = pace <= 0 ? 0 : Math.min(1, pace / Math.max(pace, fleetPaceTokensPerMs));
   const stockMs = isHome ? homeStockMs : borrowedStockMs;
-  return Math.floor(Math.min(pace * stockMs, mostOfAll * ownShare));
+  return Math.floor(Math.min(pace * stockMs, mostIdle(situation) * ownShare));
 }
--- a/packages/standins/src/failures/prepaid/test.ts
+++ b/packages/standins/src/failures/prepaid/test.ts
@@ -313,3 +313,33 @@
   }
   t.is(refused, 0);
 });
+
+/** Ends all holders without a word, as a loss of power does, and starts their machines again. */
+function loseAll(world: World, holders: readonly Holder[]): Holder[] {
+  for (const { ledger } of holders) ledger[Symbol.dispose]();
+  return holders.map((_, instance) => startHolder(world, instance, { lost: 0, late: 0 }));
+}
+
+/** Asks in turn at all holders until the account has spent so much, or is refused too often. */
+async function spendUntil(world: World, holders: readonly Holder[], tokens: number): Promise<void> {
+  let refusedInRow = 0;
+  for (let step = 0; world.spentTokens < tokens && refusedInRow < 60; step += 1) {
+    await world.clock.advance(50);
+    const holder = holders[step % holders.length];
+    if (holder === undefined) return;
+    refusedInRow = (await spend(world, holder, 2_000)) ? 0 : refusedInRow + 1;
+  }
+}
+
+// An account has used seven tenths of what it prepaid when all instances lose power. What they held
+// counts as spent, and the account is refused from then on, though it has paid. The less is left,
+// the less may lie idle anywhere.
+test('little of a nearly used up account is lost with all instances', async (t) => {
+  const world = createWorld(21, 3_000_000);
+  const holders = [0, 1, 2, 3].map((i) => startHolder(world, i, { lost: 0, late: 0 }));
+  await world.clock.advance(3_000);
+  await spendUntil(world, holders, 0.7 * world.prepaidTokens);
+  t.true(world.spentTokens >= 0.7 * world.prepaidTokens);
+  await spendUntil(world, loseAll(world, holders), world.prepaidTokens);
+  t.true(world.spentTokens > 0.92 * world.prepaidTokens, String(world.spentTokens));
+});
