Hold less of an account where a death takes it, and collect what live instances hold

What an account is believed to lack and the order in which holders are asked became modules of their own; the place of an instance among the others is no longer asked for.

--- a/packages/fleet/src/InstanceRegistry/index.ts
+++ b/packages/fleet/src/InstanceRegistry/index.ts
@@ -111,13 +111,6 @@
     return Math.max(1, this.live().length);
   }
 
-  /** This instance's place in the sorted list of live ones, and how many there are. */
-  place(): { readonly index: number; readonly count: number } {
-    const ids = this.live().map(({ instanceId }) => instanceId);
-    const index = ids.filter((id) => id < this.#options.self.instanceId).length;
-    return { index, count: Math.max(1, ids.length) };
-  }
-
   /** Registers and follows the others until disposed of. */
   async run(): Promise<void> {
     await Promise.all([this.#beat(), this.#follow()]);
--- a/packages/ledger/src/PrepaidAccount/index.ts
+++ b/packages/ledger/src/PrepaidAccount/index.ts
@@ -7,11 +7,13 @@
 } from '@acaciacrank/base';
 import type { ObjectStore, StoredObject } from '@acaciacrank/store';
 import { AccountPace } from '../_lib/AccountPace/index.js';
+import { DryBelief } from '../_lib/DryBelief/index.js';
 import { LoanBook } from '../_lib/LoanBook/index.js';
 import { PrepaidGrant } from '../_lib/PrepaidGrant/index.js';
 import { homeStockMs, openingStock, wantedStock } from '../_lib/prepaidStock/index.js';
+import { rankHolders } from '../_lib/rankHolders/index.js';
 import type { LoanAnswer, LoanOutcome, LoanQuestion, PrepaidPeers } from '../PrepaidPeers/index.js';
-import { boundAtLeast, lifetimeKey } from '../prepaidPage/index.js';
+import { boundAtLeast, instanceOf, lifetimeKey } from '../prepaidPage/index.js';
 import type { Lifetime } from '../types.js';
 
 /** What an attempt to set tokens aside came to. */
@@ -62,8 +64,8 @@
 const lentShare = 0.25;
 /** The longest pause after a lost race for a page, in milliseconds: a few calls to the store. */
 const conflictPauseMs = 30;
-/** How long a page that was read to be dry is believed, in milliseconds. */
-const dryMs = 1_000;
+/** Instances that the home asks for tokens when the store has no more: each takes a few milliseconds. */
+const maxHoldersAsked = 3;
 /** Conditional writes tried in a row; each loser of a race learns the page from the answer. */
 const maxAttempts = 6;
 
@@ -84,10 +86,11 @@
   #reservedTokens = 0;
   #spentTokens = 0;
   readonly #pace: AccountPace;
-  /** Everything that was ever set aside or lent; tells the pace without waiting for requests to end. */
-  #askedTokens = 0;
+  #isMeasured = false;
+  /** Since when the store has answered, on the monotonic clock. */
+  #storeCalmSinceMs: number;
   #isSuspended = false;
-  #dry: Dryness | undefined;
+  readonly #dry = new DryBelief<ReserveOutcome>();
   #writing: Promise<ReserveOutcome> | undefined;
   /** The lifetime at the home that answered last. */
   #lender = '';
@@ -99,7 +102,9 @@
     this.#limit = limit;
     this.#options = options;
     this.#grant = new PrepaidGrant(options);
-    this.#pace = new AccountPace(options.clock.monotonicMs());
+    const nowMs = options.clock.monotonicMs();
+    this.#pace = new AccountPace(nowMs);
+    this.#storeCalmSinceMs = nowMs;
   }
 
   /** Where the account's page lies. */
@@ -121,7 +126,7 @@
   setLimit(limit: PrepaidLimit): void {
     const isLower = limit.prepaidTokens < this.#limit.prepaidTokens;
     this.#limit = limit;
-    this.#dry = undefined;
+    this.#dry.clear();
     if (!isLower) return;
     this.#grant.forgetPage();
     this.#isSuspended = true;
@@ -137,7 +142,6 @@
   tryReserve(tokens: number): boolean {
     if (this.#isSuspended || this.stockTokens < tokens) return false;
     this.#reservedTokens += tokens;
-    this.#askedTokens += tokens;
     return true;
   }
 
@@ -163,7 +167,7 @@
     if (borrowed !== undefined && neededTokens === 0) return 'heldElsewhere';
     if (borrowed === 'exhausted' || borrowed === 'heldElsewhere') {
       const remainingTokens = Math.max(0, neededTokens - 1 - this.stockTokens);
-      return this.#believeDry(borrowed, remainingTokens);
+      return this.#dry.note(borrowed, remainingTokens, this.#nowMs);
     }
     const granted = await this.#refillFromStore(neededTokens);
     if (granted !== 'storeAway' || neededTokens === 0) return granted;
@@ -187,16 +191,20 @@
 
   /** Looks once a second whether to ask for more or to give back. */
   tick(): void {
+    const nowMs = this.#nowMs;
+    this.#isMeasured = true;
+    if (this.#options.isStoreAway()) this.#storeCalmSinceMs = nowMs;
     this.#pace.measure({
-      nowMs: this.#options.clock.monotonicMs(),
-      askedTokens: this.#askedTokens,
+      nowMs,
+      usedTokens:
+        this.#spentTokens + this.#reservedTokens + Math.max(0, -this.#loans.balanceTokens),
       seenBoundTokens: this.#grant.seenBoundTokens,
       openingTokensPerMs: openingStock(this.#situation) / homeStockMs,
     });
     if (this.#writing !== undefined || this.#isFilling) return;
     if (this.#isSuspended) void this.#fitUnderLimit();
     else if (this.#isLow()) void this.#fill();
-    else if (this.#isIdle()) void this.#giveBack(this.#wantedStock());
+    else if (this.#isIdle()) void this.#giveBack(this.#keptStock());
   }
 
   /** Gives back all that is not in use, before a planned end. */
@@ -219,12 +227,16 @@
   }
 
   get #situation() {
+    // What was used here since the page was last written, in an outage above all.
+    const untoldTokens = Math.max(0, this.#drawnTokens - this.#grant.toldTokens);
     return {
       prepaidTokens: this.#limit.prepaidTokens,
-      seenBoundTokens: this.#grant.seenBoundTokens,
+      seenBoundTokens: this.#grant.seenBoundTokens + untoldTokens,
       paceTokensPerMs: this.#pace.tokensPerMs,
       fleetPaceTokensPerMs: this.#pace.fleetTokensPerMs,
       isHome: this.isHome,
+      isMeasured: this.#isMeasured,
+      storeCalmMs: this.#nowMs - this.#storeCalmSinceMs,
     };
   }
 
@@ -232,8 +244,13 @@
     return wantedStock(this.#situation);
   }
 
+  /** What may stay here: stock that is still there after an outage is not given back to be asked for again. */
+  #keptStock(): number {
+    return wantedStock({ ...this.#situation, storeCalmMs: Infinity });
+  }
+
   #isLow(): boolean {
-    if (this.#dry !== undefined && this.#dry.untilMs > this.#pace.atMs) return false;
+    if (this.#dry.isHeld(this.#nowMs)) return false;
     const wanted = this.#wantedStock();
     if (this.stockTokens >= wanted * refillShare) return false;
     if (wanted - this.stockTokens <= leastMoveShare * this.#limit.prepaidTokens) return false;
@@ -242,11 +259,10 @@
 
   /** Guards against tokens that lie idle here while another instance refuses for want of them. */
   #isIdle(): boolean {
-    const wanted = this.#wantedStock();
-    const excess = this.stockTokens - wanted;
+    const kept = this.#keptStock();
+    const excess = this.stockTokens - kept;
     return (
-      this.stockTokens > returnFactor * wanted &&
-      excess > leastMoveShare * this.#limit.prepaidTokens
+      this.stockTokens > returnFactor * kept && excess > leastMoveShare * this.#limit.prepaidTokens
     );
   }
 
@@ -293,7 +309,7 @@
 
   #take(lender: string, totalTokens: number): number {
     const taken = this.#loans.take(lender, totalTokens);
-    if (taken > 0) this.#dry = undefined;
+    if (taken > 0) this.#dry.clear();
     return taken;
   }
 
@@ -305,27 +321,63 @@
     if (this.#isSuspended) return 'heldElsewhere';
     if (this.stockTokens < neededTokens) {
       const outcome = await this.#refillFromStore(neededTokens);
-      if (outcome !== 'reserved') return outcome;
+      if (outcome !== 'reserved')
+        return this.#isHomeOf(borrower) ? this.#handOver(borrower) : outcome;
     }
     if (this.#isSuspended || this.stockTokens < neededTokens) return 'heldElsewhere';
     const spare = Math.floor((this.stockTokens - neededTokens) * lentShare);
     const tokens = neededTokens + Math.max(0, Math.min(wantedTokens, spare));
     if (tokens === 0) return 'heldElsewhere';
     this.#loans.lend(borrower, tokens);
-    this.#askedTokens += tokens;
     return 'lent';
   }
 
+  /** Whether a lifetime is one of the instance where the account's stock is gathered. */
+  #isHomeOf(lifetime: string): boolean {
+    return instanceOf(lifetime) === this.#options.peers.homeOf(this.#options.accountId);
+  }
+
+  /** Gives the home all that is idle here: it puts together what a request needs. */
+  #handOver(home: string): LoanOutcome {
+    const tokens = Math.floor(this.stockTokens);
+    if (tokens <= 0) return 'heldElsewhere';
+    this.#loans.lend(home, tokens);
+    this.#report('lent', tokens);
+    return 'lent';
+  }
+
+  /**
+   * At the home, collects what others hold where the store has no more.
+   *
+   * Guards against tokens that lie idle with instances that were the home before, took them before
+   * they knew the others, or borrowed them: it shows as requests refused for tokens that live
+   * instances hold.
+   */
+  async #collect(neededTokens: number): Promise<boolean> {
+    const { peers, accountId } = this.#options;
+    const holders = rankHolders({
+      page: this.#grant.page,
+      loans: this.#loans.outstanding(),
+      ownInstance: this.#options.lifetime.instanceId,
+    });
+    for (const holder of holders.slice(0, maxHoldersAsked)) {
+      if (this.stockTokens >= neededTokens) break;
+      const missing = Math.ceil(neededTokens - this.stockTokens);
+      const answer = await peers.ask(holder, this.#question(missing, 0));
+      // A request waits; without its links this instance is alone for the moment.
+      if (answer === undefined) break;
+      const taken = this.#take(answer.lender, answer.lentTokens);
+      if (taken > 0) this.#report('borrowed', taken);
+    }
+    return this.stockTokens >= neededTokens && peers.homeOf(accountId) === undefined;
+  }
+
   #knownDry(neededTokens: number): ReserveOutcome | undefined {
-    const dry = this.#dry;
-    if (dry === undefined || dry.untilMs <= this.#options.clock.monotonicMs()) return undefined;
-    return this.stockTokens + dry.remainingTokens >= neededTokens ? undefined : dry.outcome;
+    return this.#dry.outcomeFor(neededTokens - this.stockTokens, this.#nowMs);
   }
 
-  #believeDry(outcome: ReserveOutcome, remainingTokens: number): ReserveOutcome {
-    const untilMs = this.#options.clock.monotonicMs() + dryMs;
-    this.#dry = { untilMs, remainingTokens, outcome };
-    return outcome;
+  get #nowMs(): number {
+    return this.#options.clock.monotonicMs();
   }
 
   async #refillFromStore(neededTokens: number): Promise<ReserveOutcome> {
@@ -336,7 +388,11 @@
       return 'reserved';
     const known = this.#knownDry(neededTokens);
     if (known !== undefined) return known;
-    return this.#alone(this.#ask(neededTokens));
+    const asked = await this.#alone(this.#ask(neededTokens));
+    const isHeld = asked === 'heldElsewhere' && neededTokens > 0 && this.isHome;
+    if (!isHeld || !(await this.#collect(neededTokens))) return asked;
+    this.#dry.clear();
+    return 'reserved';
   }
 
   /** Whether nothing can help, or tokens that others hold may come back. */
@@ -388,7 +444,7 @@
 
   #deny(neededTokens: number, remainingTokens: number): ReserveOutcome {
     this.#report('denied', neededTokens);
-    return this.#believeDry(this.#refusal(neededTokens), Math.max(0, remainingTokens));
+    return this.#dry.note(this.#refusal(neededTokens), Math.max(0, remainingTokens), this.#nowMs);
   }
 
   /** Passes idle tokens on, so that others can have them: to the home, or where it is here, to the store. */
@@ -486,11 +542,3 @@
     this.#options.onEvent({ accountId: this.#options.accountId, what, tokens, remainingTokens });
   }
 }
-
-/** What is known of an account without tokens to be had. */
-interface Dryness {
-  readonly untilMs: number;
-  /** What could still be had, in tokens. */
-  readonly remainingTokens: number;
-  readonly outcome: ReserveOutcome;
-}
--- a/packages/ledger/src/_lib/AccountPace/index.ts
+++ b/packages/ledger/src/_lib/AccountPace/index.ts
@@ -6,8 +6,8 @@
 /** What is measured at a tick. */
 export interface PaceSample {
   readonly nowMs: number;
-  /** Everything that was ever set aside or lent here, in tokens. */
-  readonly askedTokens: number;
+  /** What is spent, set aside or out on loan here, in tokens; falls when some of it comes back. */
+  readonly usedTokens: number;
   /** What all instances have spent or set aside, as far as they have told, in tokens. */
   readonly seenBoundTokens: number;
   /** The pace to begin with, in tokens a millisecond. */
@@ -18,8 +18,9 @@
 export class AccountPace {
   #tokensPerMs: number | undefined;
   #fleetTokensPerMs = 0;
-  #askedTokens = 0;
-  #boundTokens = 0;
+  #usedTokens = 0;
+  #isUsed = false;
+  #boundTokens: number | undefined;
   #atMs: number;
 
   /** @param nowMs - on the monotonic clock */
@@ -27,11 +28,6 @@
     this.#atMs = nowMs;
   }
 
-  /** When the pace was last measured, on the monotonic clock in milliseconds. */
-  get atMs(): number {
-    return this.#atMs;
-  }
-
   /** The pace here; undefined while the account was not used anywhere. */
   get tokensPerMs(): number | undefined {
     return this.#tokensPerMs;
@@ -42,18 +38,26 @@
     return this.#fleetTokensPerMs;
   }
 
-  /** Takes in what was used since the last tick. */
-  measure({ nowMs, askedTokens, seenBoundTokens, openingTokensPerMs }: PaceSample): void {
+  /**
+   * Takes in what was used since the last tick.
+   *
+   * What instances lend and give back to each other is no use, and what was used before this
+   * instance began is not a second's: counted as such, either would fill stock that a death then takes.
+   */
+  measure({ nowMs, usedTokens, seenBoundTokens, openingTokensPerMs }: PaceSample): void {
     const elapsedMs = Math.max(1, nowMs - this.#atMs);
-    const pace = Math.max(0, askedTokens - this.#askedTokens) / elapsedMs;
+    this.#isUsed ||= usedTokens > 0;
     // Unused anywhere, an account keeps its opening stock; used elsewhere only, it is not wanted here.
-    if (askedTokens > 0 || seenBoundTokens > 0) {
+    if (this.#isUsed || seenBoundTokens > 0) {
+      const pace = (usedTokens - this.#usedTokens) / elapsedMs;
       const before = this.#tokensPerMs ?? openingTokensPerMs;
-      this.#tokensPerMs = before + (askedTokens > 0 ? weight : idleWeight) * (pace - before);
+      const after = before + (this.#isUsed ? weight : idleWeight) * (pace - before);
+      this.#tokensPerMs = Math.max(0, after);
     }
-    const fleetPace = Math.max(0, seenBoundTokens - this.#boundTokens) / elapsedMs;
+    const toldBefore = this.#boundTokens ?? seenBoundTokens;
+    const fleetPace = Math.max(0, seenBoundTokens - toldBefore) / elapsedMs;
     this.#fleetTokensPerMs += weight * (fleetPace - this.#fleetTokensPerMs);
-    this.#askedTokens = askedTokens;
+    this.#usedTokens = usedTokens;
     this.#boundTokens = seenBoundTokens;
     this.#atMs = nowMs;
   }
--- a/packages/ledger/src/_lib/LoanBook/index.ts
+++ b/packages/ledger/src/_lib/LoanBook/index.ts
@@ -21,6 +21,14 @@
     return this.#lent.get(borrower) ?? 0;
   }
 
+  /** What each lifetime was given and has not given back, where that is more than nothing. */
+  *outstanding(): Iterable<readonly [string, number]> {
+    for (const [borrower, lent] of this.#lent) {
+      const tokens = lent - (this.#taken.get(borrower) ?? 0);
+      if (tokens > 0) yield [borrower, tokens];
+    }
+  }
+
   /** Gives tokens away; they are no longer to be spent here when this returns. */
   lend(borrower: string, tokens: number): void {
     this.#lent.set(borrower, this.lentTo(borrower) + tokens);
--- a/packages/ledger/src/prepaidPage/index.ts
+++ b/packages/ledger/src/prepaidPage/index.ts
@@ -119,3 +119,14 @@
 }): string {
   return `${instanceId}${keySeparator}${runId}`;
 }
+
+/**
+ * The instance whose lifetime a key names.
+ *
+ * @example
+ * instanceOf('a1~5f');
+ * //=> 'a1'
+ */
+export function instanceOf(key: string): InstanceId {
+  return key.slice(0, key.indexOf(keySeparator)) as InstanceId;
+}
--- a/packages/standins/src/failures/prepaid/test.ts
+++ b/packages/standins/src/failures/prepaid/test.ts
@@ -343,3 +343,20 @@
   await spendUntil(world, loseAll(world, holders), world.prepaidTokens);
   t.true(world.spentTokens > 0.92 * world.prepaidTokens, String(world.spentTokens));
 });
+
+// All instances lose power late in a day, and each asks the store before it knows the others. What one of
+// them took is denied to the rest; they were refused, though a live instance had the tokens idle.
+test('what live instances hold together serves a request at any of them', async (t) => {
+  const world = createWorld(22, 1_000_000);
+  const holders = [0, 1, 2, 3].map((i) => startHolder(world, i, { lost: 0, late: 0 }));
+  // Before they know each other, the first takes all that is left for a request that uses little.
+  for (const { lifetime } of holders) world.alone.add(lifetime.instanceId);
+  const [first] = holders;
+  if (first === undefined) return;
+  const { ledger } = first;
+  const reserving = ledger.reserve(accountId, 1_000_000);
+  t.is(await world.clock.runUntil(reserving), 'reserved');
+  ledger.settle({ accountId, tokens: 1_000_000 }, 1_000);
+  world.alone.clear();
+  for (const holder of holders) t.true(await spend(world, holder, 100_000));
+});
