--- a/packages/ledger/src/PrepaidAccount/index.ts
+++ b/packages/ledger/src/PrepaidAccount/index.ts
@@ -13,7 +13,7 @@
 import { homeStockMs, openingStock, wantedStock } from '../_lib/prepaidStock/index.js';
 import { rankHolders } from '../_lib/rankHolders/index.js';
 import type { LoanAnswer, LoanOutcome, LoanQuestion, PrepaidPeers } from '../PrepaidPeers/index.js';
-import { boundAtLeast, instanceOf, lifetimeKey } from '../prepaidPage/index.js';
+import { instanceOf, lifetimeKey } from '../prepaidPage/index.js';
 import type { Lifetime } from '../types.js';
 
 /** What an attempt to set tokens aside came to. */
@@ -382,7 +382,8 @@
 
   async #refillFromStore(neededTokens: number): Promise<ReserveOutcome> {
     // A request that only the store could help is refused at once while the store is away.
-    if (this.#options.isStoreAway()) return 'storeAway';
+    if (this.#options.isStoreAway())
+      return this.#isUsedUp(neededTokens) ? 'exhausted' : 'storeAway';
     while (this.#writing !== undefined) await this.#writing;
     if (neededTokens > 0 && !this.#isSuspended && this.stockTokens >= neededTokens)
       return 'reserved';
@@ -397,11 +398,18 @@
 
   /** Whether nothing can help, or tokens that others hold may come back. */
   #refusal(neededTokens: number): ReserveOutcome {
-    const { page, toldTokens } = this.#grant;
-    if (page === undefined) return 'heldElsewhere';
-    const untold = Math.max(0, this.#drawnTokens - toldTokens);
-    const spent = boundAtLeast(page) + untold;
-    return this.#limit.prepaidTokens - spent < neededTokens ? 'exhausted' : 'heldElsewhere';
+    return this.#isUsedUp(neededTokens) ? 'exhausted' : 'heldElsewhere';
+  }
+
+  /**
+   * Whether so much was used that the rest does not cover a request.
+   *
+   * Use only grows, so this holds however old the knowledge is. It spares the callers of a used up
+   * account the ways that only lead to tokens, above all while the store is away.
+   */
+  #isUsedUp(neededTokens: number): boolean {
+    const { prepaidTokens, seenBoundTokens } = this.#situation;
+    return neededTokens > 0 && prepaidTokens - seenBoundTokens < neededTokens;
   }
 
   async #ask(neededTokens: number): Promise<ReserveOutcome> {
--- a/packages/ledger/src/_lib/PrepaidGrant/index.ts
+++ b/packages/ledger/src/_lib/PrepaidGrant/index.ts
@@ -43,6 +43,8 @@
   seenGrantedTokens = 0;
   /** What all lifetimes have spent or set aside, as far as they have told. */
   seenBoundTokens = 0;
+  /** The part of {@link seenBoundTokens} that this lifetime told of itself. */
+  toldTokens = 0;
   readonly #options: PrepaidGrantOptions;
   /** This lifetime's grant as it was last read back. */
   #grantedTokens = 0;
@@ -74,11 +76,6 @@
     return this.#page?.page;
   }
 
-  /** What this lifetime last told that it had drawn. */
-  get toldTokens(): number {
-    return this.#page?.page.grants[lifetimeKey(this.#options.lifetime)]?.boundTokens ?? 0;
-  }
-
   /** Drops what is known of the page, so that it is read before the next write. */
   forgetPage(): void {
     this.#page = undefined;
@@ -128,6 +125,7 @@
   #see(page: PrepaidPage): void {
     this.seenGrantedTokens = grantedTotal(page);
     this.seenBoundTokens = boundAtLeast(page);
+    this.toldTokens = page.grants[lifetimeKey(this.#options.lifetime)]?.boundTokens ?? 0;
   }
 
   /** Takes over what the store says for certain. */
--- a/packages/standins/src/failures/prepaid/test.ts
+++ b/packages/standins/src/failures/prepaid/test.ts
@@ -23,7 +23,7 @@
 interface Holder {
   readonly ledger: PrepaidAccounts;
   /** What the instance is cut off from. */
-  readonly cut: { isAway: boolean; isAlone: boolean };
+  readonly cut: { isAway: boolean; isUnnoticed: boolean };
   readonly run: Promise<void>;
   readonly lifetime: Lifetime;
   spentTokens: number;
@@ -64,7 +64,7 @@
   faults: { lost: number; late: number },
 ): Holder {
   const { clock, platform, random } = world;
-  const cut = { isAway: false, isAlone: false };
+  const cut = { isAway: false, isUnnoticed: false };
   runs += 1;
   const lifetime: Lifetime = { instanceId: `i${instance}` as InstanceId, runId: `run${runs}` };
   const store = new UnreliableStore(new MemoryObjectStore(platform, clock), {
@@ -81,7 +81,7 @@
     peers: world.network.peersOf(lifetime.instanceId),
     onEvent: () => undefined,
     random,
-    isStoreAway: () => cut.isAway,
+    isStoreAway: () => cut.isAway && !cut.isUnnoticed,
   });
   ledger.setLimits(new Map([[accountId, world.prepaidTokens]]), 1);
   const holder = { ledger, cut, run: ledger.run(), lifetime, spentTokens: 0 };
@@ -360,3 +360,40 @@
   world.alone.clear();
   for (const holder of holders) t.true(await spend(world, holder, 100_000));
 });
+
+// An account is used up when the store goes away. Its callers were told that the store could not be asked,
+// so they came back again and again, to be refused for the same reason each time.
+test('a used up account is told so also while the store is away', async (t) => {
+  const world = createWorld(23, 400_000);
+  const holders = [0, 1, 2, 3].map((i) => startHolder(world, i, { lost: 0, late: 0 }));
+  await world.clock.advance(3_000);
+  await spendUntil(world, holders, world.prepaidTokens);
+  await world.clock.advance(10_000);
+  for (const { cut } of holders) cut.isAway = true;
+  for (const { ledger } of holders) {
+    t.is(await world.clock.runUntil(ledger.reserve(accountId, 50_000)), 'exhausted');
+  }
+});
+
+// Most of an account is used when the store goes away, and the instances forget what its page said when a
+// call fails. What they had told before must not count twice: the account would pass for used up.
+test('an account that still has tokens does not pass for used up while the store is away', async (t) => {
+  const world = createWorld(24, 1_000_000);
+  const holders = [0, 1, 2, 3].map((i) => startHolder(world, i, { lost: 0, late: 0 }));
+  await world.clock.advance(3_000);
+  await spendUntil(world, holders, 0.6 * world.prepaidTokens);
+  for (const { cut } of holders) {
+    cut.isAway = true;
+    cut.isUnnoticed = true;
+  }
+  for (let step = 0; step < 40; step += 1) {
+    await world.clock.advance(100);
+    const holder = holders[step % 4];
+    if (holder === undefined) return;
+    // The first calls fail before the store is known to be away.
+    if (step >= 8) holder.cut.isUnnoticed = false;
+    const outcome = await world.clock.runUntil(holder.ledger.reserve(accountId, 250_000));
+    t.not(outcome, 'exhausted');
+    if (outcome === 'reserved') holder.ledger.settle({ accountId, tokens: 250_000 }, 0);
+  }
+});
