Guess what engines read for other instances from how late own prompts begin

The last prompts' excess over what was expected, forgotten within 0.5 s, and a prompt that is overdue now count as queue; a part that is not known to be held counts as unread.

--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -123,8 +123,8 @@
   }
 
   /** Learns from a prompt that was read alone, as far as this instance sees. */
-  #learnFrom({ reading, sentMs, isAlone }: Send): void {
-    if (reading === undefined || !isAlone || !reading.isHeld) return;
+  #learnFrom({ reading, sentMs, aheadMs }: Send): void {
+    if (reading === undefined || aheadMs > 0 || !reading.isHeld) return;
     const { promptTokens, newTokens } = reading;
     const elapsedMs = this.#parts.clock.monotonicMs() - sentMs;
     this.#model.observeRead({ newTokens, cachedTokens: promptTokens - newTokens, elapsedMs });
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -2,7 +2,7 @@
  * One upstream: its connections, what this instance has under way there, and how it fares.
  */
 import type { Clock, UpstreamId } from '@acaciacrank/base';
-import type { EngineWork } from '@acaciacrank/routing';
+import { ForeignQueue, type EngineWork } from '@acaciacrank/routing';
 import type { ReportedLoad, UpstreamRecord } from '../../types.js';
 import { UpstreamConnection } from '../UpstreamConnection/index.js';
 import {
@@ -28,14 +28,20 @@
   /** When the upstream last sent something for it, or when it was sent. */
   heardMs: number;
   readonly reading: Reading | undefined;
-  /** Whether nothing else of this instance was read there when it was sent. */
-  readonly isAlone: boolean;
+  /** Reading that this instance had ordered there before it, in milliseconds. */
+  readonly aheadMs: number;
   /** Whether its answer has begun, so that the prompt is read. */
   hasBegun: boolean;
   /** The longest time between two parts of its answer, in milliseconds. */
   longestGapMs: number;
 }
 
+type UnreadSend = Send & { readonly reading: Reading };
+
+function isUnread(send: Send): send is UnreadSend {
+  return send.reading !== undefined && !send.hasBegun;
+}
+
 /** An upstream in use. */
 export class Upstream implements AsyncDisposable, EngineWork {
   record: UpstreamRecord;
@@ -47,6 +53,7 @@
   readonly #clock: Clock;
   readonly #idle: UpstreamConnection[] = [];
   readonly #open = new Set<UpstreamConnection>();
+  readonly #foreign = new ForeignQueue();
   #failuresInRow = 0;
   #leftOutMs = 0;
   #leftOutUntilMs = 0;
@@ -62,11 +69,17 @@
     return this.record.id;
   }
 
-  /** Reading that this instance has ordered here and that has not ended, in milliseconds. */
+  /** Reading that is queued here, this instance's own and what it guesses of others', in milliseconds. */
   get backlogMs(): number {
-    let sumMs = 0;
-    for (const send of this.#unread()) sumMs += send.reading?.expectedMs ?? 0;
-    return sumMs;
+    const nowMs = this.#clock.monotonicMs();
+    let ownMs = 0;
+    let overdueMs = 0;
+    for (const { reading, sentMs, aheadMs } of this.#unread()) {
+      const { expectedMs } = reading;
+      ownMs += expectedMs;
+      overdueMs = Math.max(overdueMs, nowMs - sentMs - aheadMs - expectedMs);
+    }
+    return ownMs + this.#foreign.estimateMs(nowMs, overdueMs);
   }
 
   /** Requests of this instance under way here. */
@@ -115,7 +128,7 @@
       sentMs: nowMs,
       heardMs: nowMs,
       reading,
-      isAlone: this.#unread().length === 0,
+      aheadMs: this.#unread().reduce((sumMs, one) => sumMs + one.reading.expectedMs, 0),
       hasBegun: false,
       longestGapMs: 0,
     };
@@ -126,6 +139,7 @@
   /** Notes that something came for a request; its first event ends its reading. */
   hear(send: Send, hasBegun: boolean): void {
     const nowMs = this.#clock.monotonicMs();
+    if (hasBegun && !send.hasBegun) this.#noteBegun(send, nowMs);
     if (send.hasBegun) send.longestGapMs = Math.max(send.longestGapMs, nowMs - send.heardMs);
     send.hasBegun ||= hasBegun;
     send.heardMs = nowMs;
@@ -165,9 +179,14 @@
     await Promise.all(connections.map(({ client }) => client.close()));
   }
 
+  #noteBegun({ reading, sentMs, aheadMs }: Send, nowMs: number): void {
+    if (reading === undefined) return;
+    this.#foreign.observe(nowMs - sentMs - aheadMs - reading.expectedMs, nowMs);
+  }
+
   /** Requests whose prompts are being read, or wait for that. */
-  #unread(): readonly Send[] {
-    return [...this.sends].filter((send) => send.reading !== undefined && !send.hasBegun);
+  #unread(): readonly UnreadSend[] {
+    return [...this.sends].filter(isUnread);
   }
 
   /**
--- a/packages/forwarding/src/_lib/pickUpstream/index.ts
+++ b/packages/forwarding/src/_lib/pickUpstream/index.ts
@@ -87,15 +87,16 @@
   parts.note(shared.id, upstream.id, nowMs);
   const copySharedMs = copyMs(sharedTokens, request.engine);
   const isCopied = holder !== undefined && copySharedMs < worthwhileCopyShare * sharedMs;
+  const isHeld = holders.has(upstream.id);
   const extraMs = isCopied ? copySharedMs : sharedMs;
   return {
     upstream,
     fetchFrom: isCopied ? holder.address : undefined,
     reading: {
-      expectedMs: ownMs + (holder === undefined ? 0 : extraMs),
+      expectedMs: ownMs + (isHeld ? 0 : extraMs),
       promptTokens,
       newTokens: ownTokens,
-      isHeld: holders.has(upstream.id),
+      isHeld,
     },
     why: holder === undefined ? 'held' : 'spilled',
   };
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -23,4 +23,5 @@
 export * from './RetryShare/index.js';
 export * from './rankByKey/index.js';
 export * from './EngineModel/index.js';
+export * from './ForeignQueue/index.js';
 export * from './placePrompt/index.js';
--- a/packages/routing/src/placePrompt/index.ts
+++ b/packages/routing/src/placePrompt/index.ts
@@ -2,7 +2,7 @@
 
 /** What an instance knows of an engine's work. */
 export interface EngineWork extends Identified {
-  /** Reading that this instance has ordered there and that has not ended, in milliseconds. */
+  /** Reading that is queued there, as far as this instance knows or guesses, in milliseconds. */
   readonly backlogMs: number;
   /** Streams under way there, as far as is known. */
   readonly running: number;
