--- a/packages/ledger/src/PrepaidAccount/index.ts
+++ b/packages/ledger/src/PrepaidAccount/index.ts
@@ -407,10 +407,11 @@
   }
 
   /**
-   * Whether so much was used that the rest does not cover a request.
+   * Whether so much was used or is set aside that the rest does not cover a request.
    *
-   * Use only grows, so this holds however old the knowledge is. It spares the callers of a used up
-   * account the ways that only lead to tokens, above all while the store is away.
+   * What was used only grows, so old knowledge of it holds; what is set aside counts at its most. It
+   * spares callers of a used up account the ways that lead to no tokens, above all while the store is
+   * away.
    */
   #isUsedUp(neededTokens: number): boolean {
     const { prepaidTokens, seenBoundTokens } = this.#situation;
