Ask peers for tokens in one way, and work out an engine's own backlog and delay in one place

Found on reading the change once more: collecting, borrowing and the backlog each wrote a few lines anew.

--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -42,6 +42,11 @@
   return send.reading !== undefined && !send.hasBegun;
 }
 
+/** How much longer than expected a prompt has waited for its first event. */
+function excessMs({ reading, sentMs, aheadMs }: UnreadSend, nowMs: number): number {
+  return nowMs - sentMs - aheadMs - reading.expectedMs;
+}
+
 /** An upstream in use. */
 export class Upstream implements AsyncDisposable, EngineWork {
   record: UpstreamRecord;
@@ -72,14 +77,8 @@
   /** Reading that is queued here, this instance's own and what it guesses of others', in milliseconds. */
   get backlogMs(): number {
     const nowMs = this.#clock.monotonicMs();
-    let ownMs = 0;
-    let overdueMs = 0;
-    for (const { reading, sentMs, aheadMs } of this.#unread()) {
-      const { expectedMs } = reading;
-      ownMs += expectedMs;
-      overdueMs = Math.max(overdueMs, nowMs - sentMs - aheadMs - expectedMs);
-    }
-    return ownMs + this.#foreign.estimateMs(nowMs, overdueMs);
+    const overdueMs = this.#unread().map((send) => excessMs(send, nowMs));
+    return this.#ownBacklogMs() + this.#foreign.estimateMs(nowMs, Math.max(0, ...overdueMs));
   }
 
   /** Requests of this instance under way here. */
@@ -128,7 +127,7 @@
       sentMs: nowMs,
       heardMs: nowMs,
       reading,
-      aheadMs: this.#unread().reduce((sumMs, one) => sumMs + one.reading.expectedMs, 0),
+      aheadMs: this.#ownBacklogMs(),
       hasBegun: false,
       longestGapMs: 0,
     };
@@ -139,7 +138,7 @@
   /** Notes that something came for a request; its first event ends its reading. */
   hear(send: Send, hasBegun: boolean): void {
     const nowMs = this.#clock.monotonicMs();
-    if (hasBegun && !send.hasBegun) this.#noteBegun(send, nowMs);
+    if (hasBegun && isUnread(send)) this.#foreign.observe(excessMs(send, nowMs), nowMs);
     if (send.hasBegun) send.longestGapMs = Math.max(send.longestGapMs, nowMs - send.heardMs);
     send.hasBegun ||= hasBegun;
     send.heardMs = nowMs;
@@ -179,9 +178,9 @@
     await Promise.all(connections.map(({ client }) => client.close()));
   }
 
-  #noteBegun({ reading, sentMs, aheadMs }: Send, nowMs: number): void {
-    if (reading === undefined) return;
-    this.#foreign.observe(nowMs - sentMs - aheadMs - reading.expectedMs, nowMs);
+  /** Reading that this instance has ordered here and that has not ended, in milliseconds. */
+  #ownBacklogMs(): number {
+    return this.#unread().reduce((sumMs, { reading }) => sumMs + reading.expectedMs, 0);
   }
 
   /** Requests whose prompts are being read, or wait for that. */
--- a/packages/ledger/src/PrepaidAccount/index.ts
+++ b/packages/ledger/src/PrepaidAccount/index.ts
@@ -282,19 +282,25 @@
     peer: InstanceId | undefined,
     neededTokens: number,
   ): Promise<LoanOutcome | undefined> {
-    const { peers } = this.#options;
     if (peer === undefined) return undefined;
     const missing = Math.max(0, neededTokens - this.stockTokens);
     // Requests that wait side by side would else each fill up the stock.
     const wanted = this.#borrowing > 0 ? 0 : Math.max(0, this.#wantedStock() - this.stockTokens);
     this.#borrowing += 1;
-    const answer = await peers.ask(peer, this.#question(missing, wanted));
+    const answer = await this.#askPeer(peer, this.#question(missing, wanted));
     this.#borrowing -= 1;
     if (answer === undefined) return undefined;
     this.#lender = answer.lender;
+    return answer.outcome;
+  }
+
+  /** Asks a peer and takes in what it lends; undefined where it does not answer. */
+  async #askPeer(peer: InstanceId, question: LoanQuestion): Promise<LoanAnswer | undefined> {
+    const answer = await this.#options.peers.ask(peer, question);
+    if (answer === undefined) return undefined;
     const taken = this.#take(answer.lender, answer.lentTokens);
     if (taken > 0) this.#report('borrowed', taken);
-    return answer.outcome;
+    return answer;
   }
 
   #question(neededTokens: number, wantedTokens: number): LoanQuestion {
@@ -348,7 +354,6 @@
    * instances hold.
    */
   async #collect(neededTokens: number): Promise<boolean> {
-    const { peers, accountId } = this.#options;
     const holders = rankHolders({
       page: this.#grant.page,
       loans: this.#loans.outstanding(),
@@ -358,13 +363,11 @@
       if (this.stockTokens >= neededTokens) break;
       const missing = Math.ceil(neededTokens - this.stockTokens);
       // As stock, not as a need: a need would send the holder to the store, which has no more.
-      const answer = await peers.ask(holder, this.#question(0, missing));
+      const answer = await this.#askPeer(holder, this.#question(0, missing));
       // A request waits; without its links this instance is alone for the moment.
       if (answer === undefined) break;
-      const taken = this.#take(answer.lender, answer.lentTokens);
-      if (taken > 0) this.#report('borrowed', taken);
     }
-    return this.stockTokens >= neededTokens && peers.homeOf(accountId) === undefined;
+    return this.stockTokens >= neededTokens && this.isHome;
   }
 
   #knownDry(neededTokens: number): ReserveOutcome | undefined {
--- a/packages/ledger/src/_lib/DryBelief/index.ts
+++ b/packages/ledger/src/_lib/DryBelief/index.ts
@@ -2,7 +2,7 @@
 const dryMs = 1_000;
 
 /** What is believed of an account of which no more tokens are to be had. */
-export interface Dryness<Outcome> {
+interface Dryness<Outcome> {
   readonly untilMs: number;
   /** What could still be had, in tokens. */
   readonly remainingTokens: number;
@@ -42,7 +42,7 @@
    */
   outcomeFor(neededTokens: number, nowMs: number): Outcome | undefined {
     const dry = this.#dry;
-    if (dry === undefined || dry.untilMs <= nowMs) return undefined;
+    if (dry === undefined || !this.isHeld(nowMs)) return undefined;
     return dry.remainingTokens >= neededTokens ? undefined : dry.outcome;
   }
 }
--- a/packages/standins/src/_lib/prepaidWorld/index.ts
+++ b/packages/standins/src/_lib/prepaidWorld/index.ts
@@ -13,7 +13,9 @@
 import { LocalLoanNetwork } from '../../LocalLoanNetwork/index.js';
 import { UnreliableStore } from '../UnreliableStore/index.js';
 
+/** The account that all instances of a world share. */
 export const accountId = 'one' as AccountId;
+/** Where its page lies in the store. */
 export const pageKey = prepaidPageKey(accountId);
 
 /** An instance that spends the account's tokens. */
