--- a/packages/fleet/src/InstanceRegistry/index.ts
+++ b/packages/fleet/src/InstanceRegistry/index.ts
@@ -27,13 +27,15 @@
   onChange?: (change: MembershipChange) => void;
   /** Called after each list with the other instances that are not known to be gone. */
   onList?: (others: readonly RegisteredInstance[]) => void;
+  /** Called after each try to list with whether it succeeded. */
+  onTry?: (isListed: boolean) => void;
 }
 
 /** A change of what this instance believes about the fleet. */
 export interface MembershipChange {
   readonly instanceId: InstanceId;
   readonly what: 'seen' | 'leaving' | 'dead' | 'gone';
-  /** How long ago its last heartbeat was seen, in milliseconds. */
+  /** How long ago its last heartbeat was seen, in milliseconds of successful lists. */
   readonly heartbeatAgeMs: number;
 }
 
@@ -111,6 +113,12 @@
     return Math.max(1, this.live().length);
   }
 
+  /** How long ago the store's list was read, in milliseconds; undefined before it ever was. */
+  get listAgeMs(): number | undefined {
+    if (this.#listedAtMs === undefined) return undefined;
+    return this.#options.clock.monotonicMs() - this.#listedAtMs;
+  }
+
   /** Registers and follows the others until disposed of. */
   async run(): Promise<void> {
     await Promise.all([this.#beat(), this.#follow()]);
@@ -162,8 +170,10 @@
       try {
         const { objects } = await store.snapshot(registrationPrefix, { isStaleAllowed: true });
         this.#take(objects);
+        this.#options.onTry?.(true);
       } catch {
         // Without a list the last view stands; see the class comment.
+        this.#options.onTry?.(false);
       }
       await clock.sleep(listMs, this.#stop.signal);
     }
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -30,6 +30,7 @@
 import { FleetPrepaidPeers } from '../FleetPrepaidPeers/index.js';
 import type { ForwardCodec } from '../ForwardCodec/index.js';
 import { ForwardHandler } from '../ForwardHandler/index.js';
+import { NamedInstances } from '../_lib/NamedInstances/index.js';
 import { planStop } from '../_lib/planStop/index.js';
 import { RouteTable } from '../RouteTable/index.js';
 import { UpstreamTable } from '../UpstreamTable/index.js';
@@ -106,6 +107,7 @@
   readonly #handler: ForwardHandler;
   readonly #server: Server;
   readonly #links: WsFleetLinks;
+  readonly #named: NamedInstances;
   readonly #linkKey = randomBytes(linkKeyBytes).toString('hex');
   #fleetPort: number | undefined;
   #phase: 'running' | 'leaving' | 'refusing' = 'running';
@@ -114,6 +116,7 @@
     this.#options = { random: Math.random, ...options };
     const { clock, store, settings, codec, log, metrics, random } = this.#options;
     const lifetime: Lifetime = { instanceId: settings.instanceId, runId: options.runId };
+    this.#named = new NamedInstances(log, metrics);
     this.registry = this.#createRegistry(lifetime);
     this.#configurationFollower = this.#followConfiguration();
     this.#links = this.#createLinks();
@@ -186,7 +189,9 @@
     const { instanceId } = this.#options.settings;
     const others = this.registry.live().filter((one) => one.instanceId !== instanceId);
     const isWanted = this.isReady && (!this.#handler.isShortOfTokens || others.length === 0);
-    return isWanted ? this.registry.live() : others;
+    const named = isWanted ? this.registry.live() : others;
+    this.#named.note(named.map((one) => one.instanceId));
+    return named;
   }
 
   /** Begins to listen and to follow the store. */
@@ -277,9 +282,13 @@
         });
         this.#links.setPeers(others.map(peerOf));
       },
-      onChange: (change) => {
-        metrics.count('membershipChanges', change.what);
-        log.info(change, 'peer');
+      onTry: (isListed) => {
+        metrics.count('instanceLists', isListed ? 'listed' : 'failed');
+      },
+      onChange: ({ instanceId: peer, what, heartbeatAgeMs }) => {
+        const { listAgeMs } = this.registry;
+        metrics.count('membershipChanges', what);
+        log.info({ peer, what, heartbeatAgeMs, listAgeMs }, 'peer');
       },
     });
   }
