Soak: check whom directories name, with two tests that fail on the current code

What callers saw: for up to 13 s after an instance lost power, every directory went on sending them there, and their connections hung. While the store turned an instance away for longer than 12 s, the others no longer named it, though it was ready and served.

--- a/packages/soak/src/_lib/InstanceProcess/index.ts
+++ b/packages/soak/src/_lib/InstanceProcess/index.ts
@@ -74,6 +74,16 @@
     setTimeout(() => child?.kill('SIGKILL'), stopLimitMs).unref();
   }
 
+  /**
+   * Takes the process's power away for a while: nothing it would say gets out, and its open
+   * connections are left hanging until it starts again.
+   */
+  powerOff(forMs: number): void {
+    const child = this.#child;
+    child?.kill('SIGSTOP');
+    setTimeout(() => child?.kill('SIGKILL'), forMs).unref();
+  }
+
   /** Ends the process for good. */
   async end(): Promise<void> {
     this.#isEnding = true;
--- a/packages/soak/src/_lib/Observations/index.ts
+++ b/packages/soak/src/_lib/Observations/index.ts
@@ -1,5 +1,6 @@
 import type { PromiseName, Violation } from '../../types.js';
 import { bounds } from '../InstanceProcess/index.js';
+import { NamingCheck } from '../NamingCheck/index.js';
 import { accounts, movedService, tokensPerEvent } from '../soakDocument/index.js';
 
 /** How one request ended for its caller. */
@@ -48,6 +49,7 @@
 export class Observations {
   readonly calls: SeenCall[] = [];
   readonly violations: Violation[] = [];
+  readonly naming: NamingCheck;
   readonly #now: () => number;
   readonly #runs = new Map<string, Run>();
   readonly #refused = new Map<string, number>();
@@ -64,6 +66,10 @@
   /** @param now - milliseconds from the start of the run */
   constructor(now: () => number) {
     this.#now = now;
+    const onViolation = (promise: PromiseName, what: string) => {
+      this.#break(promise, what);
+    };
+    this.naming = new NamingCheck({ now, onViolation });
   }
 
   /** Notes a fault; promises with a bound on time are not checked in it and for a while after it. */
--- a/packages/soak/src/runSoak/index.ts
+++ b/packages/soak/src/runSoak/index.ts
@@ -6,6 +6,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import { CallerLoad } from '../_lib/CallerLoad/index.js';
+import { DirectoryWatch } from '../_lib/DirectoryWatch/index.js';
 import { FaultProxy } from '../_lib/FaultProxy/index.js';
 import { InstanceProcess, stopLimitMs } from '../_lib/InstanceProcess/index.js';
 import { closeServer } from '../_lib/listenOnLoopback/index.js';
@@ -89,7 +90,12 @@
       requestsPerSecond,
       deliberateBreak,
     });
-    const loading = load.run(ended.signal);
+    const watch = new DirectoryWatch({
+      instances: this.#instances.map((instance) => instance.ports),
+      check: this.#observations.naming,
+      deliberateBreak,
+    });
+    const running = [load.run(ended.signal), watch.run(ended.signal)];
     const faults = this.#options.faults ?? planFaults(createRandom(seed), durationMs);
     for (const fault of faults) {
       await sleep(Math.max(0, loadFromMs + fault.atMs - this.#now()));
@@ -97,7 +103,7 @@
     }
     await sleep(Math.max(0, loadFromMs + durationMs - this.#now()));
     ended.abort();
-    await loading;
+    await Promise.all(running);
     this.#observations.finish();
     return this.#report();
   }
@@ -186,6 +192,11 @@
         instance.signal('SIGSTOP');
         setTimeout(() => instance.signal('SIGCONT'), fault.forMs);
         return;
+      case 'powerOff':
+        this.#observations.disturb(fault.forMs);
+        this.#observations.naming.powerOff(index);
+        instance.powerOff(fault.forMs);
+        return;
       case 'stop':
         this.#observations.beginStop(index, stopLimitMs);
         if (this.#options.deliberateBreak === 'killForStop') instance.signal('SIGKILL');
--- a/packages/soak/src/runSoak/test.ts
+++ b/packages/soak/src/runSoak/test.ts
@@ -30,9 +30,26 @@
   t.deepEqual(report.violations, []);
 });
 
+// Guards against a directory that goes on naming an instance whose power is gone.
+test.serial.failing('an instance that lost power is soon named no more', async (t) => {
+  const faults = [{ kind: 'powerOff', atMs: 2_000, forMs: 9_500, target: 0 }] as const;
+  const changes = { faults, instances: 3, durationMs: 11_500 };
+  const report = await runSoak(optionsFor('powerOff', changes));
+  t.deepEqual(report.violations, []);
+});
+
+// Guards against a directory that drops an instance since it cannot write heartbeats, though it
+// serves and its peers reach it.
+test.serial.failing('an instance that the store turns away stays named', async (t) => {
+  const faults = [{ kind: 'storeTurnsAway', atMs: 2_000, forMs: 17_500, target: 0 }] as const;
+  const changes = { faults, instances: 3, durationMs: 19_500 };
+  const report = await runSoak(optionsFor('turnedAway', changes));
+  t.deepEqual(report.violations, []);
+});
+
 /** One planned fault in calm surroundings, for breaks of what happens then. */
-function only(kind: FaultKind): Partial<SoakOptions> {
-  return { faults: [{ kind, atMs: 2_000, forMs: 0, target: 0 }] };
+function only(kind: FaultKind, forMs = 0): Partial<SoakOptions> {
+  return { faults: [{ kind, atMs: 2_000, forMs, target: 0 }] };
 }
 
 /** Each deliberate break, the promise whose check has to find it, and the faults that it needs. */
@@ -45,6 +62,8 @@
   ['holdConfiguration', 'configuration', only('changeConfiguration')],
   ['holdLeaving', 'leavingUpstream', only('leaveUpstream')],
   ['killForStop', 'plannedStop', only('stop')],
+  ['nameGone', 'goneInstance', { ...only('powerOff', 9_000), durationMs: 10_500 }],
+  ['hideLive', 'liveInstance', { faults: [] }],
   ['refuseAll', 'served', { faults: [] }],
 ];
 
--- a/packages/soak/src/types.ts
+++ b/packages/soak/src/types.ts
@@ -12,6 +12,8 @@
   | 'configuration'
   | 'leavingUpstream'
   | 'plannedStop'
+  | 'goneInstance'
+  | 'liveInstance'
   | 'served';
 
 /** One promise that did not hold. */
@@ -32,12 +34,15 @@
   | 'holdConfiguration'
   | 'holdLeaving'
   | 'killForStop'
+  | 'nameGone'
+  | 'hideLive'
   | 'refuseAll';
 
 /** Kinds of faults. */
 export type FaultKind =
   | 'kill'
   | 'pause'
+  | 'powerOff'
   | 'stop'
   | 'reload'
   | 'storeAway'
