Begin anew with an upstream that starts again under its id

What callers saw: an upstream that crashed and came back with its old id and address went on being judged by what was known of its former run: prompts went there for shared parts that it no longer held, and were read in full; queues and failures of before counted on.

Cause: a record was another run only where address or service differed. The start that an upstream tells of itself was not read.

Weighed: to ignore a word whose start lies before the known one, as late. It would leave out for good an upstream whose clock was set back; a late word is mended by the next heartbeat.

--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -7,6 +7,7 @@
   type Log,
   type Metrics,
   type Random,
+  type UpstreamId,
 } from '@acaciacrank/base';
 import { ByteBudget, CallerWriter, readBody, writeError } from '@acaciacrank/callers';
 import type { PrepaidAccounts, ReserveOutcome } from '@acaciacrank/ledger';
@@ -87,6 +88,11 @@
     return this.#options.clock.monotonicMs() < this.#shortUntilMs;
   }
 
+  /** Forgets what an upstream held: it has started again. */
+  forgetHeld(upstreamId: UpstreamId): void {
+    this.#parts.parts.forget(upstreamId);
+  }
+
   /** Serves one request; its answer is complete, or visibly broken, when this returns. */
   async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const story = new RequestStory(this.#options.clock);
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -121,6 +121,7 @@
       onChange: (change) => {
         metrics.count('upstreamChanges', change.what);
         log.info(change, 'upstream');
+        if (change.what === 'startedAgain') this.#handler.forgetHeld(change.upstreamId);
       },
     });
     const onEvent = (event: GrantEvent) => {
--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -7,7 +7,7 @@
 export interface UpstreamChange {
   readonly upstreamId: UpstreamId;
   readonly service: ServiceName;
-  readonly what: 'seen' | 'leaving' | 'lapsed' | 'gone' | 'leftOut';
+  readonly what: 'seen' | 'startedAgain' | 'leaving' | 'lapsed' | 'gone' | 'leftOut';
 }
 
 /** Options of {@link UpstreamTable}. */
@@ -75,9 +75,10 @@
     this.#lapsed.get(record.id)?.[Symbol.dispose]();
     this.#lapsed.delete(record.id);
     const known = this.#byId.get(record.id);
-    if (known === undefined || isElsewhere(known.record, record)) {
+    if (known === undefined || isAnotherRun(known.record, record)) {
       if (known !== undefined) this.#drop(known);
       this.#byId.set(record.id, new Upstream(record, this.#options.clock));
+      if (known !== undefined) this.#tell(record, 'startedAgain');
       this.#tell(record, record.state === 'leaving' ? 'leaving' : 'seen');
     } else {
       const isNews = !known.isLeaving && record.state === 'leaving';
@@ -153,7 +154,18 @@
   }
 }
 
-/** An id is one run of an upstream, but some start again under the id that they had. */
-function isElsewhere(known: UpstreamRecord, record: UpstreamRecord): boolean {
-  return known.ip !== record.ip || known.port !== record.port || known.service !== record.service;
+/**
+ * Whether a record tells of another run than the known one. An id is one run of an upstream, but some
+ * start again under the id that they had, and then hold and know nothing of before.
+ */
+function isAnotherRun(known: UpstreamRecord, record: UpstreamRecord): boolean {
+  const isElsewhere = known.ip !== record.ip || known.port !== record.port;
+  return isElsewhere || known.service !== record.service || !isSameStart(known, record);
+}
+
+/** A start that is not told may be any; one that lies before the known one may be a clock set back. */
+function isSameStart(known: UpstreamRecord, record: UpstreamRecord): boolean {
+  const { startedAtMs } = record;
+  if (known.startedAtMs === undefined || startedAtMs === undefined) return true;
+  return known.startedAtMs === startedAtMs;
 }
--- a/packages/forwarding/src/_lib/PartPlaces/index.ts
+++ b/packages/forwarding/src/_lib/PartPlaces/index.ts
@@ -36,4 +36,9 @@
     const [oldest] = this.#places.keys();
     if (this.#places.size > maxParts && oldest !== undefined) this.#places.delete(oldest);
   }
+
+  /** Forgets all that an engine held: it has started again. */
+  forget(upstreamId: UpstreamId): void {
+    for (const engines of this.#places.values()) engines.delete(upstreamId);
+  }
 }
--- a/packages/forwarding/src/_lib/PartPlaces/test.ts
+++ b/packages/forwarding/src/_lib/PartPlaces/test.ts
@@ -25,3 +25,12 @@
   t.is(places.holders('oldest', 3).size, 0);
   t.is(places.holders('used again', 3).size, 1);
 });
+
+// Guards against prompts that are sent to an engine for parts that its former run held.
+test('an engine that has started again holds nothing', (t) => {
+  const places = new PartPlaces();
+  places.note('part', first, 0);
+  places.note('part', second, 0);
+  places.forget(first);
+  t.deepEqual([...places.holders('part', 1)], [second]);
+});
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -100,6 +100,8 @@
   readonly failureDomain: FailureDomainId;
   readonly slots: number;
   readonly state: 'live' | 'leaving';
+  /** When this run of it began, in milliseconds since 1970; undefined where it does not say. */
+  readonly startedAtMs?: number | undefined;
 }
 
 /** A part of a prompt that several requests may share. */
