Let an instance that the store turns away learn of configurations from its peers

What callers saw: for as long as the store turned an instance away, it went on by the configuration that it had been told last: routes and keys that were added got 404 and 401 there, and top-ups did not count.

What the store told is believed until the store tells otherwise, though every peer that it answers knows better; the links carried loans alone.

Heartbeats already name the version in force, and ConfigurationSpread of the product's own path fetches what is newer. Weighed: telling peers at once; not needed, as a heartbeat comes each second and a version has 2 s. Versions only rise, from wherever they come.

--- a/packages/fleet/src/ConfigurationSpread/index.ts
+++ b/packages/fleet/src/ConfigurationSpread/index.ts
@@ -30,6 +30,8 @@
   configuration: SpreadConfiguration;
   /** How long a peer has to answer, in milliseconds. */
   timeoutMs?: number;
+  /** Whether newer versions are asked for now; always by default. */
+  isWanted?: () => boolean;
 }
 
 /**
@@ -113,6 +115,7 @@
     this.#ahead.delete(from);
     if (version <= this.#options.configuration.version()) return;
     this.#ahead.set(from, version);
+    if (this.#options.isWanted?.() === false) return;
     this.#fetching ??= this.#fetch().finally(() => {
       this.#fetching = undefined;
     });
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -17,6 +17,7 @@
 import { ObjectFollower, type ObjectStore, type StoredObject } from '@acaciacrank/store';
 import { randomBytes } from 'node:crypto';
 import type { Server } from 'node:http';
+import { z } from 'zod';
 import {
   applyCallerLimits,
   createForwardServer,
@@ -84,6 +85,8 @@
 /** Time kept for the end of the process itself, in milliseconds. */
 const exitMs = 150;
 
+const storedObjectSchema = z.object({ key: z.string(), version: z.number(), value: z.unknown() });
+
 /** How often a planned stop looks whether it is done, in milliseconds. */
 const stopPollMs = 50;
 
@@ -105,6 +108,8 @@
   readonly #links: WsFleetLinks;
   readonly #named: NamedInstances;
   readonly #linkKey = randomBytes(linkKeyBytes).toString('hex');
+  /** The object of the configuration in force, for peers that the store turns away. */
+  #storedConfiguration: StoredObject | undefined;
   #fleetPort: number | undefined;
   #phase: 'running' | 'leaving' | 'refusing' = 'running';
 
@@ -270,10 +275,15 @@
       fleetUrl: `ws://${fleet.ip}:${fleet.port}`,
       linkKey: this.#linkKey,
     };
-    const configurationVersion = () => this.routes.value?.configuration.version ?? 0;
+    const configuration = {
+      version: () => this.routes.value?.configuration.version ?? 0,
+      manifest: () => this.#storedConfiguration,
+      offer: (stored: unknown) => this.#applyPeerConfiguration(stored),
+    };
+    const isStoreAway = () => this.#configurationFollower.isLost;
     const links = this.#links;
     const shared = { store, links, clock, random, log, metrics };
-    return new InstanceFleet({ ...shared, self, configurationVersion });
+    return new InstanceFleet({ ...shared, self, configuration, isStoreAway });
   }
 
   #createLinks(): WsFleetLinks {
@@ -328,23 +338,37 @@
     });
   }
 
-  /** Puts a configuration in force; never an older one than was in force in this life. */
-  #applyConfiguration(stored: StoredObject): void {
+  /** Takes the object of a newer configuration that a peer has in force. */
+  #applyPeerConfiguration(offered: unknown): boolean {
+    const parsed = storedObjectSchema.safeParse(offered);
+    if (!parsed.success || parsed.data.key !== this.#options.codec.configurationKey) return false;
+    return this.#applyConfiguration(parsed.data);
+  }
+
+  /**
+   * Puts a configuration in force; never an older one than was in force in this life.
+   *
+   * @returns whether it came into force
+   */
+  #applyConfiguration(stored: StoredObject): boolean {
     const { codec, log, metrics } = this.#options;
     try {
       const configuration = codec.readConfiguration(stored);
       const inForce = this.routes.value?.configuration.version;
-      if (inForce !== undefined && configuration.version <= inForce) return;
+      if (inForce !== undefined && configuration.version <= inForce) return false;
       const table = new RouteTable(configuration);
+      this.#storedConfiguration = stored;
       this.routes.set(table);
       this.fleet.serve();
       this.tokens.setLimits(table.prepaidLimits(), configuration.version);
       applyCallerLimits(this.#server, configuration.limits);
       metrics.count('configurations', 'applied');
       log.info({ version: configuration.version, was: inForce }, 'configuration in force');
+      return true;
     } catch (thrown) {
       metrics.count('configurations', 'refused');
       log.error({ error: describeError(thrown).message }, 'configuration refused');
+      return false;
     }
   }
 
--- a/packages/forwarding/src/InstanceFleet/index.ts
+++ b/packages/forwarding/src/InstanceFleet/index.ts
@@ -9,12 +9,14 @@
   type Random,
 } from '@acaciacrank/base';
 import {
+  ConfigurationSpread,
   FleetQuestions,
   Membership,
   Registrations,
   type FleetLinks,
   type Member,
   type Registration,
+  type SpreadConfiguration,
 } from '@acaciacrank/fleet';
 import type { ObjectStore } from '@acaciacrank/store';
 import { MemberLog } from '../_lib/MemberLog/index.js';
@@ -28,8 +30,10 @@
   random: Random;
   log: Log;
   metrics: Metrics;
-  /** The configuration version in force here; 0 for none. */
-  configurationVersion: () => number;
+  /** The configuration in force here, which peers may ask for. */
+  configuration: Omit<SpreadConfiguration, 'objectText'>;
+  /** Whether the store does not tell this instance of newer configurations, so that peers must. */
+  isStoreAway: () => boolean;
 }
 
 /** An instance that callers may use. */
@@ -62,7 +66,7 @@
 
   constructor(options: InstanceFleetOptions) {
     this.#options = options;
-    const { self, store, links, clock, random, log, metrics, configurationVersion } = options;
+    const { self, store, links, clock, random, log, metrics, configuration } = options;
     this.questions = this.#owned.add(new FleetQuestions({ links, clock }));
     this.#membership = this.#owned.add(
       new Membership({
@@ -73,10 +77,21 @@
         metrics,
         log,
         self: { id: self.instanceId, life: self.runId, failureDomain: self.failureDomain },
-        configurationVersion,
+        configurationVersion: configuration.version,
         suspicionMs,
       }),
     );
+    this.#owned.add(
+      new ConfigurationSpread({
+        clock,
+        links,
+        questions: this.questions,
+        membership: this.#membership,
+        metrics,
+        configuration: { ...configuration, objectText: () => undefined },
+        isWanted: options.isStoreAway,
+      }),
+    );
     this.#registrations = this.#owned.add(
       new Registrations({
         store,
--- a/packages/standins/src/_lib/fleetWorld/index.ts
+++ b/packages/standins/src/_lib/fleetWorld/index.ts
@@ -19,6 +19,9 @@
   readonly fleet: InstanceFleet;
   readonly links: MemoryFleetLinks;
   readonly store: MemoryObjectStore;
+  readonly metrics: Metrics;
+  /** Configuration versions that came into force, the newest last. */
+  readonly versions: number[];
 }
 
 const silent = createLog('fleet', { level: 'fatal' });
@@ -53,12 +56,17 @@
       fleetUrl: `ws://${id}:81`,
       linkKey: `key${this.#runs}`,
     };
-    const random = this.#random;
-    const shared = { store, links, clock, random, log: silent, metrics: new Metrics() };
-    const fleet = new InstanceFleet({ ...shared, self, configurationVersion: () => 1 });
+    const versions = [1];
+    const version = () => versions.at(-1) ?? 0;
+    const offer = (offered: unknown) => versions.push(offered as number) > 0;
+    const configuration = { version, manifest: version, offer };
+    const isStoreAway = () => store.link.isDown;
+    const metrics = new Metrics();
+    const shared = { store, links, clock, random: this.#random, log: silent, metrics };
+    const fleet = new InstanceFleet({ ...shared, self, configuration, isStoreAway });
     void fleet.run();
     if (isServing) fleet.serve();
-    const node = { fleet, links, store };
+    const node = { fleet, links, store, metrics, versions };
     this.nodes.set(id, node);
     return node;
   }
--- a/packages/standins/src/failures/fleet/test.ts
+++ b/packages/standins/src/failures/fleet/test.ts
@@ -129,6 +129,27 @@
   t.true(world.isNamedByAll('c'));
 });
 
+// Guards against an instance that acts on an old configuration for as long as the store turns it away.
+test('an instance that the store turns away learns of a configuration from a peer', async (t) => {
+  for (const seed of seeds) {
+    const world = await open(seed);
+    world.turnAway(['a', 'b']);
+    for (const id of ['c', 'd', 'e']) world.nodes.get(id)?.versions.push(2);
+    await world.clock.advance(2_000);
+    t.deepEqual(world.nodes.get('a')?.versions, [1, 2], `seed ${seed}`);
+    t.deepEqual(world.nodes.get('b')?.versions, [1, 2], `seed ${seed}`);
+  }
+});
+
+// Guards against every instance fetching each version twice, from the store and from a peer.
+test('an instance that the store answers asks no peer for configurations', async (t) => {
+  const world = await open(1);
+  world.nodes.get('a')?.versions.push(2);
+  await world.clock.advance(5_000);
+  t.deepEqual(world.nodes.get('b')?.versions, [1]);
+  t.is(world.nodes.get('b')?.metrics.counter('configurationsFromPeers'), 0);
+});
+
 // Guards against the two sides of a cut that each repeat as if the other were gone.
 test('who may live beyond a cut keeps its share', async (t) => {
   const world = await open(1);
