Let an instance that the store turns away learn of upstreams from its peers

What callers saw: an instance that the store turned away went on sending to upstreams that had said that they leave, until their connections were refused, and did not use new ones.

While the store is lost here, a peer that it answers is asked once a second which upstreams it is told of. Who is known to be leaving stays so, since a peer may be behind; who is not named may only have lapsed and stays usable until the store is back, as before. Peers that the store does not answer either say so.

--- a/packages/fleet/src/messageSchemas/index.ts
+++ b/packages/fleet/src/messageSchemas/index.ts
@@ -3,10 +3,20 @@
  *
  * To add a message, add its schema here and to its union; the type follows by itself.
  */
-import type { AccountId, BudgetId, GrantId, InstanceId } from '@acaciacrank/base';
+import type {
+  AccountId,
+  BudgetId,
+  FailureDomainId,
+  GrantId,
+  InstanceId,
+  ServiceName,
+  UpstreamId,
+} from '@acaciacrank/base';
 import { z } from 'zod';
 
 const instanceId = z.string().min(1).max(64) as unknown as z.ZodType<InstanceId>;
+/** Upstreams in one reply at most; more would not fit a message. */
+const maxUpstreams = 4_096;
 const counter = z.number().int().nonnegative();
 
 /** A budget as the ledger names it. */
@@ -37,6 +47,18 @@
   wantedTokens: counter,
 });
 
+/** An upstream as the store lists it. */
+const upstreamSchema = z.object({
+  id: z.string().max(256) as unknown as z.ZodType<UpstreamId>,
+  service: z.string().max(256) as unknown as z.ZodType<ServiceName>,
+  ip: z.string().max(64),
+  port: counter,
+  failureDomain: z.string().max(64) as unknown as z.ZodType<FailureDomainId>,
+  slots: z.number().positive(),
+  state: z.enum(['live', 'leaving']),
+  startedAtMs: z.number().int().optional(),
+});
+
 /** Checks what one instance says of a member, itself included. */
 export const memberRecordSchema = z.object({
   id: instanceId,
@@ -85,6 +107,8 @@
   }),
   /** "Lend me prepaid tokens, and take in what I gave you"; see `LoanQuestion` of the ledger. */
   z.object({ kind: z.literal('prepaidTokens'), loan: loanSchema }),
+  /** "Which upstreams does the store tell you of?" */
+  z.object({ kind: z.literal('upstreams') }),
 ]);
 
 /** Checks one reply to a question. */
@@ -108,6 +132,12 @@
     lentTokens: counter,
     outcome: z.enum(['lent', 'exhausted', 'heldElsewhere', 'storeAway', 'behind']),
   }),
+  /** `isCurrent` is false, and nothing is told, where the store is away from the peer too. */
+  z.object({
+    kind: z.literal('upstreams'),
+    isCurrent: z.boolean(),
+    records: z.array(upstreamSchema).max(maxUpstreams),
+  }),
   /** The peer could not answer. */
   z.object({ kind: z.literal('failed'), reason: z.string().max(512) }),
 ]);
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -30,6 +30,7 @@
 import { NamedInstances } from '../_lib/NamedInstances/index.js';
 import { planStop } from '../_lib/planStop/index.js';
 import { RouteTable } from '../RouteTable/index.js';
+import { UpstreamSpread } from '../UpstreamSpread/index.js';
 import { UpstreamTable } from '../UpstreamTable/index.js';
 
 /** Where a forwarding instance listens and what it may use. */
@@ -87,6 +88,9 @@
 
 const storedObjectSchema = z.object({ key: z.string(), version: z.number(), value: z.unknown() });
 
+/** A part of an instance that works until it is disposed of. */
+type Runnable = (Disposable | AsyncDisposable) & { run(): Promise<void> };
+
 /** How often a planned stop looks whether it is done, in milliseconds. */
 const stopPollMs = 50;
 
@@ -205,15 +209,13 @@
       this.#server.once('error', reject);
       this.#server.listen({ host: ip, port, backlog: listenBacklog }, resolve);
     });
-    for (const follower of [this.#configurationFollower, this.#followUpstreams()]) {
-      this.#cleanUp.add(follower);
-      this.#runTask('follow', follower.run());
-    }
     this.#cleanUp.add(this.#links);
-    this.#cleanUp.add(this.fleet);
-    this.#runTask('fleet', this.fleet.run());
-    this.#cleanUp.add(this.tokens);
-    this.#runTask('tokens', this.tokens.run());
+    const upstreams = this.#followUpstreams();
+    this.#runUntilStop('configuration', this.#configurationFollower);
+    this.#runUntilStop('upstreams', upstreams);
+    this.#runUntilStop('fleet', this.fleet);
+    this.#runUntilStop('upstreams of peers', this.#createUpstreamSpread(upstreams));
+    this.#runUntilStop('tokens', this.tokens);
   }
 
   /**
@@ -408,14 +410,25 @@
     });
   }
 
+  #createUpstreamSpread(follower: ObjectFollower): UpstreamSpread {
+    const { clock, random, settings } = this.#options;
+    return new UpstreamSpread({
+      questions: this.fleet.questions,
+      clock,
+      random,
+      table: this.upstreams,
+      isStoreAway: () => follower.isLost,
+      peers: () => this.fleet.answering.filter((id) => id !== settings.instanceId),
+    });
+  }
+
   /** A task that ends by an error is a defect; the process goes on and says so. */
-  #runTask(name: string, task: Promise<void>): void {
-    task.catch((thrown: unknown) => {
-      this.#options.metrics.count('failedTasks', name);
-      this.#options.log.error(
-        { task: name, error: describeError(thrown).fullStack },
-        'task failed',
-      );
+  #runUntilStop(task: string, part: Runnable): void {
+    this.#cleanUp.add(part);
+    part.run().catch((thrown: unknown) => {
+      const { metrics, log } = this.#options;
+      metrics.count('failedTasks', task);
+      log.error({ task, error: describeError(thrown).fullStack }, 'task failed');
     });
   }
 }
--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -70,6 +70,19 @@
     for (const record of records) this.put(record);
   }
 
+  /**
+   * Takes over what a peer was told by the store, while the store does not tell this instance. What
+   * was known to be leaving stays so, since the peer's view may be the older one; what the peer does
+   * not name may have lapsed.
+   */
+  hearFromPeer(records: readonly UpstreamRecord[]): void {
+    for (const record of records) {
+      const known = this.#byId.get(record.id);
+      const isLeaving = known?.isLeaving === true && !isAnotherRun(known.record, record);
+      if (!isLeaving) this.put(record);
+    }
+  }
+
   /** Takes over one record. */
   put(record: UpstreamRecord): void {
     this.#lapsed.get(record.id)?.[Symbol.dispose]();
--- a/packages/forwarding/src/UpstreamTable/test.ts
+++ b/packages/forwarding/src/UpstreamTable/test.ts
@@ -78,3 +78,23 @@
   await clock.advance(200);
   t.is(table.usable(service).length, 0);
 });
+
+// Guards against an instance that the store turns away and that goes on with upstreams that leave.
+test('a peer tells of upstreams that leave or are new, and brings none back that left', (t) => {
+  const { table, changes } = open();
+  const other = { ...record, id: 'u2' as UpstreamId, port: 81 };
+  table.put(record);
+  table.put(other);
+  table.loseStore();
+  table.hearFromPeer([
+    { ...record, state: 'leaving' },
+    { ...other, id: 'u3' as UpstreamId },
+  ]);
+  t.deepEqual(
+    table.usable(service).map((upstream) => upstream.id as string),
+    ['u2', 'u3'],
+  );
+  table.hearFromPeer([record]);
+  t.is(table.usable(service).length, 2);
+  t.deepEqual(changes, ['seen', 'seen', 'leaving', 'seen']);
+});
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -5,6 +5,7 @@
 export * from './ForwardCodec/index.js';
 export * from './RouteTable/index.js';
 export * from './UpstreamTable/index.js';
+export * from './UpstreamSpread/index.js';
 export * from './ForwardHandler/index.js';
 export * from './createForwardServer/index.js';
 export * from './InstanceFleet/index.js';
