Take what was just heard of a peer for an acknowledgement

Now whoever heard the peer within about a second waits; the time varies by a tenth, so that one of the two comes first and speaks for both.

--- a/packages/fleet/src/Membership/index.ts
+++ b/packages/fleet/src/Membership/index.ts
@@ -68,6 +68,8 @@
 const maxRecentPeers = 2 * monitoredPeers;
 /** A peer that was not heard for so many heartbeats is no neighbour any more. */
 const rememberedHeartbeats = 3;
+/** By how much of itself the time between two heartbeats varies, either way. */
+const heartbeatSpread = 0.1;
 /** Changes that come close together leave in one message. */
 const urgentDelayMs = 50;
 /** Rounds of changes that do not wait for heartbeats are at least so far apart. */
@@ -210,6 +212,14 @@
     await clock.sleep(random() * heartbeatMs, signal);
     while (!signal.aborted) {
       const startedMs = clock.monotonicMs();
+      const silentMs = startedMs - (this.#versions.get(id)?.heardAtMs ?? -Infinity);
+      const allowedMs = heartbeatMs * (1 + heartbeatSpread * (2 * random() - 1));
+      // What was heard just now proves as much as an acknowledgement; of two that monitor each other
+      // the one whose turn comes first speaks for both.
+      if (silentMs < allowedMs) {
+        await clock.sleep(allowedMs - silentMs, signal);
+        continue;
+      }
       const isReached = (await this.#probe(id)) || (await this.#confirm(id));
       const tookMs = clock.monotonicMs() - startedMs;
       // After a pause of this process the acknowledgement may wait unread: it proves nothing.
