Name nobody where an instance is cut off from everything but callers

What callers saw: two instances were cut off from the store and from the three others, and callers still reached them.

Cause: with links in place of the store, an instance that reaches nobody takes all others for gone.

Such an instance cannot tell who lives; the others can. With the store away and no peer answering, or fewer than half of them and no tokens, its directory names nobody, and callers ask the next one. The last instance of a fleet that reaches the store still names itself. Weighed: to keep the last view, which names who is gone; to name itself, which gathers callers.

--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -27,6 +27,7 @@
 import type { ForwardCodec } from '../ForwardCodec/index.js';
 import { ForwardHandler } from '../ForwardHandler/index.js';
 import { InstanceFleet, type CallerInstance } from '../InstanceFleet/index.js';
+import { chooseNamed } from '../_lib/chooseNamed/index.js';
 import { NamedInstances } from '../_lib/NamedInstances/index.js';
 import { planStop } from '../_lib/planStop/index.js';
 import { RouteTable } from '../RouteTable/index.js';
@@ -189,13 +190,18 @@
     return this.#handler.underWay;
   }
 
-  /** The instances that callers should use, this one among them while it is ready. */
+  /** The instances that callers should use; none where they should ask another directory. */
   callerInstances(): readonly CallerInstance[] {
     const { instanceId, failureDomain, callers } = this.#options.settings;
     const self = { instanceId, failureDomain, url: `http://${callers.ip}:${callers.port}` };
-    const others = this.fleet.usable;
-    const isWanted = this.isReady && (!this.#handler.isShortOfTokens || others.length === 0);
-    const named = isWanted ? [self, ...others] : others;
+    const named = chooseNamed<CallerInstance>({
+      self,
+      isReady: this.isReady,
+      isShortOfTokens: this.#handler.isShortOfTokens,
+      isStoreAway: this.#configurationFollower.isLost,
+      usable: this.fleet.usable,
+      peerCount: this.fleet.peerCount,
+    });
     this.#named.note(named.map((one) => one.instanceId));
     return named;
   }
--- a/packages/forwarding/src/InstanceFleet/index.ts
+++ b/packages/forwarding/src/InstanceFleet/index.ts
@@ -115,6 +115,11 @@
       .map(({ id, url, failureDomain }) => ({ instanceId: id, url, failureDomain }));
   }
 
+  /** How many other instances are known that have not left, whether or not they answer. */
+  get peerCount(): number {
+    return this.#members.filter(({ state }) => state !== 'left').length;
+  }
+
   /** The instances that answer each other, this one included while it does not leave. */
   get answering(): readonly InstanceId[] {
     const others = this.#members.filter(({ state }) => state === 'live').map(({ id }) => id);
