--- a/packages/soak/src/_lib/InstanceProcess/index.ts
+++ b/packages/soak/src/_lib/InstanceProcess/index.ts
@@ -35,6 +35,7 @@
 export class InstanceProcess {
   readonly #options: InstanceProcessOptions;
   #child: ChildProcess | undefined;
+  readonly #exits: string[] = [];
   #isEnding = false;
 
   constructor(options: InstanceProcessOptions) {
@@ -47,6 +48,14 @@
     return this.#options.ports;
   }
 
+  /** What became of the process so far, for who has to find out why it does not answer. */
+  get account(): string {
+    const { name } = this.#options;
+    const pid = this.#child?.pid;
+    const state = pid === undefined ? 'does not run' : `runs as ${pid}`;
+    return `${name} ${state}, ended ${this.#exits.length} times (${this.#exits.join(', ')})`;
+  }
+
   /** Starts the process. */
   start(): void {
     const { program, directory, name } = this.#options;
@@ -56,7 +65,8 @@
     });
     closeSync(log);
     this.#child = child;
-    child.once('exit', () => {
+    child.once('exit', (code, signal) => {
+      this.#exits.push(String(code ?? signal));
       if (this.#child === child) this.#child = undefined;
       if (!this.#isEnding) setTimeout(() => this.#startAgain(), 200);
     });
--- a/packages/soak/src/_lib/SoakScene/index.ts
+++ b/packages/soak/src/_lib/SoakScene/index.ts
@@ -40,8 +40,8 @@
 const portsOfInstance = 4;
 /** How many upstreams each service has. */
 const upstreamCounts = { app: 3, records: 2, lm: 3 } as const;
-/** How long the instances have before load begins, and how long they may take at the most, in milliseconds. */
-const startTimes = { settleMs: 1_500, limitMs: 20_000 } as const;
+/** How long the instances have before load begins, how long they may take, and one answer, in milliseconds. */
+const startTimes = { settleMs: 1_500, limitMs: 20_000, answerMs: 2_000 } as const;
 /** How long an upstream serves on after it said that it leaves, in milliseconds. */
 const leavingMs = 5_000;
 
@@ -83,7 +83,7 @@
       this.instances.push({ process, storeProxy });
       process.start();
     }
-    await Promise.all(this.instances.map(({ process }) => untilReady(process.ports.ready)));
+    await Promise.all(this.instances.map(({ process }) => untilReady(process)));
     await sleep(startTimes.settleMs);
   }
 
@@ -144,16 +144,21 @@
   }
 }
 
-async function untilReady(port: number): Promise<void> {
+async function untilReady(process: InstanceProcess): Promise<void> {
   const limitMs = performance.now() + startTimes.limitMs;
+  let reason = 'it did not answer';
   while (performance.now() < limitMs) {
     try {
-      const answer = await fetch(`http://127.0.0.1:${port}/readiness`);
+      const signal = AbortSignal.timeout(startTimes.answerMs);
+      const answer = await fetch(`http://127.0.0.1:${process.ports.ready}/readiness`, { signal });
       if (answer.ok) return;
-    } catch {
+      reason = `it answered ${answer.status}`;
+    } catch (thrown) {
       // Nobody listens there yet.
+      reason = String((thrown as Error).cause ?? thrown);
     }
     await sleep(50);
   }
-  throw new Error(`the instance at port ${port} was not ready in ${startTimes.limitMs} ms`);
+  const { limitMs: waitedMs } = startTimes;
+  throw new Error(`not ready in ${waitedMs} ms: ${reason}; ${process.account}`);
 }
