Follow a state stream by one method in place of three subscriptions by hand

Life told by links had written Instance's subscription with its disposable again, and StoryContext held a third that it never ended. StateStream.follow serves all three; what they hear is the same.

--- a/packages/base/src/StateStream/index.ts
+++ b/packages/base/src/StateStream/index.ts
@@ -31,6 +31,29 @@
     return this.#value;
   }
 
+  /**
+   * Tells the current value and every change to a listener.
+   *
+   * @param onValue - called once a value
+   * @param onError - called when the stream fails
+   * @returns dispose of it to hear no more
+   *
+   * @example
+   * const following = versions.follow((version) => log.info({ version }), fail);
+   */
+  follow(onValue: (value: Value) => void, onError: (error: Error) => void): Disposable {
+    const subscription = this.changes.subscribe({
+      next: onValue,
+      error: onError,
+      complete: () => undefined,
+    });
+    return {
+      [Symbol.dispose]: () => {
+        subscription.unsubscribe();
+      },
+    };
+  }
+
   /**
    * Replaces the value and tells every subscriber.
    *
--- a/packages/forwarding/src/InstanceFleet/index.ts
+++ b/packages/forwarding/src/InstanceFleet/index.ts
@@ -201,19 +201,14 @@
   #logChanges(): void {
     const { log, metrics } = this.#options;
     const memberLog = new MemberLog({ log, metrics, listAgeMs: () => this.listAgeMs });
-    const subscription = this.#membership.members.changes.subscribe({
-      next: (members) => {
+    const following = this.#membership.members.follow(
+      (members) => {
         memberLog.note(members);
       },
-      error: (error) => {
+      (error) => {
         log.error({ err: error }, 'member stream failed');
       },
-      complete: () => undefined,
-    });
-    this.#owned.add({
-      [Symbol.dispose]: () => {
-        subscription.unsubscribe();
-      },
-    });
+    );
+    this.#owned.add(following);
   }
 }
--- a/packages/router/src/Instance/index.ts
+++ b/packages/router/src/Instance/index.ts
@@ -243,23 +243,18 @@
    */
   async start(addresses: InstanceAddresses = { url: '', fleetUrl: '' }): Promise<void> {
     const { log, instanceId } = this.#options;
-    const subscription = this.configuration.inForce.changes.subscribe({
-      next: (inForce) => {
+    const followed = this.configuration.inForce.follow(
+      (inForce) => {
         if (inForce === undefined) return;
         log.info({ version: inForce.version }, 'configuration in force');
         this.membership.serve();
         this.spread.announce(inForce.version);
       },
-      error: (error) => {
+      (error) => {
         log.error({ err: error }, 'configuration stream failed');
       },
-      complete: () => undefined,
-    });
-    this.#owned.add({
-      [Symbol.dispose]: () => {
-        subscription.unsubscribe();
-      },
-    });
+    );
+    this.#owned.add(followed);
     await this.configuration.start();
     await this.registry.start();
     this.membership.start(addresses);
--- a/packages/standins/src/faults/StoryContext/index.ts
+++ b/packages/standins/src/faults/StoryContext/index.ts
@@ -228,18 +228,16 @@
   watchVersion(local: LocalInstance): void {
     let highest = 0;
     const { configuration } = local.instance;
-    const subscription = configuration.inForce.changes.subscribe({
-      next: (inForce) => {
+    configuration.inForce.follow(
+      (inForce) => {
         const version = inForce?.version ?? 0;
         if (version < highest) {
           this.#violate('versionNeverFalls', `${local.id}: ${version} after ${highest}`);
         }
         highest = Math.max(highest, version);
       },
-      error: () => undefined,
-      complete: () => undefined,
-    });
-    void subscription;
+      () => undefined,
+    );
   }
 
   #violate(invariant: Violation['invariant'], what: string): void {
