Log when an upstream sets, changes or removes its rate limit

No log line or metric of any instance showed that a limit had been announced, so the output of the processes could not distinguish instances that ignore the limit from instances that each apply the whole limit on their own.

The limit in an answer is now parsed and stored with the upstream. `upstream` log lines and the counter `upstream_changes` report limitNamed, limitChanged and limitWithdrawn, the log lines with the value.

The answer to a request that was sent before the limit was last updated can lower the limit but not raise or remove it, because answers on different connections can arrive out of order.

Routing is unchanged: the same requests go to the same upstreams.

--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -1,13 +1,19 @@
 import type { Clock, ServiceName, UpstreamId } from '@acaciacrank/base';
 import { Upstream } from '../_lib/Upstream/index.js';
 import { lapsedGraceMs } from '../_lib/limits/index.js';
+import type { LimitChange } from '../_lib/UpstreamLimit/index.js';
 import type { UpstreamRecord } from '../types.js';
 
 /** A change of what this instance believes of an upstream. */
 export interface UpstreamChange {
   readonly upstreamId: UpstreamId;
   readonly service: ServiceName;
-  readonly what: 'seen' | 'startedAgain' | 'leaving' | 'lapsed' | 'gone' | 'leftOut';
+  readonly what: 'seen' | 'startedAgain' | 'leaving' | 'lapsed' | 'gone' | 'leftOut' | LimitChange;
+  /**
+   * Requests per second that the upstream accepts from all instances combined; undefined if it sets
+   * no limit and for changes other than {@link LimitChange}.
+   */
+  readonly limitPerS?: number | undefined;
 }
 
 /** Options of {@link UpstreamTable}. */
@@ -126,6 +132,12 @@
     this.#tell(upstream.record, 'leftOut');
   }
 
+  /** Reports a change of an upstream's rate limit. */
+  tellLimitChange({ record, limit }: Upstream, change: LimitChange): void {
+    const { requestsPerSecond } = limit;
+    this.#tell(record, change, requestsPerSecond === Infinity ? undefined : requestsPerSecond);
+  }
+
   #beginGrace(id: UpstreamId): void {
     const { clock } = this.#options;
     this.#lapsed.get(id)?.[Symbol.dispose]();
@@ -162,8 +174,9 @@
     }
   }
 
-  #tell(record: UpstreamRecord, what: UpstreamChange['what']): void {
-    this.#options.onChange({ upstreamId: record.id, service: record.service, what });
+  #tell(record: UpstreamRecord, what: UpstreamChange['what'], limitPerS?: number): void {
+    const { id: upstreamId, service } = record;
+    this.#options.onChange({ upstreamId, service, what, limitPerS });
   }
 }
 
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -7,9 +7,11 @@
 import type { ForwardCodec, RawHeaders } from '../../ForwardCodec/index.js';
 import { EventBuffer, type StreamEvent } from '../EventBuffer/index.js';
 import type { ForwardCall } from '../ForwardCall/index.js';
+import type { AnswerHead } from '../../types.js';
 import { heldBytesLimit, returnMarginMs } from '../limits/index.js';
 import { openExchange, wasNeverSent, type Exchange } from '../openExchange/index.js';
 import type { Reading, Send, Upstream } from '../Upstream/index.js';
+import type { LimitChange } from '../UpstreamLimit/index.js';
 
 /** How one attempt ended. */
 export type AttemptResult =
@@ -46,6 +48,8 @@
   reading: Reading | undefined;
   /** Called once when the first event came. */
   onBegun: (send: Send) => void;
+  /** Called when the answer changes the upstream's known rate limit. */
+  onLimitChange: (change: LimitChange) => void;
   /** After this long without anything from the upstream, give it up; undefined for never. */
   silenceLimitMs: number | undefined;
 }
@@ -130,6 +134,7 @@
     const { call, upstream, clock } = this.#options;
     const { head, status } = exchange;
     if (head.load !== undefined) upstream.load = { report: head.load, atMs: clock.monotonicMs() };
+    this.#updateLimit(head, send);
     if (head.isNotRun) {
       await readWhole(exchange.body);
       return { kind: 'notRun', status, isWrongUpstream: head.isWrongUpstream };
@@ -148,6 +153,19 @@
     return { kind: 'answer', status, headers, body, isFramed };
   }
 
+  /**
+   * Updates the upstream's rate limit from an answer. An answer without a limit clears the known one
+   * only if it is signed.
+   */
+  #updateLimit({ limitPerS, requestId, isSigned, isWrongUpstream }: AnswerHead, send: Send): void {
+    const { call, upstream, onLimitChange } = this.#options;
+    if (limitPerS === undefined || isWrongUpstream) return;
+    if (requestId !== undefined && requestId !== call.head.requestId) return;
+    if (limitPerS === Infinity && !isSigned) return;
+    const change = upstream.limit.update(limitPerS, send.sentMs);
+    if (change !== undefined) onLimitChange(change);
+  }
+
   #spoilt(exchange: Exchange, reason: string): AttemptResult {
     exchange.body.on('error', () => undefined);
     exchange.body.destroy();
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -19,6 +19,7 @@
 import type { PartPlaces } from '../PartPlaces/index.js';
 import { pickUpstream, type UpstreamPick } from '../pickUpstream/index.js';
 import type { Send, Upstream } from '../Upstream/index.js';
+import type { LimitChange } from '../UpstreamLimit/index.js';
 
 /** What all dispatches of an instance share. */
 export interface DispatchParts {
@@ -101,12 +102,19 @@
         upstream.load === undefined
           ? undefined
           : Math.round(clock.monotonicMs() - upstream.load.atMs),
+      limitPerS:
+        upstream.limit.requestsPerSecond === Infinity
+          ? undefined
+          : upstream.limit.requestsPerSecond,
       outOf: this.#parts.upstreams.usable(call.service.name).length,
     });
     const silenceLimitMs = this.#silenceLimitMs();
     const onBegun = (send: Send) => {
       this.#learnFrom(send);
     };
+    const onLimitChange = (change: LimitChange) => {
+      this.#parts.upstreams.tellLimitChange(upstream, change);
+    };
     const attempt = new Attempt({
       clock,
       codec,
@@ -115,6 +123,7 @@
       fetchFrom,
       reading,
       onBegun,
+      onLimitChange,
       silenceLimitMs,
     });
     const result = await attempt.run();
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -5,6 +5,7 @@
 import { ForeignQueue, type EngineWork } from '@acaciacrank/routing';
 import type { ReportedLoad, UpstreamRecord } from '../../types.js';
 import { UpstreamConnection } from '../UpstreamConnection/index.js';
+import { UpstreamLimit } from '../UpstreamLimit/index.js';
 import {
   failuresToLeaveOut,
   firstLeftOutMs,
@@ -54,6 +55,8 @@
   isLeaving: boolean;
   /** The last load that it reported, and when. */
   load: { readonly report: ReportedLoad; readonly atMs: number } | undefined;
+  /** The request rate that it accepts from all instances combined. */
+  readonly limit: UpstreamLimit;
   readonly sends = new Set<Send>();
   readonly #clock: Clock;
   readonly #idle: UpstreamConnection[] = [];
@@ -68,6 +71,7 @@
     this.record = record;
     this.isLeaving = record.state === 'leaving';
     this.#clock = clock;
+    this.limit = new UpstreamLimit(clock);
   }
 
   get id(): UpstreamId {
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -146,6 +146,11 @@
   /** Whether another upstream than the one meant has answered. */
   readonly isWrongUpstream: boolean;
   readonly load: ReportedLoad | undefined;
+  /**
+   * Requests per second that the upstream accepts from all instances combined; infinite if the answer
+   * has no limit, undefined if its limit cannot be parsed.
+   */
+  readonly limitPerS: number | undefined;
 }
 
 /** What an instance tells an upstream beside the caller's own headers. */
