Soak: check the limits that upstreams name, with a test that fails on the current code

Upstream stand-ins name a limit, change it and withdraw it (fault `limitUpstream`); the promise `upstreamLimit` counts all arrivals from all instances, repeats included, by the users' rule: in 4 s no more than one and a half times what the limit allows, and 5. Its deliberate break is `hideLimit`. An instance that restarts is not excused.

The test has three upstreams that name limits, a kill and a loss of power, and then two changes. Nothing else of the runtime is changed.

--- a/packages/soak/src/_lib/FaultInjector/index.ts
+++ b/packages/soak/src/_lib/FaultInjector/index.ts
@@ -2,6 +2,10 @@
 import { stopLimitMs } from '../InstanceProcess/index.js';
 import type { Observations } from '../Observations/index.js';
 import type { SoakScene } from '../SoakScene/index.js';
+import type { UpstreamStandin } from '../UpstreamStandin/index.js';
+
+/** Limits that upstreams name, in requests a second. */
+const limitsPerS = [1.5, 0.5, 1, 3, 2.2] as const;
 
 /** Options of {@link FaultInjector}. */
 export interface FaultInjectorOptions {
@@ -60,17 +64,23 @@
         );
         proxy.reset();
         return;
+      case 'limitUpstream':
+        this.#limit(upstream.standin, fault);
+        return;
       case 'resetUpstream':
         observations.disturb(0);
+        observations.limits.disturb(upstream.standin.id, 0);
         upstream.proxy.reset();
         return;
       case 'silenceUpstream':
         observations.disturb(0);
+        observations.limits.disturb(upstream.standin.id, 0);
         upstream.proxy.forget();
         return;
       case 'delayUpstream':
       case 'cutUpstreamOneWay': {
-        const { proxy: way } = upstream;
+        const { proxy: way, standin } = upstream;
+        observations.limits.disturb(standin.id, fault.forMs);
         const mode = fault.kind === 'delayUpstream' ? 'delay' : 'dropBack';
         this.#during(
           fault.forMs,
@@ -90,6 +100,17 @@
     }
   }
 
+  /** Names a limit, or another one than before, until the last of these faults has ended there. */
+  #limit(standin: UpstreamStandin, { forMs, target }: PlannedFault): void {
+    const { deliberateBreak } = this.#options;
+    const limitPerS = limitsPerS[target % limitsPerS.length];
+    standin.limitPerS = limitPerS;
+    standin.isLimitHidden = deliberateBreak === 'hideLimit';
+    setTimeout(() => {
+      if (standin.limitPerS === limitPerS) standin.limitPerS = undefined;
+    }, forMs);
+  }
+
   #disturbStore({ kind, forMs }: PlannedFault): void {
     const { scene } = this.#options;
     const modes = {
--- a/packages/soak/src/_lib/Observations/index.ts
+++ b/packages/soak/src/_lib/Observations/index.ts
@@ -1,5 +1,6 @@
 import type { PromiseName, Violation } from '../../types.js';
 import { bounds, slackMs } from '../InstanceProcess/index.js';
+import { LimitCheck } from '../LimitCheck/index.js';
 import { NamingCheck } from '../NamingCheck/index.js';
 import { accounts, movedService, tokensPerEvent } from '../soakDocument/index.js';
 
@@ -48,6 +49,7 @@
   readonly calls: SeenCall[] = [];
   readonly violations: Violation[] = [];
   readonly naming: NamingCheck;
+  readonly limits: LimitCheck;
   readonly #now: () => number;
   readonly #runs = new Map<string, Run>();
   readonly #refused = new Map<string, number>();
@@ -68,6 +70,7 @@
       this.#break(promise, what);
     };
     this.naming = new NamingCheck({ now, onViolation });
+    this.limits = new LimitCheck({ now, onViolation });
   }
 
   /** Notes a fault; promises with a bound on time are not checked in it and for a while after it. */
@@ -128,7 +131,10 @@
       this.#checkRetries(service);
     }
     const calm = this.calls.filter(
-      ({ sentMs, endedMs, outcome }) => outcome !== 'spent' && this.#isCalm(sentMs, endedMs),
+      ({ sentMs, endedMs, outcome }) =>
+        outcome !== 'spent' &&
+        this.#isCalm(sentMs, endedMs) &&
+        !this.limits.wasNamed(sentMs, endedMs),
     );
     const served = calm.filter(({ outcome }) => outcome === 'served').length;
     if (calm.length >= fewestCalmCalls && served < leastServedShare * calm.length) {
--- a/packages/soak/src/_lib/UpstreamStandin/index.ts
+++ b/packages/soak/src/_lib/UpstreamStandin/index.ts
@@ -22,6 +22,10 @@
 export class UpstreamStandin implements AsyncDisposable {
   /** When it said that it leaves. */
   leavingSinceMs: number | undefined;
+  /** Requests a second that it says it takes from all instances together; undefined for no limit. */
+  limitPerS: number | undefined;
+  /** Whether its answers keep the limit to themselves. */
+  isLimitHidden = false;
   readonly #options: UpstreamStandinOptions;
   readonly #server: Server;
 
@@ -63,25 +67,29 @@
       return;
     }
     observations.arrive(service, id, this.leavingSinceMs);
+    observations.limits.arrive(ownId);
     const kind = requestKinds.find(({ path }) => request.url?.startsWith(path));
     const promptTokens = Number(String(request.headers['x-token-count'] ?? '0').split(',')[0]);
     const account = String(request.headers['x-tenant'] ?? '');
     observations.run(id, kind?.isRepeatable ?? false, account, promptTokens);
-    const head = { 'x-request-id': id, 'x-response-seal': `seal.${id}`, 'x-server-load': '1,0,16' };
-    if (kind?.isStream === true) await this.#stream(id, request, response, head);
+    if (kind?.isStream === true) await this.#stream(id, request, response);
     else {
       await sleep(workMs.plain);
-      response.writeHead(200, head).end(`${id} ${service} whole`);
+      response.writeHead(200, this.#head(id)).end(`${id} ${service} whole`);
     }
   }
 
-  async #stream(
-    id: string,
-    request: IncomingMessage,
-    response: ServerResponse,
-    head: Record<string, string>,
-  ): Promise<void> {
-    response.writeHead(200, { ...head, 'content-type': 'text/event-stream' });
+  /** The headers of an answer that is sent now. */
+  #head(id: string): Record<string, string> {
+    const { limitPerS } = this;
+    this.#options.observations.limits.answer(this.id, limitPerS);
+    const head = { 'x-request-id': id, 'x-response-seal': `seal.${id}`, 'x-server-load': '1,0,16' };
+    if (limitPerS === undefined || this.isLimitHidden) return head;
+    return { ...head, 'server-limit': String(limitPerS) };
+  }
+
+  async #stream(id: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    response.writeHead(200, { ...this.#head(id), 'content-type': 'text/event-stream' });
     const after = Number(request.headers['last-event-id'] ?? 0);
     for (let event = after + 1; event <= eventsOfStream; event += 1) {
       await sleep(workMs.event);
--- a/packages/soak/src/_lib/planFaults/index.ts
+++ b/packages/soak/src/_lib/planFaults/index.ts
@@ -26,6 +26,7 @@
   { kind: 'delayUpstream', weight: 1, leastMs: 500, mostMs: 3_000 },
   { kind: 'cutUpstreamOneWay', weight: 2, leastMs: 300, mostMs: 2_000 },
   { kind: 'leaveUpstream', weight: 3, leastMs: 6_000, mostMs: 6_000 },
+  { kind: 'limitUpstream', weight: 5, leastMs: 5_000, mostMs: 15_000 },
   { kind: 'changeConfiguration', weight: 5, leastMs: 0, mostMs: 0 },
 ];
 
--- a/packages/soak/src/runSoak/test.ts
+++ b/packages/soak/src/runSoak/test.ts
@@ -47,6 +47,25 @@
   t.deepEqual(report.violations, []);
 });
 
+// Guards against an upstream in need that each instance goes on sending to as before, and against one
+// that starts again without knowing of the limit.
+test.serial.failing('upstreams that name a limit get no more than that', async (t) => {
+  const limit = { kind: 'limitUpstream', forMs: 20_000 } as const;
+  const faults = [
+    { ...limit, atMs: 1_000, target: 32 },
+    { ...limit, atMs: 1_200, target: 5 },
+    { ...limit, atMs: 1_400, target: 6 },
+    { kind: 'kill', atMs: 8_000, forMs: 0, target: 1 },
+    { kind: 'powerOff', atMs: 10_000, forMs: 2_500, target: 2 },
+    { ...limit, atMs: 14_000, forMs: 4_000, target: 13 },
+    { ...limit, atMs: 14_200, target: 16 },
+  ] as const;
+  const changes = { faults, instances: 4, durationMs: 20_000, requestsPerSecond: 120 };
+  const report = await runSoak(optionsFor('limits', changes));
+  t.deepEqual(report.violations, []);
+  t.true(report.served > 0.5 * report.requests);
+});
+
 /** One planned fault in calm surroundings, for breaks of what happens then. */
 function only(kind: FaultKind, forMs = 0): Partial<SoakOptions> {
   return { faults: [{ kind, atMs: 2_000, forMs, target: 0 }] };
@@ -61,6 +80,7 @@
   ['repeatArrivals', 'retryBudget', { faults: [] }],
   ['holdConfiguration', 'configuration', only('changeConfiguration')],
   ['holdLeaving', 'leavingUpstream', only('leaveUpstream')],
+  ['hideLimit', 'upstreamLimit', only('limitUpstream', 6_000)],
   ['killForStop', 'plannedStop', only('stop')],
   ['nameGone', 'goneInstance', { ...only('powerOff', 9_000), durationMs: 10_500 }],
   ['hideLive', 'liveInstance', { faults: [] }],
--- a/packages/soak/src/types.ts
+++ b/packages/soak/src/types.ts
@@ -11,6 +11,7 @@
   | 'retryBudget'
   | 'configuration'
   | 'leavingUpstream'
+  | 'upstreamLimit'
   | 'plannedStop'
   | 'goneInstance'
   | 'liveInstance'
@@ -33,6 +34,7 @@
   | 'repeatArrivals'
   | 'holdConfiguration'
   | 'holdLeaving'
+  | 'hideLimit'
   | 'killForStop'
   | 'nameGone'
   | 'hideLive'
@@ -55,6 +57,7 @@
   | 'delayUpstream'
   | 'cutUpstreamOneWay'
   | 'leaveUpstream'
+  | 'limitUpstream'
   | 'changeConfiguration';
 
 /** One fault of a plan. */
