Share the rate limit of an upstream among all instances

Cause: no instance applied the limit. Each instance by itself could only have applied the whole limit, so that four together would have sent four times as much.

As many instances as the limit allows at one request per second each hold equal shares of it, selected by rendezvous hash of the upstream's id over the instances that live or may live (divideRate). Each instance enforces its share with a token bucket that starts empty (RateShare). Everything that is sent counts, including repeats. A lost share ends at once and a gained share starts 4 s later, so that the sum stays within the limit while instances disagree about who shares it. An instance that is cut off from the store and from most others does not take part. Limits are sent to peers when they change, when a peer starts, and once per second to one peer (UpstreamLimitSpread), since an instance that sends nothing to an upstream reads no limit there. An upstream at its limit is not a candidate: the request goes to another upstream. If there is none, it is refused at once as not run, with a retry delay between 0.1 and 1 s, as long as it takes until there is room.

--- a/packages/fleet/src/messageSchemas/index.ts
+++ b/packages/fleet/src/messageSchemas/index.ts
@@ -59,6 +59,18 @@
   startedAtMs: z.number().int().optional(),
 });
 
+/** A rate limit from an upstream's answer; ages are relative to when the message is sent. */
+const upstreamLimitSchema = z.object({
+  upstreamId: z.string().max(256) as unknown as z.ZodType<UpstreamId>,
+  /** Identifies the run of the upstream. */
+  startedAtMs: z.number().int().optional(),
+  /** What the upstream accepts from all instances combined; null if it no longer sets a limit. */
+  requestsPerSecond: z.number().nonnegative().nullable(),
+  /** How long ago the request was sent, and its answer received, in milliseconds. */
+  sentAgeMs: z.number().nonnegative(),
+  receivedAgeMs: z.number().nonnegative(),
+});
+
 /** Checks what one instance says of a member, itself included. */
 export const memberRecordSchema = z.object({
   id: instanceId,
@@ -151,6 +163,11 @@
   z.object({ kind: z.literal('news'), ...heartbeatFields }),
   /** Tells that a newer configuration is in force at the sender, who answers for it. */
   z.object({ kind: z.literal('configurationChanged'), version: counter }),
+  /** Rate limits that the sender knows from upstreams' answers. */
+  z.object({
+    kind: z.literal('upstreamLimits'),
+    limits: z.array(upstreamLimitSchema).max(512),
+  }),
   z.object({ kind: z.literal('ask'), askId: counter, question: fleetQuestionSchema }),
   z.object({ kind: z.literal('reply'), askId: counter, reply: fleetReplySchema }),
 ]);
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -31,8 +31,9 @@
 import { NamedInstances } from '../_lib/NamedInstances/index.js';
 import { planStop } from '../_lib/planStop/index.js';
 import { RouteTable } from '../RouteTable/index.js';
+import { UpstreamLimitSpread } from '../UpstreamLimitSpread/index.js';
 import { UpstreamSpread } from '../UpstreamSpread/index.js';
-import { UpstreamTable } from '../UpstreamTable/index.js';
+import { UpstreamTable, type UpstreamChange } from '../UpstreamTable/index.js';
 
 /** Where a forwarding instance listens and what it may use. */
 export interface ForwardingSettings {
@@ -111,6 +112,7 @@
   readonly #handler: ForwardHandler;
   readonly #server: Server;
   readonly #links: WsFleetLinks;
+  readonly #limitSpread: UpstreamLimitSpread;
   readonly #named: NamedInstances;
   readonly #linkKey = randomBytes(linkKeyBytes).toString('hex');
   /** The object of the configuration in force, for peers that the store turns away. */
@@ -126,13 +128,13 @@
     this.#links = this.#createLinks();
     this.fleet = this.#createFleet(lifetime);
     this.#configurationFollower = this.#followConfiguration();
-    this.upstreams = new UpstreamTable({
+    this.upstreams = this.#createUpstreamTable();
+    this.#limitSpread = new UpstreamLimitSpread({
+      links: this.#links,
       clock,
-      onChange: (change) => {
-        metrics.count('upstreamChanges', change.what);
-        log.info(change, 'upstream');
-        if (change.what === 'startedAgain') this.#handler.forgetHeld(change.upstreamId);
-      },
+      random,
+      table: this.upstreams,
+      peers: () => this.#answeringPeers,
     });
     const onEvent = (event: GrantEvent) => {
       metrics.count('grants', event.what);
@@ -221,6 +223,7 @@
     this.#runUntilStop('upstreams', upstreams);
     this.#runUntilStop('fleet', this.fleet);
     this.#runUntilStop('upstreams of peers', this.#createUpstreamSpread(upstreams));
+    this.#runUntilStop('upstream limits', this.#limitSpread);
     this.#runUntilStop('tokens', this.tokens);
   }
 
@@ -291,7 +294,34 @@
     const isStoreAway = () => this.#configurationFollower.isLost;
     const links = this.#links;
     const shared = { store, links, clock, random, log, metrics };
-    return new InstanceFleet({ ...shared, self, configuration, isStoreAway });
+    const onPeerLive = (peer: InstanceId) => {
+      this.#limitSpread.sendAllTo(peer);
+    };
+    return new InstanceFleet({ ...shared, self, configuration, isStoreAway, onPeerLive });
+  }
+
+  #createUpstreamTable(): UpstreamTable {
+    const { clock, log, metrics, settings } = this.#options;
+    const { instanceId } = settings;
+    return new UpstreamTable({
+      clock,
+      limitSharing: { instanceId, sharers: () => this.fleet.rateSharers },
+      onChange: (change) => {
+        metrics.count('upstreamChanges', change.what);
+        log.info(change, 'upstream');
+        if (change.what === 'startedAgain') this.#handler.forgetHeld(change.upstreamId);
+        if (isLimitChange(change) && change.toldBy === undefined) this.#announceLimit(change);
+      },
+    });
+  }
+
+  #announceLimit({ upstreamId }: UpstreamChange): void {
+    const upstream = this.upstreams.get(upstreamId);
+    if (upstream !== undefined) this.#limitSpread.announce(upstream);
+  }
+
+  get #answeringPeers(): readonly InstanceId[] {
+    return this.fleet.answering.filter((id) => id !== this.#options.settings.instanceId);
   }
 
   #createLinks(): WsFleetLinks {
@@ -417,14 +447,14 @@
   }
 
   #createUpstreamSpread(follower: ObjectFollower): UpstreamSpread {
-    const { clock, random, settings } = this.#options;
+    const { clock, random } = this.#options;
     return new UpstreamSpread({
       questions: this.fleet.questions,
       clock,
       random,
       table: this.upstreams,
       isStoreAway: () => follower.isLost,
-      peers: () => this.fleet.answering.filter((id) => id !== settings.instanceId),
+      peers: () => this.#answeringPeers,
     });
   }
 
@@ -438,3 +468,7 @@
     });
   }
 }
+
+function isLimitChange({ what }: UpstreamChange): boolean {
+  return what === 'limitNamed' || what === 'limitChanged' || what === 'limitWithdrawn';
+}
--- a/packages/forwarding/src/InstanceFleet/index.ts
+++ b/packages/forwarding/src/InstanceFleet/index.ts
@@ -19,6 +19,7 @@
   type SpreadConfiguration,
 } from '@acaciacrank/fleet';
 import type { ObjectStore } from '@acaciacrank/store';
+import { LiveWatch } from '../_lib/LiveWatch/index.js';
 import { MemberLog } from '../_lib/MemberLog/index.js';
 
 /** Options of {@link InstanceFleet}. */
@@ -34,6 +35,8 @@
   configuration: Omit<SpreadConfiguration, 'objectText'>;
   /** Whether the store does not tell this instance of newer configurations, so that peers must. */
   isStoreAway: () => boolean;
+  /** Called when a peer becomes live, initially, again or after a restart. */
+  onPeerLive?: (peer: InstanceId) => void;
 }
 
 /** An instance that callers may use. */
@@ -50,6 +53,13 @@
  */
 const suspicionMs = 2_000;
 
+/**
+ * Age of the store's list above which an instance that reaches fewer than half of the others assumes
+ * that they may have given it up, in milliseconds. Shorter than the time for which its last heartbeat
+ * counts, by more than one heartbeat interval.
+ */
+const staleListMs = 7_000;
+
 /**
  * The instances of the fleet, as this one sees them.
  *
@@ -136,10 +146,21 @@
    */
   get sharers(): number {
     if (this.listAgeMs === undefined) return Infinity;
-    const gone = new Set(this.#idsOf('left'));
-    const reached = this.#idsOf('starting', 'live', 'suspect', 'leaving');
-    const sharing = new Set([...reached, ...this.#registrations.mayLive()]);
-    return 1 + [...sharing].filter((id) => !gone.has(id)).length;
+    return 1 + this.#othersExcept('left').length;
+  }
+
+  /**
+   * The instances that share the rate limits of upstreams, including this one where it takes part.
+   *
+   * Guards against two sides of a partition that each use the whole limit, as {@link sharers} does. An
+   * instance does not take part while it is leaving, before it has read the list of instances, and
+   * while it is cut off from the store and from most others, since they may have given it up.
+   */
+  get rateSharers(): readonly InstanceId[] {
+    const others = this.#othersExcept('left', 'leaving');
+    const { id, state } = this.#membership.self;
+    const isLeaving = state === 'leaving' || state === 'left';
+    return isLeaving || this.#mayBeIsolated(others.length) ? others : [id, ...others];
   }
 
   /** How long ago the store's list was read, in milliseconds; undefined before it ever was. */
@@ -190,6 +211,21 @@
     await this.#owned.dispose();
   }
 
+  /** Other instances that live or may live, except those in the given states. */
+  #othersExcept(...states: Member['state'][]): InstanceId[] {
+    const excluded = new Set(this.#idsOf(...states));
+    const reached = this.#idsOf('starting', 'live', 'suspect', 'leaving');
+    const others = new Set([...reached, ...this.#registrations.mayLive()]);
+    return [...others].filter((id) => !excluded.has(id));
+  }
+
+  /** Whether the others may have given this instance up, or are not known yet. */
+  #mayBeIsolated(otherCount: number): boolean {
+    const { listAgeMs } = this;
+    if (listAgeMs === undefined) return true;
+    return listAgeMs > staleListMs && this.#idsOf('live').length < otherCount / 2;
+  }
+
   get #members(): readonly Member[] {
     return this.#membership.members.value;
   }
@@ -199,11 +235,13 @@
   }
 
   #logChanges(): void {
-    const { log, metrics } = this.#options;
+    const { log, metrics, onPeerLive = () => undefined } = this.#options;
     const memberLog = new MemberLog({ log, metrics, listAgeMs: () => this.listAgeMs });
+    const liveWatch = new LiveWatch(onPeerLive);
     const following = this.#membership.members.follow(
       (members) => {
         memberLog.note(members);
+        liveWatch.note(members);
       },
       (error) => {
         log.error({ err: error }, 'member stream failed');
--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -1,7 +1,7 @@
-import type { Clock, ServiceName, UpstreamId } from '@acaciacrank/base';
+import type { Clock, InstanceId, ServiceName, UpstreamId } from '@acaciacrank/base';
 import { Upstream } from '../_lib/Upstream/index.js';
 import { lapsedGraceMs } from '../_lib/limits/index.js';
-import type { LimitChange } from '../_lib/UpstreamLimit/index.js';
+import { unshared, type LimitChange, type LimitSharing } from '../_lib/UpstreamLimit/index.js';
 import type { UpstreamRecord } from '../types.js';
 
 /** A change of what this instance believes of an upstream. */
@@ -14,12 +14,16 @@
    * no limit and for changes other than {@link LimitChange}.
    */
   readonly limitPerS?: number | undefined;
+  /** The peer that reported the limit; undefined if this instance read it in an answer. */
+  readonly toldBy?: InstanceId | undefined;
 }
 
 /** Options of {@link UpstreamTable}. */
 export interface UpstreamTableOptions {
   clock: Clock;
   onChange: (change: UpstreamChange) => void;
+  /** The instances that share the rate limits of upstreams; by default only this one. */
+  limitSharing?: LimitSharing;
 }
 
 /**
@@ -96,7 +100,8 @@
     const known = this.#byId.get(record.id);
     if (known === undefined || isAnotherRun(known.record, record)) {
       if (known !== undefined) this.#drop(known);
-      this.#byId.set(record.id, new Upstream(record, this.#options.clock));
+      const { clock, limitSharing = unshared } = this.#options;
+      this.#byId.set(record.id, new Upstream(record, clock, limitSharing));
       if (known !== undefined) this.#tell(record, 'startedAgain');
       this.#tell(record, record.state === 'leaving' ? 'leaving' : 'seen');
     } else {
@@ -133,9 +138,10 @@
   }
 
   /** Reports a change of an upstream's rate limit. */
-  tellLimitChange({ record, limit }: Upstream, change: LimitChange): void {
+  tellLimitChange({ record, limit }: Upstream, what: LimitChange, toldBy?: InstanceId): void {
     const { requestsPerSecond } = limit;
-    this.#tell(record, change, requestsPerSecond === Infinity ? undefined : requestsPerSecond);
+    const limitPerS = requestsPerSecond === Infinity ? undefined : requestsPerSecond;
+    this.#tell(record, what, { limitPerS, toldBy });
   }
 
   #beginGrace(id: UpstreamId): void {
@@ -174,9 +180,12 @@
     }
   }
 
-  #tell(record: UpstreamRecord, what: UpstreamChange['what'], limitPerS?: number): void {
-    const { id: upstreamId, service } = record;
-    this.#options.onChange({ upstreamId, service, what, limitPerS });
+  #tell(
+    { id: upstreamId, service }: UpstreamRecord,
+    what: UpstreamChange['what'],
+    limit: Pick<UpstreamChange, 'limitPerS' | 'toldBy'> = {},
+  ): void {
+    this.#options.onChange({ upstreamId, service, what, ...limit });
   }
 }
 
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -158,11 +158,15 @@
    * only if it is signed.
    */
   #updateLimit({ limitPerS, requestId, isSigned, isWrongUpstream }: AnswerHead, send: Send): void {
-    const { call, upstream, onLimitChange } = this.#options;
+    const { call, upstream, clock, onLimitChange } = this.#options;
     if (limitPerS === undefined || isWrongUpstream) return;
     if (requestId !== undefined && requestId !== call.head.requestId) return;
     if (limitPerS === Infinity && !isSigned) return;
-    const change = upstream.limit.update(limitPerS, send.sentMs);
+    const change = upstream.limit.update({
+      requestsPerSecond: limitPerS,
+      sentMs: send.sentMs,
+      receivedMs: clock.monotonicMs(),
+    });
     if (change !== undefined) onLimitChange(change);
   }
 
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -38,6 +38,13 @@
 const slowAnswerFactor = 1.5;
 type PlainAnswer = Extract<AttemptResult, { kind: 'answer' }>;
 
+/**
+ * Bounds of the retry delay that a caller is given when upstreams are at their rate limits, in
+ * milliseconds. Another instance may have room sooner than this one.
+ */
+const minRetryAfterMs = 100;
+const maxRetryAfterMs = 1_000;
+
 /** A server error may be the upstream's alone, so that another one answers. */
 const firstServerError = 500;
 
@@ -206,7 +213,7 @@
     const { route, progress, service } = this.#call;
     if (progress.sends >= route.maxUpstreams) return false;
     const others = this.#parts.upstreams.usable(service.name);
-    if (!others.some(({ id }) => !this.#tried.has(id))) return false;
+    if (!others.some(({ id, hasRoom }) => hasRoom && !this.#tried.has(id))) return false;
     const isAllowed = this.#parts.retries.tryRepeat(service.name);
     this.#call.story.add(isAllowed ? 'repeat' : 'noRepeatLeft');
     return isAllowed;
@@ -216,7 +223,18 @@
     const { progress, service } = this.#call;
     const reason = `no upstream of ${service.name} could take the request`;
     if (progress.mayHaveRun) return new RouterError('upstreamFailed', reason);
-    return new RouterError('upstreamUnavailable', reason);
+    return new RouterError('upstreamUnavailable', reason, this.#retryAfter());
+  }
+
+  /** The retry delay if any upstream is at its rate limit; empty otherwise. */
+  #retryAfter(): { retryAfterMs?: number } {
+    const { upstreams, metrics } = this.#parts;
+    const limited = upstreams.usable(this.#call.service.name).filter(({ hasRoom }) => !hasRoom);
+    if (limited.length === 0) return {};
+    metrics.count('refusedAtLimit');
+    this.#call.story.add('atLimit', { upstreams: limited.length });
+    const waitMs = Math.min(...limited.map(({ limit }) => limit.waitMs));
+    return { retryAfterMs: Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, waitMs)) };
   }
 
   /** Learns from a result what it says of the upstream. */
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -5,7 +5,7 @@
 import { ForeignQueue, type EngineWork } from '@acaciacrank/routing';
 import type { ReportedLoad, UpstreamRecord } from '../../types.js';
 import { UpstreamConnection } from '../UpstreamConnection/index.js';
-import { UpstreamLimit } from '../UpstreamLimit/index.js';
+import { UpstreamLimit, unshared, type LimitSharing } from '../UpstreamLimit/index.js';
 import {
   failuresToLeaveOut,
   firstLeftOutMs,
@@ -67,11 +67,11 @@
   #leftOutUntilMs = 0;
   #heardMs = 0;
 
-  constructor(record: UpstreamRecord, clock: Clock) {
+  constructor(record: UpstreamRecord, clock: Clock, limitSharing: LimitSharing = unshared) {
     this.record = record;
     this.isLeaving = record.state === 'leaving';
     this.#clock = clock;
-    this.limit = new UpstreamLimit(clock);
+    this.limit = new UpstreamLimit(clock, record.id, limitSharing);
   }
 
   get id(): UpstreamId {
@@ -100,6 +100,11 @@
     return nowMs < this.#leftOutUntilMs || this.#isSilent(nowMs);
   }
 
+  /** Whether the rate limit lets this instance send it a request now. */
+  get hasRoom(): boolean {
+    return this.limit.waitMs === 0;
+  }
+
   /** Takes a connection for one request. */
   takeConnection(): UpstreamConnection {
     const idle = this.#idle.pop();
@@ -136,6 +141,7 @@
       longestGapMs: 0,
     };
     this.sends.add(send);
+    this.limit.recordSend();
     return send;
   }
 
--- a/packages/forwarding/src/_lib/UpstreamLimit/test.ts
+++ b/packages/forwarding/src/_lib/UpstreamLimit/test.ts
@@ -1,30 +1,73 @@
 import test from 'ava';
 import { ManualClock } from '@acaciacrank/base';
-import { UpstreamLimit } from './index.js';
+import { UpstreamLimit, unshared } from './index.js';
 
-test('a limit is set, changed and removed', async (t) => {
+function open() {
   const clock = new ManualClock();
-  const limit = new UpstreamLimit(clock);
+  const limit = new UpstreamLimit(clock, 'u1', unshared);
+  /** The limit in an answer that arrives now. */
+  const state = (requestsPerSecond: number, sentMs = clock.monotonicMs()) => {
+    return { requestsPerSecond, sentMs, receivedMs: clock.monotonicMs() };
+  };
+  return { clock, limit, state };
+}
+
+test('a limit is set, changed and removed', async (t) => {
+  const { clock, limit, state } = open();
   t.is(limit.requestsPerSecond, Infinity);
-  t.is(limit.update(Infinity, 0), undefined);
-  t.is(limit.update(1.5, 0), 'limitNamed');
-  t.is(limit.update(1.5, 0), undefined);
+  t.is(limit.update(state(Infinity, 0)), undefined);
+  t.is(limit.update(state(1.5, 0)), 'limitNamed');
+  t.is(limit.update(state(1.5, 0)), undefined);
   t.is(limit.requestsPerSecond, 1.5);
   await clock.advance(10);
-  t.is(limit.update(3, clock.monotonicMs()), 'limitChanged');
-  t.is(limit.update(Infinity, clock.monotonicMs()), 'limitWithdrawn');
+  t.is(limit.update(state(3)), 'limitChanged');
+  t.is(limit.update(state(Infinity)), 'limitWithdrawn');
   t.is(limit.requestsPerSecond, Infinity);
 });
 
 // Guards against a stale answer that raises or removes a newer limit.
 test('an answer to a request sent before the last update only lowers the limit', async (t) => {
-  const clock = new ManualClock();
-  const limit = new UpstreamLimit(clock);
+  const { clock, limit, state } = open();
   const sentMs = clock.monotonicMs();
   await clock.advance(10);
-  limit.update(2, clock.monotonicMs());
-  t.is(limit.update(Infinity, sentMs), undefined);
-  t.is(limit.update(5, sentMs), undefined);
+  limit.update(state(2));
+  t.is(limit.update(state(Infinity, sentMs)), undefined);
+  t.is(limit.update(state(5, sentMs)), undefined);
   t.is(limit.requestsPerSecond, 2);
-  t.is(limit.update(1, sentMs), 'limitChanged');
+  t.is(limit.update(state(1, sentMs)), 'limitChanged');
+});
+
+// Guards against applying a limit whose removal a peer has reported, and against applying an older limit
+// from a peer.
+test('the newest limit applies, whichever instance read it', async (t) => {
+  const { clock, limit, state } = open();
+  await clock.advance(1_000);
+  limit.update(state(2));
+  t.not(limit.ownStatedLimit, undefined);
+  t.is(limit.updateFromPeer({ requestsPerSecond: 1, sentMs: 200, receivedMs: 300 }), undefined);
+  t.is(limit.requestsPerSecond, 2);
+  await clock.advance(1_000);
+  t.is(limit.updateFromPeer(state(Infinity)), 'limitWithdrawn');
+  t.is(limit.ownStatedLimit, undefined);
+  t.is(limit.waitMs, 0);
+});
+
+test('a limit restricts the request rate', async (t) => {
+  const { clock, limit, state } = open();
+  limit.update(state(2));
+  t.is(limit.waitMs, 500);
+  await clock.advance(500);
+  t.is(limit.waitMs, 0);
+  limit.recordSend();
+  t.is(limit.waitMs, 500);
+});
+
+// Guards against a limit that looks newer each time it is passed on between instances.
+test('the same limit from a peer leaves the time of the own answer', async (t) => {
+  const { clock, limit, state } = open();
+  limit.update(state(2));
+  const own = limit.ownStatedLimit;
+  await clock.advance(1_000);
+  t.is(limit.updateFromPeer(state(2)), undefined);
+  t.deepEqual(limit.ownStatedLimit, own);
 });
--- a/packages/forwarding/src/_lib/pickUpstream/index.ts
+++ b/packages/forwarding/src/_lib/pickUpstream/index.ts
@@ -54,10 +54,12 @@
  * pickUpstream(request)?.upstream.id;
  */
 export function pickUpstream(request: PickRequest): UpstreamPick | undefined {
-  const fresh = request.candidates.filter(({ id }) => !request.tried.has(id));
-  const sound = fresh.filter((upstream) => !upstream.isLeftOut(request.nowMs));
+  const withRoom = request.candidates.filter(
+    ({ id, hasRoom }) => hasRoom && !request.tried.has(id),
+  );
+  const sound = withRoom.filter((upstream) => !upstream.isLeftOut(request.nowMs));
   // With all of them left out the fault may be the instance's own, so any is better than none.
-  const usable = sound.length > 0 ? sound : fresh;
+  const usable = sound.length > 0 ? sound : withRoom;
   const [first] = usable;
   if (first === undefined) return undefined;
   const shared = lastSharedPart(request.promptParts);
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -6,6 +6,8 @@
 export * from './RouteTable/index.js';
 export * from './UpstreamTable/index.js';
 export * from './UpstreamSpread/index.js';
+export * from './UpstreamLimitSpread/index.js';
+export type { LimitSharing } from './_lib/UpstreamLimit/index.js';
 export * from './ForwardHandler/index.js';
 export * from './createForwardServer/index.js';
 export * from './InstanceFleet/index.js';
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -21,6 +21,8 @@
 export * from './UpstreamUse/index.js';
 export * from './OutlierDetector/index.js';
 export * from './RetryShare/index.js';
+export * from './divideRate/index.js';
+export * from './RateShare/index.js';
 export * from './rankByKey/index.js';
 export * from './EngineModel/index.js';
 export * from './ForeignQueue/index.js';
--- a/packages/soak/src/_lib/FaultInjector/index.ts
+++ b/packages/soak/src/_lib/FaultInjector/index.ts
@@ -4,7 +4,7 @@
 import type { SoakScene } from '../SoakScene/index.js';
 import type { UpstreamStandin } from '../UpstreamStandin/index.js';
 
-/** Limits that upstreams name, in requests a second. */
+/** Rate limits that upstreams set, in requests per second. */
 const limitsPerS = [1.5, 0.5, 1, 3, 2.2] as const;
 
 /** Options of {@link FaultInjector}. */
@@ -19,6 +19,8 @@
   /** How many faults of each kind were injected. */
   readonly counts: Record<string, number> = {};
   readonly #options: FaultInjectorOptions;
+  /** The fault that last set each upstream's limit. */
+  readonly #limitFaults = new Map<UpstreamStandin, PlannedFault>();
 
   constructor(options: FaultInjectorOptions) {
     this.#options = options;
@@ -65,7 +67,7 @@
         proxy.reset();
         return;
       case 'limitUpstream':
-        this.#limit(upstream.standin, fault);
+        this.#setLimit(upstream.standin, fault);
         return;
       case 'resetUpstream':
         observations.disturb(0);
@@ -100,14 +102,16 @@
     }
   }
 
-  /** Names a limit, or another one than before, until the last of these faults has ended there. */
-  #limit(standin: UpstreamStandin, { forMs, target }: PlannedFault): void {
+  /** Sets an upstream's limit and removes it after the fault, unless it has been changed by then. */
+  #setLimit(standin: UpstreamStandin, fault: PlannedFault): void {
     const { deliberateBreak } = this.#options;
+    const { forMs, target } = fault;
+    this.#limitFaults.set(standin, fault);
     const limitPerS = limitsPerS[target % limitsPerS.length];
     standin.limitPerS = limitPerS;
     standin.isLimitHidden = deliberateBreak === 'hideLimit';
     setTimeout(() => {
-      if (standin.limitPerS === limitPerS) standin.limitPerS = undefined;
+      if (this.#limitFaults.get(standin) === fault) standin.limitPerS = undefined;
     }, forMs);
   }
 
--- a/packages/soak/src/_lib/LimitCheck/index.ts
+++ b/packages/soak/src/_lib/LimitCheck/index.ts
@@ -8,100 +8,104 @@
   readonly onViolation: (promise: PromiseName, what: string) => void;
 }
 
-/** The limit that an upstream's answers named from a moment on; undefined for none. */
-interface NamedLimit {
+/** The limit that an upstream's answers set from a point in time on; undefined for none. */
+interface LimitPeriod {
   readonly fromMs: number;
-  readonly perS: number | undefined;
+  readonly limitPerS: number | undefined;
 }
 
-interface Watched {
-  readonly named: NamedLimit[];
+interface UpstreamState {
+  readonly periods: LimitPeriod[];
   readonly arrivalsMs: number[];
-  /** Until then its answers may not arrive. */
+  /** Before this time the upstream's answers may be lost. */
   disturbedUntilMs: number;
 }
 
-/** The span over which arrivals are counted, in milliseconds. */
+/** Length of the window in which arrivals are counted, in milliseconds. */
 const windowMs = 4_000;
-/** So much of what a limit allows in the window, and so many requests beside that, may arrive. */
+/** A window may contain this multiple of what the limit allows, and this many requests more. */
 const allowance = { factor: 1.5, requests: 5 } as const;
-/** Requests that are sent so long after an answer named a limit are held to it, in milliseconds. */
-const toldMs = 500 + slackMs;
+/** Time after which a limit in an answer must be enforced, in milliseconds. */
+const enforcedAfterMs = 500 + slackMs;
 
-/** Whether upstreams get no more requests, from all instances together, than the limit that they name. */
+/** Checks that upstreams receive no more requests from all instances combined than their limits allow. */
 export class LimitCheck {
   readonly #options: LimitCheckOptions;
-  readonly #watched = new Map<string, Watched>();
+  readonly #upstreams = new Map<string, UpstreamState>();
 
   constructor(options: LimitCheckOptions) {
     this.#options = options;
   }
 
-  /** Notes the limit that an answer of an upstream names; undefined where it names none. */
-  answer(upstream: string, perS: number | undefined): void {
+  /** Notes the limit in an answer of an upstream; undefined if the answer has none. */
+  noteLimit(upstream: string, limitPerS: number | undefined): void {
     const nowMs = this.#options.now();
-    const { named, disturbedUntilMs } = this.#watch(upstream);
+    const { periods, disturbedUntilMs } = this.#stateOf(upstream);
     if (nowMs < disturbedUntilMs) return;
-    const last = named.at(-1);
-    if (last === undefined ? perS === undefined : last.perS === perS) return;
-    named.push({ fromMs: nowMs, perS });
+    const last = periods.at(-1);
+    if (last === undefined ? limitPerS === undefined : last.limitPerS === limitPerS) return;
+    periods.push({ fromMs: nowMs, limitPerS });
   }
 
-  /** Notes that the way to an upstream is disturbed: until then its answers may not arrive. */
+  /** Notes that the connection to an upstream is disturbed, so that its answers may be lost. */
   disturb(upstream: string, forMs: number): void {
     const nowMs = this.#options.now();
-    const watched = this.#watch(upstream);
-    watched.named.push({ fromMs: nowMs, perS: undefined });
-    watched.disturbedUntilMs = Math.max(watched.disturbedUntilMs, nowMs + forMs);
+    const state = this.#stateOf(upstream);
+    state.periods.push({ fromMs: nowMs, limitPerS: undefined });
+    state.disturbedUntilMs = Math.max(state.disturbedUntilMs, nowMs + forMs);
   }
 
   /** Notes that an upstream received a request, whether or not it is a repeat. */
   arrive(upstream: string): void {
     const nowMs = this.#options.now();
-    const watched = this.#watch(upstream);
-    watched.arrivalsMs.push(nowMs);
-    const limit = limitOver(watched.named, nowMs);
+    const state = this.#stateOf(upstream);
+    state.arrivalsMs.push(nowMs);
+    const limit = limitAt(state.periods, nowMs);
     if (limit === undefined || nowMs < limit.sinceMs + bounds.stableWindowMs) return;
-    const fromMs = Math.max(nowMs - windowMs, limit.sinceMs + toldMs);
-    const arrived = watched.arrivalsMs.filter((atMs) => atMs >= fromMs).length;
-    const allowed = (allowance.factor * limit.perS * windowMs) / 1_000 + allowance.requests;
+    const fromMs = Math.max(nowMs - windowMs, limit.sinceMs + enforcedAfterMs);
+    const arrived = state.arrivalsMs.filter((atMs) => atMs >= fromMs).length;
+    const allowed = (allowance.factor * limit.limitPerS * windowMs) / 1_000 + allowance.requests;
     if (arrived <= allowed) return;
-    const what = `${upstream} got ${arrived} requests in ${windowMs} ms with a limit of ${limit.perS} a second`;
+    const what = `${upstream} got ${arrived} requests in ${windowMs} ms with a limit of ${limit.limitPerS} a second`;
     this.#options.onViolation('upstreamLimit', what);
   }
 
-  /** Whether any upstream named a limit at some time of a span. */
-  wasNamed(fromMs: number, toMs: number): boolean {
-    return [...this.#watched.values()].some(({ named }) =>
-      named.some((limit, at) => {
-        const endMs = named[at + 1]?.fromMs ?? Infinity;
-        return limit.perS !== undefined && limit.fromMs <= toMs && endMs >= fromMs;
+  /** Whether any upstream had a limit at some point in a time span. */
+  hadLimit(fromMs: number, toMs: number): boolean {
+    return [...this.#upstreams.values()].some(({ periods }) =>
+      periods.some((period, at) => {
+        const endMs = periods[at + 1]?.fromMs ?? Infinity;
+        return period.limitPerS !== undefined && period.fromMs <= toMs && endMs >= fromMs;
       }),
     );
   }
 
-  #watch(upstream: string): Watched {
-    const known = this.#watched.get(upstream);
+  #stateOf(upstream: string): UpstreamState {
+    const known = this.#upstreams.get(upstream);
     if (known !== undefined) return known;
-    const watched = { named: [], arrivalsMs: [], disturbedUntilMs: -Infinity };
-    this.#watched.set(upstream, watched);
-    return watched;
+    const state = { periods: [], arrivalsMs: [], disturbedUntilMs: -Infinity };
+    this.#upstreams.set(upstream, state);
+    return state;
   }
 }
 
-/** Since when there has been a limit, and the highest that may count in the window that ends now. */
-function limitOver(
-  named: readonly NamedLimit[],
+/**
+ * The limit to check for the window that ends at a time: the highest one that may apply within it, and
+ * since when the upstream has had limits without interruption.
+ */
+function limitAt(
+  periods: readonly LimitPeriod[],
   nowMs: number,
-): { readonly sinceMs: number; readonly perS: number } | undefined {
+): { readonly sinceMs: number; readonly limitPerS: number } | undefined {
   let sinceMs: number | undefined;
-  let perS = 0;
-  for (let at = named.length - 1; at >= 0; at -= 1) {
-    const limit = named[at] as NamedLimit;
-    if (limit.perS === undefined) break;
-    const endMs = named[at + 1]?.fromMs ?? Infinity;
-    sinceMs = limit.fromMs;
-    if (endMs > nowMs - windowMs - toldMs) perS = Math.max(perS, limit.perS);
+  let limitPerS = 0;
+  for (let at = periods.length - 1; at >= 0; at -= 1) {
+    const period = periods[at] as LimitPeriod;
+    if (period.limitPerS === undefined) break;
+    const endMs = periods[at + 1]?.fromMs ?? Infinity;
+    sinceMs = period.fromMs;
+    if (endMs > nowMs - windowMs - enforcedAfterMs)
+      limitPerS = Math.max(limitPerS, period.limitPerS);
   }
-  return sinceMs === undefined ? undefined : { sinceMs, perS };
+  return sinceMs === undefined ? undefined : { sinceMs, limitPerS };
 }
--- a/packages/soak/src/_lib/Observations/index.ts
+++ b/packages/soak/src/_lib/Observations/index.ts
@@ -134,7 +134,7 @@
       ({ sentMs, endedMs, outcome }) =>
         outcome !== 'spent' &&
         this.#isCalm(sentMs, endedMs) &&
-        !this.limits.wasNamed(sentMs, endedMs),
+        !this.limits.hadLimit(sentMs, endedMs),
     );
     const served = calm.filter(({ outcome }) => outcome === 'served').length;
     if (calm.length >= fewestCalmCalls && served < leastServedShare * calm.length) {
--- a/packages/soak/src/_lib/UpstreamStandin/index.ts
+++ b/packages/soak/src/_lib/UpstreamStandin/index.ts
@@ -22,9 +22,9 @@
 export class UpstreamStandin implements AsyncDisposable {
   /** When it said that it leaves. */
   leavingSinceMs: number | undefined;
-  /** Requests a second that it says it takes from all instances together; undefined for no limit. */
+  /** Requests per second that it accepts from all instances combined; undefined for no limit. */
   limitPerS: number | undefined;
-  /** Whether its answers keep the limit to themselves. */
+  /** Whether its answers omit the limit. */
   isLimitHidden = false;
   readonly #options: UpstreamStandinOptions;
   readonly #server: Server;
@@ -79,10 +79,10 @@
     }
   }
 
-  /** The headers of an answer that is sent now. */
+  /** Builds the headers of an answer, and notes the current limit. */
   #head(id: string): Record<string, string> {
     const { limitPerS } = this;
-    this.#options.observations.limits.answer(this.id, limitPerS);
+    this.#options.observations.limits.noteLimit(this.id, limitPerS);
     const head = { 'x-request-id': id, 'x-response-seal': `seal.${id}`, 'x-server-load': '1,0,16' };
     if (limitPerS === undefined || this.isLimitHidden) return head;
     return { ...head, 'server-limit': String(limitPerS) };
--- a/packages/soak/src/runSoak/test.ts
+++ b/packages/soak/src/runSoak/test.ts
@@ -47,9 +47,9 @@
   t.deepEqual(report.violations, []);
 });
 
-// Guards against an upstream in need that each instance goes on sending to as before, and against one
-// that starts again without knowing of the limit.
-test.serial.failing('upstreams that name a limit get no more than that', async (t) => {
+// Guards against instances that ignore the rate limit of an upstream, and against one that restarts and
+// does not know the limit.
+test.serial('upstreams that name a limit get no more than that', async (t) => {
   const limit = { kind: 'limitUpstream', forMs: 20_000 } as const;
   const faults = [
     { ...limit, atMs: 1_000, target: 32 },
--- a/packages/standins/src/_lib/fleetWorld/index.ts
+++ b/packages/standins/src/_lib/fleetWorld/index.ts
@@ -43,7 +43,7 @@
   }
 
   /** Starts an instance, also in place of its former run. */
-  start(id: string, isServing = true): FleetNode {
+  start(id: string, isServing = true, onPeerLive?: (peer: InstanceId) => void): FleetNode {
     this.#runs += 1;
     const { clock } = this;
     const links = this.network.linksFor(id as InstanceId);
@@ -63,7 +63,8 @@
     const isStoreAway = () => store.link.isDown;
     const metrics = new Metrics();
     const shared = { store, links, clock, random: this.#random, log: silent, metrics };
-    const fleet = new InstanceFleet({ ...shared, self, configuration, isStoreAway });
+    const listener = onPeerLive === undefined ? {} : { onPeerLive };
+    const fleet = new InstanceFleet({ ...shared, self, configuration, isStoreAway, ...listener });
     void fleet.run();
     if (isServing) fleet.serve();
     const node = { fleet, links, store, metrics, versions };
