Limit each instance to its share of an upstream's connections

The configuration states how many connections an upstream accepts from all instances combined; the upstream resets any beyond that. The value was read but used nowhere: each instance opened as many connections as it had requests in progress. Instances could therefore cause each other's requests to be reset, and callers of requests that may not be repeated were told that the outcome is unknown.

Each instance now stays within its share: the limit divided by the number of instances that live or may live, leaving ones included, and at least one connection. Idle connections count. When a share has shrunk, busy connections beyond it are closed when their request ends, idle ones by their time-out. An upstream without a free connection is not a candidate: the request goes to another upstream or is refused at once as not run.

--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -306,6 +306,8 @@
     return new UpstreamTable({
       clock,
       limitSharing: { instanceId, sharers: () => this.fleet.rateSharers },
+      instanceCount: () => this.fleet.sharers,
+      maxConnections: (service) => this.routes.value?.service(service)?.maxConnections ?? Infinity,
       onChange: (change) => {
         metrics.count('upstreamChanges', change.what);
         log.info(change, 'upstream');
--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -22,10 +22,20 @@
 export interface UpstreamTableOptions {
   clock: Clock;
   onChange: (change: UpstreamChange) => void;
-  /** The instances that share the rate limits of upstreams; by default only this one. */
+  /** The instances that share the limits of upstreams; by default only this one. */
   limitSharing?: LimitSharing;
+  /**
+   * Number of connections that one upstream of a service accepts from all instances combined;
+   * unlimited by default.
+   */
+  maxConnections?: (service: ServiceName) => number;
+  /** How many instances share connections, this one included; 1 by default. */
+  instanceCount?: () => number;
 }
 
+/** How long the number of instances that share connections is cached, in milliseconds. */
+const instanceCountTtlMs = 250;
+
 /**
  * The upstreams that may be used, as the store lists them.
  *
@@ -39,6 +49,8 @@
   readonly #byService = new Map<ServiceName, Upstream[]>();
   /** Upstreams whose records vanished, with the end of their grace once that has begun. */
   readonly #lapsed = new Map<UpstreamId, Disposable | undefined>();
+  /** Number of instances that share connections, and when it was determined. */
+  #instanceCount = { value: 1, atMs: -Infinity };
   #isStoreLost = false;
   #regainedMs = -Infinity;
 
@@ -100,8 +112,7 @@
     const known = this.#byId.get(record.id);
     if (known === undefined || isAnotherRun(known.record, record)) {
       if (known !== undefined) this.#drop(known);
-      const { clock, limitSharing = unshared } = this.#options;
-      this.#byId.set(record.id, new Upstream(record, clock, limitSharing));
+      this.#byId.set(record.id, this.#createUpstream(record));
       if (known !== undefined) this.#tell(record, 'startedAgain');
       this.#tell(record, record.state === 'leaving' ? 'leaving' : 'seen');
     } else {
@@ -144,6 +155,28 @@
     this.#tell(record, what, { limitPerS, toldBy });
   }
 
+  #createUpstream(record: UpstreamRecord): Upstream {
+    const { clock, limitSharing = unshared } = this.#options;
+    const connectionShare = () => this.#connectionShare(record.service);
+    return new Upstream(record, clock, limitSharing, connectionShare);
+  }
+
+  /**
+   * Number of connections that this instance may have open to each upstream of a service.
+   *
+   * Guards against instances that together open more connections than an upstream accepts, so that
+   * it resets the excess ones.
+   */
+  #connectionShare(service: ServiceName): number {
+    const { clock, maxConnections = () => Infinity, instanceCount = () => 1 } = this.#options;
+    const nowMs = clock.monotonicMs();
+    if (nowMs - this.#instanceCount.atMs >= instanceCountTtlMs) {
+      this.#instanceCount = { value: instanceCount(), atMs: nowMs };
+    }
+    const { value } = this.#instanceCount;
+    return Math.max(1, Math.floor(maxConnections(service) / value));
+  }
+
   #beginGrace(id: UpstreamId): void {
     const { clock } = this.#options;
     this.#lapsed.get(id)?.[Symbol.dispose]();
--- a/packages/forwarding/src/UpstreamTable/test.ts
+++ b/packages/forwarding/src/UpstreamTable/test.ts
@@ -98,3 +98,27 @@
   t.is(table.usable(service).length, 2);
   t.deepEqual(changes, ['seen', 'seen', 'leaving', 'seen']);
 });
+
+// Guards against instances that each open as many connections as an upstream accepts from all of them.
+test('an instance opens only its share of the connections to an upstream', async (t) => {
+  const clock = new ManualClock();
+  let instances = 4;
+  const table = new UpstreamTable({
+    clock,
+    onChange: () => undefined,
+    maxConnections: () => 9,
+    instanceCount: () => instances,
+  });
+  table.put(record);
+  const [upstream] = table.usable(service);
+  const first = upstream?.takeConnection();
+  t.true(upstream?.hasRoom);
+  upstream?.takeConnection();
+  t.false(upstream?.hasRoom);
+  if (first !== undefined) upstream?.returnConnection(first, true);
+  t.true(upstream?.hasRoom);
+  upstream?.takeConnection();
+  instances = 3;
+  await clock.advance(250);
+  t.true(upstream?.hasRoom);
+});
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -39,7 +39,7 @@
 type PlainAnswer = Extract<AttemptResult, { kind: 'answer' }>;
 
 /**
- * Bounds of the retry delay that a caller is given when upstreams are at their rate limits, in
+ * Bounds of the retry delay that a caller is given when upstreams are at their limits, in
  * milliseconds. Another instance may have room sooner than this one.
  */
 const minRetryAfterMs = 100;
@@ -226,7 +226,7 @@
     return new RouterError('upstreamUnavailable', reason, this.#retryAfter());
   }
 
-  /** The retry delay if any upstream is at its rate limit; empty otherwise. */
+  /** The retry delay if any upstream is at its limit of requests or connections; empty otherwise. */
   #retryAfter(): { retryAfterMs?: number } {
     const { upstreams, metrics } = this.#parts;
     const limited = upstreams.usable(this.#call.service.name).filter(({ hasRoom }) => !hasRoom);
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -59,6 +59,7 @@
   readonly limit: UpstreamLimit;
   readonly sends = new Set<Send>();
   readonly #clock: Clock;
+  readonly #connectionShare: () => number;
   readonly #idle: UpstreamConnection[] = [];
   readonly #open = new Set<UpstreamConnection>();
   readonly #foreign = new ForeignQueue();
@@ -67,10 +68,20 @@
   #leftOutUntilMs = 0;
   #heardMs = 0;
 
-  constructor(record: UpstreamRecord, clock: Clock, limitSharing: LimitSharing = unshared) {
+  /**
+   * @param connectionShare - returns how many connections, idle ones included, this instance may
+   *   have open; unlimited by default
+   */
+  constructor(
+    record: UpstreamRecord,
+    clock: Clock,
+    limitSharing: LimitSharing = unshared,
+    connectionShare: () => number = () => Infinity,
+  ) {
     this.record = record;
     this.isLeaving = record.state === 'leaving';
     this.#clock = clock;
+    this.#connectionShare = connectionShare;
     this.limit = new UpstreamLimit(clock, record.id, limitSharing);
   }
 
@@ -100,9 +111,13 @@
     return nowMs < this.#leftOutUntilMs || this.#isSilent(nowMs);
   }
 
-  /** Whether the rate limit lets this instance send it a request now. */
+  /** Whether the rate limit and the connection limit let this instance send it a request now. */
   get hasRoom(): boolean {
-    return this.limit.waitMs === 0;
+    return this.limit.waitMs === 0 && this.#hasFreeConnection;
+  }
+
+  get #hasFreeConnection(): boolean {
+    return this.#idle.length > 0 || this.#open.size < this.#connectionShare();
   }
 
   /** Takes a connection for one request. */
@@ -121,7 +136,9 @@
    * deliver the rest of it to the next request, so it is never used again.
    */
   returnConnection(connection: UpstreamConnection, isSound: boolean): void {
-    if (isSound && this.#open.has(connection)) {
+    // The share may have shrunk since the connection was opened.
+    const isWithinShare = this.#open.size <= this.#connectionShare();
+    if (isSound && isWithinShare && this.#open.has(connection)) {
       this.#idle.push(connection);
       return;
     }
