Limit the retries of a large fleet to one upstream

The retries earned by time, 0.5 per second with 5 initially, were granted to each instance separately, for each upstream and class. 390 instances combined could send 195 retries per second, and 1,950 at once, to one upstream that receives less than one first attempt per second. Callers of a failing upstream would see it overloaded by retries.

Up to five instances each keep the full allowance. A larger fleet divides the allowance of five, except that each instance can still save up one retry; so 390 that have all saved up one can still send 390 at once.

Evidence: in a test with 200 instances, 40 of them send one request per second each for a minute to an upstream that fails all requests. The test failed before and allows a tenth of the attempts plus what five instances start with and earn by time. Not measured on a real fleet of that size.

Tests of routing, router and callers pass. The users' platform path does not use this budget.

--- a/packages/router/src/Instance/index.ts
+++ b/packages/router/src/Instance/index.ts
@@ -200,7 +200,7 @@
       expectedServeMs: ({ service, priority }) =>
         service === undefined ? 0 : this.registry.usualFirstTokenMs(service, priority),
     });
-    const retries = new RetryBudget({ clock });
+    const retries = new RetryBudget({ clock, instanceCount: () => 1 + this.#peerCount });
     const engines = new EngineDispatch({ ...shared, retries });
     const services = new ServiceDispatch({ ...shared, retries });
     this.chat = new ChatHandler({ ...shared, queue, engines, lingerMs: options.lingerMs });
@@ -221,6 +221,11 @@
     );
   }
 
+  /** Number of other instances that have not left, whether or not they can be reached. */
+  get #peerCount(): number {
+    return this.membership.members.value.filter(({ state }) => state !== 'left').length;
+  }
+
   /** Whether new work is taken. */
   get isAccepting(): boolean {
     return this.plannedStop.isAccepting && this.configuration.inForce.value !== undefined;
--- a/packages/routing/src/RetryBudget/index.ts
+++ b/packages/routing/src/RetryBudget/index.ts
@@ -16,8 +16,16 @@
   maxRetries?: number;
   /** How many buckets are kept; the one that was used longest ago goes first. */
   maxBuckets?: number;
+  /** Returns the number of instances that use the same upstreams, including this one; 1 by default. */
+  instanceCount?: () => number;
 }
 
+/**
+ * Number of instances up to which each has the full `retriesPerSecond` and `maxRetries`. A larger fleet
+ * divides what this many instances have, except that each instance can always save up one retry.
+ */
+const maxFullShares = 5;
+
 interface Bucket {
   retries: number;
   updatedMs: number;
@@ -41,6 +49,7 @@
       retriesPerSecond: 0.5,
       maxRetries: 5,
       maxBuckets: 4_096,
+      instanceCount: () => 1,
       ...options,
     };
   }
@@ -80,19 +89,31 @@
   #bucket(upstreamId: UpstreamId, className: ClassName): Bucket {
     const key = `${upstreamId}\n${className}`;
     const nowMs = this.#options.clock.monotonicMs();
-    const bucket = this.#buckets.get(key) ?? {
-      retries: this.#options.maxRetries,
-      updatedMs: nowMs,
-    };
+    const { maxRetries, retriesPerSecond } = this.#options;
+    const share = this.#share;
+    const bucket = this.#buckets.get(key) ?? { retries: maxRetries * share, updatedMs: nowMs };
     const elapsedSeconds = (nowMs - bucket.updatedMs) / millisecondsInSecond;
     bucket.updatedMs = nowMs;
-    this.#earn(bucket, elapsedSeconds * this.#options.retriesPerSecond);
+    this.#earn(bucket, elapsedSeconds * retriesPerSecond * share);
     this.#keep(key, bucket);
     return bucket;
   }
 
   #earn(bucket: Bucket, retries: number): void {
-    bucket.retries = Math.min(this.#options.maxRetries, bucket.retries + retries);
+    // A share below one retry could never be saved up.
+    const { maxRetries } = this.#options;
+    const capacity = Math.max(Math.min(1, maxRetries), maxRetries * this.#share);
+    bucket.retries = Math.min(capacity, bucket.retries + retries);
+  }
+
+  /**
+   * The fraction of `retriesPerSecond` and `maxRetries` that this instance may use.
+   *
+   * Guards against a large fleet that overloads a failing upstream with retries although each instance
+   * stays within its own budget.
+   */
+  get #share(): number {
+    return Math.min(1, maxFullShares / Math.max(1, this.#options.instanceCount()));
   }
 
   /** Puts the bucket last in order of use and drops the first one when there are too many. */
--- a/packages/routing/src/RetryBudget/test.ts
+++ b/packages/routing/src/RetryBudget/test.ts
@@ -35,3 +35,26 @@
   await clock.advance(60_000);
   t.is(take(), 2);
 });
+
+// Guards against a large fleet that overloads a failing upstream with retries although each instance
+// stays within its own budget.
+test('the retries of a large fleet towards one upstream stay bounded', async (t) => {
+  const clock = new ManualClock();
+  const instanceCount = 200;
+  const budgets = Array.from(
+    { length: instanceCount },
+    () => new RetryBudget({ clock, instanceCount: () => instanceCount }),
+  );
+  let attempts = 0;
+  let retries = 0;
+  for (let second = 0; second < 60; second += 1) {
+    await clock.advance(1_000);
+    for (const budget of budgets.slice(0, 40)) {
+      budget.recordAttempt(engine, shift);
+      attempts += 1;
+      if (budget.tryRetry(engine, shift)) retries += 1;
+    }
+  }
+  // A tenth of the attempts, and what five instances start with and earn by time.
+  t.true(retries <= 0.1 * attempts + 5 * 5 + 5 * 0.5 * 60, `${retries} of ${attempts}`);
+});
