Test rate limits under message loss, a full restart and in a large fleet

On virtual time, upstreams with limits are tested while four of ten messages between instances are lost; while all instances lose power and start again; and in a fleet of 33 instances, 12 of which restart in turn, with limits of 1, 0.4, 5 and 0 requests per second. Another test checks that the limit of an upstream is dropped when the upstream restarts.

--- a/packages/forwarding/src/UpstreamTable/test.ts
+++ b/packages/forwarding/src/UpstreamTable/test.ts
@@ -122,3 +122,14 @@
   await clock.advance(250);
   t.true(upstream?.hasRoom);
 });
+
+// Guards against a restarted upstream that stays subject to the limit of its previous run.
+test('the limit of an upstream is dropped when the upstream restarts', (t) => {
+  const { table } = open();
+  table.put(record);
+  const stated = { requestsPerSecond: 1, sentMs: 0, receivedMs: 0 };
+  table.get(id)?.limit.update(stated);
+  t.false(table.get(id)?.hasRoom);
+  table.put({ ...record, startedAtMs: 2_000 });
+  t.true(table.get(id)?.hasRoom);
+});
--- a/packages/standins/src/failures/upstreamLimits/test.ts
+++ b/packages/standins/src/failures/upstreamLimits/test.ts
@@ -82,6 +82,19 @@
     world.fleet.network.heal();
     await world.run(10_000, loadPerS);
   },
+  'a simultaneous power loss and restart of all instances': async (world) => {
+    await world.run(3_000, loadPerS);
+    for (const id of ids) world.powerOff(id);
+    await world.fleet.clock.advance(1_000);
+    for (const id of ids) world.start(id);
+    await world.run(15_000, loadPerS);
+  },
+  'message loss between instances': async (world) => {
+    for (const from of ids) {
+      for (const to of ids) world.fleet.network.lose(from, to, 0.4);
+    }
+    await world.run(20_000, loadPerS);
+  },
   'an unavailable store': async (world) => {
     world.fleet.turnAway(ids);
     await world.run(25_000, loadPerS);
@@ -163,3 +176,25 @@
   t.true(kinds.length > 0);
   t.false(kinds.includes('upstreamLimits'));
 });
+
+// Guards against bursts of individual instances that together exceed a low limit in a large fleet.
+test('a large fleet stays within low limits while some of its instances restart in turn', async (t) => {
+  const instanceIds = Array.from({ length: 33 }, (_, index) => `i${index}`);
+  const world = new LimitWorld(1, instanceIds, 8);
+  await world.run(3_000, loadPerS);
+  const upstreams = setLimits(world, 1, 0.4, 5, 0);
+  const fromMs = enforcedFromMs(world);
+  await world.run(4_000, loadPerS);
+  for (const id of instanceIds.slice(0, 12)) {
+    world.powerOff(id);
+    await world.run(700, loadPerS);
+    world.start(id);
+    await world.run(300, loadPerS);
+  }
+  await world.run(5_000, loadPerS);
+  for (const upstream of upstreams) {
+    const most = world.maxInWindow(upstream, windowMs, fromMs);
+    const { limitPerS = 0 } = upstream;
+    t.true(most <= maxAllowed(limitPerS), `${most} at ${limitPerS} a second`);
+  }
+});
