Soak: check that callers are served while one upstream has a limit

Only times at which two or more upstreams have a limit are now excluded, since a service has two or three upstreams.

--- a/packages/soak/src/_lib/LimitCheck/index.ts
+++ b/packages/soak/src/_lib/LimitCheck/index.ts
@@ -70,14 +70,14 @@
     this.#options.onViolation('upstreamLimit', what);
   }
 
-  /** Whether any upstream had a limit at some point in a time span. */
-  hadLimit(fromMs: number, toMs: number): boolean {
-    return [...this.#upstreams.values()].some(({ periods }) =>
+  /** Number of upstreams that had a limit at some point in a time span. */
+  countLimited(fromMs: number, toMs: number): number {
+    return [...this.#upstreams.values()].filter(({ periods }) =>
       periods.some((period, at) => {
         const endMs = periods[at + 1]?.fromMs ?? Infinity;
         return period.limitPerS !== undefined && period.fromMs <= toMs && endMs >= fromMs;
       }),
-    );
+    ).length;
   }
 
   #stateOf(upstream: string): UpstreamState {
--- a/packages/soak/src/_lib/Observations/index.ts
+++ b/packages/soak/src/_lib/Observations/index.ts
@@ -43,6 +43,8 @@
 const leastServedShare = 0.5;
 /** Fewer calm requests than this tell nothing about that share. */
 const fewestCalmCalls = 40;
+/** Requests made while more upstreams have a limit are not counted; a service may have no other upstream. */
+const maxLimitedUpstreams = 1;
 
 /** What callers and upstreams saw of a run, and which promises did not hold. */
 export class Observations {
@@ -134,7 +136,7 @@
       ({ sentMs, endedMs, outcome }) =>
         outcome !== 'spent' &&
         this.#isCalm(sentMs, endedMs) &&
-        !this.limits.hadLimit(sentMs, endedMs),
+        this.limits.countLimited(sentMs, endedMs) <= maxLimitedUpstreams,
     );
     const served = calm.filter(({ outcome }) => outcome === 'served').length;
     if (calm.length >= fewestCalmCalls && served < leastServedShare * calm.length) {
