Store: versions carry the epoch of a store that comes back from an older copy

Cause: after a drill the platform's store gives out revisions again for other changes. Whatever compared revisions across it was wrong: a follower went on watching from a number that the new history had passed, and a conditional write could replace another state of the object that had the same revision.

Change: a version is composed of the epoch, which the store's answers tell, and the revision, ordered by epoch first. `ObjectStore.epochs` is the one place that notices a rise.

--- a/packages/standins/src/configuration/_lib/FaultyObjectStore/index.ts
+++ b/packages/standins/src/configuration/_lib/FaultyObjectStore/index.ts
@@ -2,6 +2,7 @@
 import {
   ObjectStore,
   type StoreChanges,
+  type StoreEpochs,
   type StoreSnapshot,
   type StoredObject,
   type WriteCondition,
@@ -53,6 +54,10 @@
     this.#store = store;
   }
 
+  override get epochs(): StoreEpochs {
+    return this.#store.epochs;
+  }
+
   /** Puts an object into the cache that serves stale reads. */
   addToCache(stored: StoredObject): void {
     this.#cache.set(stored.key, stored);
--- a/packages/standins/src/faults/mutations/index.ts
+++ b/packages/standins/src/faults/mutations/index.ts
@@ -9,6 +9,7 @@
   ObjectStore,
   type ListedInstance,
   type StoreChanges,
+  type StoreEpochs,
   type StoreSnapshot,
   type StoredObject,
   type WriteCondition,
@@ -55,6 +56,10 @@
     this.#store = store;
   }
 
+  override get epochs(): StoreEpochs {
+    return this.#store.epochs;
+  }
+
   override read(key: string): Promise<StoredObject | undefined> {
     return this.#store.read(key);
   }
--- a/packages/standins/src/faults/wrapInstance/index.ts
+++ b/packages/standins/src/faults/wrapInstance/index.ts
@@ -8,6 +8,7 @@
   ObjectStore,
   type ListedInstance,
   type StoreChanges,
+  type StoreEpochs,
   type StoreSnapshot,
   type StoredObject,
   type WriteCondition,
@@ -135,6 +136,10 @@
     this.#store = store;
   }
 
+  override get epochs(): StoreEpochs {
+    return this.#store.epochs;
+  }
+
   override read(key: string): Promise<StoredObject | undefined> {
     return this.#intercept('store.read', () => this.#store.read(key));
   }
--- a/packages/store/src/MemoryPlatform/index.ts
+++ b/packages/store/src/MemoryPlatform/index.ts
@@ -1,6 +1,7 @@
 import { RouterError, type Clock } from '@acaciacrank/base';
 import { InstanceList } from '../InstanceList/index.js';
 import { ObjectStore } from '../ObjectStore/index.js';
+import { composeVersion, epochOf, revisionOf } from '../storeVersion/index.js';
 import type {
   ListedInstance,
   StoreChange,
@@ -30,18 +31,28 @@
   readonly wake: () => void;
 }
 
+/** What a platform held at one moment; see {@link MemoryPlatform.restore}. */
+export interface PlatformCopy {
+  readonly objects: ReadonlyMap<string, StoredObject>;
+  readonly changes: readonly StoreChange[];
+  readonly revision: number;
+}
+
 /**
  * In-memory platform with versioned objects, conditional writes, watches and a lagging instance
  * list. Clients share one platform, each through its own {@link MemoryObjectStore}.
+ *
+ * Its versions are revisions, as the platform's protocol has them; clients add the epoch.
  */
 export class MemoryPlatform {
   readonly calls: PlatformCalls = { reads: 0, writes: 0, conflicts: 0, watches: 0 };
   readonly #clock: Clock;
-  readonly #objects = new Map<string, StoredObject>();
-  readonly #changes: StoreChange[] = [];
+  #objects = new Map<string, StoredObject>();
+  #changes: StoreChange[] = [];
   readonly #instances = new Map<string, ListedInstance>();
   #waiters: Waiter[] = [];
   #revision = 0;
+  #epoch = 0;
   #listed: readonly ListedInstance[] = [];
   #listedAtMs = -Infinity;
 
@@ -64,6 +75,39 @@
     this.#copy = options.isSharing === true ? deepFreeze : structuredClone;
   }
 
+  /** Number of times that the store came back from an older copy. */
+  get epoch(): number {
+    return this.#epoch;
+  }
+
+  /** The revision of the last change. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** Copies all objects, to {@link restore} them later. */
+  copy(): PlatformCopy {
+    return {
+      objects: new Map(this.#objects),
+      changes: [...this.#changes],
+      revision: this.#revision,
+    };
+  }
+
+  /**
+   * Comes back from an older copy: everything written since is lost, revisions go back and are given
+   * out again, the epoch rises, and waiting watches are cut.
+   *
+   * @param copy - what the platform held at an earlier moment
+   */
+  restore(copy: PlatformCopy): void {
+    this.#objects = new Map(copy.objects);
+    this.#changes = [...copy.changes];
+    this.#revision = copy.revision;
+    this.#epoch += 1;
+    for (const waiter of this.#waiters) waiter.wake();
+  }
+
   /** Returns all objects, without counting a call. */
   objects(): StoredObject[] {
     return [...this.#objects.values()];
@@ -107,6 +151,8 @@
     signal: AbortSignal,
   ): Promise<StoreChanges> {
     this.calls.watches += 1;
+    if (sinceRevision > this.#revision) throw createHistoryGoneError();
+    const epoch = this.#epoch;
     const pendingChanges = this.#changesSince(prefix, sinceRevision);
     if (pendingChanges.length > 0 || signal.aborted)
       return this.#toStoreChanges(pendingChanges, sinceRevision);
@@ -122,6 +168,7 @@
     await this.#clock.sleep(waitMs, wakeUp.signal);
     signal.removeEventListener('abort', waiter.wake);
     this.#waiters = this.#waiters.filter((other) => other !== waiter);
+    if (this.#epoch !== epoch) throw createUnavailableError();
     return this.#toStoreChanges(this.#changesSince(prefix, sinceRevision), sinceRevision);
   }
 
@@ -206,7 +253,9 @@
 
   override async read(key: string): Promise<StoredObject | undefined> {
     await this.#applyFaults();
-    return this.#platform.read(key);
+    const stored = this.#platform.read(key);
+    this.#observeEpoch();
+    return stored === undefined ? undefined : this.#withEpoch(stored);
   }
 
   override async write(
@@ -215,17 +264,28 @@
     condition: WriteCondition,
   ): Promise<WriteResult> {
     await this.#applyFaults();
-    return this.#respond(this.#platform.write(key, value, condition));
+    if (condition.kind !== 'version') {
+      return this.#respond(this.#platform.write(key, value, condition));
+    }
+    if (epochOf(condition.version) !== this.epochs.value) return { outcome: 'conflict' };
+    const version = revisionOf(condition.version);
+    return this.#respond(this.#platform.write(key, value, { kind: 'version', version }));
   }
 
   override async remove(key: string, version: number): Promise<WriteResult> {
     await this.#applyFaults();
-    return this.#respond(this.#platform.remove(key, version));
+    if (epochOf(version) !== this.epochs.value) return { outcome: 'conflict' };
+    return this.#respond(this.#platform.remove(key, revisionOf(version)));
   }
 
   override async snapshot(prefix: string): Promise<StoreSnapshot> {
     await this.#applyFaults();
-    return this.#platform.snapshot(prefix);
+    const { objects, revision } = this.#platform.snapshot(prefix);
+    this.#observeEpoch();
+    return {
+      objects: objects.map((stored) => this.#withEpoch(stored)),
+      revision: composeVersion(this.epochs.value, revision),
+    };
   }
 
   override async watch(
@@ -234,9 +294,18 @@
     signal: AbortSignal,
   ): Promise<StoreChanges> {
     await this.#applyFaults();
-    const changes = await this.#platform.watch(prefix, sinceRevision, this.#watchWaitMs, signal);
+    const since = revisionOf(sinceRevision);
+    if (since > 0) this.#requireEpoch(sinceRevision);
+    const watched = await this.#platform.watch(prefix, since, this.#watchWaitMs, signal);
     if (this.link.isDown) throw createUnavailableError();
-    return changes;
+    this.#observeEpoch();
+    if (since > 0) this.#requireEpoch(sinceRevision);
+    const changes = watched.changes.map(({ key, revision, object }) => ({
+      key,
+      revision: composeVersion(this.epochs.value, revision),
+      object: object === undefined ? undefined : this.#withEpoch(object),
+    }));
+    return { changes, revision: composeVersion(this.epochs.value, watched.revision) };
   }
 
   async #applyFaults(): Promise<void> {
@@ -249,7 +318,22 @@
       this.link.responsesToLose -= 1;
       throw createUnavailableError();
     }
-    return result;
+    this.#observeEpoch();
+    if (result.outcome === 'conflict') return result;
+    return { ...result, version: composeVersion(this.epochs.value, result.version) };
+  }
+
+  /** Each response of the platform tells its epoch. */
+  #observeEpoch(): void {
+    this.epochs.observe(this.#platform.epoch);
+  }
+
+  #requireEpoch(revision: number): void {
+    if (epochOf(revision) !== this.epochs.value) throw createHistoryGoneError();
+  }
+
+  #withEpoch(stored: StoredObject): StoredObject {
+    return { ...stored, version: composeVersion(this.epochs.value, stored.version) };
   }
 }
 
@@ -270,6 +354,10 @@
   }
 }
 
+function createHistoryGoneError(): RouterError {
+  return new RouterError('historyGone', 'the platform does not have this revision');
+}
+
 function createUnavailableError(): RouterError {
   return new RouterError('storeUnavailable', 'the platform did not answer');
 }
--- a/packages/store/src/ObjectStore/index.ts
+++ b/packages/store/src/ObjectStore/index.ts
@@ -1,3 +1,4 @@
+import { StoreEpochs } from '../StoreEpochs/index.js';
 import type {
   SnapshotOptions,
   StoreChanges,
@@ -16,6 +17,13 @@
  * changes idempotent and read again to learn the outcome, as {@link updateObject} does.
  */
 export abstract class ObjectStore {
+  readonly #epochs = new StoreEpochs();
+
+  /** The epoch of the store as last told by it, and every later one; 0 if it tells none. */
+  get epochs(): StoreEpochs {
+    return this.#epochs;
+  }
+
   /** Reads one object; undefined if it does not exist. */
   abstract read(key: string): Promise<StoredObject | undefined>;
 
--- a/packages/store/src/PrefixedObjectStore/index.ts
+++ b/packages/store/src/PrefixedObjectStore/index.ts
@@ -1,4 +1,5 @@
 import { ObjectStore } from '../ObjectStore/index.js';
+import type { StoreEpochs } from '../StoreEpochs/index.js';
 import type {
   StoreChanges,
   StoreSnapshot,
@@ -18,6 +19,10 @@
     this.#prefix = prefix;
   }
 
+  override get epochs(): StoreEpochs {
+    return this.#store.epochs;
+  }
+
   override async read(key: string): Promise<StoredObject | undefined> {
     const stored = await this.#store.read(this.#prefix + key);
     return stored === undefined ? undefined : this.#withoutPrefix(stored);
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -2,6 +2,8 @@
  * Interfaces to the platform's object store and instance list, with in-memory implementations.
  */
 export type * from './types.js';
+export * from './storeVersion/index.js';
+export * from './StoreEpochs/index.js';
 export * from './ObjectStore/index.js';
 export * from './InstanceList/index.js';
 export * from './MemoryPlatform/index.js';
--- a/packages/store/src/types.ts
+++ b/packages/store/src/types.ts
@@ -6,7 +6,10 @@
 /** One object of the platform's store. */
 export interface StoredObject {
   readonly key: string;
-  /** Rises with each write of this key, also when it is deleted and written again. */
+  /**
+   * Rises with each write of this key, also when it is deleted and written again, and when the store
+   * comes back from an older copy; see `composeVersion`.
+   */
   readonly version: number;
   readonly value: unknown;
 }
