A store that comes back from an older copy: limits, leases, registrations, upstreams

Change, per state as in the table of docs/DESIGN.md: own registration and grants are written again; a page says in which epoch it was written, and one from an earlier epoch grants nothing more until every holder from before is known to have written its grant again. Each run reports that in its registration 10 s after the restore, and a run that listed the others for the 30 s before witnesses it once all have reported. A lease that may be held is waited for. Upstreams that left stay out until their next run; missing ones have 2 s to register again.

Limits of it, in DESIGN: after a death in the 30 s before a restore, and after the loss of all, what was granted to nobody stays withheld. Bills and request keys of the product's own path are not written again yet.

--- a/packages/fleet/src/Registrations/index.ts
+++ b/packages/fleet/src/Registrations/index.ts
@@ -1,6 +1,7 @@
 import type { Clock, FailureDomainId, InstanceId } from '@acaciacrank/base';
 import type { ListedInstance, ObjectStore, StoredObject } from '@acaciacrank/store';
 import { z } from 'zod';
+import type { RestoreReport } from '../RestoreWitness/index.js';
 
 /** The registration of an instance, as stored in the object store. */
 export interface Registration {
@@ -18,19 +19,31 @@
   readonly state: 'live' | 'leaving';
   /** Counter that rises with each write while the instance runs and reaches the store. */
   readonly heartbeat: number;
+  /** What this instance tells about restores of the store; undefined until it has listed the others. */
+  readonly restores?: RestoreReport | undefined;
 }
 
 /** Options of {@link Registrations}. */
 export interface RegistrationsOptions {
   store: ObjectStore;
   clock: Clock;
-  self: Omit<Registration, 'heartbeat' | 'state'>;
+  self: Omit<Registration, 'heartbeat' | 'state' | 'restores'>;
+  /** The own report about restores of the store, to register. */
+  restores?: () => RestoreReport | undefined;
+  /** Called with all registrations of other instances after each successful read of the list. */
+  onRegistrations?: (others: readonly RegisteredRun[]) => void;
   /** Called with the other instances after each successful read of the list. */
   onList: (others: readonly ListedInstance[]) => void;
   /** Called after each attempt to read the list, with whether it succeeded. */
   onListAttempt?: (isListed: boolean) => void;
 }
 
+/** The run of another instance, as its registration shows it. */
+export interface RegisteredRun extends Pick<Registration, 'instanceId' | 'runId' | 'restores'> {
+  /** Whether its heartbeat rose recently. */
+  readonly isPossiblyRunning: boolean;
+}
+
 /** Key prefix of registrations in the store. */
 export const registrationPrefix = 'instances/';
 
@@ -55,6 +68,9 @@
  */
 const maxListClockStepMs = 1_500;
 
+/** How long an entry that an older copy lacks is kept, so that its instance can register again, in ms. */
+const reregistrationMs = 3 * heartbeatIntervalMs;
+
 const registrationSchema = z.object({
   instanceId: z.string(),
   runId: z.string(),
@@ -64,6 +80,13 @@
   linkKey: z.string(),
   state: z.enum(['live', 'leaving']),
   heartbeat: z.number(),
+  restores: z
+    .object({
+      firstEpoch: z.number().optional(),
+      accountedEpoch: z.number(),
+      witnessedEpoch: z.number(),
+    })
+    .optional(),
 });
 
 interface SeenRegistration {
@@ -87,13 +110,22 @@
   readonly #options: RegistrationsOptions;
   readonly #stop = new AbortController();
   readonly #seen = new Map<InstanceId, SeenRegistration>();
+  /** Ids of runs that a later run of the same instance has replaced. */
+  readonly #formerRuns = new Set<string>();
   #state: 'live' | 'leaving' = 'live';
   #heartbeat = 0;
   #listClockMs = 0;
   #listedAtMs: number | undefined;
+  /** When the store was last seen to have come back from an older copy, on the monotonic clock. */
+  #restoredAtMs = -Infinity;
+  readonly #epochSubscription: Disposable;
 
   constructor(options: RegistrationsOptions) {
     this.#options = options;
+    const { store } = options;
+    this.#epochSubscription = store.epochs.followRestores(() => {
+      this.#registerAgain();
+    });
   }
 
   /**
@@ -122,6 +154,8 @@
 
   /** Writes heartbeats and reads the list until disposed of. */
   async run(): Promise<void> {
+    // Registered after the first list: what it tells about restores belongs into the first registration.
+    await this.#list();
     await Promise.all([this.#runHeartbeats(), this.#runListing()]);
   }
 
@@ -133,13 +167,23 @@
 
   /** Removes this instance's registration. */
   async remove(): Promise<void> {
-    this.#stop.abort();
+    this[Symbol.dispose]();
     const stored = await this.#options.store.read(this.#key);
     if (stored !== undefined) await this.#options.store.remove(stored.key, stored.version);
   }
 
   [Symbol.dispose](): void {
     this.#stop.abort();
+    this.#epochSubscription[Symbol.dispose]();
+  }
+
+  /** The store came back from a copy that may lack this registration or hold an older one. */
+  #registerAgain(): void {
+    if (this.#heartbeat === 0 || this.#stop.signal.aborted) return;
+    this.#restoredAtMs = this.#options.clock.monotonicMs();
+    this.#register().catch(() => {
+      // The next heartbeat writes it.
+    });
   }
 
   get #key(): string {
@@ -161,22 +205,28 @@
   async #register(): Promise<void> {
     this.#heartbeat += 1;
     const { store, self } = this.#options;
-    const registration = { ...self, state: this.#state, heartbeat: this.#heartbeat };
+    const restores = this.#options.restores?.();
+    const registration = { ...self, state: this.#state, heartbeat: this.#heartbeat, restores };
     await store.write(this.#key, registration, { kind: 'none' });
   }
 
   async #runListing(): Promise<void> {
-    const { clock, store, onListAttempt } = this.#options;
+    const { clock } = this.#options;
     while (!this.#stop.signal.aborted) {
-      try {
-        const { objects } = await store.snapshot(registrationPrefix, { isStaleAllowed: true });
-        this.#applyList(objects);
-        onListAttempt?.(true);
-      } catch {
-        // The last known registrations stay valid; see the class comment.
-        onListAttempt?.(false);
-      }
       await clock.sleep(listIntervalMs, this.#stop.signal);
+      if (!this.#stop.signal.aborted) await this.#list();
+    }
+  }
+
+  async #list(): Promise<void> {
+    const { store, onListAttempt } = this.#options;
+    try {
+      const { objects } = await store.snapshot(registrationPrefix, { isStaleAllowed: true });
+      this.#applyList(objects);
+      onListAttempt?.(true);
+    } catch {
+      // The last known registrations stay valid; see the class comment.
+      onListAttempt?.(false);
     }
   }
 
@@ -192,13 +242,25 @@
       this.#updateSeen(registration, stored.version);
     }
     for (const [instanceId, seen] of this.#seen) {
-      if (!listed.has(instanceId)) this.#seen.delete(instanceId);
-      else this.#removeIfExpired(seen);
+      if (listed.has(instanceId)) this.#removeIfExpired(seen);
+      else if (!this.#mayRegisterAgain) this.#seen.delete(instanceId);
     }
     const known = [...this.#seen.values()].map(({ registration }) => registration);
+    this.#options.onRegistrations?.([...this.#seen.values()].map((seen) => this.#toRun(seen)));
     this.#options.onList(known.map(toListedInstance));
   }
 
+  /** Whether instances missing from the list may not have had the time to register again. */
+  get #mayRegisterAgain(): boolean {
+    return this.#options.clock.monotonicMs() - this.#restoredAtMs < reregistrationMs;
+  }
+
+  #toRun({ registration, heartbeatAtMs }: SeenRegistration): RegisteredRun {
+    const { instanceId, runId, restores } = registration;
+    const isPossiblyRunning = this.#listClockMs - heartbeatAtMs <= possiblyRunningMs;
+    return { instanceId, runId, restores, isPossiblyRunning };
+  }
+
   #advanceListClock(): void {
     const nowMs = this.#options.clock.monotonicMs();
     const elapsedMs = nowMs - (this.#listedAtMs ?? nowMs);
@@ -210,11 +272,26 @@
     const known = this.#seen.get(registration.instanceId);
     // A stale read may return an older version than one already seen.
     if (known !== undefined && version <= known.version) return;
+    // An older copy shows an earlier heartbeat of a run, or a run that is over: neither is a sign of life.
+    if (known !== undefined && this.#isFromOlderCopy(known, registration)) {
+      this.#seen.set(registration.instanceId, { ...known, version });
+      return;
+    }
     const heartbeatAtMs = this.#listClockMs;
     const removeAtMs = heartbeatAtMs + registrationExpiryMs;
+    if (known !== undefined && known.registration.runId !== registration.runId) {
+      this.#formerRuns.add(known.registration.runId);
+    }
     this.#seen.set(registration.instanceId, { registration, version, heartbeatAtMs, removeAtMs });
   }
 
+  #isFromOlderCopy(known: SeenRegistration, registration: Registration): boolean {
+    if (!this.#mayRegisterAgain) return false;
+    if (this.#formerRuns.has(registration.runId)) return true;
+    const isSameRun = known.registration.runId === registration.runId;
+    return isSameRun && registration.heartbeat <= known.registration.heartbeat;
+  }
+
   #removeIfExpired(seen: SeenRegistration): void {
     if (this.#listClockMs < seen.removeAtMs) return;
     seen.removeAtMs += registrationExpiryMs;
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -8,6 +8,7 @@
 export * from './FleetLinks/index.js';
 export * from './NoFleetLinks/index.js';
 export * from './Registrations/index.js';
+export * from './RestoreWitness/index.js';
 export * from './FleetRpc/index.js';
 export * from './MemberTable/index.js';
 export * from './Membership/index.js';
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -50,6 +50,8 @@
     readonly free: number;
     readonly windowMs: number;
   };
+  /** Whether the whole fleet starts for the first time, so that nothing was ever stored. */
+  readonly isFirstStart: boolean;
   /** Maximum duration of a graceful shutdown, in milliseconds. */
   readonly stopLimitMs: number;
   /** Maximum time for which callers cache a directory response, in milliseconds. */
@@ -164,6 +166,10 @@
       peers,
       onEvent,
       isStoreUnavailable,
+      restores: {
+        firstEpoch: () => this.fleet.restores.firstEpoch,
+        isAccounted: (epoch: number) => this.fleet.restores.isAccounted(epoch),
+      },
     };
     this.tokens = new PrepaidAccounts(ledgerOptions);
     const retries = new RetryShare({
@@ -211,6 +217,11 @@
     return this.#fleetPort;
   }
 
+  /** Epoch of the store, as last told by it; 0 if it tells none. */
+  get storeEpoch(): number {
+    return this.#options.store.epochs.value;
+  }
+
   /** Number of requests whose response is not complete. */
   get underWay(): number {
     return this.#handler.underWay;
@@ -242,6 +253,7 @@
       this.#server.listen({ host: ip, port, backlog: listenBacklog }, resolve);
     });
     this.#disposables.add(this.#links);
+    this.#disposables.add(this.#followRestores());
     const upstreams = this.#followUpstreams();
     this.#startTask('configuration', this.#configurationFollower);
     this.#startTask('upstreams', upstreams);
@@ -328,7 +340,25 @@
     const onPeerLive = (peer: InstanceId) => {
       this.#limitGossip.sendAllTo(peer);
     };
-    return new InstanceFleet({ ...shared, self, configuration, isStoreUnavailable, onPeerLive });
+    return new InstanceFleet({
+      ...shared,
+      self,
+      configuration,
+      isStoreUnavailable,
+      isFirstStart: settings.isFirstStart,
+      accountedEpoch: () => this.tokens.accountedEpoch,
+      onPeerLive,
+    });
+  }
+
+  /** Tells the holders of state that the store came back from an older copy. */
+  #followRestores(): Disposable {
+    const { store, log, metrics } = this.#options;
+    return store.epochs.followRestores((epoch, previousEpoch) => {
+      this.upstreams.markStoreRestored();
+      metrics.count('storeRestores');
+      log.warn({ previousEpoch, epoch }, 'store came back from an older copy');
+    });
   }
 
   #createUpstreamTable(): UpstreamTable {
--- a/packages/forwarding/src/InstanceFleet/index.ts
+++ b/packages/forwarding/src/InstanceFleet/index.ts
@@ -13,6 +13,7 @@
   FleetRpc,
   Membership,
   Registrations,
+  RestoreWitness,
   type FleetLinks,
   type Member,
   type RegistrationsOptions,
@@ -35,6 +36,10 @@
   configuration: Omit<GossipedConfiguration, 'objectText'>;
   /** Whether this instance gets no new configurations from the store and needs them from peers. */
   isStoreUnavailable: () => boolean;
+  /** Whether the whole fleet starts for the first time. */
+  isFirstStart: boolean;
+  /** The highest epoch of the store in which this instance has written again all that it held. */
+  accountedEpoch: () => number;
   /** Called when a peer becomes live, initially, again or after a restart. */
   onPeerLive?: (peer: InstanceId) => void;
 }
@@ -72,6 +77,8 @@
  */
 export class InstanceFleet implements AsyncDisposable {
   readonly rpc: FleetRpc;
+  /** What is known about restores of the store. */
+  readonly restores: RestoreWitness;
   readonly #options: InstanceFleetOptions;
   readonly #registrations: Registrations;
   readonly #membership: Membership;
@@ -105,11 +112,24 @@
         isFetchEnabled: options.isStoreUnavailable,
       }),
     );
+    this.restores = new RestoreWitness({
+      clock,
+      isFirstStart: options.isFirstStart,
+      ownAccountedEpoch: options.accountedEpoch,
+    });
     this.#registrations = this.#disposables.add(
       new Registrations({
         store,
         clock,
         self,
+        restores: () => this.restores.report,
+        onRegistrations: (others) => {
+          const epoch = store.epochs.value;
+          const wasAccounted = this.restores.isAccounted(epoch);
+          this.restores.applyRuns(epoch, others);
+          if (wasAccounted || !this.restores.isAccounted(epoch)) return;
+          log.info({ epoch }, 'all grants from before the restore are known');
+        },
         onList: (others) => {
           this.#membership.applyInstanceList(others);
         },
--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -38,6 +38,9 @@
   instanceCount?: () => number;
 }
 
+/** Number of upstreams that have left which are remembered; many times those of a busy minute. */
+const maxDeparted = 4_096;
+
 /** How long the number of instances that share connections is cached, in milliseconds. */
 const instanceCountTtlMs = 250;
 
@@ -58,6 +61,9 @@
   readonly #expired = new Map<UpstreamId, Disposable | undefined>();
   /** Number of instances that share connections, and when it was determined. */
   #instanceCount = { value: 1, atMs: -Infinity };
+  /** Upstreams that have left, by the record with which they did; used after a restore of the store. */
+  readonly #departed = new Map<UpstreamId, UpstreamRecord>();
+  #isStoreRestored = false;
   #isStoreUnavailable = false;
   /** When the store last became available again, on the monotonic clock. */
   #storeAvailableSinceMs = -Infinity;
@@ -93,6 +99,16 @@
     for (const id of [...this.#expired.keys()]) this.#startGracePeriod(id);
   }
 
+  /**
+   * Records that the store came back from an older copy, which may lack upstreams that registered since
+   * and show upstreams as live that left since. The missing ones get a grace period to register again;
+   * the others stay out of use until a record of their next run appears.
+   */
+  markStoreRestored(): void {
+    this.#isStoreRestored = true;
+    this.markStoreAvailable();
+  }
+
   /** Applies the complete list of records. */
   replaceAll(records: readonly UpstreamRecord[]): void {
     const listed = new Set(records.map(({ id }) => id));
@@ -117,6 +133,7 @@
   put(record: UpstreamRecord): void {
     this.#expired.get(record.id)?.[Symbol.dispose]();
     this.#expired.delete(record.id);
+    if (this.#hasDeparted(record)) return;
     const known = this.#byId.get(record.id);
     if (known === undefined || isDifferentRun(known.record, record)) {
       if (known !== undefined) this.#closeUpstream(known);
@@ -126,7 +143,9 @@
     } else {
       const isNewlyLeaving = !known.isLeaving && record.state === 'leaving';
       known.record = record;
-      known.isLeaving = record.state === 'leaving';
+      // A copy from before an upstream left does not bring it back.
+      const staysLeaving = this.#isStoreRestored && known.isLeaving;
+      known.isLeaving = staysLeaving || record.state === 'leaving';
       if (isNewlyLeaving) this.#report(record, 'leaving');
     }
     this.#rebuildServiceIndex();
@@ -197,12 +216,27 @@
     this.#expired.set(id, timer);
   }
 
+  /** Whether a record is that of a run which has left; only an older copy of the store shows it. */
+  #hasDeparted(record: UpstreamRecord): boolean {
+    if (!this.#isStoreRestored) return false;
+    const departed = this.#departed.get(record.id);
+    return departed !== undefined && !isDifferentRun(departed, record);
+  }
+
   #removeUpstream(upstream: Upstream): void {
+    this.#rememberDeparture(upstream.record);
     this.#closeUpstream(upstream);
     this.#report(upstream.record, 'gone');
     this.#rebuildServiceIndex();
   }
 
+  #rememberDeparture(record: UpstreamRecord): void {
+    this.#departed.delete(record.id);
+    this.#departed.set(record.id, record);
+    const [oldest] = this.#departed.keys();
+    if (oldest !== undefined && this.#departed.size > maxDeparted) this.#departed.delete(oldest);
+  }
+
   #closeUpstream(upstream: Upstream): void {
     upstream.isLeaving = true;
     this.#byId.delete(upstream.id);
--- a/packages/ledger/src/PrepaidAccount/index.ts
+++ b/packages/ledger/src/PrepaidAccount/index.ts
@@ -1,4 +1,5 @@
 import {
+  RouterError,
   toRouterError,
   type AccountId,
   type Clock,
@@ -23,6 +24,7 @@
   PrepaidPeers,
 } from '../PrepaidPeers/index.js';
 import { instanceIdOf, processRunKey } from '../prepaidPage/index.js';
+import type { RestoreKnowledge } from '../RestoreKnowledge/index.js';
 import type { ProcessRun } from '../types.js';
 
 /**
@@ -37,9 +39,11 @@
   readonly accountId: AccountId;
   /**
    * `denied`: the store has too few ungranted tokens; `unknown`: a call to the store failed, and a write
-   * may have taken effect; `lent`: borrowed tokens were returned to the home.
+   * may have taken effect; `lent`: borrowed tokens were returned to the home; `writtenAgain`: the grant
+   * was lost in a restore of the store.
    */
-  readonly what: 'granted' | 'returned' | 'denied' | 'unknown' | 'borrowed' | 'lent';
+  readonly what:
+    'granted' | 'returned' | 'denied' | 'unknown' | 'borrowed' | 'lent' | 'writtenAgain';
   readonly tokens: number;
   /** Tokens of the account that were not granted to any instance at that time; undefined if unknown. */
   readonly remainingTokens: number | undefined;
@@ -55,6 +59,8 @@
   random: Random;
   /** Whether the store is known to be unavailable. */
   isStoreUnavailable: () => boolean;
+  /** What is known about restores of the store; by default it never comes back from an older copy. */
+  restores?: RestoreKnowledge;
 }
 
 /** Options of {@link PrepaidAccount}. */
@@ -89,6 +95,9 @@
 /** The maximum attempts of a conditional write; the response to a conflict contains the current page. */
 const maxWriteAttempts = 6;
 
+/** For stores that never come back from an older copy; withholds everything if one does. */
+const noRestores: RestoreKnowledge = { firstEpoch: () => 0, isAccounted: () => false };
+
 /**
  * The prepaid tokens of one client account that this process run may spend.
  *
@@ -98,7 +107,7 @@
  * longer than many small ones, each of which can run out on its own, and only the home calls the store.
  * An instance that cannot reach the home calls the store itself.
  */
-export class PrepaidAccount {
+export class PrepaidAccount implements Disposable {
   readonly #options: PrepaidAccountOptions;
   readonly #grant: StoredGrant;
   readonly #loans = new LoanBook();
@@ -110,6 +119,7 @@
   /** Tokens needed by all requests that wait for the store. */
   #waitingTokens = 0;
   #isMembershipKnown = false;
+  #isEnded = false;
   /** Since when the store has been available, on the monotonic clock. */
   #storeHealthySinceMs: number;
   /** Whether spending is suspended until the sum of grants does not exceed a lowered limit. */
@@ -125,7 +135,7 @@
   constructor(limit: PrepaidLimit, options: PrepaidAccountOptions) {
     this.#limit = limit;
     this.#options = options;
-    this.#grant = new StoredGrant(options);
+    this.#grant = new StoredGrant({ restores: noRestores, ...options });
     const nowMs = options.clock.monotonicMs();
     this.#usageRate = new UsageRate(nowMs);
     this.#storeHealthySinceMs = nowMs;
@@ -208,6 +218,28 @@
     return { lender, lentTokens: this.#loans.totalLentTo(request.borrower), outcome };
   }
 
+  /** Whether this process run may have a grant in the store. */
+  get hasWritten(): boolean {
+    return this.#grant.hasWritten;
+  }
+
+  /** Whether tokens that are granted to nobody are withheld, since a restore of the store. */
+  get isWithheld(): boolean {
+    return this.#grant.isWithheld;
+  }
+
+  /**
+   * Checks that the store holds the grant of this process run, and writes it again if the store lost it.
+   *
+   * @returns whether the store holds it now
+   */
+  async confirmGrant(): Promise<boolean> {
+    while (this.#pendingUpdate !== undefined) await this.#pendingUpdate;
+    this.#grant.invalidatePage();
+    const outcome = await this.#runExclusively(this.#writeLostGrant());
+    return outcome === 'reserved' && !this.#grant.isLost;
+  }
+
   /** Updates the known totals from a listed page, which may be seconds old. */
   observe(stored: StoredObject): void {
     this.#grant.observe(stored);
@@ -226,11 +258,17 @@
       initialTokensPerMs: initialStockTokens(this.#stockInputs) / homeStockDurationMs,
     });
     if (this.#pendingUpdate !== undefined || this.#isRefilling) return;
-    if (this.#isSuspended) void this.#enforceLimit();
+    if (this.#grant.isLost) void this.#runExclusively(this.#writeLostGrant());
+    else if (this.#isSuspended) void this.#enforceLimit();
     else if (this.#needsRefill()) void this.#refillStock();
     else if (this.#hasExcessStock()) void this.#returnIdleTokens(this.#retainedStock());
   }
 
+  /** Ends this process run's part in the account. */
+  [Symbol.dispose](): void {
+    this.#isEnded = true;
+  }
+
   /** Returns all idle tokens, before a planned shutdown. */
   async close(): Promise<void> {
     while (this.#pendingUpdate !== undefined) await this.#pendingUpdate;
@@ -247,6 +285,7 @@
   }
 
   get #ungrantedTokens(): number {
+    if (this.#grant.isWithheld) return 0;
     return Math.max(0, this.#limit.prepaidTokens - this.#grant.seenGrantedTokens);
   }
 
@@ -286,6 +325,8 @@
 
   /** Whether to return stock, so that other instances need not refuse requests for lack of tokens. */
   #hasExcessStock(): boolean {
+    // Nobody could be granted what is returned.
+    if (this.#grant.isWithheld) return false;
     const retained = this.#retainedStock();
     const excess = this.stockTokens - retained;
     return (
@@ -455,7 +496,13 @@
           await this.#grant.read();
           isFresh = true;
         }
-        const remaining = this.#limit.prepaidTokens - this.#grant.seenGrantedTokens;
+        if (this.#grant.isLost) {
+          await this.#writeGrantAgain();
+          continue;
+        }
+        const remaining = this.#grant.isWithheld
+          ? 0
+          : this.#limit.prepaidTokens - this.#grant.seenGrantedTokens;
         const shortage = Math.max(0, neededTokens - this.stockTokens);
         // One write covers all requests that wait for this page.
         const wanted = Math.max(this.#waitingTokens, this.#targetStock());
@@ -481,6 +528,32 @@
     return 'heldElsewhere';
   }
 
+  /** Writes the grant again if the store lost it when it came back from an older copy. */
+  async #writeLostGrant(): Promise<ReserveOutcome> {
+    try {
+      for (let attempt = 1; attempt <= maxWriteAttempts; attempt += 1) {
+        if (this.#grant.page === undefined) await this.#grant.read();
+        if (!this.#grant.isLost) return 'reserved';
+        await this.#writeGrantAgain();
+      }
+    } catch (thrown) {
+      return this.#handleStoreError(thrown, 0);
+    }
+    return 'heldElsewhere';
+  }
+
+  async #writeGrantAgain(): Promise<void> {
+    // A later run of this instance may already have closed the grant.
+    if (this.#isEnded) throw new RouterError('storeUnavailable', 'this process run has ended');
+    // The cached page may be from before the restore.
+    await this.#grant.read();
+    if ((await this.#grant.write(this.#grant.tokens, this.#drawnTokens)) === 'written') {
+      this.#report('writtenAgain', this.#grant.tokens);
+      return;
+    }
+    await this.#delayAfterConflict();
+  }
+
   #handleStoreError(thrown: unknown, tokens: number): ReserveOutcome {
     this.#grant.invalidatePage();
     this.#report('unknown', tokens);
@@ -539,6 +612,10 @@
     try {
       for (let attempt = 1; attempt <= maxWriteAttempts; attempt += 1) {
         if (this.#grant.page === undefined) await this.#grant.read();
+        if (this.#grant.isLost) {
+          await this.#writeGrantAgain();
+          continue;
+        }
         const idle = Math.min(returnedTokens, Math.max(0, this.stockTokens));
         const returned = Math.min(idle, this.#grant.storedTokens);
         if (returned <= 0) return 'reserved';
--- a/packages/ledger/src/PrepaidAccounts/index.ts
+++ b/packages/ledger/src/PrepaidAccounts/index.ts
@@ -23,15 +23,31 @@
  */
 const ticksPerObservation = 4;
 
+/**
+ * How long a write may be executed after it was sent, in milliseconds. Only after that time is a page of a
+ * restored store known to keep what was written to it again.
+ */
+const lateWriteMs = 10_000;
+
 /** The prepaid tokens of all client accounts that this instance may spend. */
 export class PrepaidAccounts implements Disposable {
   readonly #options: PrepaidAccountsOptions;
   readonly #accounts = new Map<AccountId, PrepaidAccount>();
   readonly #stop = new AbortController();
   readonly #peerHandlerRegistration: Disposable;
+  readonly #epochSubscription: Disposable;
+  /** When the store's present epoch was first seen, on the monotonic clock. */
+  #epochSinceMs = -Infinity;
+  #accountedEpoch = 0;
 
   constructor(options: PrepaidAccountsOptions) {
     this.#options = options;
+    this.#epochSubscription = options.store.epochs.follow(
+      () => {
+        this.#epochSinceMs = options.clock.monotonicMs();
+      },
+      () => undefined,
+    );
     this.#peerHandlerRegistration = options.peers.serve((request) =>
       this.#handleLoanRequest(request),
     );
@@ -84,6 +100,16 @@
     return this.#accounts.get(accountId)?.stockTokens ?? 0;
   }
 
+  /** The highest epoch of the store in which all grants of this process run are known to be stored. */
+  get accountedEpoch(): number {
+    return this.#accountedEpoch;
+  }
+
+  /** Number of accounts whose ungranted tokens are withheld, since a restore of the store. */
+  get withheldAccountCount(): number {
+    return [...this.#accounts.values()].filter((account) => account.isWithheld).length;
+  }
+
   /** Maintains the stock of all accounts until this object is closed or disposed of. */
   async run(): Promise<void> {
     const { clock, random } = this.#options;
@@ -94,17 +120,38 @@
       await clock.sleep(tickIntervalMs * (0.7 + 0.6 * random()), this.#stop.signal);
       if (tick % ticksPerObservation === 0) await this.#observePages();
       for (const account of this.#accounts.values()) account.tick();
+      await this.#accountForRestore();
     }
   }
 
+  /**
+   * Checks that all grants of this process run are stored in the present epoch, once no write from before
+   * the restore can take effect any more.
+   */
+  async #accountForRestore(): Promise<void> {
+    const { store, clock } = this.#options;
+    const epoch = store.epochs.value;
+    if (epoch <= this.#accountedEpoch) return;
+    if (clock.monotonicMs() - this.#epochSinceMs < lateWriteMs) return;
+    const accounts = [...this.#accounts.values()].filter((account) => account.hasWritten);
+    const confirmed = await Promise.all(accounts.map((account) => account.confirmGrant()));
+    if (confirmed.every(Boolean) && store.epochs.value === epoch) this.#accountedEpoch = epoch;
+  }
+
   /** Returns all idle stock, before a planned shutdown. */
   async close(): Promise<void> {
-    this.#stop.abort();
-    this.#peerHandlerRegistration[Symbol.dispose]();
+    this.#stopServing();
     await Promise.all([...this.#accounts.values()].map((account) => account.close()));
+    this[Symbol.dispose]();
   }
 
   [Symbol.dispose](): void {
+    this.#stopServing();
+    this.#epochSubscription[Symbol.dispose]();
+    for (const account of this.#accounts.values()) account[Symbol.dispose]();
+  }
+
+  #stopServing(): void {
     this.#stop.abort();
     this.#peerHandlerRegistration[Symbol.dispose]();
   }
--- a/packages/ledger/src/_lib/rankHolders/test.ts
+++ b/packages/ledger/src/_lib/rankHolders/test.ts
@@ -3,6 +3,8 @@
 import { rankHolders } from './index.js';
 
 const page = {
+  epoch: 0,
+  isWithheld: false,
   endedTokens: 5_000,
   grants: {
     'a~1': { grantedTokens: 900, boundTokens: 800 },
--- a/packages/ledger/src/index.ts
+++ b/packages/ledger/src/index.ts
@@ -20,6 +20,7 @@
 export * from './readBudget/index.js';
 export * from './RequestRecords/index.js';
 export * from './prepaidPage/index.js';
+export type * from './RestoreKnowledge/index.js';
 export * from './PrepaidPeers/index.js';
 export * from './NoPrepaidPeers/index.js';
 export { prepaidPageKey, prepaidPagePrefix } from './_lib/StoredGrant/index.js';
--- a/packages/ledger/src/prepaidPage/index.ts
+++ b/packages/ledger/src/prepaidPage/index.ts
@@ -19,6 +19,10 @@
   /** Grants of ended process runs. Their actual use is unknown, so all of their tokens count as spent. */
   endedTokens: z.number().int().nonnegative(),
   grants: z.record(z.string(), grantSchema),
+  /** Epoch of the store in which the page was last written. */
+  epoch: z.number().int().nonnegative().default(0),
+  /** Whether ungranted tokens may be held by runs whose grants were lost in a restore of the store. */
+  isWithheld: z.boolean().default(false),
 });
 
 /** The grant of one process run in a page. */
@@ -28,10 +32,23 @@
 export interface PrepaidPage {
   readonly endedTokens: number;
   readonly grants: Readonly<Record<string, PrepaidGrant>>;
+  /**
+   * Epoch of the store in which the page was last written. A lower one than that of the store means that
+   * the page is from an older copy, or from a write that was sent before the restore and executed after
+   * it: it may lack grants.
+   */
+  readonly epoch: number;
+  /** Whether ungranted tokens may be held by runs whose grants were lost in a restore of the store. */
+  readonly isWithheld: boolean;
 }
 
 /** The page of an account without grants. */
-export const emptyPrepaidPage: PrepaidPage = { endedTokens: 0, grants: {} };
+export const emptyPrepaidPage: PrepaidPage = {
+  endedTokens: 0,
+  grants: {},
+  epoch: 0,
+  isWithheld: false,
+};
 
 /**
  * Parses a stored page.
@@ -42,7 +59,7 @@
  *
  * @example
  * parsePrepaidPage({ endedTokens: 0, grants: {} });
- * //=> { endedTokens: 0, grants: {} }
+ * //=> { endedTokens: 0, grants: {}, epoch: 0, isWithheld: false }
  */
 export function parsePrepaidPage(value: unknown): PrepaidPage | undefined {
   const parsed = pageSchema.safeParse(value);
@@ -53,7 +70,7 @@
  * The sum of all tokens that are spent or may still be spent.
  *
  * @example
- * grantedTotal({ endedTokens: 5, grants: { a: { grantedTokens: 10, boundTokens: 1 } } });
+ * grantedTotal({ ...page, endedTokens: 5, grants: { a: { grantedTokens: 10, boundTokens: 1 } } });
  * //=> 15
  */
 export function grantedTotal(page: PrepaidPage): number {
@@ -65,7 +82,7 @@
  * The sum of tokens that are spent or reserved, as last reported in the page.
  *
  * @example
- * reportedBoundTotal({ endedTokens: 5, grants: { a: { grantedTokens: 10, boundTokens: 1 } } });
+ * reportedBoundTotal({ ...page, endedTokens: 5, grants: { a: { grantedTokens: 10, boundTokens: 1 } } });
  * //=> 6
  */
 export function reportedBoundTotal(page: PrepaidPage): number {
@@ -102,7 +119,7 @@
     else grants[key] = held;
   }
   grants[ownKey] = grant;
-  return { endedTokens, grants };
+  return { ...page, endedTokens, grants };
 }
 
 /** Not allowed in ids, so that no instance id with this suffix is a prefix of another instance's key. */
--- a/packages/standins/src/_lib/FleetSimulation/index.ts
+++ b/packages/standins/src/_lib/FleetSimulation/index.ts
@@ -74,6 +74,8 @@
       self,
       configuration,
       isStoreUnavailable,
+      isFirstStart: true,
+      accountedEpoch: () => store.epochs.value,
       ...listener,
     });
     void fleet.run();
--- a/packages/standins/src/_lib/UnreliableStore/index.ts
+++ b/packages/standins/src/_lib/UnreliableStore/index.ts
@@ -6,6 +6,7 @@
   ObjectStore,
   type SnapshotOptions,
   type StoreChanges,
+  type StoreEpochs,
   type StoredObject,
   type StoreSnapshot,
   type WatchOptions,
@@ -26,6 +27,8 @@
   delayedWriteProbability: number;
   /** Whether every call fails at present. */
   isUnavailable: () => boolean;
+  /** Executes a delayed write at the platform itself, where the client can no longer stop it. */
+  executeLate: (key: string, value: unknown, condition: WriteCondition) => void;
 }
 
 /** Range of the delay of a delayed write, in milliseconds. */
@@ -42,6 +45,10 @@
     this.#options = options;
   }
 
+  override get epochs(): StoreEpochs {
+    return this.#store.epochs;
+  }
+
   override async read(key: string): Promise<StoredObject | undefined> {
     this.#assertAvailable();
     return this.#store.read(key);
@@ -53,11 +60,14 @@
     condition: WriteCondition,
   ): Promise<WriteResult> {
     this.#assertAvailable();
-    const { clock, random, lostResponseProbability, delayedWriteProbability } = this.#options;
+    const { clock, random, lostResponseProbability, delayedWriteProbability, executeLate } =
+      this.#options;
     const draw = random();
     if (draw < delayedWriteProbability) {
       const delayMs = writeDelayMs.min + random() * (writeDelayMs.max - writeDelayMs.min);
-      clock.schedule(delayMs, () => void this.#store.write(key, value, condition));
+      clock.schedule(delayMs, () => {
+        executeLate(key, value, condition);
+      });
       throw createNoResponseError();
     }
     const result = await this.#store.write(key, value, condition);
--- a/packages/standins/src/_lib/prepaidSimulation/index.ts
+++ b/packages/standins/src/_lib/prepaidSimulation/index.ts
@@ -6,11 +6,21 @@
   ManualClock,
   createRandom,
   type AccountId,
+  type Clock,
+  type FailureDomainId,
   type InstanceId,
   type Random,
 } from '@acaciacrank/base';
+import { Registrations, RestoreWitness } from '@acaciacrank/fleet';
 import { PrepaidAccounts, prepaidPageKey, type ProcessRun } from '@acaciacrank/ledger';
-import { MemoryObjectStore, MemoryPlatform } from '@acaciacrank/store';
+import {
+  MemoryObjectStore,
+  MemoryPlatform,
+  revisionOf,
+  type ObjectStore,
+  type PlatformCopy,
+  type WriteCondition,
+} from '@acaciacrank/store';
 import { LocalLoanNetwork } from '../../LocalLoanNetwork/index.js';
 import { UnreliableStore } from '../UnreliableStore/index.js';
 
@@ -30,6 +40,8 @@
   readonly run: Promise<void>;
   readonly processRun: ProcessRun;
   spentTokens: number;
+  /** Ends the process without returning tokens, as a power loss does. */
+  readonly stop: () => void;
 }
 
 /** A store and the instances that share one account's tokens. */
@@ -42,10 +54,17 @@
   readonly isolated: Set<string>;
   /** Every holder that was started, the stopped ones included. */
   readonly holders: Holder[];
+  /** Whether instances register, so that they can account for a restore of the store. */
+  readonly isRestorable: boolean;
   prepaidTokens: number;
   spentTokens: number;
 }
 
+/** Creates a simulation without instances, whose store may come back from an older copy. */
+export function createRestorableSimulation(seed: number, prepaidTokens: number): PrepaidSimulation {
+  return { ...createSimulation(seed, prepaidTokens), isRestorable: true };
+}
+
 /**
  * Creates a simulation without instances.
  *
@@ -66,7 +85,17 @@
     lossRatio: messageLossProbability,
     isConnected: (id) => !isolated.has(id),
   });
-  return { clock, platform, random, network, isolated, holders: [], prepaidTokens, spentTokens: 0 };
+  return {
+    clock,
+    platform,
+    random,
+    network,
+    isolated,
+    holders: [],
+    isRestorable: false,
+    prepaidTokens,
+    spentTokens: 0,
+  };
 }
 
 let runCount = 0;
@@ -96,10 +125,25 @@
     lostResponseProbability: faults.lost,
     delayedWriteProbability: faults.late,
     isUnavailable: () => cut.isUnavailable,
+    executeLate: (key, value, condition) => {
+      executeLate(platform, key, value, condition);
+    },
+  });
+  const witness = new RestoreWitness({
+    clock,
+    isFirstStart: clock.monotonicMs() === 0,
+    ownAccountedEpoch: () => ledger.accountedEpoch,
   });
-  const ledger = new PrepaidAccounts({
+  const registrations = simulation.isRestorable
+    ? startRegistrations(store, clock, processRun, witness)
+    : undefined;
+  const ledger: PrepaidAccounts = new PrepaidAccounts({
     processRun,
     store,
+    restores: {
+      firstEpoch: () => witness.firstEpoch,
+      isAccounted: (epoch) => witness.isAccounted(epoch),
+    },
     clock,
     peers: simulation.network.peersOf(processRun.instanceId),
     onEvent: () => undefined,
@@ -107,11 +151,59 @@
     isStoreUnavailable: () => cut.isUnavailable && !cut.isUndetected,
   });
   ledger.setLimits(new Map([[accountId, simulation.prepaidTokens]]), 1);
-  const holder = { ledger, cut, run: ledger.run(), processRun, spentTokens: 0 };
+  const stop = () => {
+    cut.isUnavailable = true;
+    ledger[Symbol.dispose]();
+    registrations?.[Symbol.dispose]();
+  };
+  const holder = { ledger, cut, run: ledger.run(), processRun, spentTokens: 0, stop };
   simulation.holders.push(holder);
   return holder;
 }
 
+function startRegistrations(
+  store: ObjectStore,
+  clock: Clock,
+  { instanceId, runId }: ProcessRun,
+  witness: RestoreWitness,
+): Registrations {
+  const registrations = new Registrations({
+    store,
+    clock,
+    self: {
+      instanceId,
+      runId,
+      callerAddress: '',
+      failureDomain: 'here' as FailureDomainId,
+      fleetUrl: '',
+      linkKey: '',
+    },
+    restores: () => witness.report,
+    onRegistrations: (others) => {
+      witness.applyRuns(store.epochs.value, others);
+    },
+    onList: () => undefined,
+  });
+  void registrations.run();
+  return registrations;
+}
+
+/** Executes a write that was sent before; the platform knows revisions only, whatever their epoch was. */
+function executeLate(
+  platform: MemoryPlatform,
+  key: string,
+  value: unknown,
+  condition: WriteCondition,
+): void {
+  if (condition.kind !== 'version') platform.write(key, value, condition);
+  else platform.write(key, value, { kind: 'version', version: revisionOf(condition.version) });
+}
+
+/** Puts the store back to an older copy of it. */
+export function restoreStore({ platform }: PrepaidSimulation, copy: PlatformCopy): void {
+  platform.restore(copy);
+}
+
 /**
  * Spends like one request: reserves the maximum, then settles between half and all of it.
  *
@@ -134,7 +226,7 @@
 
 /** Stops all holders as a power loss does, without returning tokens, and restarts them. */
 export function restartAll(simulation: PrepaidSimulation, holders: readonly Holder[]): Holder[] {
-  for (const { ledger } of holders) ledger[Symbol.dispose]();
+  for (const { stop } of holders) stop();
   return holders.map((_, instance) => startHolder(simulation, instance, { lost: 0, late: 0 }));
 }
 
--- a/packages/upstreams/src/StoreLease/index.ts
+++ b/packages/upstreams/src/StoreLease/index.ts
@@ -4,7 +4,7 @@
   type Clock,
   type InstanceId,
 } from '@acaciacrank/base';
-import type { ObjectStore, StoredObject } from '@acaciacrank/store';
+import { epochOf, type ObjectStore, type StoredObject } from '@acaciacrank/store';
 import { z } from 'zod';
 
 const leaseSchema = z.strictObject({
@@ -15,6 +15,8 @@
   durationMs: z.number().positive(),
   /** Set by a holder that releases the lease: the next one need not wait. */
   isReleased: z.boolean(),
+  /** Epoch of the store at the write. */
+  epoch: z.number().default(0),
 });
 
 type LeaseValue = z.infer<typeof leaseSchema>;
@@ -41,7 +43,8 @@
 }
 
 interface ObservedVersion {
-  readonly version: number;
+  /** Undefined while the store has no object for the lease. */
+  readonly version: number | undefined;
   readonly sinceMs: number;
 }
 
@@ -52,6 +55,9 @@
  * Another instance takes over the lease only after it has observed the same version for the whole
  * lease duration plus the clock skew, by its own monotonic clock. So neither a clock jump nor a
  * paused process leads to two holders at once, as long as clocks run at nearly the same rate.
+ *
+ * A store that came back from an older copy lacks the last writes of the lease. A missing lease, and one
+ * that shows a release in an earlier epoch, may therefore be held: they are waited for as well.
  */
 export class StoreLease {
   readonly #options: Required<StoreLeaseOptions>;
@@ -110,25 +116,44 @@
   }
 
   #mayWrite(stored: StoredObject | undefined): boolean {
-    if (stored === undefined) return true;
+    const { store, durationMs } = this.#options;
+    const epoch = store.epochs.value;
+    if (stored === undefined) {
+      return (
+        epoch === 0 || this.#isHeldSinceBefore(epoch) || this.#hasWaited(undefined, durationMs)
+      );
+    }
     if (stored.version === this.#held?.version) return true;
-    // Another instance has written since and was entitled to, so any remaining lease time is void.
-    this.markLost();
     const value = leaseSchema.parse(stored.value);
-    if (value.isReleased) return true;
+    const isFromThisEpoch = value.epoch === epoch;
+    if (!isFromThisEpoch && this.#isHeldSinceBefore(epoch)) return true;
+    // Another instance has written since and was entitled to, so any remaining lease time is void.
+    if (isFromThisEpoch) this.markLost();
+    if (value.isReleased && isFromThisEpoch) return true;
+    return this.#hasWaited(stored.version, value.durationMs);
+  }
+
+  /** Whether this instance holds the lease by a write that was lost when the store was restored. */
+  #isHeldSinceBefore(epoch: number): boolean {
+    return this.remainingMs > 0 && this.#held !== undefined && epochOf(this.#held.version) < epoch;
+  }
+
+  /** Whether the same version was observed for the duration of a lease and the clock skew. */
+  #hasWaited(version: number | undefined, durationMs: number): boolean {
     const nowMs = this.#options.clock.monotonicMs();
-    if (this.#observed?.version !== stored.version) {
-      this.#observed = { version: stored.version, sinceMs: nowMs };
+    if (this.#observed === undefined || this.#observed.version !== version) {
+      this.#observed = { version, sinceMs: nowMs };
       return false;
     }
-    return nowMs - this.#observed.sinceMs >= value.durationMs + this.#options.maxSkewMs;
+    return nowMs - this.#observed.sinceMs >= durationMs + this.#options.maxSkewMs;
   }
 
   async #write(stored: StoredObject | undefined, isReleased: boolean): Promise<void> {
     const { store, clock, key, holder, incarnation, durationMs } = this.#options;
     this.#writeCount += 1;
     const nonce = `${holder}.${incarnation}.${this.#writeCount}`;
-    const value: LeaseValue = { format: 1, holder, nonce, durationMs, isReleased };
+    const epoch = store.epochs.value;
+    const value: LeaseValue = { format: 1, holder, nonce, durationMs, isReleased, epoch };
     const untilMs = clock.monotonicMs() + durationMs;
     const condition =
       stored === undefined
