Watches through relays: two instances of a large failure domain watch the store

Change: in a domain with six live instances or more, two chosen by rendezvous hash watch the store, and the others ask one of them over their link, for a second at a time. An instance watches the store itself at once when its relay does not reply within 1.3 s or says that it is not up to date, so it is never later than a reply. Whether the store can be reached is told by the list of instances where the watch tells nothing of it.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -7,6 +7,7 @@
 export * from './Clock/index.js';
 export * from './SystemClock/index.js';
 export * from './ManualClock/index.js';
+export * from './InactivityTimer/index.js';
 export * from './DisposableStore/index.js';
 export * from './errorKinds/index.js';
 export * from './RouterError/index.js';
--- a/packages/fleet/src/messageSchemas/index.ts
+++ b/packages/fleet/src/messageSchemas/index.ts
@@ -135,8 +135,23 @@
   z.object({ kind: z.literal('prepaidTokens'), loan: loanSchema }),
   /** Asks for the upstreams that the peer knows from the store. */
   z.object({ kind: z.literal('upstreams') }),
+  /** Asks a peer that watches the store for the changes under a prefix after a revision. */
+  z.object({
+    kind: z.literal('storeChanges'),
+    prefix: z.string().max(256),
+    sinceRevision: nonNegativeInteger,
+  }),
 ]);
 
+/** A change of an object in the store; `object` is undefined when it was removed. */
+const storeChangeSchema = z.object({
+  key: z.string().max(512),
+  revision: nonNegativeInteger,
+  object: z
+    .object({ key: z.string().max(512), version: nonNegativeInteger, value: z.unknown() })
+    .optional(),
+});
+
 /** A reply to a request. */
 export const fleetReplySchema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('probe'), isReachable: z.boolean() }),
@@ -166,6 +181,13 @@
     isCurrent: z.boolean(),
     records: z.array(upstreamSchema).max(maxUpstreams),
   }),
+  /** `isCurrent` is false when the peer does not watch the store, or misses some of the changes. */
+  z.object({
+    kind: z.literal('storeChanges'),
+    isCurrent: z.boolean(),
+    changes: z.array(storeChangeSchema).max(maxUpstreams),
+    revision: nonNegativeInteger,
+  }),
   /** The peer could not handle the request. */
   z.object({ kind: z.literal('failed'), reason: z.string().max(512) }),
 ]);
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -32,6 +32,7 @@
 import { planShutdown } from '../_lib/planShutdown/index.js';
 import { RouteTable } from '../RouteTable/index.js';
 import { UpstreamLimitGossip } from '../UpstreamLimitGossip/index.js';
+import { RelayedObjectStore } from '../RelayedObjectStore/index.js';
 import { PeerUpstreamSync } from '../PeerUpstreamSync/index.js';
 import { UpstreamTable, type UpstreamChange } from '../UpstreamTable/index.js';
 
@@ -129,6 +130,8 @@
   readonly routes = new StateStream<RouteTable | undefined>(undefined);
   readonly #options: Required<ForwardingInstanceOptions>;
   readonly #disposables = new DisposableStore();
+  /** For what many instances watch alike. */
+  readonly #relayedStore: RelayedObjectStore;
   readonly #configurationFollower: ObjectFollower;
   readonly #handler: ForwardHandler;
   readonly #server: Server;
@@ -148,6 +151,14 @@
     this.#directoryLog = new DirectoryLog(log, metrics);
     this.#links = this.#createLinks();
     this.fleet = this.#createFleet(processRun);
+    this.#relayedStore = new RelayedObjectStore({
+      store,
+      rpc: this.fleet.rpc,
+      clock,
+      metrics,
+      instanceId: settings.instanceId,
+      liveInDomain: () => this.fleet.liveInDomain,
+    });
     this.#configurationFollower = this.#followConfiguration();
     this.upstreams = this.#createUpstreamTable();
     this.#limitGossip = new UpstreamLimitGossip({
@@ -161,7 +172,7 @@
       metrics.count('grants', event.what);
       log.info(event, 'grant');
     };
-    const isStoreUnavailable = () => this.#configurationFollower.isLost;
+    const isStoreUnavailable = () => this.#isStoreUnavailable;
     const peers = this.#createPrepaidPeers();
     const ledgerOptions = {
       processRun,
@@ -241,7 +252,7 @@
       self,
       isReady: this.isReady,
       isShortOfTokens: this.#handler.isShortOfTokens,
-      isStoreUnavailable: this.#configurationFollower.isLost,
+      isStoreUnavailable: this.#isStoreUnavailable,
       usablePeers: this.fleet.usablePeers,
       peerCount: this.fleet.peerCount,
     });
@@ -259,6 +270,7 @@
       this.#server.listen({ host: ip, port, backlog: listenBacklog }, resolve);
     });
     this.#disposables.add(this.#links);
+    this.#disposables.add(this.#relayedStore);
     this.#disposables.add(this.#followRestores());
     const upstreams = this.#followUpstreams();
     this.#startTask('configuration', this.#configurationFollower);
@@ -340,7 +352,7 @@
       manifest: () => this.#storedConfiguration,
       offer: (stored: unknown) => this.#applyPeerConfiguration(stored),
     };
-    const isStoreUnavailable = () => this.#configurationFollower.isLost;
+    const isStoreUnavailable = () => this.#isStoreUnavailable;
     const links = this.#links;
     const shared = { store, links, clock, random, log, metrics };
     const onPeerLive = (peer: InstanceId) => {
@@ -367,6 +379,12 @@
     });
   }
 
+  /** Whether calls of this instance to the store fail; not told by a watch through a peer. */
+  get #isStoreUnavailable(): boolean {
+    const { isLost } = this.#configurationFollower;
+    return isLost || (this.#relayedStore.isRelayed && this.fleet.isListFailing);
+  }
+
   #createUpstreamTable(): UpstreamTable {
     const { clock, log, metrics, settings } = this.#options;
     const { instanceId } = settings;
@@ -419,12 +437,12 @@
   }
 
   #followConfiguration(): ObjectFollower {
-    const { store, clock, codec, log, random, settings } = this.#options;
+    const { clock, codec, log, random, settings } = this.#options;
     const applyIfConfiguration = (stored: StoredObject | undefined) => {
       if (stored?.key === codec.configurationKey) this.#applyConfiguration(stored);
     };
     return new ObjectFollower({
-      store,
+      store: this.#relayedStore,
       clock,
       random,
       prefix: codec.configurationKey.slice(0, codec.configurationKey.indexOf('/') + 1),
@@ -481,7 +499,7 @@
   }
 
   #followUpstreams(): ObjectFollower {
-    const { store, clock, codec, log, metrics, random, settings } = this.#options;
+    const { clock, codec, log, metrics, random, settings } = this.#options;
     const read = (stored: StoredObject) => {
       const record = codec.readUpstream(stored);
       if (record === undefined) {
@@ -492,7 +510,7 @@
     };
     const idOf = (key: string) => key.slice(codec.upstreamPrefix.length) as UpstreamId;
     return new ObjectFollower({
-      store,
+      store: this.#relayedStore,
       clock,
       random,
       prefix: codec.upstreamPrefix,
--- a/packages/forwarding/src/InstanceFleet/index.ts
+++ b/packages/forwarding/src/InstanceFleet/index.ts
@@ -66,6 +66,15 @@
  */
 const staleListMs = 7_000;
 
+/** The live instances, and the members from which they were derived. */
+interface LiveInstances {
+  readonly members: readonly Member[];
+  /** Whether this instance is one of them. */
+  readonly isMember: boolean;
+  readonly ids: readonly InstanceId[];
+  readonly inDomain: readonly InstanceId[];
+}
+
 /**
  * The instances of the fleet as seen by this one.
  *
@@ -82,13 +91,8 @@
   readonly #options: InstanceFleetOptions;
   readonly #registrations: Registrations;
   /** The live instances, by the members from which they were derived. */
-  #live:
-    | {
-        readonly members: readonly Member[];
-        readonly isMember: boolean;
-        readonly ids: readonly InstanceId[];
-      }
-    | undefined;
+  #live: LiveInstances | undefined;
+  #isListFailing = false;
   readonly #membership: Membership;
   readonly #disposables = new DisposableStore();
 
@@ -142,6 +146,7 @@
           this.#membership.applyInstanceList(others);
         },
         onListAttempt: (isListed) => {
+          this.#isListFailing = !isListed;
           metrics.count('instanceLists', isListed ? 'listed' : 'failed');
         },
       }),
@@ -167,14 +172,30 @@
    * The live instances, including this one unless it is leaving; the same array until they change.
    */
   get liveInstances(): readonly InstanceId[] {
+    return this.#currentLive.ids;
+  }
+
+  /** Those of the {@link liveInstances} that are in the failure domain of this one. */
+  get liveInDomain(): readonly InstanceId[] {
+    return this.#currentLive.inDomain;
+  }
+
+  get #currentLive(): LiveInstances {
     const { id, state } = this.#membership.self;
     const isMember = state !== 'leaving' && state !== 'left';
     if (this.#live?.members !== this.#members || this.#live.isMember !== isMember) {
-      const others = this.#idsOf('live');
-      const ids = isMember ? [id, ...others] : others;
-      this.#live = { members: this.#members, isMember, ids };
+      const { failureDomain } = this.#options.self;
+      const others = this.#members.filter((member) => member.state === 'live');
+      const own = isMember ? [id] : [];
+      const near = others.filter((member) => member.failureDomain === failureDomain);
+      this.#live = {
+        members: this.#members,
+        isMember,
+        ids: [...own, ...others.map((member) => member.id)],
+        inDomain: [...own, ...near.map((member) => member.id)],
+      };
     }
-    return this.#live.ids;
+    return this.#live;
   }
 
   /**
@@ -211,6 +232,11 @@
     return this.#registrations.listAgeMs;
   }
 
+  /** Whether the last attempt to read the list from the store failed. */
+  get isListFailing(): boolean {
+    return this.#isListFailing;
+  }
+
   /** Number of other instances in each state. */
   get counts(): ReadonlyMap<Member['state'], number> {
     const counts = new Map<Member['state'], number>();
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -1,7 +1,7 @@
 /**
  * One request at one upstream, from acquiring a connection to the end of the response.
  */
-import { toRouterError, RouterError, type Clock } from '@acaciacrank/base';
+import { InactivityTimer, toRouterError, RouterError, type Clock } from '@acaciacrank/base';
 import type { ServerResponse } from 'node:http';
 import type { Readable } from 'node:stream';
 import type { ForwardCodec, RawHeaders } from '../../ForwardCodec/index.js';
@@ -69,7 +69,7 @@
   readonly #options: AttemptOptions;
   readonly #abort = new AbortController();
   #abortReason: AbortReason | undefined;
-  #inactivityTimer: Disposable | undefined;
+  #inactivityTimer: InactivityTimer | undefined;
 
   constructor(options: AttemptOptions) {
     this.#options = options;
@@ -251,9 +251,13 @@
 
   #restartInactivityTimer(): void {
     const { inactivityTimeoutMs, clock } = this.#options;
-    this.#inactivityTimer?.[Symbol.dispose]();
     if (inactivityTimeoutMs === undefined) return;
-    this.#inactivityTimer = clock.schedule(inactivityTimeoutMs, this.#createAborter('silent'));
+    this.#inactivityTimer ??= new InactivityTimer(
+      clock,
+      inactivityTimeoutMs,
+      this.#createAborter('silent'),
+    );
+    this.#inactivityTimer.recordActivity();
   }
 
   #classifyError(thrown: unknown): AttemptResult {
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -7,6 +7,7 @@
 export * from './RouteTable/index.js';
 export * from './UpstreamTable/index.js';
 export * from './PeerUpstreamSync/index.js';
+export * from './RelayedObjectStore/index.js';
 export * from './UpstreamLimitGossip/index.js';
 export type { LimitSharing } from './_lib/UpstreamLimit/index.js';
 export * from './ForwardHandler/index.js';
