Configuration watcher: a problem of reading ends with the next successful read

Cause: the failure was recorded with the highest version known, also when that one was in force already, and such a problem ends only with a newer version. Now it names a version only if one is waiting to come into force. The test fails without the change. Soak: the store can come back from older copies (`--restores`), as a fault and in a test of the real program.

--- a/packages/operators/src/ConfigurationWatcher/index.ts
+++ b/packages/operators/src/ConfigurationWatcher/index.ts
@@ -343,6 +343,12 @@
     }
   }
 
+  /** The version that is known but not in force yet; undefined if there is none. */
+  get #pendingVersion(): number | undefined {
+    const offered = this.#highestOffered?.version ?? 0;
+    return offered > (this.inForce.value?.version ?? 0) ? offered : undefined;
+  }
+
   #recordProblem(version: number | undefined, thrown: unknown): void {
     const { message } = toRouterError(thrown);
     if (this.#problem?.message === message && this.#problem.version === version) return;
@@ -367,7 +373,7 @@
       if (this.#problem?.version === undefined) this.#problem = undefined;
     } catch (error) {
       isRefreshed = false;
-      this.#recordProblem(this.#highestOffered?.version, error);
+      this.#recordProblem(this.#pendingVersion, error);
     }
     // The store may be down while a peer can supply the objects that the last load could not get.
     const offered = this.#highestOffered;
@@ -395,7 +401,7 @@
       } catch (error) {
         // The store no longer has the changes since that revision: start from the current state.
         if (toRouterError(error).kind === 'historyGone') revision = 0;
-        this.#recordProblem(this.#highestOffered?.version, error);
+        this.#recordProblem(this.#pendingVersion, error);
         await clock.sleep(retryMs, this.#stop.signal);
       }
     }
--- a/packages/soak/src/_lib/FaultInjector/index.ts
+++ b/packages/soak/src/_lib/FaultInjector/index.ts
@@ -7,6 +7,11 @@
 /** Rate limits that the fault `limitUpstream` chooses from, in requests per second. */
 const limitsPerS = [1.5, 0.5, 1, 3, 2.2] as const;
 
+/** The greatest age of the copy from which the store comes back, in milliseconds. */
+const maxCopyAgeMs = 20_000;
+/** Time after which the operator and the upstreams write again what was lost, in milliseconds. */
+const rewriteDelayMs = 500;
+
 /** Options of {@link FaultInjector}. */
 export interface FaultInjectorOptions {
   readonly environment: SoakEnvironment;
@@ -94,6 +99,9 @@
       case 'leaveUpstream':
         await environment.leave(upstream);
         return;
+      case 'storeRestored':
+        this.#restoreStore(fault);
+        return;
       case 'changeConfiguration':
         environment.changeConfiguration();
         return;
@@ -115,6 +123,21 @@
     }, durationMs);
   }
 
+  /** The store is away, then comes back from a copy; its other users write again what is theirs. */
+  #restoreStore({ durationMs, target }: PlannedFault): void {
+    const { environment, observations } = this.#options;
+    const ageMs = target % maxCopyAgeMs;
+    observations.noteDisturbance(durationMs + rewriteDelayMs);
+    environment.store.mode = 'busy';
+    setTimeout(() => {
+      environment.restoreStore(ageMs);
+      environment.store.mode = 'normal';
+    }, durationMs);
+    setTimeout(() => {
+      environment.writeAgain();
+    }, durationMs + rewriteDelayMs);
+  }
+
   #injectStoreFault({ kind, durationMs }: PlannedFault): void {
     const { environment } = this.#options;
     const modes = {
--- a/packages/soak/src/_lib/SoakEnvironment/index.ts
+++ b/packages/soak/src/_lib/SoakEnvironment/index.ts
@@ -1,5 +1,5 @@
 import { DisposableStore, SystemClock, type Random } from '@acaciacrank/base';
-import { MemoryPlatform } from '@acaciacrank/store';
+import { MemoryPlatform, type PlatformCopy } from '@acaciacrank/store';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import type { SoakOptions } from '../../types.js';
@@ -45,6 +45,8 @@
  * ready, and timeout of one readiness request.
  */
 const startupTimes = { settleMs: 1_500, timeoutMs: 20_000, responseTimeoutMs: 2_000 } as const;
+/** Interval between copies of the store and their number, for {@link SoakEnvironment.restoreStore}. */
+const copyTimes = { intervalMs: 500, count: 41 } as const;
 /** Time for which a draining upstream keeps serving before it is removed. */
 const drainMs = 5_000;
 
@@ -56,6 +58,10 @@
   readonly #options: SoakEnvironmentOptions;
   readonly #owned = new DisposableStore();
   readonly #platform = new MemoryPlatform(new SystemClock());
+  /** Copies of the store, the oldest first. */
+  #copies: PlatformCopy[] = [];
+  readonly #draining = new Set<ProxiedUpstream>();
+  readonly #removedKeys = new Set<string>();
   #version = 0;
   #upstreamCount = 0;
 
@@ -94,20 +100,48 @@
       process.start();
     }
     await Promise.all(this.instances.map(({ process }) => waitUntilReady(process)));
+    const copying = setInterval(() => {
+      this.#copies = [...this.#copies, this.#platform.copy()].slice(-copyTimes.count);
+    }, copyTimes.intervalMs);
+    this.#owned.add({
+      [Symbol.dispose]: () => {
+        clearInterval(copying);
+      },
+    });
     await sleep(startupTimes.settleMs);
   }
 
+  /** Puts the store back to a copy; everything written since is lost. */
+  restoreStore(ageMs: number): void {
+    const index = this.#copies.length - 1 - Math.floor(ageMs / copyTimes.intervalMs);
+    const copy = this.#copies[Math.max(0, index)];
+    if (copy === undefined) return;
+    this.#copies = this.#copies.slice(0, Math.max(0, index) + 1);
+    this.#platform.restore(copy);
+  }
+
+  /** Writes again what the operator and the upstreams have written, after a restore. */
+  writeAgain(): void {
+    this.#writeConfiguration();
+    for (const upstream of this.upstreams) this.#writeUpstreamRecord(upstream, 'ready');
+    for (const upstream of this.#draining) this.#writeUpstreamRecord(upstream, 'draining');
+    for (const key of this.#removedKeys) this.#removeUpstreamRecord(key);
+  }
+
   /** Writes the next version of the configuration and records its acknowledgement. */
   changeConfiguration(): void {
-    const { injectedDefect } = this.#options;
     this.#version += 1;
+    this.#writeConfiguration();
+    this.#options.observations.noteAcknowledgement(this.#version);
+  }
+
+  #writeConfiguration(): void {
+    const { injectedDefect } = this.#options;
     const prepaidFactor = injectedDefect === 'raiseLimit' ? 100 : 1;
     const isWithheld = injectedDefect === 'holdConfiguration' && this.#version > 1;
-    if (!isWithheld) {
-      const document = buildSoakConfiguration(this.#version, prepaidFactor);
-      this.#platform.write('config/main', document, { kind: 'none' });
-    }
-    this.#options.observations.noteAcknowledgement(this.#version);
+    if (isWithheld) return;
+    const document = buildSoakConfiguration(this.#version, prepaidFactor);
+    this.#platform.write('config/main', document, { kind: 'none' });
   }
 
   /** Adds a replacement for an upstream, drains the upstream and removes it after `drainMs`. */
@@ -120,10 +154,12 @@
     server.drainingSinceMs = this.#options.now();
     if (this.#options.injectedDefect === 'holdLeaving') return;
     this.#writeUpstreamRecord(upstream, 'draining');
+    this.#draining.add(upstream);
     setTimeout(() => {
       const key = `servers/${server.id}`;
-      const stored = this.#platform.read(key);
-      if (stored !== undefined) this.#platform.remove(key, stored.version);
+      this.#draining.delete(upstream);
+      this.#removedKeys.add(key);
+      this.#removeUpstreamRecord(key);
       proxy.reset();
       proxy.setMode('refuse');
     }, drainMs);
@@ -146,6 +182,11 @@
     this.#writeUpstreamRecord(upstream, 'ready');
   }
 
+  #removeUpstreamRecord(key: string): void {
+    const stored = this.#platform.read(key);
+    if (stored !== undefined) this.#platform.remove(key, stored.version);
+  }
+
   #writeUpstreamRecord({ server, proxy }: ProxiedUpstream, state: 'ready' | 'draining'): void {
     const address = `127.0.0.1:${proxy.port}`;
     const { id, service } = server;
--- a/packages/soak/src/_lib/planFaults/index.ts
+++ b/packages/soak/src/_lib/planFaults/index.ts
@@ -64,6 +64,32 @@
   return plan;
 }
 
+/** Mean time between two restores of the store, and the range of the time that it is away before. */
+const restoreTimesMs = { meanInterval: 15_000, minAway: 300, maxAway: 2_000 } as const;
+
+/**
+ * Generates the times at which the store comes back from an older copy. They are drawn apart from the
+ * other faults, so that a seed plans the same of those with and without restores.
+ *
+ * @param random - random numbers; the same sequence gives the same plan
+ * @param runDurationMs - duration of the run
+ *
+ * @example
+ * planRestores(createRandom(7), 60_000).length;
+ */
+export function planRestores(random: Random, runDurationMs: number): PlannedFault[] {
+  const { meanInterval, minAway, maxAway } = restoreTimesMs;
+  const plan: PlannedFault[] = [];
+  let atMs = meanInterval * (0.5 + random());
+  while (atMs < runDurationMs) {
+    const durationMs = Math.round(minAway + random() * (maxAway - minAway));
+    const target = Math.floor(random() * Number.MAX_SAFE_INTEGER);
+    plan.push({ kind: 'storeRestored', atMs: Math.round(atMs), durationMs, target });
+    atMs += meanInterval * (0.5 + random());
+  }
+  return plan;
+}
+
 function drawProfile(random: Random): FaultProfile {
   let remainingWeight = random() * faultProfiles.reduce((sum, { weight }) => sum + weight, 0);
   for (const profile of faultProfiles) {
--- a/packages/soak/src/bin.ts
+++ b/packages/soak/src/bin.ts
@@ -16,6 +16,7 @@
   cli.option('--minutes <minutes>', 'Duration of each run, in minutes', { default: 0.5 });
   cli.option('--instances <count>', 'Number of instances', { default: 4 });
   cli.option('--rate <number>', 'Requests per second', { default: 60 });
+  cli.option('--restores', 'The store also comes back from older copies');
   cli.option('--json', 'Print one JSON report per seed');
   cli.help();
   const { options } = cli.parse();
@@ -29,6 +30,7 @@
       seed,
       instances,
       directory,
+      hasRestores: options.restores === true,
       durationMs: minutes * millisecondsPerMinute,
       requestsPerSecond: Number(options.rate),
     });
@@ -51,7 +53,7 @@
     }
     process.stdout.write(
       `  to reproduce: npm run soak -- --seed ${seed} --minutes ${minutes} --instances ${instances} ` +
-        `--rate ${options.rate}; logs: ${directory}\n`,
+        `--rate ${options.rate}${options.restores === true ? ' --restores' : ''}; logs: ${directory}\n`,
     );
   }
 }
--- a/packages/soak/src/runSoak/index.ts
+++ b/packages/soak/src/runSoak/index.ts
@@ -5,9 +5,9 @@
 import { DirectoryPoller } from '../_lib/DirectoryPoller/index.js';
 import { FaultInjector } from '../_lib/FaultInjector/index.js';
 import { Observations } from '../_lib/Observations/index.js';
-import { planFaults } from '../_lib/planFaults/index.js';
+import { planFaults, planRestores } from '../_lib/planFaults/index.js';
 import { SoakEnvironment } from '../_lib/SoakEnvironment/index.js';
-import type { SoakOptions, SoakReport } from '../types.js';
+import type { PlannedFault, SoakOptions, SoakReport } from '../types.js';
 
 /**
  * Runs real instances as separate processes with a fake store and fake upstreams, injects faults from
@@ -55,12 +55,12 @@
   }
 
   async run(): Promise<SoakReport> {
-    const { durationMs, seed } = this.#options;
+    const { durationMs } = this.#options;
     await this.#environment.start();
     const loadStartMs = this.#now();
     const loadAbort = new AbortController();
     const loadDone = this.#runLoad(loadAbort.signal);
-    const faults = this.#options.faults ?? planFaults(createRandom(seed), durationMs);
+    const { faults = this.#planFaults() } = this.#options;
     for (const fault of faults) {
       await sleep(Math.max(0, loadStartMs + fault.atMs - this.#now()));
       await this.#injector.inject(fault);
@@ -72,6 +72,14 @@
     return this.#report();
   }
 
+  #planFaults(): PlannedFault[] {
+    const { durationMs, seed, hasRestores } = this.#options;
+    const faults = planFaults(createRandom(seed), durationMs);
+    if (hasRestores !== true) return faults;
+    const restores = planRestores(createRandom(seed + 1), durationMs);
+    return [...faults, ...restores].sort((a, b) => a.atMs - b.atMs);
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     await this.#environment[Symbol.asyncDispose]();
   }
--- a/packages/soak/src/runSoak/test.ts
+++ b/packages/soak/src/runSoak/test.ts
@@ -66,6 +66,22 @@
   t.true(report.served > 0.5 * report.requests);
 });
 
+// Guards against limits, draining upstreams and versions that are forgotten with what the store lost.
+test.serial('a store that comes back from older copies violates no invariant', async (t) => {
+  const restore = { kind: 'storeRestored', durationMs: 800 } as const;
+  const faults = [
+    { kind: 'leaveUpstream', atMs: 2_000, durationMs: 6_000, target: 0 },
+    { kind: 'changeConfiguration', atMs: 2_500, durationMs: 0, target: 0 },
+    { ...restore, atMs: 4_000, target: 3_000 },
+    { kind: 'kill', atMs: 9_000, durationMs: 0, target: 1 },
+    { ...restore, atMs: 9_500, target: 6_000 },
+  ] as const;
+  const changes = { faults, instances: 3, durationMs: 16_000 };
+  const report = await runSoak(optionsFor('restored', changes));
+  t.deepEqual(report.violations, []);
+  t.is(report.faults['storeRestored'], 2);
+});
+
 /** Options for a run with a single fault, for defects in how the system handles that fault. */
 function singleFault(kind: FaultKind, durationMs = 0): Partial<SoakOptions> {
   return { faults: [{ kind, atMs: 2_000, durationMs, target: 0 }] };
--- a/packages/soak/src/types.ts
+++ b/packages/soak/src/types.ts
@@ -94,6 +94,11 @@
   | 'storeTurnsAway'
   /** The store rejects watches with 410, as if their history were gone. */
   | 'storeForgets'
+  /**
+   * The store answers every request with 503, then comes back from a copy that is up to 20 s old; the
+   * operator and the upstreams write again what is theirs.
+   */
+  | 'storeRestored'
   /** Resets the open connections to an upstream. */
   | 'resetUpstream'
   /** Open connections to an upstream stop transferring data but stay open. */
@@ -130,6 +135,8 @@
   readonly requestsPerSecond: number;
   /** Directory for the settings files and logs of the processes. */
   readonly directory: string;
+  /** Whether the store also comes back from older copies. */
+  readonly hasRestores?: boolean;
   /** Replaces the faults that are generated from the seed. */
   readonly faults?: readonly PlannedFault[];
   readonly injectedDefect?: InjectedDefect;
--- a/packages/standins/src/configuration/watcher/test.ts
+++ b/packages/standins/src/configuration/watcher/test.ts
@@ -249,3 +249,20 @@
   t.is(watcher.problem, undefined);
   await watcher[Symbol.asyncDispose]();
 });
+
+// Guards against a status that shows a problem which is over: the store was down for a few seconds while
+// the version in force was current.
+test('a problem of reading ends when the store can be read again', async (t) => {
+  const { clock, openStore, accept, createWatcher } = setUp();
+  await accept(100);
+  const store = openStore();
+  const watcher = createWatcher(store);
+  await clock.runUntil(watcher.start());
+  store.faults.isDown = true;
+  await clock.advance(6_000);
+  t.truthy(watcher.problem);
+  store.faults.isDown = false;
+  await clock.advance(inForceWithinMs);
+  t.is(watcher.problem, undefined);
+  await watcher[Symbol.asyncDispose]();
+});
