Ledger: bills, request keys and intents are written again after a restore

Cause: after the store came back from an older copy, bills were gone of which callers had the final event, and the same idempotency key ran and was billed again; the outcome of a call under way was dropped by a version from before. Change: each instance keeps what it wrote in the last 30 s and writes it again first; operations carry ids, so what the copy holds stays as it is. It takes no new grant for 10 s.

--- a/packages/ledger/src/BudgetLedger/index.ts
+++ b/packages/ledger/src/BudgetLedger/index.ts
@@ -282,6 +282,7 @@
   [Symbol.dispose](): void {
     this.#isDisposed = true;
     this.#sweepTimer?.[Symbol.dispose]();
+    this.#writer[Symbol.dispose]();
     this.#peerHandlerRegistration[Symbol.dispose]();
   }
 
--- a/packages/ledger/src/PageWriter/index.ts
+++ b/packages/ledger/src/PageWriter/index.ts
@@ -1,5 +1,6 @@
 import { RouterError, type Clock, type Random } from '@acaciacrank/base';
-import type { ObjectStore, WriteCondition } from '@acaciacrank/store';
+import { epochOf, type ObjectStore, type WriteCondition } from '@acaciacrank/store';
+import { OperationJournal } from '../_lib/OperationJournal/index.js';
 import { applyOperation, type ApplyOperationOptions } from '../applyOperation/index.js';
 import { parsePage } from '../pageSchema/index.js';
 import type { LedgerPage, OperationResult, PageOperation } from '../types.js';
@@ -32,6 +33,8 @@
 interface CachedPage {
   readonly page: LedgerPage;
   readonly condition: WriteCondition;
+  /** Epoch of the store from which the page was read. */
+  readonly epoch: number;
   /** How many consecutive reads found the page unchanged by other writers. */
   readonly unchangedReads: number;
 }
@@ -51,20 +54,39 @@
 const busyPeriodWindows = 4;
 const initialBackoffMs = 20;
 const maxBackoffMs = 2_000;
+/**
+ * How long operations are kept to write them again, in milliseconds: the greatest age of a copy from which
+ * the store comes back.
+ */
+const journalRetentionMs = 30_000;
+/**
+ * How long after a restore of the store nothing new is granted, in milliseconds: the time in which the
+ * others write again what they were granted, and in which a write from before may still be executed.
+ */
+const restoreSettleMs = 10_000;
 
 /**
  * Writes pages in group commits: operations that arrive while an update of their page is under way are
  * queued and written together in the next one, so the writes per request decrease as load increases.
  *
  * A page without other writers is written without being read first.
+ *
+ * After the store came back from an older copy, what this instance wrote to a page lately is written
+ * again before anything else. Otherwise bills of which callers have the final event would be lost, and
+ * their request keys would be billed a second time.
  */
-export class PageWriter {
+export class PageWriter implements Disposable {
   readonly #options: PageWriterOptions;
   readonly #applyOptions: Omit<ApplyOperationOptions, 'nowMs'>;
   readonly #queues = new Map<string, QueuedOperation[]>();
   readonly #cachedPages = new Map<string, CachedPage>();
   readonly #requestKeyCounts = new Map<string, number>();
   readonly #lastCommitMs = new Map<string, number>();
+  readonly #journal: OperationJournal;
+  /** Epoch in which each page was last written. */
+  readonly #writtenEpochs = new Map<string, number>();
+  readonly #epochSubscription: Disposable;
+  #restoredAtMs = -Infinity;
   /** Conditional writes that succeeded, for metrics. */
   commits = 0;
   /** Conditional writes that failed because another writer was first, for metrics. */
@@ -73,6 +95,15 @@
   constructor(options: PageWriterOptions) {
     this.#options = options;
     this.#applyOptions = { graceMs: options.graceMs, keyProtectionMs: options.keyProtectionMs };
+    this.#journal = new OperationJournal(options.clock, journalRetentionMs);
+    this.#epochSubscription = options.store.epochs.followRestores(() => {
+      this.#restoredAtMs = options.clock.monotonicMs();
+      for (const pageKey of this.#journal.pageKeys) this.#writeAgain(pageKey);
+    });
+  }
+
+  [Symbol.dispose](): void {
+    this.#epochSubscription[Symbol.dispose]();
   }
 
   /**
@@ -82,7 +113,7 @@
    * @param operations - the changes, in order
    * @returns the result of each operation
    * @throws RouterError `storeUnavailable` (the operations may have taken effect; they are
-   * idempotent, so submit them again), `overloaded` if the queue is full, or `internal` if the page
+   * idempotent, so submit them again; or nothing is granted so soon after a restore), `overloaded` if the queue is full, or `internal` if the page
    * does not parse
    */
   async submit(pageKey: string, operations: readonly PageOperation[]): Promise<OperationResult[]> {
@@ -90,6 +121,9 @@
     if (queue !== undefined && queue.length >= (this.#options.maxQueuedOperations ?? 10_000)) {
       throw new RouterError('overloaded', `the queue of operations for ${pageKey} is full`);
     }
+    if (this.#isSettling && operations.some(({ kind }) => kind === 'grant')) {
+      throw new RouterError('storeUnavailable', 'grants are being written again after a restore');
+    }
     const results = operations.map(
       (operation) =>
         new Promise<OperationResult>((resolve, reject) => {
@@ -104,6 +138,20 @@
     return this.#requestKeyCounts.get(pageKey) ?? 0;
   }
 
+  /** Whether what others were granted before a restore may not be in the pages again. */
+  get #isSettling(): boolean {
+    return this.#options.clock.monotonicMs() - this.#restoredAtMs < restoreSettleMs;
+  }
+
+  /** Starts a commit of the page, which writes again what was lost. */
+  #writeAgain(pageKey: string): void {
+    const [operation] = this.#journal.operations(pageKey);
+    if (operation === undefined) return;
+    this.submit(pageKey, [{ kind: 'prune', budget: operation.budget }]).catch(() => {
+      // The next commit of the page writes it again.
+    });
+  }
+
   #enqueue(pageKey: string, entry: QueuedOperation): void {
     const queue = this.#queues.get(pageKey);
     if (queue !== undefined) {
@@ -186,7 +234,9 @@
     const cached = this.#cachedPages.get(pageKey);
     const isTrusted = cached !== undefined && cached.unchangedReads >= unchangedReadsToTrust;
     const before = isTrusted ? cached : await this.#read(pageKey, cached);
-    const { page, results } = this.#applyAll(before.page, batch);
+    const operations = batch.map(({ operation }) => operation);
+    const restored = this.#applyLost(pageKey, before);
+    const { page, results } = this.#applyAll(restored, operations);
     if (page === before.page) {
       if (!isTrusted) return results;
       // Without a write, no condition proves that the cached page was current: read it again.
@@ -201,10 +251,21 @@
     this.commits += 1;
     this.#lastCommitMs.set(pageKey, this.#options.clock.monotonicMs());
     const condition = { kind: 'version', version: written.version } as const;
-    this.#cachePage(pageKey, { page, condition, unchangedReads: before.unchangedReads });
+    const epoch = epochOf(written.version);
+    // The store came back in between: the next attempt reads what it holds now.
+    if (epoch !== before.epoch) return undefined;
+    this.#writtenEpochs.set(pageKey, epoch);
+    this.#journal.add(pageKey, operations, results);
+    this.#cachePage(pageKey, { page, condition, epoch, unchangedReads: before.unchangedReads });
     return results;
   }
 
+  /** Applies what this instance wrote to the page before the store came back from an older copy. */
+  #applyLost(pageKey: string, { page, epoch }: CachedPage): LedgerPage {
+    if ((this.#writtenEpochs.get(pageKey) ?? epoch) === epoch) return page;
+    return this.#applyAll(page, this.#journal.operations(pageKey)).page;
+  }
+
   async #read(pageKey: string, cached: CachedPage | undefined): Promise<CachedPage> {
     const stored = await this.#options.store.read(pageKey);
     if (cached?.condition.kind === 'version' && cached.condition.version === stored?.version) {
@@ -213,7 +274,8 @@
     const condition: WriteCondition =
       stored === undefined ? { kind: 'absent' } : { kind: 'version', version: stored.version };
     const page = parsePage(pageKey, stored?.value);
-    const read: CachedPage = { page, condition, unchangedReads: 0 };
+    const epoch = stored === undefined ? this.#options.store.epochs.value : epochOf(stored.version);
+    const read: CachedPage = { page, condition, epoch, unchangedReads: 0 };
     this.#cachePage(pageKey, read);
     return read;
   }
@@ -230,11 +292,11 @@
     this.#requestKeyCounts.delete(oldest);
   }
 
-  #applyAll(page: LedgerPage, batch: readonly QueuedOperation[]): AppliedBatch {
+  #applyAll(page: LedgerPage, operations: readonly PageOperation[]): AppliedBatch {
     const nowMs = this.#options.clock.wallMs();
     const options = { ...this.#applyOptions, nowMs, mutableBills: new WeakSet() };
     let current = page;
-    const results = batch.map(({ operation }) => {
+    const results = operations.map((operation) => {
       const applied = applyOperation(current, operation, options);
       current = applied.page;
       return applied.result;
--- a/packages/ledger/src/RequestRecords/index.ts
+++ b/packages/ledger/src/RequestRecords/index.ts
@@ -6,7 +6,7 @@
   type RequestId,
   type RequestKey,
 } from '@acaciacrank/base';
-import type { ObjectStore } from '@acaciacrank/store';
+import { updateObject, type ObjectStore } from '@acaciacrank/store';
 import * as z from 'zod';
 
 const recordSchema = z.strictObject({
@@ -45,6 +45,8 @@
 const maxUndispatched = 1_000;
 const initialRetractBackoffMs = 1_000;
 const maxRetractBackoffMs = 30_000;
+/** How long written records are kept to write them again: the greatest age of a copy, in milliseconds. */
+const writtenRetentionMs = 30_000;
 /** The maximum attempts to retract an intent; about ten minutes including the backoff. */
 const maxRetractAttempts = 24;
 
@@ -54,13 +56,23 @@
  * An intent is created only if no record exists, so if two instances get the same key only one succeeds,
  * and a key is dispatched at most once.
  */
-export class RequestRecords {
+export class RequestRecords implements Disposable {
   readonly #options: RequestRecordsOptions;
+  /** Records that this instance has written lately, by key, to write them again after a restore. */
+  readonly #written = new Map<RequestKey, RequestRecord>();
+  readonly #epochSubscription: Disposable;
   /** Request ids by key whose intent may be stored although this process run never dispatched them. */
   readonly #undispatched = new Map<RequestKey, RequestId>();
 
   constructor(options: RequestRecordsOptions) {
     this.#options = options;
+    this.#epochSubscription = options.store.epochs.followRestores(() => {
+      for (const [key, record] of this.#written) void this.#writeAgain(key, record);
+    });
+  }
+
+  [Symbol.dispose](): void {
+    this.#epochSubscription[Symbol.dispose]();
   }
 
   /**
@@ -112,12 +124,18 @@
     const written = await store
       .write(recordKey(key), record, { kind: 'absent' })
       .catch(() => undefined);
-    if (written?.outcome === 'written') return { kind: 'begun', version: written.version };
+    if (written?.outcome === 'written') {
+      this.#rememberWritten(key, record);
+      return { kind: 'begun', version: written.version };
+    }
     const found = await this.#read(key);
     if (found === undefined) {
       throw new RouterError('storeUnavailable', 'the intent could not be stored');
     }
-    if (found.record.requestId === requestId) return { kind: 'begun', version: found.version };
+    if (found.record.requestId === requestId) {
+      this.#rememberWritten(key, record);
+      return { kind: 'begun', version: found.version };
+    }
     if (found.record.bodyDigest !== bodyDigest) {
       throw new RouterError('keyReused', 'the idempotency key was used with another body');
     }
@@ -213,7 +231,38 @@
       ...this.#createRecord(requestId, outcome.bodyDigest, outcome.state),
       ...outcome,
     };
-    await store.write(recordKey(key), record, { kind: 'version', version });
+    this.#rememberWritten(key, record);
+    const result = await store.write(recordKey(key), record, { kind: 'version', version });
+    // The version is from before a restore of the store.
+    if (result.outcome === 'conflict') await this.#writeAgain(key, record);
+  }
+
+  #rememberWritten(key: RequestKey, record: RequestRecord): void {
+    const nowMs = this.#options.clock.wallMs();
+    this.#written.delete(key);
+    this.#written.set(key, record);
+    for (const [oldKey, { atMs }] of this.#written) {
+      if (nowMs - atMs <= writtenRetentionMs) break;
+      this.#written.delete(oldKey);
+    }
+  }
+
+  /**
+   * Writes a record again that the store lost when it came back from an older copy. A record of another
+   * request is left as it is.
+   */
+  async #writeAgain(key: RequestKey, record: RequestRecord): Promise<void> {
+    const { store, clock } = this.#options;
+    try {
+      await updateObject(store, recordKey(key), clock, (stored) => {
+        const known = recordSchema.safeParse(stored?.value);
+        if (!known.success) return stored === undefined ? record : stored.value;
+        const isOlder = known.data.requestId === record.requestId && known.data.state === 'intent';
+        return isOlder && record.state !== 'intent' ? record : stored?.value;
+      });
+    } catch {
+      // The store went away again; its next restore writes the record once more.
+    }
   }
 }
 
--- a/packages/router/src/Instance/index.ts
+++ b/packages/router/src/Instance/index.ts
@@ -210,7 +210,7 @@
     const engines = new EngineDispatch({ ...sharedOptions, retries });
     const services = new ServiceDispatch({ ...sharedOptions, retries });
     this.chat = new ChatHandler({ ...sharedOptions, queue, engines, lingerMs: options.lingerMs });
-    const records = new RequestRecords({ store, clock, instanceId });
+    const records = this.#owned.add(new RequestRecords({ store, clock, instanceId }));
     this.services = new ServiceHandler({ ...sharedOptions, records, services });
     this.orders = this.#owned.add(
       new EngineOrders({
