Upstreams after a restore: one that only lost touch with the store is used again

Cause, by reading: a run that had left was left out until its next run, also where it had only been cut off from the store and registered again. Change: left out are those that left in the 30 s before the restore, for 30 s after it, since the copy is no older; what the store still holds then is taken up. The follower of upstreams is a function of its own, out of ForwardingInstance. The test fails without the change.

--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -9,7 +9,6 @@
   type Log,
   type Metrics,
   type Random,
-  type UpstreamId,
 } from '@acaciacrank/base';
 import { WsFleetLinks } from '@acaciacrank/fleet';
 import { PrepaidAccounts, type GrantEvent, type ProcessRun } from '@acaciacrank/ledger';
@@ -28,6 +27,7 @@
 import { ForwardHandler } from '../ForwardHandler/index.js';
 import { InstanceFleet, type CallerInstance } from '../InstanceFleet/index.js';
 import { chooseDirectoryInstances } from '../_lib/chooseDirectoryInstances/index.js';
+import { createUpstreamFollower } from '../_lib/createUpstreamFollower/index.js';
 import { DirectoryLog } from '../_lib/DirectoryLog/index.js';
 import { planShutdown } from '../_lib/planShutdown/index.js';
 import { RouteTable } from '../RouteTable/index.js';
@@ -500,37 +500,15 @@
 
   #followUpstreams(): ObjectFollower {
     const { clock, codec, log, metrics, random, settings } = this.#options;
-    const read = (stored: StoredObject) => {
-      const record = codec.readUpstream(stored);
-      if (record === undefined) {
-        metrics.count('unreadableUpstreams');
-        log.warn({ key: stored.key, version: stored.version }, 'upstream record left out');
-      }
-      return record;
-    };
-    const idOf = (key: string) => key.slice(codec.upstreamPrefix.length) as UpstreamId;
-    return new ObjectFollower({
+    return createUpstreamFollower({
       store: this.#relayedStore,
+      table: this.upstreams,
+      batchDelayMs: batchShare.upstreams * settings.drainLimitMs,
       clock,
+      codec,
+      log,
+      metrics,
       random,
-      prefix: codec.upstreamPrefix,
-      batchDelayMs: batchShare.upstreams * settings.drainLimitMs,
-      onSnapshot: ({ objects }) => {
-        this.upstreams.replaceAll(objects.map(read).filter((record) => record !== undefined));
-      },
-      onChange: ({ key, object }) => {
-        const record = object === undefined ? undefined : read(object);
-        if (record === undefined) this.upstreams.remove(idOf(key));
-        else this.upstreams.put(record);
-      },
-      onLost: (error) => {
-        this.upstreams.markStoreUnavailable();
-        log.warn({ error: error.message }, 'store lost for upstreams');
-      },
-      onRegained: (awayMs) => {
-        this.upstreams.markStoreAvailable();
-        log.info({ awayMs: Math.round(awayMs) }, 'store regained for upstreams');
-      },
     });
   }
 
--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -38,6 +38,15 @@
   instanceCount?: () => number;
 }
 
+/** An upstream that has left. */
+interface Departure {
+  readonly record: UpstreamRecord;
+  /** On the monotonic clock. */
+  readonly atMs: number;
+}
+
+/** The greatest age of a copy from which the store comes back, in milliseconds. */
+const maxCopyAgeMs = 30_000;
 /** Number of upstreams that have left which are remembered; many times those of a busy minute. */
 const maxDeparted = 4_096;
 
@@ -62,8 +71,11 @@
   /** Number of instances that share connections, and when it was determined. */
   #instanceCount = { value: 1, atMs: -Infinity };
   /** Upstreams that have left, by the record with which they did; used after a restore of the store. */
-  readonly #departed = new Map<UpstreamId, UpstreamRecord>();
-  #isStoreRestored = false;
+  readonly #departed = new Map<UpstreamId, Departure>();
+  /** Records that were left out since they show a run which has left. */
+  readonly #refused = new Map<UpstreamId, UpstreamRecord>();
+  /** When the store last came back from an older copy, on the monotonic clock. */
+  #storeRestoredAtMs = -Infinity;
   #isStoreUnavailable = false;
   /** When the store last became available again, on the monotonic clock. */
   #storeAvailableSinceMs = -Infinity;
@@ -105,7 +117,11 @@
    * the others stay out of use until a record of their next run appears.
    */
   markStoreRestored(): void {
-    this.#isStoreRestored = true;
+    const { clock } = this.#options;
+    this.#storeRestoredAtMs = clock.monotonicMs();
+    clock.schedule(maxCopyAgeMs, () => {
+      this.#putRefused();
+    });
     this.markStoreAvailable();
   }
 
@@ -133,7 +149,11 @@
   put(record: UpstreamRecord): void {
     this.#expired.get(record.id)?.[Symbol.dispose]();
     this.#expired.delete(record.id);
-    if (this.#hasDeparted(record)) return;
+    this.#refused.delete(record.id);
+    if (this.#hasDeparted(record)) {
+      this.#refused.set(record.id, record);
+      return;
+    }
     const known = this.#byId.get(record.id);
     if (known === undefined || isDifferentRun(known.record, record)) {
       if (known !== undefined) this.#closeUpstream(known);
@@ -144,7 +164,7 @@
       const isNewlyLeaving = !known.isLeaving && record.state === 'leaving';
       known.record = record;
       // A copy from before an upstream left does not bring it back.
-      const staysLeaving = this.#isStoreRestored && known.isLeaving;
+      const staysLeaving = this.#storeRestoredAtMs > -Infinity && known.isLeaving;
       known.isLeaving = staysLeaving || record.state === 'leaving';
       if (isNewlyLeaving) this.#report(record, 'leaving');
     }
@@ -153,6 +173,7 @@
 
   /** Handles the disappearance of a record from the store. */
   remove(id: UpstreamId): void {
+    this.#refused.delete(id);
     const upstream = this.#byId.get(id);
     if (upstream === undefined || this.#expired.has(id)) return;
     const availableForMs = this.#options.clock.monotonicMs() - this.#storeAvailableSinceMs;
@@ -216,11 +237,22 @@
     this.#expired.set(id, timer);
   }
 
-  /** Whether a record is that of a run which has left; only an older copy of the store shows it. */
+  /** Takes up the records that were left out, and that the store still holds. */
+  #putRefused(): void {
+    const refused = [...this.#refused.values()];
+    for (const record of refused) this.put(record);
+  }
+
+  /**
+   * Whether a record is that of a run which has left, as only an older copy of the store shows it. After a
+   * while the store has caught up, and a run that had lost touch with it may be back.
+   */
   #hasDeparted(record: UpstreamRecord): boolean {
-    if (!this.#isStoreRestored) return false;
-    const departed = this.#departed.get(record.id);
-    return departed !== undefined && !isDifferentRun(departed, record);
+    const departure = this.#departed.get(record.id);
+    if (departure === undefined || isDifferentRun(departure.record, record)) return false;
+    const restoredAtMs = this.#storeRestoredAtMs;
+    const restoredForMs = this.#options.clock.monotonicMs() - restoredAtMs;
+    return restoredForMs < maxCopyAgeMs && restoredAtMs - departure.atMs < maxCopyAgeMs;
   }
 
   #removeUpstream(upstream: Upstream): void {
@@ -232,7 +264,7 @@
 
   #rememberDeparture(record: UpstreamRecord): void {
     this.#departed.delete(record.id);
-    this.#departed.set(record.id, record);
+    this.#departed.set(record.id, { record, atMs: this.#options.clock.monotonicMs() });
     const [oldest] = this.#departed.keys();
     if (oldest !== undefined && this.#departed.size > maxDeparted) this.#departed.delete(oldest);
   }
--- a/packages/standins/src/failures/storeRestore/test.ts
+++ b/packages/standins/src/failures/storeRestore/test.ts
@@ -226,6 +226,19 @@
   t.is(table.usable(service).length, 1, 'its next run is used');
 });
 
+// Guards against an upstream that is never used again although it only lost touch with the store.
+test('an upstream that was gone is used again once the store must have caught up', async (t) => {
+  const clock = new ManualClock();
+  const table = new UpstreamTable({ clock, onChange: () => undefined });
+  table.put(record);
+  table.remove(record.id);
+  table.markStoreRestored();
+  table.put(record);
+  t.is(table.usable(service).length, 0);
+  await clock.advance(30_001);
+  t.is(table.usable(service).length, 1);
+});
+
 // Guards against having no upstream left: those that registered since the copy are missing for a moment.
 test('an upstream that the copy lacks stays usable until it can have registered again', async (t) => {
   const clock = new ManualClock();
