--- a/packages/fleet/src/Registrations/index.ts
+++ b/packages/fleet/src/Registrations/index.ts
@@ -71,6 +71,9 @@
 /** How long an entry that an older copy lacks is kept, so that its instance can register again, in ms. */
 const reregistrationMs = 3 * heartbeatIntervalMs;
 
+/** Number of replaced runs that are remembered; more than restart within the age of a copy. */
+const maxFormerRuns = 1_024;
+
 const registrationSchema = z.object({
   instanceId: z.string(),
   runId: z.string(),
@@ -280,11 +283,19 @@
     const heartbeatAtMs = this.#listClockMs;
     const removeAtMs = heartbeatAtMs + registrationExpiryMs;
     if (known !== undefined && known.registration.runId !== registration.runId) {
-      this.#formerRuns.add(known.registration.runId);
+      this.#rememberFormerRun(known.registration.runId);
     }
     this.#seen.set(registration.instanceId, { registration, version, heartbeatAtMs, removeAtMs });
   }
 
+  #rememberFormerRun(runId: string): void {
+    this.#formerRuns.add(runId);
+    const [oldest] = this.#formerRuns;
+    if (oldest !== undefined && this.#formerRuns.size > maxFormerRuns) {
+      this.#formerRuns.delete(oldest);
+    }
+  }
+
   #isFromOlderCopy(known: SeenRegistration, registration: Registration): boolean {
     if (!this.#mayRegisterAgain) return false;
     if (this.#formerRuns.has(registration.runId)) return true;
