Store: one place for what is assumed about a restored store

The greatest age of the copy and the time in which a late write is executed stood as constants of their own in five files that rely on the same values. They are `maxCopyAgeMs` and `maxLateWriteMs` of the store package now, with the values that they had; no behaviour changes.

--- a/packages/fleet/src/RestoreWitness/index.ts
+++ b/packages/fleet/src/RestoreWitness/index.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@acaciacrank/base';
+import { maxCopyAgeMs } from '@acaciacrank/store';
 import type { RegisteredRun } from '../Registrations/index.js';
 
 /** What one run of an instance tells the others about restores of the store. */
@@ -22,8 +23,6 @@
   maxCopyAgeMs?: number;
 }
 
-/** Ten seconds more than the store's own history, in milliseconds. */
-const defaultMaxCopyAgeMs = 30_000;
 /**
  * The longest time without a list of registrations after which this run still counts as having seen every
  * other run, in milliseconds: the store may be away for a moment before it comes back.
@@ -55,7 +54,7 @@
   #othersWitnessedEpoch = 0;
 
   constructor(options: RestoreWitnessOptions) {
-    this.#options = { maxCopyAgeMs: defaultMaxCopyAgeMs, ...options };
+    this.#options = { maxCopyAgeMs, ...options };
   }
 
   /**
--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -1,4 +1,5 @@
 import type { Clock, InstanceId, ServiceName, UpstreamId } from '@acaciacrank/base';
+import { maxCopyAgeMs } from '@acaciacrank/store';
 import { Upstream } from '../_lib/Upstream/index.js';
 import { expiredRecordGraceMs } from '../_lib/limits/index.js';
 import { unshared, type LimitChange, type LimitSharing } from '../_lib/UpstreamLimit/index.js';
@@ -45,8 +46,6 @@
   readonly atMs: number;
 }
 
-/** The greatest age of a copy from which the store comes back, in milliseconds. */
-const maxCopyAgeMs = 30_000;
 /** Number of upstreams that have left which are remembered; many times those of a busy minute. */
 const maxDeparted = 4_096;
 
--- a/packages/ledger/src/PageWriter/index.ts
+++ b/packages/ledger/src/PageWriter/index.ts
@@ -1,5 +1,11 @@
 import { RouterError, type Clock, type Random } from '@acaciacrank/base';
-import { epochOf, type ObjectStore, type WriteCondition } from '@acaciacrank/store';
+import {
+  epochOf,
+  maxCopyAgeMs,
+  maxLateWriteMs,
+  type ObjectStore,
+  type WriteCondition,
+} from '@acaciacrank/store';
 import { OperationJournal } from '../_lib/OperationJournal/index.js';
 import { applyOperation, type ApplyOperationOptions } from '../applyOperation/index.js';
 import { parsePage } from '../pageSchema/index.js';
@@ -54,16 +60,6 @@
 const busyPeriodWindows = 4;
 const initialBackoffMs = 20;
 const maxBackoffMs = 2_000;
-/**
- * How long operations are kept to write them again, in milliseconds: the greatest age of a copy from which
- * the store comes back.
- */
-const journalRetentionMs = 30_000;
-/**
- * How long after a restore of the store nothing new is granted, in milliseconds: the time in which the
- * others write again what they were granted, and in which a write from before may still be executed.
- */
-const restoreSettleMs = 10_000;
 
 /**
  * Writes pages in group commits: operations that arrive while an update of their page is under way are
@@ -95,7 +91,7 @@
   constructor(options: PageWriterOptions) {
     this.#options = options;
     this.#applyOptions = { graceMs: options.graceMs, keyProtectionMs: options.keyProtectionMs };
-    this.#journal = new OperationJournal(options.clock, journalRetentionMs);
+    this.#journal = new OperationJournal(options.clock, maxCopyAgeMs);
     this.#epochSubscription = options.store.epochs.followRestores(() => {
       this.#restoredAtMs = options.clock.monotonicMs();
       for (const pageKey of this.#journal.pageKeys) this.#writeAgain(pageKey);
@@ -140,7 +136,7 @@
 
   /** Whether what others were granted before a restore may not be in the pages again. */
   get #isSettling(): boolean {
-    return this.#options.clock.monotonicMs() - this.#restoredAtMs < restoreSettleMs;
+    return this.#options.clock.monotonicMs() - this.#restoredAtMs < maxLateWriteMs;
   }
 
   /** Starts a commit of the page, which writes again what was lost. */
--- a/packages/ledger/src/PrepaidAccounts/index.ts
+++ b/packages/ledger/src/PrepaidAccounts/index.ts
@@ -1,4 +1,5 @@
 import type { AccountId } from '@acaciacrank/base';
+import { maxLateWriteMs } from '@acaciacrank/store';
 import { prepaidPagePrefix } from '../_lib/StoredGrant/index.js';
 import {
   PrepaidAccount,
@@ -23,12 +24,6 @@
  */
 const ticksPerObservation = 4;
 
-/**
- * How long a write may be executed after it was sent, in milliseconds. Only after that time is a page of a
- * restored store known to keep what was written to it again.
- */
-const lateWriteMs = 10_000;
-
 /** The prepaid tokens of all client accounts that this instance may spend. */
 export class PrepaidAccounts implements Disposable {
   readonly #options: PrepaidAccountsOptions;
@@ -132,7 +127,7 @@
     const { store, clock } = this.#options;
     const epoch = store.epochs.value;
     if (epoch <= this.#accountedEpoch) return;
-    if (clock.monotonicMs() - this.#epochSinceMs < lateWriteMs) return;
+    if (clock.monotonicMs() - this.#epochSinceMs < maxLateWriteMs) return;
     const accounts = [...this.#accounts.values()].filter((account) => account.hasWritten);
     const confirmed = await Promise.all(accounts.map((account) => account.confirmGrant()));
     if (confirmed.every(Boolean) && store.epochs.value === epoch) this.#accountedEpoch = epoch;
--- a/packages/ledger/src/RequestRecords/index.ts
+++ b/packages/ledger/src/RequestRecords/index.ts
@@ -6,7 +6,7 @@
   type RequestId,
   type RequestKey,
 } from '@acaciacrank/base';
-import { updateObject, type ObjectStore } from '@acaciacrank/store';
+import { maxCopyAgeMs, updateObject, type ObjectStore } from '@acaciacrank/store';
 import * as z from 'zod';
 
 const recordSchema = z.strictObject({
@@ -45,8 +45,6 @@
 const maxUndispatched = 1_000;
 const initialRetractBackoffMs = 1_000;
 const maxRetractBackoffMs = 30_000;
-/** How long written records are kept to write them again: the greatest age of a copy, in milliseconds. */
-const writtenRetentionMs = 30_000;
 /** The maximum attempts to retract an intent; about ten minutes including the backoff. */
 const maxRetractAttempts = 24;
 
@@ -242,7 +240,7 @@
     this.#written.delete(key);
     this.#written.set(key, record);
     for (const [oldKey, { atMs }] of this.#written) {
-      if (nowMs - atMs <= writtenRetentionMs) break;
+      if (nowMs - atMs <= maxCopyAgeMs) break;
       this.#written.delete(oldKey);
     }
   }
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -4,6 +4,7 @@
 export type * from './types.js';
 export * from './storeVersion/index.js';
 export * from './StoreEpochs/index.js';
+export * from './restoreBounds/index.js';
 export * from './ObjectStore/index.js';
 export * from './InstanceList/index.js';
 export * from './MemoryPlatform/index.js';
