Warm-up and drains: the fleet's bound of upstreams that warm up, failure domains that get nothing new

Warm-up: an upstream takes its rate from all instances together. A few instances by rendezvous hash hold a share each and send one request at once at most, so that bursts of all of them and of a quarter more (instances that learn late who shares) stay within the bound of any second; no message is needed for it. Known from records, from responses, and assumed of an upstream that registers without saying so, after an ejection, and after a drain. One fault found by the tests and closed: a process that has just started had a full bucket, although its earlier run may have sent.

Drains: followed in the store through the relays, told by peers where the store is away, kept for the age of a copy after a restore that lacks them. Streams run on.

RelayedObjectStore keeps apart which prefixes are relayed: whether the store is away followed the last watch of any prefix.

Not covered: an instance that starts within a second after the end of a drain and before the records say that its upstreams warm up.

--- a/packages/fleet/src/messageSchemas/index.ts
+++ b/packages/fleet/src/messageSchemas/index.ts
@@ -17,7 +17,10 @@
 const instanceId = z.string().min(1).max(64) as unknown as z.ZodType<InstanceId>;
 /** Maximum number of upstreams in one reply; more would exceed the maximum message size. */
 const maxUpstreams = 4_096;
+/** Maximum number of drained failure domains in one reply. */
+const maxDrainedDomains = 256;
 const nonNegativeInteger = z.number().int().nonnegative();
+const failureDomainId = z.string().max(64) as unknown as z.ZodType<FailureDomainId>;
 
 /** Identifies a budget in the ledger. */
 const budgetSchema = z.object({
@@ -57,10 +60,14 @@
   service: z.string().max(256) as unknown as z.ZodType<ServiceName>,
   ip: z.string().max(64),
   port: nonNegativeInteger,
-  failureDomain: z.string().max(64) as unknown as z.ZodType<FailureDomainId>,
+  failureDomain: failureDomainId,
   slots: z.number().positive(),
   state: z.enum(['live', 'leaving']),
   startedAtMs: z.number().int().optional(),
+  /** How much longer it warms up, in milliseconds, when the record was written. */
+  warmUpMs: z.number().nonnegative().optional(),
+  /** Version of the stored record. */
+  version: nonNegativeInteger.optional(),
 });
 
 /** A rate limit from an upstream's response; ages are relative to when the message is sent. */
@@ -180,6 +187,8 @@
     kind: z.literal('upstreams'),
     isCurrent: z.boolean(),
     records: z.array(upstreamSchema).max(maxUpstreams),
+    /** Failure domains whose upstreams get no new requests; absent from earlier releases. */
+    drainedDomains: z.array(failureDomainId).max(maxDrainedDomains).optional(),
   }),
   /** `isCurrent` is false when the peer does not watch the store, or misses some of the changes. */
   z.object({
--- a/packages/forwarding/src/ForwardCodec/index.ts
+++ b/packages/forwarding/src/ForwardCodec/index.ts
@@ -17,6 +17,11 @@
   abstract readonly configurationKey: string;
   /** The prefix of upstream records' keys in the store. */
   abstract readonly upstreamPrefix: string;
+  /**
+   * The prefix of the store's keys that each name a failure domain to drain: its upstreams get no new
+   * requests until the object is removed.
+   */
+  abstract readonly domainDrainPrefix: string;
 
   /**
    * Parses a configuration.
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -9,6 +9,7 @@
   type Log,
   type Metrics,
   type Random,
+  type ServiceName,
 } from '@acaciacrank/base';
 import { WsFleetLinks } from '@acaciacrank/fleet';
 import { PrepaidAccounts, type GrantEvent, type ProcessRun } from '@acaciacrank/ledger';
@@ -23,10 +24,12 @@
   listenBacklog,
 } from '../createForwardServer/index.js';
 import { FleetPrepaidPeers } from '../FleetPrepaidPeers/index.js';
+import { DomainDrains } from '../DomainDrains/index.js';
 import type { ForwardCodec } from '../ForwardCodec/index.js';
 import { ForwardHandler } from '../ForwardHandler/index.js';
 import { InstanceFleet, type CallerInstance } from '../InstanceFleet/index.js';
 import { chooseDirectoryInstances } from '../_lib/chooseDirectoryInstances/index.js';
+import { createDrainFollower } from '../_lib/createDrainFollower/index.js';
 import { createUpstreamFollower } from '../_lib/createUpstreamFollower/index.js';
 import { DirectoryLog } from '../_lib/DirectoryLog/index.js';
 import { planShutdown } from '../_lib/planShutdown/index.js';
@@ -34,6 +37,7 @@
 import { UpstreamLimitGossip } from '../UpstreamLimitGossip/index.js';
 import { RelayedObjectStore } from '../RelayedObjectStore/index.js';
 import { PeerUpstreamSync } from '../PeerUpstreamSync/index.js';
+import type { WarmUpPolicy } from '../types.js';
 import { UpstreamTable, type UpstreamChange } from '../UpstreamTable/index.js';
 
 /** Addresses and limits of a forwarding instance. */
@@ -51,6 +55,13 @@
     readonly free: number;
     readonly windowMs: number;
   };
+  /** What an upstream that warms up may get beyond the rate that it takes. */
+  readonly warmUp: {
+    /** Requests of all instances combined, as a multiple of the rate. */
+    readonly overage: number;
+    /** Requests in any second beyond that. */
+    readonly slack: number;
+  };
   /** Whether the whole fleet starts for the first time, so that nothing was ever stored. */
   readonly isFirstStart: boolean;
   /** Maximum duration of a graceful shutdown, in milliseconds. */
@@ -124,6 +135,7 @@
  */
 export class ForwardingInstance {
   readonly upstreams: UpstreamTable;
+  readonly drains: DomainDrains;
   readonly tokens: PrepaidAccounts;
   readonly fleet: InstanceFleet;
   /** The current configuration; undefined until the first one is known. */
@@ -161,6 +173,7 @@
     });
     this.#configurationFollower = this.#followConfiguration();
     this.upstreams = this.#createUpstreamTable();
+    this.drains = this.#createDomainDrains();
     this.#limitGossip = new UpstreamLimitGossip({
       links: this.#links,
       clock,
@@ -271,10 +284,12 @@
     });
     this.#disposables.add(this.#links);
     this.#disposables.add(this.#relayedStore);
+    this.#disposables.add(this.drains);
     this.#disposables.add(this.#followRestores());
     const upstreams = this.#followUpstreams();
     this.#startTask('configuration', this.#configurationFollower);
     this.#startTask('upstreams', upstreams);
+    this.#startTask('drains', this.#followDrains());
     this.#startTask('fleet', this.fleet);
     this.#startTask('upstreams of peers', this.#createPeerUpstreamSync(upstreams));
     this.#startTask('upstream limits', this.#limitGossip);
@@ -374,6 +389,7 @@
     const { store, log, metrics } = this.#options;
     return store.epochs.followRestores((epoch, previousEpoch) => {
       this.upstreams.markStoreRestored();
+      this.drains.markStoreRestored();
       metrics.count('storeRestores');
       log.warn({ previousEpoch, epoch }, 'store came back from an older copy');
     });
@@ -382,7 +398,8 @@
   /** Whether calls of this instance to the store fail; not told by a watch through a peer. */
   get #isStoreUnavailable(): boolean {
     const { isLost } = this.#configurationFollower;
-    return isLost || (this.#relayedStore.isRelayed && this.fleet.isListFailing);
+    const isRelayed = this.#relayedStore.isRelayed(this.#configurationPrefix);
+    return isLost || (isRelayed && this.fleet.isListFailing);
   }
 
   #createUpstreamTable(): UpstreamTable {
@@ -393,6 +410,7 @@
       limitSharing: { instanceId, sharers: () => this.fleet.rateSharingInstances },
       instanceCount: () => this.fleet.sharingInstanceCount,
       maxConnections: (service) => this.routes.value?.service(service)?.maxConnections ?? Infinity,
+      warmUp: (service) => this.#warmUpOf(service),
       onChange: (change) => {
         metrics.count('upstreamChanges', change.what);
         log.info(change, 'upstream');
@@ -402,6 +420,31 @@
     });
   }
 
+  #warmUpOf(service: ServiceName): WarmUpPolicy | undefined {
+    const { overage, slack } = this.#options.settings.warmUp;
+    const traits = this.routes.value?.service(service)?.warmUp;
+    if (traits === undefined) return undefined;
+    return { ...traits, maxPerSecond: traits.requestsPerSecond * overage + slack };
+  }
+
+  #createDomainDrains(): DomainDrains {
+    const { clock, log, metrics } = this.#options;
+    const services = () => this.routes.value?.configuration.services.map(({ name }) => name) ?? [];
+    return new DomainDrains({ clock, table: this.upstreams, services, log, metrics });
+  }
+
+  #followDrains(): ObjectFollower {
+    const { clock, codec, random } = this.#options;
+    const prefix = codec.domainDrainPrefix;
+    return createDrainFollower({
+      store: this.#relayedStore,
+      clock,
+      prefix,
+      drains: this.drains,
+      random,
+    });
+  }
+
   #announceLimit({ upstreamId }: UpstreamChange): void {
     const upstream = this.upstreams.get(upstreamId);
     if (upstream !== undefined) this.#limitGossip.announce(upstream);
@@ -436,6 +479,11 @@
     });
   }
 
+  get #configurationPrefix(): string {
+    const { configurationKey } = this.#options.codec;
+    return configurationKey.slice(0, configurationKey.indexOf('/') + 1);
+  }
+
   #followConfiguration(): ObjectFollower {
     const { clock, codec, log, random, settings } = this.#options;
     const applyIfConfiguration = (stored: StoredObject | undefined) => {
@@ -445,7 +493,7 @@
       store: this.#relayedStore,
       clock,
       random,
-      prefix: codec.configurationKey.slice(0, codec.configurationKey.indexOf('/') + 1),
+      prefix: this.#configurationPrefix,
       // Reading several large versions at once would delay the newest one on a slow network.
       isLatestStateSufficient: true,
       batchDelayMs: batchShare.configuration * settings.configurationLimitMs,
@@ -519,6 +567,7 @@
       clock,
       random,
       table: this.upstreams,
+      drains: this.drains,
       isStoreUnavailable: () => follower.isLost,
       peers: () => this.#livePeers,
     });
--- a/packages/forwarding/src/InstanceFleet/index.ts
+++ b/packages/forwarding/src/InstanceFleet/index.ts
@@ -66,6 +66,9 @@
  */
 const staleListMs = 7_000;
 
+/** How long the list of instances that share rate limits is used before it is derived again, in ms. */
+const rateSharingTtlMs = 100;
+
 /** The live instances, and the members from which they were derived. */
 interface LiveInstances {
   readonly members: readonly Member[];
@@ -92,6 +95,8 @@
   readonly #registrations: Registrations;
   /** The live instances, by the members from which they were derived. */
   #live: LiveInstances | undefined;
+  /** The instances that share rate limits, and when they were derived. */
+  #rateSharing: { readonly ids: readonly InstanceId[]; readonly atMs: number } | undefined;
   #isListFailing = false;
   readonly #membership: Membership;
   readonly #disposables = new DisposableStore();
@@ -217,8 +222,21 @@
    * Guards against two sides of a partition that each use the whole limit, as {@link sharingInstanceCount} does.
    * An instance does not take part while it is leaving, before it has read the list of instances,
    * and while it is cut off from the store and from most others, since they may consider it failed.
+   * The same array is returned until the instances change.
    */
   get rateSharingInstances(): readonly InstanceId[] {
+    const nowMs = this.#options.clock.monotonicMs();
+    if (this.#rateSharing !== undefined && nowMs - this.#rateSharing.atMs < rateSharingTtlMs) {
+      return this.#rateSharing.ids;
+    }
+    const derived = this.#deriveRateSharing();
+    const known = this.#rateSharing?.ids;
+    const ids = known !== undefined && hasSameItems(known, derived) ? known : derived;
+    this.#rateSharing = { ids, atMs: nowMs };
+    return ids;
+  }
+
+  #deriveRateSharing(): readonly InstanceId[] {
     const others = this.#othersExcept('left', 'leaving');
     const { id, state } = this.#membership.self;
     const isLeaving = state === 'leaving' || state === 'left';
@@ -325,3 +343,7 @@
     this.#disposables.add(subscription);
   }
 }
+
+function hasSameItems(one: readonly InstanceId[], other: readonly InstanceId[]): boolean {
+  return one.length === other.length && one.every((id, index) => id === other[index]);
+}
--- a/packages/forwarding/src/PeerUpstreamSync/index.ts
+++ b/packages/forwarding/src/PeerUpstreamSync/index.ts
@@ -1,5 +1,6 @@
 import type { Clock, InstanceId, Random } from '@acaciacrank/base';
 import type { FleetRpc } from '@acaciacrank/fleet';
+import type { DomainDrains } from '../DomainDrains/index.js';
 import type { UpstreamTable } from '../UpstreamTable/index.js';
 
 /** Options of {@link PeerUpstreamSync}. */
@@ -8,6 +9,7 @@
   clock: Clock;
   random: Random;
   table: UpstreamTable;
+  drains: DomainDrains;
   /** Whether this instance currently gets no updates about upstreams from the store. */
   isStoreUnavailable: () => boolean;
   /** The peers that may be asked. */
@@ -18,7 +20,8 @@
 const askIntervalMs = 1_000;
 
 /**
- * Exchanges upstream records between instances, for an instance that cannot reach the store.
+ * Exchanges upstream records and drained failure domains between instances, for an instance that cannot
+ * reach the store.
  *
  * Guards against an instance that keeps using upstreams which announced long ago that they are
  * leaving: connections are refused and responses never arrive, at this one instance only. A peer
@@ -31,11 +34,12 @@
 
   constructor(options: PeerUpstreamSyncOptions) {
     this.#options = options;
-    const { rpc, table, isStoreUnavailable } = options;
+    const { rpc, table, drains, isStoreUnavailable } = options;
     this.#subscription = rpc.answer('upstreams', () => {
       const isCurrent = !isStoreUnavailable();
       const records = isCurrent ? table.all().map(({ record }) => record) : [];
-      return { kind: 'upstreams', isCurrent, records };
+      const drainedDomains = isCurrent && drains.isKnown ? [...drains.current] : undefined;
+      return { kind: 'upstreams', isCurrent, records, drainedDomains };
     });
   }
 
@@ -54,13 +58,15 @@
   }
 
   async #askPeer(): Promise<void> {
-    const { rpc, random, table, isStoreUnavailable, peers } = this.#options;
+    const { rpc, random, table, drains, isStoreUnavailable, peers } = this.#options;
     const candidates = peers();
     const peer = candidates[Math.floor(random() * candidates.length)];
     if (peer === undefined) return;
     try {
-      const { isCurrent, records } = await rpc.ask(peer, { kind: 'upstreams' });
-      if (isCurrent && isStoreUnavailable()) table.mergeFromPeer(records);
+      const reply = await rpc.ask(peer, { kind: 'upstreams' });
+      if (!reply.isCurrent || !isStoreUnavailable()) return;
+      table.mergeFromPeer(reply.records);
+      if (reply.drainedDomains !== undefined) drains.replaceAll(reply.drainedDomains);
     } catch {
       // A random peer is asked again at the next interval.
     }
--- a/packages/forwarding/src/RelayedObjectStore/index.ts
+++ b/packages/forwarding/src/RelayedObjectStore/index.ts
@@ -59,7 +59,8 @@
   /** For each relay that failed, the time until which it is not asked. */
   readonly #failedUntilMs = new Map<InstanceId, number>();
   readonly #subscription: Disposable;
-  #isRelayed = false;
+  /** Prefixes whose last watch went through a peer. */
+  readonly #relayedPrefixes = new Set<string>();
 
   constructor(options: RelayedObjectStoreOptions) {
     super();
@@ -70,9 +71,12 @@
     }));
   }
 
-  /** Whether the last watch went through a peer, so that it tells nothing about the store itself. */
-  get isRelayed(): boolean {
-    return this.#isRelayed;
+  /**
+   * Whether the last watch of a prefix went through a peer, so that it tells nothing about the store
+   * itself.
+   */
+  isRelayed(prefix: string): boolean {
+    return this.#relayedPrefixes.has(prefix);
   }
 
   override get epochs(): StoreEpochs {
@@ -108,8 +112,9 @@
     const relay = options.isImmediate === true ? undefined : this.#chooseRelay();
     const relayed =
       relay === undefined ? undefined : await this.#watchThrough(relay, prefix, sinceRevision);
-    this.#isRelayed = relayed !== undefined;
+    this.#relayedPrefixes.delete(prefix);
     if (relayed !== undefined) {
+      this.#relayedPrefixes.add(prefix);
       this.#record(prefix, sinceRevision, relayed, -Infinity);
       return relayed;
     }
--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -1,9 +1,16 @@
-import type { Clock, InstanceId, ServiceName, UpstreamId } from '@acaciacrank/base';
+import type {
+  Clock,
+  FailureDomainId,
+  InstanceId,
+  ServiceName,
+  UpstreamId,
+} from '@acaciacrank/base';
+import { maxWarmUpMs } from '@acaciacrank/routing';
 import { maxCopyAgeMs } from '@acaciacrank/store';
 import { Upstream } from '../_lib/Upstream/index.js';
 import { expiredRecordGraceMs } from '../_lib/limits/index.js';
-import { unshared, type LimitChange, type LimitSharing } from '../_lib/UpstreamLimit/index.js';
-import type { UpstreamRecord } from '../types.js';
+import type { LimitChange, LimitSharing } from '../_lib/UpstreamLimit/index.js';
+import type { UpstreamRecord, WarmUpPolicy } from '../types.js';
 
 /** A change in this instance's view of an upstream. */
 export interface UpstreamChange {
@@ -12,9 +19,19 @@
   /**
    * `seen`: a new record; `startedAgain`: a different run under the same id; `leaving`: it is
    * draining; `lapsed`: its record disappeared, but it stays usable for a grace period; `gone`: it
-   * was removed; `leftOut`: it was ejected.
+   * was removed; `leftOut`: it was ejected; `warmingUp`: it says that it is warming up;
+   * `warmUpImplausible`: it states a longer time than is believed.
    */
-  readonly what: 'seen' | 'startedAgain' | 'leaving' | 'lapsed' | 'gone' | 'leftOut' | LimitChange;
+  readonly what:
+    | 'seen'
+    | 'startedAgain'
+    | 'leaving'
+    | 'lapsed'
+    | 'gone'
+    | 'leftOut'
+    | 'warmingUp'
+    | 'warmUpImplausible'
+    | LimitChange;
   /**
    * Requests per second that the upstream accepts from all instances combined; undefined if it sets
    * no limit and for changes other than {@link LimitChange}.
@@ -22,8 +39,12 @@
   readonly limitPerS?: number | undefined;
   /** The peer that reported the limit; undefined if this instance read it in a response. */
   readonly toldBy?: InstanceId | undefined;
+  /** How long it says that it is warming up, in milliseconds. */
+  readonly warmUpMs?: number | undefined;
 }
 
+type ChangeDetails = Pick<UpstreamChange, 'limitPerS' | 'toldBy' | 'warmUpMs'>;
+
 /** Options of {@link UpstreamTable}. */
 export interface UpstreamTableOptions {
   clock: Clock;
@@ -37,6 +58,8 @@
   maxConnections?: (service: ServiceName) => number;
   /** Number of instances that share connections, including this one; 1 by default. */
   instanceCount?: () => number;
+  /** How the upstreams of a service warm up; by default they do not. */
+  warmUp?: (service: ServiceName) => WarmUpPolicy | undefined;
 }
 
 /** An upstream that has left. */
@@ -63,6 +86,10 @@
   readonly #options: UpstreamTableOptions;
   readonly #byId = new Map<UpstreamId, Upstream>();
   readonly #byService = new Map<ServiceName, Upstream[]>();
+  /** Failure domains whose upstreams get no new requests. */
+  #drained: ReadonlySet<FailureDomainId> = new Set();
+  /** Whether a complete list of records was applied. */
+  #hasList = false;
   /**
    * Upstreams whose records disappeared, with the timer of their grace period once it has started.
    */
@@ -129,6 +156,33 @@
     const listed = new Set(records.map(({ id }) => id));
     for (const id of [...this.#byId.keys()]) if (!listed.has(id)) this.remove(id);
     for (const record of records) this.put(record);
+    this.#hasList = true;
+  }
+
+  /**
+   * Sets the failure domains whose upstreams get no new requests; requests in progress there continue.
+   *
+   * Guards against a burst at the end of a drain: upstreams that were idle may have to warm up again, and
+   * their records may not say so yet.
+   */
+  setDrainedDomains(drained: ReadonlySet<FailureDomainId>): void {
+    const ended = [...this.#drained].filter((domain) => !drained.has(domain));
+    this.#drained = drained;
+    for (const upstream of this.#byId.values()) {
+      if (ended.includes(upstream.record.failureDomain)) this.#assumeWarmUp(upstream);
+    }
+    this.#rebuildServiceIndex();
+  }
+
+  /** Failure domains whose upstreams get no new requests. */
+  get drainedDomains(): ReadonlySet<FailureDomainId> {
+    return this.#drained;
+  }
+
+  /** Whether a service has upstreams, all of which are in drained failure domains. */
+  isDrained(service: ServiceName): boolean {
+    if (this.#drained.size === 0 || this.usable(service).length > 0) return false;
+    return this.all().some(({ record, isLeaving }) => record.service === service && !isLeaving);
   }
 
   /**
@@ -156,11 +210,14 @@
     const known = this.#byId.get(record.id);
     if (known === undefined || isDifferentRun(known.record, record)) {
       if (known !== undefined) this.#closeUpstream(known);
-      this.#byId.set(record.id, this.#createUpstream(record));
+      const upstream = this.#createUpstream(record);
+      this.#byId.set(record.id, upstream);
+      this.#applyWarmUp(upstream, record);
       if (known !== undefined) this.#report(record, 'startedAgain');
       this.#report(record, record.state === 'leaving' ? 'leaving' : 'seen');
     } else {
       const isNewlyLeaving = !known.isLeaving && record.state === 'leaving';
+      if (isNewerRecord(known.record, record)) this.#applyWarmUp(known, record);
       known.record = record;
       // A copy from before an upstream left does not bring it back.
       const staysLeaving = this.#storeRestoredAtMs > -Infinity && known.isLeaving;
@@ -203,9 +260,35 @@
   }
 
   #createUpstream(record: UpstreamRecord): Upstream {
-    const { clock, limitSharing = unshared } = this.#options;
-    const connectionShare = () => this.#connectionShare(record.service);
-    return new Upstream(record, clock, limitSharing, connectionShare);
+    const { clock, limitSharing, warmUp = () => undefined } = this.#options;
+    const { service } = record;
+    return new Upstream(record, {
+      clock,
+      limitSharing,
+      connectionShare: () => this.#connectionShare(service),
+      warmUp: () => warmUp(service),
+      mayHaveBeenUsed: !this.#hasList,
+    });
+  }
+
+  /**
+   * Applies what a record says of the upstream's warm-up. An upstream that registers while this instance
+   * follows the records has just started, so it warms up even if its record does not say so.
+   */
+  #applyWarmUp(upstream: Upstream, { warmUpMs }: UpstreamRecord): void {
+    if (warmUpMs === undefined) {
+      if (this.#hasList) this.#assumeWarmUp(upstream);
+      return;
+    }
+    const isBeginning = warmUpMs > 0 && upstream.warmUp.remainingMs === 0;
+    upstream.warmUp.announce(warmUpMs);
+    if (isBeginning) this.#report(upstream.record, 'warmingUp', { warmUpMs });
+    if (warmUpMs > maxWarmUpMs) this.#report(upstream.record, 'warmUpImplausible', { warmUpMs });
+  }
+
+  #assumeWarmUp(upstream: Upstream): void {
+    const policy = this.#options.warmUp?.(upstream.record.service);
+    if (policy !== undefined) upstream.warmUp.assume(policy.durationMs);
   }
 
   /**
@@ -279,7 +362,7 @@
   #rebuildServiceIndex(): void {
     this.#byService.clear();
     for (const upstream of this.#byId.values()) {
-      if (upstream.isLeaving) continue;
+      if (upstream.isLeaving || this.#drained.has(upstream.record.failureDomain)) continue;
       const list = this.#byService.get(upstream.record.service) ?? [];
       list.push(upstream);
       this.#byService.set(upstream.record.service, list);
@@ -289,9 +372,9 @@
   #report(
     { id: upstreamId, service }: UpstreamRecord,
     what: UpstreamChange['what'],
-    limit: Pick<UpstreamChange, 'limitPerS' | 'toldBy'> = {},
+    details: ChangeDetails = {},
   ): void {
-    this.#options.onChange({ upstreamId, service, what, ...limit });
+    this.#options.onChange({ upstreamId, service, what, ...details });
   }
 }
 
@@ -305,6 +388,17 @@
   return isElsewhere || known.service !== record.service || !isSameStart(known, record);
 }
 
+/**
+ * Whether a record of the same run is newer than the known one. A repeated record, as in a complete list,
+ * says nothing new: its times are those of its writing.
+ */
+function isNewerRecord(known: UpstreamRecord, record: UpstreamRecord): boolean {
+  if (known.version !== undefined && record.version !== undefined) {
+    return record.version > known.version;
+  }
+  return record.warmUpMs !== known.warmUpMs;
+}
+
 /**
  * Whether two records can have the same start time. A missing time matches any; an earlier time
  * than the known one does not match, since the clock may have been set back before a restart.
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -147,6 +147,7 @@
     const { head, status } = upstreamResponse;
     if (head.load !== undefined) upstream.load = { report: head.load, atMs: clock.monotonicMs() };
     this.#updateLimit(head, inFlightRequest);
+    if (head.warmUpMs !== undefined && !head.isWrongUpstream) upstream.warmUp.assume(head.warmUpMs);
     if (head.isNotRun) {
       await readFully(upstreamResponse.body);
       return { kind: 'notRun', status, isWrongUpstream: head.isWrongUpstream };
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -116,6 +116,7 @@
         upstream.limit.requestsPerSecond === Infinity
           ? undefined
           : upstream.limit.requestsPerSecond,
+      warmUpMs: Math.round(upstream.warmUp.remainingMs) || undefined,
       outOf: this.#dependencies.upstreams.usable(call.service.name).length,
     });
     const inactivityTimeoutMs = this.#inactivityTimeoutMs();
@@ -250,7 +251,7 @@
     if (limited.length === 0) return {};
     metrics.count('refusedAtLimit');
     this.#call.trace.add('atLimit', { upstreams: limited.length });
-    const waitMs = Math.min(...limited.map(({ limit }) => limit.waitMs));
+    const waitMs = Math.min(...limited.map(({ sendWaitMs }) => sendWaitMs));
     return { retryAfterMs: Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, waitMs)) };
   }
 
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -2,8 +2,8 @@
  * One upstream: its connections, the requests in progress there, and its health.
  */
 import type { Clock, UpstreamId } from '@acaciacrank/base';
-import { PeerBacklogEstimator, type EngineLoad } from '@acaciacrank/routing';
-import type { ReportedLoad, UpstreamRecord } from '../../types.js';
+import { PeerBacklogEstimator, WarmUp, type EngineLoad } from '@acaciacrank/routing';
+import type { ReportedLoad, UpstreamRecord, WarmUpPolicy } from '../../types.js';
 import { UpstreamConnection } from '../UpstreamConnection/index.js';
 import { UpstreamLimit, unshared, type LimitSharing } from '../UpstreamLimit/index.js';
 import {
@@ -57,6 +57,22 @@
   return nowMs - sentMs - queuedAheadMs - prefill.expectedMs;
 }
 
+/** Options of {@link Upstream}. */
+export interface UpstreamOptions {
+  clock: Clock;
+  /** The instances that share what the upstream accepts; by default only this one. */
+  limitSharing?: LimitSharing | undefined;
+  /**
+   * Returns how many connections, idle ones included, this instance may have open; unlimited by
+   * default.
+   */
+  connectionShare?: () => number;
+  /** Returns how it warms up; by default it takes all requests at once. */
+  warmUp?: () => WarmUpPolicy | undefined;
+  /** Whether an earlier run of this process may just have used the upstream; false by default. */
+  mayHaveBeenUsed?: boolean;
+}
+
 /** An upstream with its connections and state. */
 export class Upstream implements AsyncDisposable, EngineLoad {
   record: UpstreamRecord;
@@ -66,9 +82,12 @@
   load: { readonly report: ReportedLoad; readonly atMs: number } | undefined;
   /** The request rate that it accepts from all instances combined. */
   readonly limit: UpstreamLimit;
+  /** Whether it is warming up, and what it takes meanwhile. */
+  readonly warmUp: WarmUp;
   readonly inFlight = new Set<InFlightRequest>();
   readonly #clock: Clock;
   readonly #connectionShare: () => number;
+  readonly #warmUpPolicy: () => WarmUpPolicy | undefined;
   readonly #idle: UpstreamConnection[] = [];
   readonly #open = new Set<UpstreamConnection>();
   readonly #peerBacklog = new PeerBacklogEstimator();
@@ -77,21 +96,18 @@
   #ejectedUntilMs = 0;
   #lastReceivedMs = 0;
 
-  /**
-   * @param connectionShare - returns how many connections, idle ones included, this instance may
-   *   have open; unlimited by default
-   */
-  constructor(
-    record: UpstreamRecord,
-    clock: Clock,
-    limitSharing: LimitSharing = unshared,
-    connectionShare: () => number = () => Infinity,
-  ) {
+  constructor(record: UpstreamRecord, options: UpstreamOptions) {
+    const { clock, limitSharing = unshared } = options;
+    const { connectionShare = () => Infinity, warmUp = () => undefined } = options;
     this.record = record;
     this.isLeaving = record.state === 'leaving';
     this.#clock = clock;
     this.#connectionShare = connectionShare;
     this.limit = new UpstreamLimit(clock, record.id, limitSharing);
+    this.#warmUpPolicy = warmUp;
+    const { mayHaveBeenUsed = false } = options;
+    const warmUpOptions = { clock, key: record.id, ...limitSharing, bound: warmUp };
+    this.warmUp = new WarmUp({ ...warmUpOptions, mayHaveBeenUsed });
   }
 
   get id(): UpstreamId {
@@ -126,10 +142,15 @@
   }
 
   /**
-   * Whether the rate limit and the connection limit allow this instance to send it a request now.
+   * Whether its limits on requests and connections allow this instance to send it a request now.
    */
   get hasRoom(): boolean {
-    return this.limit.waitMs === 0 && this.#hasFreeConnection;
+    return this.sendWaitMs === 0 && this.#hasFreeConnection;
+  }
+
+  /** Time until its limits on requests allow this instance to send it one, in milliseconds. */
+  get sendWaitMs(): number {
+    return Math.max(this.limit.waitMs, this.warmUp.waitMs);
   }
 
   get #hasFreeConnection(): boolean {
@@ -175,6 +196,7 @@
     };
     this.inFlight.add(inFlightRequest);
     this.limit.recordSend();
+    this.warmUp.recordSend();
     return inFlightRequest;
   }
 
@@ -216,10 +238,17 @@
     return true;
   }
 
-  /** Ejects the upstream temporarily, for longer with each ejection in a row. */
+  /**
+   * Ejects the upstream temporarily, for longer with each ejection in a row.
+   *
+   * Guards against a burst at an upstream that restarted meanwhile and has to warm up, when its record does
+   * not show it yet: it is assumed to warm up after the ejection.
+   */
   eject(): void {
     this.#ejectionMs = Math.min(maxEjectionMs, Math.max(initialEjectionMs, 2 * this.#ejectionMs));
     this.#ejectedUntilMs = this.#clock.monotonicMs() + this.#ejectionMs;
+    const policy = this.#warmUpPolicy();
+    if (policy !== undefined) this.warmUp.assume(this.#ejectionMs + policy.durationMs);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
--- a/packages/forwarding/src/_lib/Upstream/test.ts
+++ b/packages/forwarding/src/_lib/Upstream/test.ts
@@ -25,7 +25,7 @@
     slots: 4,
     state: 'live',
   } as const;
-  return { clock, upstream: new Upstream(record, clock) };
+  return { clock, upstream: new Upstream(record, { clock }) };
 }
 
 test('prompts without a first event count as backlog', async (t) => {
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -9,6 +9,7 @@
   ServiceName,
   UpstreamId,
 } from '@acaciacrank/base';
+import type { WarmUpBound } from '@acaciacrank/routing';
 
 /**
  * Whether a request may be run more than once: `repeatable` may, `once` may not, and `stream`, a
@@ -62,11 +63,27 @@
   readonly copyMbps: number | undefined;
 }
 
+/** How the upstreams of a service warm up after a start. */
+export interface WarmUpTraits {
+  /** How long it takes, in milliseconds. */
+  readonly durationMs: number;
+  /** Requests per second that one upstream takes meanwhile, from all instances combined. */
+  readonly requestsPerSecond: number;
+}
+
+/** How the upstreams of a service warm up, with the bound that the whole fleet keeps meanwhile. */
+export interface WarmUpPolicy extends WarmUpBound {
+  /** How long it takes, in milliseconds. */
+  readonly durationMs: number;
+}
+
 /** A service in the configuration; `engine` is undefined for plain services. */
 export interface ServiceTraits {
   readonly name: ServiceName;
   /** Number of connections that one upstream accepts from all instances combined. */
   readonly maxConnections: number;
+  /** How its upstreams warm up; undefined if they take all requests at once. */
+  readonly warmUp?: WarmUpTraits | undefined;
   readonly engine: EngineTraits | undefined;
 }
 
@@ -113,6 +130,13 @@
    * stated.
    */
   readonly startedAtMs?: number | undefined;
+  /**
+   * How much longer the upstream warms up, in milliseconds, when it wrote the record; undefined if not
+   * stated.
+   */
+  readonly warmUpMs?: number | undefined;
+  /** Version of the stored record, which orders records of one run; undefined if not known. */
+  readonly version?: number | undefined;
 }
 
 /** A part of a prompt that several requests may have in common. */
@@ -165,6 +189,8 @@
    * response has no limit, undefined if its limit cannot be parsed.
    */
   readonly limitPerS: number | undefined;
+  /** How much longer the upstream warms up, in milliseconds; undefined if it does not say. */
+  readonly warmUpMs: number | undefined;
 }
 
 /** What an instance sends to an upstream in addition to the caller's headers. */
--- a/packages/routing/src/RateShare/index.ts
+++ b/packages/routing/src/RateShare/index.ts
@@ -7,8 +7,15 @@
   instanceId: InstanceId;
   /** What the limit applies to, for example an upstream's id. */
   key: string;
-  /** The instances that currently share the limit; this instance has no share unless it is listed. */
+  /**
+   * The instances that currently share the limit; this instance has no share unless it is listed. The
+   * share is computed again when the array is a different one.
+   */
   sharers: () => readonly InstanceId[];
+  /** Maximum number of instances that hold a share; unlimited by default. */
+  maxHolders?: number;
+  /** Maximum number of requests sent at once after a pause; by default those of one second. */
+  maxBurst?: number;
 }
 
 /** Capacity of the token bucket, as milliseconds of the share; never less than one request. */
@@ -36,6 +43,8 @@
   #tokens = 0;
   #refilledMs = 0;
   #recomputedMs = -Infinity;
+  /** The instances among which the share was last computed. */
+  #sharers: readonly InstanceId[] | undefined;
   #pendingIncrease: { share: number; readonly sinceMs: number } | undefined;
 
   constructor(options: RateShareOptions) {
@@ -51,6 +60,7 @@
     const wasUnlimited = this.#limit === Infinity;
     this.#limit = requestsPerSecond;
     this.#recomputedMs = -Infinity;
+    this.#sharers = undefined;
     if (requestsPerSecond === Infinity) {
       this.#share = Infinity;
       this.#pendingIncrease = undefined;
@@ -64,8 +74,8 @@
   get waitMs(): number {
     if (this.#limit === Infinity) return 0;
     this.#refill();
-    if (this.#tokens >= 1) return 0;
     if (this.#share === 0) return Infinity;
+    if (this.#tokens >= 1) return 0;
     return ((1 - this.#tokens) / this.#share) * millisecondsInSecond;
   }
 
@@ -76,20 +86,35 @@
     this.#tokens -= 1;
   }
 
+  /** Fills the bucket, if nothing was sent for as long as that takes. */
+  fill(): void {
+    if (this.#limit === Infinity) return;
+    this.#refill();
+    this.#tokens = this.#capacity;
+  }
+
+  get #capacity(): number {
+    const { maxBurst = Infinity } = this.#options;
+    return Math.min(maxBurst, Math.max(1, (this.#share * burstMs) / millisecondsInSecond));
+  }
+
   #refill(): void {
     const nowMs = this.#options.clock.monotonicMs();
     if (nowMs - this.#recomputedMs >= recomputeEveryMs) this.#recompute(nowMs);
     const added = (this.#share * (nowMs - this.#refilledMs)) / millisecondsInSecond;
-    const capacity = Math.max(1, (this.#share * burstMs) / millisecondsInSecond);
+    const capacity = this.#capacity;
     this.#tokens = Math.min(capacity, this.#tokens + added);
     this.#refilledMs = nowMs;
   }
 
   #recompute(nowMs: number): void {
     this.#recomputedMs = nowMs;
-    const { key, instanceId, sharers } = this.#options;
+    const { key, instanceId, maxHolders } = this.#options;
+    const sharers = this.#options.sharers();
+    if (sharers === this.#sharers && this.#pendingIncrease === undefined) return;
+    this.#sharers = sharers;
     const requestsPerSecond = this.#limit;
-    const share = divideRate({ requestsPerSecond, key, instanceId, sharers: sharers() });
+    const share = divideRate({ requestsPerSecond, key, instanceId, sharers, maxHolders });
     if (share <= this.#share) {
       this.#share = share;
       this.#pendingIncrease = undefined;
--- a/packages/routing/src/divideRate/index.ts
+++ b/packages/routing/src/divideRate/index.ts
@@ -10,6 +10,8 @@
   readonly instanceId: InstanceId;
   /** The instances that share the rate. */
   readonly sharers: readonly InstanceId[];
+  /** Maximum number of instances that hold a share; unlimited by default. */
+  readonly maxHolders?: number;
 }
 
 /**
@@ -36,10 +38,16 @@
  * divideRate({ requestsPerSecond: 1.5, key: 'u1', instanceId, sharers: [instanceId] });
  * //=> 1.5
  */
-export function divideRate({ requestsPerSecond, key, instanceId, sharers }: RateToDivide): number {
+export function divideRate({
+  requestsPerSecond,
+  key,
+  instanceId,
+  sharers,
+  maxHolders = Infinity,
+}: RateToDivide): number {
   const rate = Math.max(minRate, requestsPerSecond);
-  const maxHolders = Math.max(1, Math.floor(rate / minShare));
-  const holderCount = Math.min(sharers.length, maxHolders);
+  const holdersByRate = Math.max(1, Math.floor(rate / minShare));
+  const holderCount = Math.min(sharers.length, holdersByRate, maxHolders);
   const ranked = rankByKey(
     key,
     sharers.map((id) => ({ id })),
--- a/packages/standins/src/_lib/FleetSimulation/index.ts
+++ b/packages/standins/src/_lib/FleetSimulation/index.ts
@@ -25,6 +25,8 @@
 }
 
 const silentLog = createLog('fleet', { level: 'fatal' });
+/** How long a watch waits at the store, in milliseconds; shows how soon a loss of the store is noticed. */
+const watchWaitMs = 2_600;
 
 /** A store, a network and the instances that use them. */
 export class FleetSimulation {
@@ -52,7 +54,7 @@
     this.#runs += 1;
     const { clock } = this;
     const links = this.network.linksFor(id as InstanceId);
-    const store = new MemoryObjectStore(this.platform, clock);
+    const store = new MemoryObjectStore(this.platform, clock, watchWaitMs);
     const self = {
       instanceId: id as InstanceId,
       runId: `run${this.#runs}`,
