Path of a request: responses are relayed without a stream in between

Cause: undici's request() makes a Readable of each response, and for await makes an iterator, promises and reads of it per event; EventBuffer copied and parsed each event by a regular expression; each request had two AbortControllers and a timeout race although its tokens were in stock; bodies of requests were read by iterator. Change: Exchange takes the response from undici's dispatch; StreamRelay writes the complete events of a part at once, uncopied; CallerDisconnect and an abort method in place of signals; tokens in stock are reserved without a timer. A request that is given up before its connection stands is known as not sent now.

--- a/packages/callers/src/CallerWriter/index.ts
+++ b/packages/callers/src/CallerWriter/index.ts
@@ -32,8 +32,18 @@
 
   /** Writes part of the response; resolves when more can be written or the connection is closed. */
   async write(part: string | Uint8Array): Promise<void> {
-    if (this.#response.destroyed || this.#response.write(part)) return;
-    await this.#waitForProgress('drain');
+    await this.writeNow(part);
+  }
+
+  /**
+   * Writes part of the response.
+   *
+   * @returns undefined if more can be written at once or the connection is closed, otherwise a promise to
+   * wait for
+   */
+  writeNow(part: string | Uint8Array): Promise<void> | undefined {
+    if (this.#response.destroyed || this.#response.write(part)) return undefined;
+    return this.#waitForProgress('drain');
   }
 
   /** Writes a whole body and ends the response. */
--- a/packages/callers/src/readBody/index.ts
+++ b/packages/callers/src/readBody/index.ts
@@ -22,21 +22,56 @@
 ): Promise<Buffer> {
   const declaredBytes = Number(request.headers['content-length'] ?? 0);
   if (declaredBytes > maxBytes) throw tooLarge(maxBytes);
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  try {
-    for await (const chunk of request as AsyncIterable<Buffer>) {
+  const chunks = await readChunks(request, maxBytes, held);
+  const [first] = chunks;
+  return chunks.length === 1 && first !== undefined ? first : Buffer.concat(chunks);
+}
+
+/** Collects the chunks by events: an asynchronous iterator costs several times as much for a short body. */
+function readChunks(
+  request: IncomingMessage,
+  maxBytes: number,
+  held: HeldBytes,
+): Promise<Buffer[]> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    const fail = (error: Error) => {
+      request.off('data', onData);
+      request.pause();
+      reject(error);
+    };
+    const failTruncated = (cause?: Error) => {
+      const options = cause === undefined ? {} : { cause };
+      fail(new RouterError('badRequest', 'the request body is truncated', options));
+    };
+    const onData = (chunk: Buffer) => {
       bytes += chunk.byteLength;
-      if (bytes > maxBytes) throw tooLarge(maxBytes);
-      held.take(chunk.byteLength);
+      if (bytes > maxBytes) {
+        fail(tooLarge(maxBytes));
+        return;
+      }
+      try {
+        held.take(chunk.byteLength);
+      } catch (error) {
+        fail(error as Error);
+        return;
+      }
       chunks.push(chunk);
+    };
+    if (request.destroyed && !request.readableEnded) {
+      failTruncated();
+      return;
     }
-  } catch (error) {
-    if (error instanceof RouterError) throw error;
-    const cause = error as Error;
-    throw new RouterError('badRequest', 'the request body is truncated', { cause });
-  }
-  return Buffer.concat(chunks);
+    request.on('data', onData);
+    request.once('end', () => {
+      resolve(chunks);
+    });
+    request.once('error', failTruncated);
+    request.once('close', () => {
+      if (!request.complete) failTruncated();
+    });
+  });
 }
 
 function tooLarge(maxBytes: number): RouterError {
--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -2,6 +2,7 @@
   toRouterError,
   RouterError,
   withTimeout,
+  type AccountId,
   type Clock,
   type FailureDomainId,
   type Log,
@@ -14,6 +15,7 @@
 import type { RetryShare } from '@acaciacrank/routing';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Dispatch, type DispatchDependencies } from '../_lib/Dispatch/index.js';
+import { CallerDisconnect } from '../_lib/CallerDisconnect/index.js';
 import { PrefillTimeModels } from '../_lib/PrefillTimeModels/index.js';
 import type { ForwardCall } from '../_lib/ForwardCall/index.js';
 import {
@@ -161,7 +163,7 @@
       account,
       body,
       deadlineMs: trace.receivedMs + waitMs,
-      disconnectSignal: createDisconnectSignal(response),
+      disconnect: new CallerDisconnect(response),
       trace,
       progress: { mayHaveRun: false, sendCount: 0, events: 0, lastEventId: undefined },
     };
@@ -201,6 +203,11 @@
 
   async #reserve(call: ForwardCall, account: ForwardAccount, tokens: number): Promise<void> {
     const { clock, tokens: ledger } = this.#options;
+    // Almost all requests find the tokens in stock; only the others need a timer.
+    if (ledger.tryReserve(account.accountId, tokens)) {
+      this.#traceReservation(call, account.accountId, 'reserved', tokens);
+      return;
+    }
     const remainingMs = call.deadlineMs - clock.monotonicMs();
     const limitMs = Math.min(tokenReserveTimeoutMs, remainingMs);
     let isAbandoned = false;
@@ -221,15 +228,21 @@
       isAbandoned = true;
       throw thrown;
     }
-    call.trace.add('tokens', {
-      outcome,
-      tokens,
-      stockTokens: ledger.stockTokens(account.accountId),
-    });
+    this.#traceReservation(call, account.accountId, outcome, tokens);
     if (outcome === 'storeAway') this.#tokenShortageUntilMs = clock.monotonicMs() + tokenShortageMs;
     if (outcome !== 'reserved') throw refusalFor(outcome, tokens);
   }
 
+  #traceReservation(
+    call: ForwardCall,
+    accountId: AccountId,
+    outcome: ReserveOutcome,
+    tokens: number,
+  ): void {
+    const stockTokens = this.#options.tokens.stockTokens(accountId);
+    call.trace.add('tokens', { outcome, tokens, stockTokens });
+  }
+
   /** Sends an error response if no headers have been sent yet; otherwise closes the connection. */
   #respondWithError(response: ServerResponse, thrown: unknown, trace: RequestTrace): string {
     const error = toRouterError(thrown);
@@ -320,12 +333,3 @@
   // Instances lend each other all tokens they have, so none are available until the store is back.
   return new RouterError('storeUnavailable', `the store did not grant ${tokens} tokens`);
 }
-
-/** Returns a signal that is aborted when the connection closes before the response is complete. */
-function createDisconnectSignal(response: ServerResponse): AbortSignal {
-  const abort = new AbortController();
-  response.once('close', () => {
-    if (!response.writableFinished) abort.abort();
-  });
-  return abort.signal;
-}
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -2,42 +2,22 @@
  * One request at one upstream, from acquiring a connection to the end of the response.
  */
 import { InactivityTimer, toRouterError, RouterError, type Clock } from '@acaciacrank/base';
-import type { ServerResponse } from 'node:http';
-import type { Readable } from 'node:stream';
-import type { ForwardCodec, RawHeaders } from '../../ForwardCodec/index.js';
-import { EventBuffer, type StreamEvent } from '../EventBuffer/index.js';
+import type { ForwardCodec } from '../../ForwardCodec/index.js';
+import type { AttemptResult } from '../AttemptResult/index.js';
+import { BodyCollector } from '../BodyCollector/index.js';
+import {
+  Exchange,
+  ResponseReceiver,
+  wasNeverSent,
+  type UpstreamResponseHead,
+} from '../Exchange/index.js';
 import type { ForwardCall } from '../ForwardCall/index.js';
 import type { ResponseHead } from '../../types.js';
-import { maxBufferedBytes, responseMarginMs } from '../limits/index.js';
-import { sendRequest, wasNeverSent, type UpstreamResponse } from '../sendRequest/index.js';
+import { responseMarginMs } from '../limits/index.js';
+import { StreamRelay } from '../StreamRelay/index.js';
 import type { PrefillEstimate, InFlightRequest, Upstream } from '../Upstream/index.js';
 import type { LimitChange } from '../UpstreamLimit/index.js';
 
-/** How an attempt ended. */
-export type AttemptResult =
-  /** A complete response, held in memory. */
-  | {
-      readonly kind: 'answer';
-      readonly status: number;
-      readonly headers: RawHeaders;
-      readonly body: Buffer;
-      readonly isFramed: boolean;
-    }
-  /** A stream that was relayed to its end. */
-  | { readonly kind: 'streamed'; readonly longestGapMs: number }
-  /** No byte was sent. */
-  | { readonly kind: 'notSent'; readonly reason: string }
-  /** The upstream states that it did not run the request. */
-  | { readonly kind: 'notRun'; readonly status: number; readonly isWrongUpstream: boolean }
-  /** The upstream or the connection failed; the request may have run. */
-  | { readonly kind: 'broken'; readonly reason: string }
-  /** Aborted by this instance in order to try another upstream, since no data arrived in time. */
-  | { readonly kind: 'silent' }
-  /** The deadline of the request passed; `wasSent`: the request may have reached the upstream. */
-  | { readonly kind: 'deadline'; readonly wasSent: boolean }
-  /** The caller disconnected; `wasSent` as for `deadline`. */
-  | { readonly kind: 'callerGone'; readonly wasSent: boolean };
-
 /** Options of {@link Attempt}. */
 export interface AttemptOptions {
   clock: Clock;
@@ -64,14 +44,26 @@
 /** Why this instance aborted an attempt. */
 type AbortReason = 'silent' | 'deadline' | 'callerGone';
 
+/** What becomes of a response's body. */
+type BodyHandling =
+  | { readonly kind: 'relay'; readonly relay: StreamRelay }
+  | {
+      readonly kind: 'collect';
+      readonly collector: BodyCollector;
+      readonly result: (body: Buffer) => AttemptResult;
+    };
+
 /** Sends one request to one upstream, and relays or buffers the response. */
-export class Attempt {
+export class Attempt extends ResponseReceiver {
   readonly #options: AttemptOptions;
-  readonly #abort = new AbortController();
+  #exchange: Exchange | undefined;
+  #inFlightRequest: InFlightRequest | undefined;
+  #bodyHandling: BodyHandling | undefined;
   #abortReason: AbortReason | undefined;
   #inactivityTimer: InactivityTimer | undefined;
 
   constructor(options: AttemptOptions) {
+    super();
     this.#options = options;
   }
 
@@ -79,25 +71,26 @@
   async run(): Promise<AttemptResult> {
     const { call, upstream, clock } = this.#options;
     const remainingMs = call.deadlineMs - clock.monotonicMs();
-    if (call.disconnectSignal.aborted) return { kind: 'callerGone', wasSent: false };
+    if (call.disconnect.isGone) return { kind: 'callerGone', wasSent: false };
     if (remainingMs <= responseMarginMs) return { kind: 'deadline', wasSent: false };
     const connection = upstream.acquireConnection();
     const inFlightRequest = upstream.begin(this.#options.prefill);
-    const deadline = clock.schedule(remainingMs, this.#createAborter('deadline'));
-    const onCallerGone = this.#createAborter('callerGone');
-    call.disconnectSignal.addEventListener('abort', onCallerGone, { once: true });
+    this.#inFlightRequest = inFlightRequest;
+    const deadline = clock.schedule(remainingMs, () => {
+      this.#abort('deadline');
+    });
+    call.disconnect.onGone = () => {
+      this.#abort('callerGone');
+    };
     this.#restartInactivityTimer();
     let isReusable = false;
     try {
-      const upstreamResponse = await sendRequest(
-        connection.client,
-        this.#createRequest(remainingMs),
-        this.#options.codec,
-      );
-      this.#recordReceived(inFlightRequest, false);
-      const result = await this.#receive(upstreamResponse, inFlightRequest);
+      const exchange = new Exchange(connection.client, this.#createRequest(remainingMs), this);
+      this.#exchange = exchange;
+      await exchange.run();
       if (connection.wasReset)
         return this.#classifyError(new Error('the connection was reset during the response'));
+      const result = this.#finish(inFlightRequest);
       isReusable =
         result.kind === 'answer' || result.kind === 'streamed' || result.kind === 'notRun';
       return result;
@@ -106,17 +99,67 @@
     } finally {
       deadline[Symbol.dispose]();
       this.#inactivityTimer?.[Symbol.dispose]();
-      call.disconnectSignal.removeEventListener('abort', onCallerGone);
+      call.disconnect.onGone = undefined;
       upstream.end(inFlightRequest);
       upstream.releaseConnection(connection, isReusable);
     }
   }
 
-  #createAborter(reason: AbortReason): () => void {
-    return () => {
-      this.#abortReason ??= reason;
-      this.#abort.abort();
-    };
+  override onHead(response: UpstreamResponseHead): void {
+    const { call, codec, upstream, clock } = this.#options;
+    const { status, headers, isFramed } = response;
+    const head = codec.readResponseHead(status, headers);
+    this.#recordReceived(false);
+    if (head.load !== undefined) upstream.load = { report: head.load, atMs: clock.monotonicMs() };
+    this.#updateLimits(head);
+    if (head.isNotRun) {
+      const { isWrongUpstream } = head;
+      this.#collect(() => ({ kind: 'notRun', status, isWrongUpstream }));
+      return;
+    }
+    const isSuccess = status >= 200 && status < 300;
+    checkResponse(head, call, isSuccess);
+    if (isSuccess && call.route.kind === 'stream') {
+      const onFirstEvent = () => {
+        call.trace.add('firstEvent', { upstreamId: upstream.id });
+      };
+      const relay = new StreamRelay(call, codec, response, onFirstEvent);
+      this.#bodyHandling = { kind: 'relay', relay };
+    } else {
+      this.#collect((body) => ({ kind: 'answer', status, headers, body, isFramed }));
+    }
+  }
+
+  override onData(chunk: Buffer): Promise<void> | undefined {
+    const handling = this.#bodyHandling;
+    if (handling === undefined) return undefined;
+    if (handling.kind === 'collect') {
+      handling.collector.add(chunk);
+      return undefined;
+    }
+    const inFlightRequest = this.#inFlightRequest;
+    if (inFlightRequest !== undefined && !inFlightRequest.hasFirstEvent)
+      this.#options.onFirstEvent(inFlightRequest);
+    this.#recordReceived(true);
+    return handling.relay.relay(chunk);
+  }
+
+  #finish({ longestGapMs }: InFlightRequest): AttemptResult {
+    const handling = this.#bodyHandling;
+    if (handling === undefined) return { kind: 'broken', reason: 'the response has no head' };
+    if (handling.kind === 'collect') return handling.result(handling.collector.body);
+    return handling.relay.finish()
+      ? { kind: 'streamed', longestGapMs: Math.round(longestGapMs) }
+      : { kind: 'broken', reason: 'the stream ended in the middle of an event' };
+  }
+
+  #collect(result: (body: Buffer) => AttemptResult): void {
+    this.#bodyHandling = { kind: 'collect', collector: new BodyCollector(), result };
+  }
+
+  #abort(reason: AbortReason): void {
+    this.#abortReason ??= reason;
+    this.#exchange?.abort();
   }
 
   #createRequest(remainingMs: number) {
@@ -130,135 +173,39 @@
       priority: undefined,
       fetchFrom,
     });
-    return {
-      method: request.method ?? 'GET',
-      path: request.url ?? '/',
-      headers,
-      body: call.body,
-      signal: this.#abort.signal,
-    };
-  }
-
-  async #receive(
-    upstreamResponse: UpstreamResponse,
-    inFlightRequest: InFlightRequest,
-  ): Promise<AttemptResult> {
-    const { call, upstream, clock } = this.#options;
-    const { head, status } = upstreamResponse;
-    if (head.load !== undefined) upstream.load = { report: head.load, atMs: clock.monotonicMs() };
-    this.#updateLimit(head, inFlightRequest);
-    if (head.warmUpMs !== undefined && !head.isWrongUpstream) upstream.warmUp.assume(head.warmUpMs);
-    if (head.isNotRun) {
-      await readFully(upstreamResponse.body);
-      return { kind: 'notRun', status, isWrongUpstream: head.isWrongUpstream };
-    }
-    // A late response to an earlier request may arrive on this connection instead; the request id
-    // shows it.
-    if (head.requestId !== undefined && head.requestId !== call.head.requestId) {
-      return this.#rejectResponse(upstreamResponse, 'response to a different request');
-    }
-    const isSuccess = status >= 200 && status < 300;
-    if (isSuccess && (!head.isSigned || head.requestId === undefined)) {
-      return this.#rejectResponse(
-        upstreamResponse,
-        'success response without signature or request id',
-      );
-    }
-    if (isSuccess && call.route.kind === 'stream')
-      return this.#relayStream(upstreamResponse, inFlightRequest);
-    const body = await readFully(upstreamResponse.body);
-    const { headers, isFramed } = upstreamResponse;
-    return { kind: 'answer', status, headers, body, isFramed };
+    const { method = 'GET', url: path = '/' } = request;
+    return { method, path, headers, body: call.body };
   }
 
   /**
-   * Updates the upstream's rate limit from a response. A response without a limit clears the known
-   * one only if it is signed.
+   * Updates the upstream's rate limit and warm-up from a response. A response without a limit clears the
+   * known one only if it is signed.
    */
-  #updateLimit(
-    { limitPerS, requestId, isSigned, isWrongUpstream }: ResponseHead,
-    inFlightRequest: InFlightRequest,
-  ): void {
+  #updateLimits({ limitPerS, requestId, isSigned, isWrongUpstream, warmUpMs }: ResponseHead): void {
     const { call, upstream, clock, onLimitChange } = this.#options;
-    if (limitPerS === undefined || isWrongUpstream) return;
-    if (requestId !== undefined && requestId !== call.head.requestId) return;
-    if (limitPerS === Infinity && !isSigned) return;
+    if (isWrongUpstream || (requestId !== undefined && requestId !== call.head.requestId)) return;
+    if (warmUpMs !== undefined) upstream.warmUp.assume(warmUpMs);
+    if (limitPerS === undefined || (limitPerS === Infinity && !isSigned)) return;
     const change = upstream.limit.update({
       requestsPerSecond: limitPerS,
-      sentMs: inFlightRequest.sentMs,
+      sentMs: this.#inFlightRequest?.sentMs ?? clock.monotonicMs(),
       receivedMs: clock.monotonicMs(),
     });
     if (change !== undefined) onLimitChange(change);
   }
 
-  #rejectResponse(upstreamResponse: UpstreamResponse, reason: string): AttemptResult {
-    upstreamResponse.body.on('error', () => undefined);
-    upstreamResponse.body.destroy();
-    return { kind: 'broken', reason };
-  }
-
-  /** Relays complete events as they arrive. */
-  async #relayStream(
-    upstreamResponse: UpstreamResponse,
-    inFlightRequest: InFlightRequest,
-  ): Promise<AttemptResult> {
-    const { call } = this.#options;
-    const buffer = new EventBuffer();
-    for await (const chunk of upstreamResponse.body as AsyncIterable<Buffer>) {
-      if (!inFlightRequest.hasFirstEvent) this.#options.onFirstEvent(inFlightRequest);
-      this.#recordReceived(inFlightRequest, true);
-      const events = buffer.push(chunk);
-      if (events.length > 0) await this.#relayEvents(upstreamResponse, events);
-    }
-    if (buffer.hasPartialEvent)
-      return { kind: 'broken', reason: 'the stream ended in the middle of an event' };
-    if (!call.response.headersSent) this.#writeResponseHead(upstreamResponse);
-    return { kind: 'streamed', longestGapMs: Math.round(inFlightRequest.longestGapMs) };
-  }
-
-  async #relayEvents(
-    upstreamResponse: UpstreamResponse,
-    events: readonly StreamEvent[],
-  ): Promise<void> {
-    const { call } = this.#options;
-    const { progress } = call;
-    for (const { id } of events) {
-      if (!isNextEvent(progress.lastEventId, id)) {
-        throw new RouterError('upstreamFailed', 'an event is missing or duplicated');
-      }
-      progress.lastEventId = id ?? progress.lastEventId;
-      progress.events += 1;
-    }
-    if (!call.response.headersSent) this.#writeResponseHead(upstreamResponse);
-    const [onlyEvent] = events;
-    const bytes =
-      events.length === 1 && onlyEvent !== undefined
-        ? onlyEvent.bytes
-        : Buffer.concat(events.map((event) => event.bytes));
-    await call.writer.write(bytes);
-  }
-
-  #writeResponseHead(upstreamResponse: UpstreamResponse): void {
-    const { call, codec } = this.#options;
-    call.trace.add('firstEvent', { upstreamId: this.#options.upstream.id });
-    if (!upstreamResponse.isFramed) delimitByConnectionClose(call.response);
-    call.response.writeHead(upstreamResponse.status, codec.callerHeaders(upstreamResponse.headers));
-  }
-
-  #recordReceived(inFlightRequest: InFlightRequest, hasFirstEvent: boolean): void {
-    this.#options.upstream.recordReceived(inFlightRequest, hasFirstEvent);
-    this.#restartInactivityTimer();
+  #recordReceived(hasFirstEvent: boolean): void {
+    if (this.#inFlightRequest !== undefined)
+      this.#options.upstream.recordReceived(this.#inFlightRequest, hasFirstEvent);
+    this.#inactivityTimer?.recordActivity();
   }
 
   #restartInactivityTimer(): void {
     const { inactivityTimeoutMs, clock } = this.#options;
     if (inactivityTimeoutMs === undefined) return;
-    this.#inactivityTimer ??= new InactivityTimer(
-      clock,
-      inactivityTimeoutMs,
-      this.#createAborter('silent'),
-    );
-    this.#inactivityTimer.recordActivity();
+    this.#inactivityTimer = new InactivityTimer(clock, inactivityTimeoutMs, () => {
+      this.#abort('silent');
+    });
   }
 
   #classifyError(thrown: unknown): AttemptResult {
@@ -271,35 +218,21 @@
 }
 
 /**
- * Ends the response to the caller by closing the connection, as the upstream did.
+ * Checks that a response belongs to the request and comes from an upstream.
  *
- * Guards against an upstream that crashes while sending a response without a length: the operating
- * system closes its connection in an orderly way, so that the truncated response looks complete.
- * With a content length or chunked encoding this instance would confirm that it is complete. With a
- * close-delimited response the caller knows exactly as much as it would from the upstream itself.
+ * @throws RouterError `upstreamFailed` if not
  */
-export function delimitByConnectionClose(response: ServerResponse): void {
-  response.shouldKeepAlive = false;
-  response.useChunkedEncodingByDefault = false;
-}
-
-/** Whether an event may follow another one: numeric ids must be consecutive. */
-function isNextEvent(last: string | undefined, next: string | undefined): boolean {
-  if (last === undefined || next === undefined) return true;
-  const lastNumber = Number(last);
-  const nextNumber = Number(next);
-  if (!Number.isSafeInteger(lastNumber) || !Number.isSafeInteger(nextNumber)) return true;
-  return nextNumber === lastNumber + 1;
-}
-
-async function readFully(body: Readable): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of body as AsyncIterable<Buffer>) {
-    bytes += chunk.byteLength;
-    if (bytes > maxBufferedBytes)
-      throw new RouterError('upstreamFailed', 'the response exceeds the size limit');
-    chunks.push(chunk);
+function checkResponse(
+  { requestId, isSigned }: ResponseHead,
+  { head }: ForwardCall,
+  isSuccess: boolean,
+): void {
+  // A late response to an earlier request may arrive on this connection instead; the request id
+  // shows it.
+  if (requestId !== undefined && requestId !== head.requestId) {
+    throw new RouterError('upstreamFailed', 'response to a different request');
+  }
+  if (isSuccess && (!isSigned || requestId === undefined)) {
+    throw new RouterError('upstreamFailed', 'success response without signature or request id');
   }
-  return Buffer.concat(chunks);
 }
--- /dev/null
+++ b/packages/forwarding/src/_lib/AttemptResult/index.ts
@@ -0,0 +1,31 @@
+/**
+ * How one request at one upstream can end.
+ */
+import type { RawHeaders } from '../../ForwardCodec/index.js';
+
+/** How an attempt ended. */
+export type AttemptResult =
+  | PlainResponse
+  /** A stream that was relayed to its end. */
+  | { readonly kind: 'streamed'; readonly longestGapMs: number }
+  /** No byte was sent. */
+  | { readonly kind: 'notSent'; readonly reason: string }
+  /** The upstream states that it did not run the request. */
+  | { readonly kind: 'notRun'; readonly status: number; readonly isWrongUpstream: boolean }
+  /** The upstream or the connection failed; the request may have run. */
+  | { readonly kind: 'broken'; readonly reason: string }
+  /** Aborted by this instance in order to try another upstream, since no data arrived in time. */
+  | { readonly kind: 'silent' }
+  /** The deadline of the request passed; `wasSent`: the request may have reached the upstream. */
+  | { readonly kind: 'deadline'; readonly wasSent: boolean }
+  /** The caller disconnected; `wasSent` as for `deadline`. */
+  | { readonly kind: 'callerGone'; readonly wasSent: boolean };
+
+/** A complete response, held in memory. */
+export interface PlainResponse {
+  readonly kind: 'answer';
+  readonly status: number;
+  readonly headers: RawHeaders;
+  readonly body: Buffer;
+  readonly isFramed: boolean;
+}
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -12,12 +12,14 @@
 import type { PrefillTimeModel, RetryShare } from '@acaciacrank/routing';
 import type { ForwardCodec } from '../../ForwardCodec/index.js';
 import type { UpstreamTable } from '../../UpstreamTable/index.js';
-import { Attempt, delimitByConnectionClose, type AttemptResult } from '../Attempt/index.js';
+import { Attempt } from '../Attempt/index.js';
+import type { AttemptResult, PlainResponse } from '../AttemptResult/index.js';
 import { isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
 import type { PrefillTimeModels } from '../PrefillTimeModels/index.js';
 import { maxConnectAttempts, upstreamInactivityMs } from '../limits/index.js';
 import type { PromptPartLocations } from '../PromptPartLocations/index.js';
 import { pickUpstream, type UpstreamPick } from '../pickUpstream/index.js';
+import { delimitByConnectionClose } from '../StreamRelay/index.js';
 import type { InFlightRequest, Upstream } from '../Upstream/index.js';
 import type { LimitChange } from '../UpstreamLimit/index.js';
 
@@ -39,7 +41,6 @@
  * latencies without data.
  */
 const slowResponseFactor = 1.5;
-type PlainResponse = Extract<AttemptResult, { kind: 'answer' }>;
 
 /**
  * Bounds of the retry delay sent to a caller when upstreams are at their limits, in milliseconds.
--- a/packages/forwarding/src/_lib/EventBuffer/index.ts
+++ b/packages/forwarding/src/_lib/EventBuffer/index.ts
@@ -4,15 +4,18 @@
 import { RouterError } from '@acaciacrank/base';
 import { maxEventBytes } from '../limits/index.js';
 
-/** One complete event, byte for byte as the upstream sent it. */
-export interface StreamEvent {
+/** Complete events that follow each other. */
+export interface CompleteEvents {
+  /** The events, byte for byte as the upstream sent them. */
   readonly bytes: Buffer;
-  /** The event's id; undefined if it has none. */
-  readonly id: string | undefined;
+  /** The id of each event; undefined if it has none. */
+  readonly ids: readonly (string | undefined)[];
 }
 
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
+const space = 0x20;
+const idField = Buffer.from('id:', 'latin1');
 
 /**
  * Buffers bytes until an event is complete.
@@ -32,16 +35,15 @@
    * Adds received bytes and returns the events that they complete.
    *
    * @param chunk - the received bytes
-   * @returns the completed events, in order
+   * @returns the completed events, in order; undefined if there are none
    * @throws RouterError `upstreamFailed` if an event is too large
    */
-  push(chunk: Buffer): StreamEvent[] {
+  push(chunk: Buffer): CompleteEvents | undefined {
     const bytes = this.#pending.byteLength === 0 ? chunk : Buffer.concat([this.#pending, chunk]);
-    const events: StreamEvent[] = [];
+    const ids: (string | undefined)[] = [];
     let start = 0;
     for (let end = findEventEnd(bytes, start); end > 0; end = findEventEnd(bytes, start)) {
-      const event = bytes.subarray(start, end);
-      events.push({ bytes: event, id: parseEventId(event) });
+      ids.push(parseEventId(bytes, start, end));
       start = end;
     }
     this.#pending = bytes.subarray(start);
@@ -51,7 +53,7 @@
         'the upstream sent an event that exceeds the size limit',
       );
     }
-    return events;
+    return start === 0 ? undefined : { bytes: bytes.subarray(0, start), ids };
   }
 }
 
@@ -70,7 +72,19 @@
   return -1;
 }
 
-function parseEventId(event: Buffer): string | undefined {
-  const match = /^id: ?(.*?)\r?$/m.exec(event.toString('latin1'));
-  return match?.[1];
+/** Returns the value of the first `id` field of the event between `start` and `end`. */
+function parseEventId(bytes: Buffer, start: number, end: number): string | undefined {
+  for (let at = start; at < end; at = bytes.indexOf(lineFeed, at) + 1) {
+    if (!isIdField(bytes, at)) continue;
+    const valueAt = at + idField.byteLength;
+    const lineEnd = bytes.indexOf(lineFeed, valueAt);
+    const from = bytes[valueAt] === space ? valueAt + 1 : valueAt;
+    const to = bytes[lineEnd - 1] === carriageReturn ? lineEnd - 1 : lineEnd;
+    return bytes.toString('latin1', from, to);
+  }
+  return undefined;
+}
+
+function isIdField(bytes: Buffer, at: number): boolean {
+  return idField.every((byte, index) => bytes[at + index] === byte);
 }
--- a/packages/forwarding/src/_lib/ForwardCall/index.ts
+++ b/packages/forwarding/src/_lib/ForwardCall/index.ts
@@ -4,6 +4,7 @@
 import type { CallerWriter } from '@acaciacrank/callers';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { RequestHead, ForwardAccount, Route, ServiceTraits } from '../../types.js';
+import type { CallerDisconnect } from '../CallerDisconnect/index.js';
 import type { RequestTrace } from '../RequestTrace/index.js';
 
 /** A request with its route, account and progress. */
@@ -21,8 +22,7 @@
    * milliseconds.
    */
   readonly deadlineMs: number;
-  /** Aborted when the caller disconnects. */
-  readonly disconnectSignal: AbortSignal;
+  readonly disconnect: CallerDisconnect;
   readonly trace: RequestTrace;
   readonly progress: CallProgress;
 }
--- /dev/null
+++ b/packages/forwarding/src/_lib/StreamRelay/index.ts
@@ -0,0 +1,90 @@
+/**
+ * Relays a stream of events from an upstream to the caller.
+ */
+import { RouterError } from '@acaciacrank/base';
+import type { ServerResponse } from 'node:http';
+import type { ForwardCodec } from '../../ForwardCodec/index.js';
+import { EventBuffer } from '../EventBuffer/index.js';
+import type { UpstreamResponseHead } from '../Exchange/index.js';
+import type { ForwardCall } from '../ForwardCall/index.js';
+
+/** Relays complete events as they arrive; an incomplete one waits for its rest. */
+export class StreamRelay {
+  readonly #call: ForwardCall;
+  readonly #codec: ForwardCodec;
+  readonly #head: UpstreamResponseHead;
+  readonly #onFirstEvent: () => void;
+  readonly #buffer = new EventBuffer();
+
+  /** @param onFirstEvent - called before the head of the response is written */
+  constructor(
+    call: ForwardCall,
+    codec: ForwardCodec,
+    head: UpstreamResponseHead,
+    onFirstEvent: () => void,
+  ) {
+    this.#call = call;
+    this.#codec = codec;
+    this.#head = head;
+    this.#onFirstEvent = onFirstEvent;
+  }
+
+  /**
+   * Relays the events that a part of the body completes.
+   *
+   * @returns undefined if the caller takes more at once, otherwise a promise to wait for
+   * @throws RouterError `upstreamFailed` if an event is missing, duplicated or too large
+   */
+  relay(chunk: Buffer): Promise<void> | undefined {
+    const events = this.#buffer.push(chunk);
+    if (events === undefined) return undefined;
+    const { progress, writer } = this.#call;
+    for (const id of events.ids) {
+      if (!isNextEvent(progress.lastEventId, id)) {
+        throw new RouterError('upstreamFailed', 'an event is missing or duplicated');
+      }
+      progress.lastEventId = id ?? progress.lastEventId;
+      progress.events += 1;
+    }
+    this.#ensureHead();
+    return writer.writeNow(events.bytes);
+  }
+
+  /** Ends the stream; returns whether its last event is complete. */
+  finish(): boolean {
+    if (this.#buffer.hasPartialEvent) return false;
+    this.#ensureHead();
+    return true;
+  }
+
+  #ensureHead(): void {
+    const { response } = this.#call;
+    if (response.headersSent) return;
+    this.#onFirstEvent();
+    const { status, headers, isFramed } = this.#head;
+    if (!isFramed) delimitByConnectionClose(response);
+    response.writeHead(status, this.#codec.callerHeaders(headers));
+  }
+}
+
+/**
+ * Ends the response to the caller by closing the connection, as the upstream did.
+ *
+ * Guards against an upstream that crashes while sending a response without a length: the operating
+ * system closes its connection in an orderly way, so that the truncated response looks complete.
+ * With a content length or chunked encoding this instance would confirm that it is complete. With a
+ * close-delimited response the caller knows exactly as much as it would from the upstream itself.
+ */
+export function delimitByConnectionClose(response: ServerResponse): void {
+  response.shouldKeepAlive = false;
+  response.useChunkedEncodingByDefault = false;
+}
+
+/** Whether an event may follow another one: numeric ids must be consecutive. */
+function isNextEvent(last: string | undefined, next: string | undefined): boolean {
+  if (last === undefined || next === undefined) return true;
+  const lastNumber = Number(last);
+  const nextNumber = Number(next);
+  if (!Number.isSafeInteger(lastNumber) || !Number.isSafeInteger(nextNumber)) return true;
+  return nextNumber === lastNumber + 1;
+}
--- a/packages/ledger/src/PrepaidAccounts/index.ts
+++ b/packages/ledger/src/PrepaidAccounts/index.ts
@@ -85,6 +85,17 @@
     return account.tryReserve(tokens) ? 'reserved' : 'heldElsewhere';
   }
 
+  /**
+   * Reserves tokens that are in stock.
+   *
+   * @param accountId - the account of the tokens
+   * @param tokens - the most that the request can use
+   * @returns whether they are reserved, which must be followed by {@link settle} exactly once
+   */
+  tryReserve(accountId: AccountId, tokens: number): boolean {
+    return this.#accounts.get(accountId)?.tryReserve(tokens) ?? false;
+  }
+
   /** Ends a reservation and counts the tokens that were actually used. */
   settle(reservation: TokenReservation, usedTokens: number): void {
     this.#accounts.get(reservation.accountId)?.settle(reservation.tokens, usedTokens);
