--- a/packages/forwarding/src/_lib/Exchange/index.ts
+++ b/packages/forwarding/src/_lib/Exchange/index.ts
@@ -97,7 +97,7 @@
       this.#reject = reject;
       this.#client.dispatch(
         {
-          method: method as Dispatcher.HttpMethod,
+          method: method,
           path,
           headers,
           body: body.byteLength === 0 ? null : body,
