Placing: the wait for a slot counts, and ranking engines costs little

Cause: 16 slots an engine where 48 were: an engine whose slots streams of other instances fill looked idle to each instance, and its reports were used for plain services only. Change: a prompt's cost counts the wait for a slot, estimated from the last report (what of it is expected to have ended meanwhile left out), own requests and the run time that is learnt; so a hot engine, whose reports are recent as it answers often, is left for a free one where that costs less than its parts. Upstream keeps its prefill backlog as a sum, and engines are ranked by hashes that go on from the key's in place of an object and a text for each engine of each request; the order is the same as before (test), so releases agree.

--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -5,7 +5,7 @@
   ServiceName,
   UpstreamId,
 } from '@acaciacrank/base';
-import { maxWarmUpMs } from '@acaciacrank/routing';
+import { maxWarmUpMs, RunTimeEstimator } from '@acaciacrank/routing';
 import { maxCopyAgeMs } from '@acaciacrank/store';
 import { Upstream } from '../_lib/Upstream/index.js';
 import { expiredRecordGraceMs } from '../_lib/limits/index.js';
@@ -86,6 +86,8 @@
   readonly #options: UpstreamTableOptions;
   readonly #byId = new Map<UpstreamId, Upstream>();
   readonly #byService = new Map<ServiceName, Upstream[]>();
+  /** How long requests hold a slot of the upstreams of each service. */
+  readonly #runTimes = new Map<ServiceName, RunTimeEstimator>();
   /** Failure domains whose upstreams get no new requests. */
   #drained: ReadonlySet<FailureDomainId> = new Set();
   /** Whether a complete list of records was applied. */
@@ -267,10 +269,19 @@
       limitSharing,
       connectionShare: () => this.#connectionShare(service),
       warmUp: () => warmUp(service),
+      runTimes: this.#runTimesOf(service),
       mayHaveBeenUsed: !this.#hasList,
     });
   }
 
+  #runTimesOf(service: ServiceName): RunTimeEstimator {
+    const known = this.#runTimes.get(service);
+    if (known !== undefined) return known;
+    const runTimes = new RunTimeEstimator();
+    this.#runTimes.set(service, runTimes);
+    return runTimes;
+  }
+
   /**
    * Applies what a record says of the upstream's warm-up. An upstream that registers while this instance
    * follows the records has just started, so it warms up even if its record does not say so.
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -106,11 +106,11 @@
   }
 
   override onHead(response: UpstreamResponseHead): void {
-    const { call, codec, upstream, clock } = this.#options;
+    const { call, codec, upstream } = this.#options;
     const { status, headers, isFramed } = response;
     const head = codec.readResponseHead(status, headers);
     this.#recordReceived(false);
-    if (head.load !== undefined) upstream.load = { report: head.load, atMs: clock.monotonicMs() };
+    if (head.load !== undefined) upstream.recordLoad(head.load);
     this.#updateLimits(head);
     if (head.isNotRun) {
       const { isWrongUpstream } = head;
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -17,6 +17,7 @@
 import { isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
 import type { PrefillTimeModels } from '../PrefillTimeModels/index.js';
 import { maxConnectAttempts, upstreamInactivityMs } from '../limits/index.js';
+import type { TraceStep } from '../RequestTrace/index.js';
 import type { PromptPartLocations } from '../PromptPartLocations/index.js';
 import { pickUpstream, type UpstreamPick } from '../pickUpstream/index.js';
 import { delimitByConnectionClose } from '../StreamRelay/index.js';
@@ -96,30 +97,12 @@
   }
 
   async #attempt(pick: UpstreamPick): Promise<AttemptResult> {
-    const { upstream, fetchFrom, prefill, why } = pick;
+    const { upstream, fetchFrom, prefill } = pick;
     const { clock, codec, retries } = this.#dependencies;
     const call = this.#call;
     if (this.#attemptedIds.size === 0) retries.recordRequest(call.service.name);
     this.#attemptedIds.add(upstream.id);
-    call.trace.add('sent', {
-      upstreamId: upstream.id,
-      why,
-      fetchFrom,
-      backlogMs: Math.round(upstream.backlogMs),
-      readMs: prefill === undefined ? undefined : Math.round(prefill.expectedMs),
-      ownInFlight: upstream.inFlight.size,
-      reportedRunning: upstream.load?.report.running,
-      reportAgeMs:
-        upstream.load === undefined
-          ? undefined
-          : Math.round(clock.monotonicMs() - upstream.load.atMs),
-      limitPerS:
-        upstream.limit.requestsPerSecond === Infinity
-          ? undefined
-          : upstream.limit.requestsPerSecond,
-      warmUpMs: Math.round(upstream.warmUp.remainingMs) || undefined,
-      outOf: this.#dependencies.upstreams.usable(call.service.name).length,
-    });
+    call.trace.add('sent', this.#describeSend(pick));
     const inactivityTimeoutMs = this.#inactivityTimeoutMs();
     const onFirstEvent = (inFlightRequest: InFlightRequest) => {
       this.#observePrefill(inFlightRequest);
@@ -143,6 +126,26 @@
     return result;
   }
 
+  /** Describes the choice of an upstream for the log. */
+  #describeSend({ upstream, fetchFrom, prefill, why }: UpstreamPick): TraceStep {
+    const { requestsPerSecond } = upstream.limit;
+    const { reportAgeMs } = upstream;
+    return {
+      upstreamId: upstream.id,
+      why,
+      fetchFrom,
+      backlogMs: Math.round(upstream.backlogMs),
+      slotWaitMs: Math.round(upstream.slotWaitMs) || undefined,
+      readMs: prefill && Math.round(prefill.expectedMs),
+      ownInFlight: upstream.inFlight.size,
+      reportedRunning: upstream.reportedLoad?.running,
+      reportAgeMs: reportAgeMs && Math.round(reportAgeMs),
+      limitPerS: requestsPerSecond === Infinity ? undefined : requestsPerSecond,
+      warmUpMs: Math.round(upstream.warmUp.remainingMs) || undefined,
+      outOf: this.#dependencies.upstreams.usable(this.#call.service.name).length,
+    };
+  }
+
   /**
    * Adds a sample to the engine model if, as far as this instance can tell, nothing was queued
    * ahead of the prompt.
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -2,7 +2,13 @@
  * One upstream: its connections, the requests in progress there, and its health.
  */
 import type { Clock, UpstreamId } from '@acaciacrank/base';
-import { PeerBacklogEstimator, WarmUp, type EngineLoad } from '@acaciacrank/routing';
+import {
+  estimateSlotWait,
+  PeerBacklogEstimator,
+  RunTimeEstimator,
+  WarmUp,
+  type EngineLoad,
+} from '@acaciacrank/routing';
 import type { ReportedLoad, UpstreamRecord, WarmUpPolicy } from '../../types.js';
 import { UpstreamConnection } from '../UpstreamConnection/index.js';
 import { UpstreamLimit, unshared, type LimitSharing } from '../UpstreamLimit/index.js';
@@ -26,6 +32,8 @@
 /** A request in progress at an upstream. */
 export interface InFlightRequest {
   readonly sentMs: number;
+  /** When the first data of the response arrived; undefined before. */
+  startedMs: number | undefined;
   /** When the upstream last sent data for the request; initially when the request was sent. */
   lastReceivedMs: number;
   readonly prefill: PrefillEstimate | undefined;
@@ -40,6 +48,14 @@
   longestGapMs: number;
 }
 
+/** A report of an upstream's load. */
+interface KnownLoad {
+  readonly report: ReportedLoad;
+  /** Requests in the report that are not of this instance. */
+  readonly otherRequests: number;
+  readonly atMs: number;
+}
+
 type PrefillingRequest = InFlightRequest & { readonly prefill: PrefillEstimate };
 
 function isPrefilling(inFlightRequest: InFlightRequest): inFlightRequest is PrefillingRequest {
@@ -69,6 +85,8 @@
   connectionShare?: () => number;
   /** Returns how it warms up; by default it takes all requests at once. */
   warmUp?: () => WarmUpPolicy | undefined;
+  /** How long requests hold a slot of the service's upstreams; by default known to this one only. */
+  runTimes?: RunTimeEstimator | undefined;
   /** Whether an earlier run of this process may just have used the upstream; false by default. */
   mayHaveBeenUsed?: boolean;
 }
@@ -78,19 +96,24 @@
   record: UpstreamRecord;
   /** Whether the upstream is draining or was removed, so that it gets no new requests. */
   isLeaving: boolean;
-  /** The load that it last reported, with the time of the report. */
-  load: { readonly report: ReportedLoad; readonly atMs: number } | undefined;
   /** The request rate that it accepts from all instances combined. */
   readonly limit: UpstreamLimit;
   /** Whether it is warming up, and what it takes meanwhile. */
   readonly warmUp: WarmUp;
   readonly inFlight = new Set<InFlightRequest>();
   readonly #clock: Clock;
+  readonly #runTimes: RunTimeEstimator;
   readonly #connectionShare: () => number;
   readonly #warmUpPolicy: () => WarmUpPolicy | undefined;
   readonly #idle: UpstreamConnection[] = [];
   readonly #open = new Set<UpstreamConnection>();
   readonly #peerBacklog = new PeerBacklogEstimator();
+  /** The load that it last reported. */
+  #load: KnownLoad | undefined;
+  /** Requests whose prompts are being processed or wait for it. */
+  readonly #prefilling = new Set<PrefillingRequest>();
+  /** Expected prefill time of these requests, in milliseconds. */
+  #prefillingMs = 0;
   #consecutiveFailures = 0;
   #ejectionMs = 0;
   #ejectedUntilMs = 0;
@@ -102,6 +125,7 @@
     this.record = record;
     this.isLeaving = record.state === 'leaving';
     this.#clock = clock;
+    this.#runTimes = options.runTimes ?? new RunTimeEstimator();
     this.#connectionShare = connectionShare;
     this.limit = new UpstreamLimit(clock, record.id, limitSharing);
     this.#warmUpPolicy = warmUp;
@@ -120,10 +144,43 @@
    */
   get backlogMs(): number {
     const nowMs = this.#clock.monotonicMs();
-    const delaysMs = this.#prefilling().map((inFlightRequest) =>
-      prefillDelayMs(inFlightRequest, nowMs),
-    );
-    return this.#ownBacklogMs() + this.#peerBacklog.estimateMs(nowMs, Math.max(0, ...delaysMs));
+    let overdueMs = 0;
+    for (const request of this.#prefilling)
+      overdueMs = Math.max(overdueMs, prefillDelayMs(request, nowMs));
+    return this.#prefillingMs + this.#peerBacklog.estimateMs(nowMs, overdueMs);
+  }
+
+  /** Estimated time until a slot is free for a request that is sent now, in milliseconds. */
+  get slotWaitMs(): number {
+    return estimateSlotWait({
+      slots: this.slots,
+      ownRequests: this.inFlight.size,
+      otherRequests: this.#load?.otherRequests ?? 0,
+      reportAgeMs: this.reportAgeMs ?? Infinity,
+      runTimeMs: this.#runTimes.runTimeMs,
+    });
+  }
+
+  /** Number of requests that it runs at the same time, by its last report or its record. */
+  get slots(): number {
+    return this.#load?.report.slots ?? this.record.slots;
+  }
+
+  /** The load that it last reported; undefined if it reported none. */
+  get reportedLoad(): ReportedLoad | undefined {
+    return this.#load?.report;
+  }
+
+  /** Time since it last reported its load, in milliseconds; undefined if it reported none. */
+  get reportAgeMs(): number | undefined {
+    return this.#load && this.#clock.monotonicMs() - this.#load.atMs;
+  }
+
+  /** Records a report of its load. One without slots is implausible and is ignored. */
+  recordLoad(report: ReportedLoad): void {
+    if (report.slots <= 0) return;
+    const otherRequests = Math.max(0, report.running + report.waiting - this.inFlight.size);
+    this.#load = { report, otherRequests, atMs: this.#clock.monotonicMs() };
   }
 
   /** Number of this instance's requests in progress here. */
@@ -186,15 +243,20 @@
   /** Records that a request is sent here. */
   begin(prefill: PrefillEstimate | undefined): InFlightRequest {
     const nowMs = this.#clock.monotonicMs();
-    const inFlightRequest = {
+    const inFlightRequest: InFlightRequest = {
       sentMs: nowMs,
+      startedMs: undefined,
       lastReceivedMs: nowMs,
       prefill,
-      queuedAheadMs: this.#ownBacklogMs(),
+      queuedAheadMs: this.#prefillingMs,
       hasFirstEvent: false,
       longestGapMs: 0,
     };
     this.inFlight.add(inFlightRequest);
+    if (isPrefilling(inFlightRequest)) {
+      this.#prefilling.add(inFlightRequest);
+      this.#prefillingMs += inFlightRequest.prefill.expectedMs;
+    }
     this.limit.recordSend();
     this.warmUp.recordSend();
     return inFlightRequest;
@@ -203,13 +265,16 @@
   /** Records that data for a request arrived; the first event ends its prefill. */
   recordReceived(inFlightRequest: InFlightRequest, hasFirstEvent: boolean): void {
     const nowMs = this.#clock.monotonicMs();
-    if (hasFirstEvent && isPrefilling(inFlightRequest))
+    if (hasFirstEvent && isPrefilling(inFlightRequest)) {
       this.#peerBacklog.observe(prefillDelayMs(inFlightRequest, nowMs), nowMs);
+      this.#endPrefill(inFlightRequest);
+    }
     if (inFlightRequest.hasFirstEvent)
       inFlightRequest.longestGapMs = Math.max(
         inFlightRequest.longestGapMs,
         nowMs - inFlightRequest.lastReceivedMs,
       );
+    inFlightRequest.startedMs ??= nowMs;
     inFlightRequest.hasFirstEvent ||= hasFirstEvent;
     inFlightRequest.lastReceivedMs = nowMs;
     this.#lastReceivedMs = nowMs;
@@ -218,6 +283,13 @@
   /** Records that a request has ended. */
   end(inFlightRequest: InFlightRequest): void {
     this.inFlight.delete(inFlightRequest);
+    if (isPrefilling(inFlightRequest)) this.#endPrefill(inFlightRequest);
+    const { startedMs, sentMs, prefill, hasFirstEvent } = inFlightRequest;
+    if (startedMs === undefined) return;
+    // A stream holds its slot from its first event on, a plain request all the time.
+    const sinceMs = prefill === undefined ? sentMs : startedMs;
+    if (prefill === undefined || hasFirstEvent)
+      this.#runTimes.observe(this.#clock.monotonicMs() - sinceMs);
   }
 
   /** Records a successful request, which resets failures and ejection. */
@@ -258,14 +330,11 @@
     await Promise.all(connections.map(({ client }) => client.close()));
   }
 
-  /** Prefill work that this instance has queued here and that is not complete, in milliseconds. */
-  #ownBacklogMs(): number {
-    return this.#prefilling().reduce((sumMs, { prefill }) => sumMs + prefill.expectedMs, 0);
-  }
-
-  /** Requests whose prompts are being processed or wait for it. */
-  #prefilling(): readonly PrefillingRequest[] {
-    return [...this.inFlight].filter(isPrefilling);
+  #endPrefill(request: PrefillingRequest): void {
+    if (!this.#prefilling.delete(request)) return;
+    // Sums of fractions drift, so an empty set starts anew.
+    this.#prefillingMs =
+      this.#prefilling.size === 0 ? 0 : this.#prefillingMs - request.prefill.expectedMs;
   }
 
   /**
--- a/packages/forwarding/src/_lib/pickUpstream/index.ts
+++ b/packages/forwarding/src/_lib/pickUpstream/index.ts
@@ -129,18 +129,21 @@
   usable: readonly Upstream[],
   request: PickRequest,
 ): UpstreamPick | undefined {
-  const { ownDomain, nowMs, random } = request;
-  const ranked = usable.map((upstream) => {
-    const reported =
-      upstream.load !== undefined && nowMs - upstream.load.atMs < maxReportAgeMs
-        ? upstream.load.report.waiting + upstream.load.report.running / 2
-        : 0;
+  const { ownDomain, random } = request;
+  let best: Upstream | undefined;
+  let bestCost = Infinity;
+  for (const upstream of usable) {
     const domainPenalty = upstream.record.failureDomain === ownDomain ? 0 : remoteDomainPenalty;
-    return { upstream, cost: upstream.inFlight.size + reported + domainPenalty + random() / 4 };
-  });
-  ranked.sort((a, b) => a.cost - b.cost);
-  const [best] = ranked;
-  return (
-    best && { upstream: best.upstream, fetchFrom: undefined, prefill: undefined, why: 'leastBusy' }
-  );
+    const cost = estimateRequests(upstream) + domainPenalty + random() / 4;
+    if (cost >= bestCost) continue;
+    best = upstream;
+    bestCost = cost;
+  }
+  return best && { upstream: best, fetchFrom: undefined, prefill: undefined, why: 'leastBusy' };
+}
+
+/** Estimates the requests at an upstream of a plain service; those that wait count twice. */
+function estimateRequests({ inFlight, reportedLoad, reportAgeMs = Infinity }: Upstream): number {
+  if (reportedLoad === undefined || reportAgeMs >= maxReportAgeMs) return inFlight.size;
+  return inFlight.size + reportedLoad.waiting + reportedLoad.running / 2;
 }
--- a/packages/routing/src/PeerBacklogEstimator/test.ts
+++ b/packages/routing/src/PeerBacklogEstimator/test.ts
@@ -39,6 +39,7 @@
     const part = `part ${Math.floor(random() * 3)}`;
     const engines = engineIds.map((id) => ({
       id,
+      slotWaitMs: 0,
       backlogMs: usesEstimate ? (estimators?.get(id)?.estimateMs(nowMs, 0) ?? 0) : 0,
       running: 0,
     }));
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -29,3 +29,5 @@
 export * from './PrefillTimeModel/index.js';
 export * from './PeerBacklogEstimator/index.js';
 export * from './placePrompt/index.js';
+export * from './estimateSlotWait/index.js';
+export * from './RunTimeEstimator/index.js';
--- a/packages/routing/src/placePrompt/index.ts
+++ b/packages/routing/src/placePrompt/index.ts
@@ -1,9 +1,12 @@
-import { rankByKey, type Identified } from '../rankByKey/index.js';
+import { hashTextsStartingWith } from '@acaciacrank/base';
+import type { Identified } from '../rankByKey/index.js';
 
 /** The load of an engine as estimated by this instance. */
 export interface EngineLoad extends Identified {
   /** Estimated prefill time of the prompts already queued at the engine, in milliseconds. */
   readonly backlogMs: number;
+  /** Estimated time until a slot of the engine is free, in milliseconds. */
+  readonly slotWaitMs: number;
   /** Number of streams known to be running at the engine. */
   readonly running: number;
 }
@@ -35,15 +38,19 @@
  * cannot observe each other's load spill a part to the same few engines.
  */
 const rankCostMs = 5;
+/** Distinguishes engines with equal hashes; more than a service has. */
+const maxEngines = 65_536;
 
 /**
- * Chooses the engine with the lowest cost for a prompt: the prefill backlog ahead of the prompt, the time
- * to make its shared parts available, and small penalties for running streams and a lower rank.
+ * Chooses the engine with the lowest cost for a prompt: the wait for a slot and the prefill backlog ahead of
+ * the prompt, the time to make its shared parts available, and small penalties for running streams and a
+ * lower rank.
  *
- * Handles two kinds of load. Prompts with large shared parts: without affinity, every engine would
+ * Handles three kinds of load. Prompts with large shared parts: without affinity, every engine would
  * prefill every part. A frequently used part: its first engine would prefill one prompt after another
  * while other engines are idle, so prompts spill to another engine once the wait exceeds the time to
- * make the part available there.
+ * make the part available there. Engines with few slots: streams of other instances fill them, and the
+ * next prompt would wait for one of these to end while other engines have free slots.
  *
  * @param prompt - the shared parts, their cost and their holders
  * @param engines - candidates
@@ -56,21 +63,37 @@
   { key, sharedPartsMs, holders }: PromptToPlace,
   engines: readonly Engine[],
 ): PromptPlacement<Engine> | undefined {
-  const ranked = rankByKey(key, engines);
-  const knownHolders = ranked.filter(({ id }) => holders.has(id));
+  const ranked = rankEngines(key, engines);
+  const knownHolder = ranked.find(({ id }) => holders.has(id));
   // If no holder is known, another instance has most likely sent the part to the first-ranked engine.
-  const assumedHolders = knownHolders.length > 0 ? knownHolders : ranked.slice(0, 1);
+  const holder = knownHolder ?? ranked[0];
+  const isHolder = (engine: Engine) => engine === holder || holders.has(engine.id);
   let best: Engine | undefined;
   let bestCostMs = Infinity;
   ranked.forEach((engine, rank) => {
-    const acquireMs = assumedHolders.includes(engine) ? 0 : sharedPartsMs;
-    const costMs =
-      engine.backlogMs + engine.running * runningStreamCostMs + acquireMs + rank * rankCostMs;
+    const acquireMs = isHolder(engine) ? 0 : sharedPartsMs;
+    const loadMs = engine.backlogMs + engine.slotWaitMs + engine.running * runningStreamCostMs;
+    const costMs = loadMs + acquireMs + rank * rankCostMs;
     if (costMs >= bestCostMs) return;
     best = engine;
     bestCostMs = costMs;
   });
   if (best === undefined) return undefined;
-  const [holder] = assumedHolders;
-  return { engine: best, holder: assumedHolders.includes(best) ? undefined : holder };
+  return { engine: best, holder: isHolder(best) ? undefined : holder };
+}
+
+/** Orders engines as `rankByKey` does, but without an object and a text for each of them. */
+function rankEngines<Engine extends EngineLoad>(
+  key: string,
+  engines: readonly Engine[],
+): readonly Engine[] {
+  const hashOf = hashTextsStartingWith(`${key}/`);
+  const order = Float64Array.from(
+    engines,
+    ({ id }, index) => hashOf(id) * maxEngines + (maxEngines - 1 - index),
+  );
+  order.sort().reverse();
+  return Array.from(order, (position) => engines[maxEngines - 1 - (position % maxEngines)]).filter(
+    (engine) => engine !== undefined,
+  );
 }
--- a/packages/routing/src/placePrompt/test.ts
+++ b/packages/routing/src/placePrompt/test.ts
@@ -1,13 +1,22 @@
 import test from 'ava';
+import { rankByKey } from '../rankByKey/index.js';
 import { placePrompt, type EngineLoad } from './index.js';
 
-function engine(id: string, backlogMs = 0, running = 0): EngineLoad {
-  return { id, backlogMs, running };
+function engine(id: string, backlogMs = 0, running = 0, slotWaitMs = 0): EngineLoad {
+  return { id, backlogMs, running, slotWaitMs };
 }
 
 const idle = Array.from({ length: 12 }, (_, index) => engine(`e${index}`));
 const prompt = { key: 'part', sharedPartsMs: 150, holders: new Set<string>() };
 
+// Guards against instances of two releases that place the same part at different engines.
+test('engines are ranked as by rankByKey', (t) => {
+  for (let part = 0; part < 50; part += 1) {
+    const key = `part${part}`;
+    t.is(placePrompt({ ...prompt, key }, idle)?.engine, rankByKey(key, idle)[0]);
+  }
+});
+
 test('prompts that share a part are placed at the same engine', (t) => {
   const first = placePrompt(prompt, idle)?.engine.id;
   t.is(placePrompt(prompt, [...idle].reverse())?.engine.id, first);
@@ -46,6 +55,17 @@
   t.is(placePrompt({ ...prompt, holders }, idle)?.engine.id, 'e3');
 });
 
+// Guards against prompts that wait for a slot of the engine that holds their part while others are idle.
+test('a prompt spills to another engine when the wait for a slot costs more than the part', (t) => {
+  const first = placePrompt(prompt, idle)?.engine.id ?? t.fail();
+  const withWait = (slotWaitMs: number) =>
+    idle.map(({ id }) => engine(id, 0, 0, id === first ? slotWaitMs : 0));
+  t.is(placePrompt(prompt, withWait(100))?.engine.id, first);
+  const placement = placePrompt(prompt, withWait(400));
+  t.not(placement?.engine.id, first);
+  t.is(placement?.holder?.id, first);
+});
+
 test('returns undefined without candidates', (t) => {
   t.is(placePrompt(prompt, []), undefined);
 });
