Placing: what other instances use of an engine is taken from what this one uses; the bundle's request()

All instances place by the same rules, so the others have about what this one had on average, times their number.

--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -270,6 +270,7 @@
       connectionShare: () => this.#connectionShare(service),
       warmUp: () => warmUp(service),
       runTimes: this.#runTimesOf(service),
+      instanceCount: () => this.#currentInstanceCount,
       mayHaveBeenUsed: !this.#hasList,
     });
   }
@@ -309,13 +310,17 @@
    * it resets the excess ones.
    */
   #connectionShare(service: ServiceName): number {
-    const { clock, maxConnections = () => Infinity, instanceCount = () => 1 } = this.#options;
+    const { maxConnections = () => Infinity } = this.#options;
+    return Math.max(1, Math.floor(maxConnections(service) / this.#currentInstanceCount));
+  }
+
+  get #currentInstanceCount(): number {
+    const { clock, instanceCount = () => 1 } = this.#options;
     const nowMs = clock.monotonicMs();
     if (nowMs - this.#instanceCount.atMs >= instanceCountTtlMs) {
       this.#instanceCount = { value: instanceCount(), atMs: nowMs };
     }
-    const { value } = this.#instanceCount;
-    return Math.max(1, Math.floor(maxConnections(service) / value));
+    return this.#instanceCount.value;
   }
 
   #startGracePeriod(id: UpstreamId): void {
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -4,6 +4,7 @@
 import type { Clock, UpstreamId } from '@acaciacrank/base';
 import {
   estimateSlotWait,
+  LoadAverage,
   PeerBacklogEstimator,
   RunTimeEstimator,
   WarmUp,
@@ -83,6 +84,8 @@
    * default.
    */
   connectionShare?: () => number;
+  /** Returns the number of instances that use it, including this one; 1 by default. */
+  instanceCount?: () => number;
   /** Returns how it warms up; by default it takes all requests at once. */
   warmUp?: () => WarmUpPolicy | undefined;
   /** How long requests hold a slot of the service's upstreams; by default known to this one only. */
@@ -103,6 +106,8 @@
   readonly inFlight = new Set<InFlightRequest>();
   readonly #clock: Clock;
   readonly #runTimes: RunTimeEstimator;
+  readonly #instanceCount: () => number;
+  readonly #ownAverage = new LoadAverage();
   readonly #connectionShare: () => number;
   readonly #warmUpPolicy: () => WarmUpPolicy | undefined;
   readonly #idle: UpstreamConnection[] = [];
@@ -125,6 +130,7 @@
     this.record = record;
     this.isLeaving = record.state === 'leaving';
     this.#clock = clock;
+    this.#instanceCount = options.instanceCount ?? (() => 1);
     this.#runTimes = options.runTimes ?? new RunTimeEstimator();
     this.#connectionShare = connectionShare;
     this.limit = new UpstreamLimit(clock, record.id, limitSharing);
@@ -157,10 +163,19 @@
       ownRequests: this.inFlight.size,
       otherRequests: this.#load?.otherRequests ?? 0,
       reportAgeMs: this.reportAgeMs ?? Infinity,
+      usualOtherRequests: this.#usualOtherRequests,
       runTimeMs: this.#runTimes.runTimeMs,
     });
   }
 
+  /** Requests of other instances here, if each of them has as many as this one had on average. */
+  get #usualOtherRequests(): number {
+    const others = this.#instanceCount() - 1;
+    // The number is infinite before the first list of instances is read.
+    if (others <= 0 || !Number.isFinite(others)) return 0;
+    return others * this.#ownAverage.at(this.#clock.monotonicMs());
+  }
+
   /** Number of requests that it runs at the same time, by its last report or its record. */
   get slots(): number {
     return this.#load?.report.slots ?? this.record.slots;
@@ -253,6 +268,7 @@
       longestGapMs: 0,
     };
     this.inFlight.add(inFlightRequest);
+    this.#ownAverage.update(this.inFlight.size, nowMs);
     if (isPrefilling(inFlightRequest)) {
       this.#prefilling.add(inFlightRequest);
       this.#prefillingMs += inFlightRequest.prefill.expectedMs;
@@ -282,7 +298,8 @@
 
   /** Records that a request has ended. */
   end(inFlightRequest: InFlightRequest): void {
-    this.inFlight.delete(inFlightRequest);
+    if (!this.inFlight.delete(inFlightRequest)) return;
+    this.#ownAverage.update(this.inFlight.size, this.#clock.monotonicMs());
     if (isPrefilling(inFlightRequest)) this.#endPrefill(inFlightRequest);
     const { startedMs, sentMs, prefill, hasFirstEvent } = inFlightRequest;
     if (startedMs === undefined) return;
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -12,6 +12,8 @@
 export * from './RelayedObjectStore/index.js';
 export * from './UpstreamLimitGossip/index.js';
 export type { LimitSharing } from './_lib/UpstreamLimit/index.js';
+export * from './_lib/pickUpstream/index.js';
+export * from './_lib/PromptPartLocations/index.js';
 export * from './ForwardHandler/index.js';
 export * from './createForwardServer/index.js';
 export * from './InstanceFleet/index.js';
--- a/packages/routing/src/estimateSlotWait/test.ts
+++ b/packages/routing/src/estimateSlotWait/test.ts
@@ -1,7 +1,14 @@
 import test from 'ava';
 import { estimateSlotWait } from './index.js';
 
-const use = { slots: 16, ownRequests: 1, otherRequests: 0, reportAgeMs: 0, runTimeMs: 1_600 };
+const use = {
+  slots: 16,
+  ownRequests: 1,
+  otherRequests: 0,
+  reportAgeMs: 0,
+  usualOtherRequests: 0,
+  runTimeMs: 1_600,
+};
 
 test('there is no wait while a slot is free', (t) => {
   t.is(estimateSlotWait(use), 0);
@@ -20,6 +27,13 @@
   t.is(estimateSlotWait({ ...use, otherRequests: 40, reportAgeMs: 3_200 }), 0);
 });
 
+// Guards against an engine that looks idle whenever the last report is old, though it is always full.
+test('without a recent report the usual load counts', (t) => {
+  const unknown = { ...use, reportAgeMs: Infinity, usualOtherRequests: 25 };
+  t.is(estimateSlotWait(unknown), 1_100);
+  t.is(estimateSlotWait({ ...unknown, reportAgeMs: 0 }), 0);
+});
+
 // Guards against a strange report that makes an upstream look endlessly busy or breaks the estimate.
 test('strange reports give a finite estimate', (t) => {
   for (const otherRequests of [0, 1e6]) {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -31,3 +31,4 @@
 export * from './placePrompt/index.js';
 export * from './estimateSlotWait/index.js';
 export * from './RunTimeEstimator/index.js';
+export * from './LoadAverage/index.js';
--- a/scripts/bundle.sh
+++ b/scripts/bundle.sh
@@ -10,7 +10,7 @@
 bundle() {
   npx --no-install esbuild "$1" --bundle --platform=node --target=node20 --format=cjs --outfile="$2" \
     --log-level=warning --legal-comments=none --minify-whitespace --minify-syntax --line-limit=160 \
-    --alias:undici=./scripts/undiciClient.cjs \
+    --alias:undici=./scripts/undiciClient.mjs \
     --external:dtrace-provider --external:mv --external:source-map-support --external:safe-json-stringify
 }
 bundle platform/dist/bin.js target/program.cjs
