--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -1,7 +1,6 @@
 import {
   toRouterError,
   DisposableStore,
-  StateStream,
   withTimeout,
   type Clock,
   type FailureDomainId,
@@ -14,10 +13,9 @@
 import { WsFleetLinks } from '@acaciacrank/fleet';
 import { PrepaidAccounts, type GrantEvent, type ProcessRun } from '@acaciacrank/ledger';
 import { RetryShare } from '@acaciacrank/routing';
-import { ObjectFollower, type ObjectStore, type StoredObject } from '@acaciacrank/store';
+import type { ObjectFollower, ObjectStore } from '@acaciacrank/store';
 import { randomBytes } from 'node:crypto';
 import type { Server } from 'node:http';
-import * as z from 'zod';
 import {
   applyCallerLimits,
   createForwardServer,
@@ -28,12 +26,13 @@
 import type { ForwardCodec } from '../ForwardCodec/index.js';
 import { ForwardHandler } from '../ForwardHandler/index.js';
 import { InstanceFleet, type CallerInstance } from '../InstanceFleet/index.js';
+import { ActiveConfiguration } from '../_lib/ActiveConfiguration/index.js';
 import { chooseDirectoryInstances } from '../_lib/chooseDirectoryInstances/index.js';
 import { createDrainFollower } from '../_lib/createDrainFollower/index.js';
 import { createUpstreamFollower } from '../_lib/createUpstreamFollower/index.js';
 import { DirectoryLog } from '../_lib/DirectoryLog/index.js';
 import { planShutdown } from '../_lib/planShutdown/index.js';
-import { RouteTable } from '../RouteTable/index.js';
+import type { RouteTable } from '../RouteTable/index.js';
 import { UpstreamLimitGossip } from '../UpstreamLimitGossip/index.js';
 import { RelayedObjectStore } from '../RelayedObjectStore/index.js';
 import { PeerUpstreamSync } from '../PeerUpstreamSync/index.js';
@@ -119,8 +118,6 @@
 /** Time reserved for the exit of the process itself, in milliseconds. */
 const exitMarginMs = 150;
 
-const storedObjectSchema = z.object({ key: z.string(), version: z.number(), value: z.unknown() });
-
 /** A component that runs until it is disposed of. */
 type Runnable = (Disposable | AsyncDisposable) & { run(): Promise<void> };
 
@@ -138,12 +135,11 @@
   readonly drains: DomainDrains;
   readonly tokens: PrepaidAccounts;
   readonly fleet: InstanceFleet;
-  /** The current configuration; undefined until the first one is known. */
-  readonly routes = new StateStream<RouteTable | undefined>(undefined);
   readonly #options: Required<ForwardingInstanceOptions>;
   readonly #disposables = new DisposableStore();
   /** For what many instances watch alike. */
   readonly #relayedStore: RelayedObjectStore;
+  readonly #configuration: ActiveConfiguration;
   readonly #configurationFollower: ObjectFollower;
   readonly #handler: ForwardHandler;
   readonly #server: Server;
@@ -151,8 +147,6 @@
   readonly #limitGossip: UpstreamLimitGossip;
   readonly #directoryLog: DirectoryLog;
   readonly #linkKey = randomBytes(linkKeyBytes).toString('hex');
-  /** The stored object of the current configuration, for peers that cannot reach the store. */
-  #storedConfiguration: StoredObject | undefined;
   #fleetPort: number | undefined;
   #phase: 'running' | 'leaving' | 'refusing' = 'running';
 
@@ -161,6 +155,7 @@
     const { clock, store, settings, codec, log, metrics, random } = this.#options;
     const processRun: ProcessRun = { instanceId: settings.instanceId, runId: options.runId };
     this.#directoryLog = new DirectoryLog(log, metrics);
+    this.#configuration = this.#createConfiguration();
     this.#links = this.#createLinks();
     this.fleet = this.#createFleet(processRun);
     this.#relayedStore = new RelayedObjectStore({
@@ -171,7 +166,10 @@
       instanceId: settings.instanceId,
       liveInDomain: () => this.fleet.liveInDomain,
     });
-    this.#configurationFollower = this.#followConfiguration();
+    this.#configurationFollower = this.#configuration.createFollower(
+      this.#relayedStore,
+      batchShare.configuration * settings.configurationLimitMs,
+    );
     this.upstreams = this.#createUpstreamTable();
     this.drains = this.#createDomainDrains();
     this.#limitGossip = new UpstreamLimitGossip({
@@ -212,7 +210,7 @@
     this.#handler = new ForwardHandler({
       clock,
       codec,
-      routes: () => this.routes.value,
+      routes: () => this.routes,
       upstreams: this.upstreams,
       tokens: this.tokens,
       retries,
@@ -233,7 +231,12 @@
    * Whether callers should be sent here: a configuration is known and no shutdown was requested.
    */
   get isReady(): boolean {
-    return this.#phase === 'running' && this.routes.value !== undefined;
+    return this.#phase === 'running' && this.routes !== undefined;
+  }
+
+  /** The configuration in force; undefined until the first one is known. */
+  get routes(): RouteTable | undefined {
+    return this.#configuration.routes.value;
   }
 
   /** The port on which callers connect; undefined before {@link start}. */
@@ -351,6 +354,16 @@
     }
   }
 
+  #createConfiguration(): ActiveConfiguration {
+    const { clock, codec, log, metrics, random } = this.#options;
+    const onApplied = (table: RouteTable) => {
+      this.fleet.declareLive();
+      this.tokens.setLimits(table.prepaidLimits(), table.configuration.version);
+      applyCallerLimits(this.#server, table.configuration.limits);
+    };
+    return new ActiveConfiguration({ clock, codec, onApplied, log, metrics, random });
+  }
+
   #createFleet({ instanceId, runId }: ProcessRun): InstanceFleet {
     const { store, clock, random, settings, log, metrics } = this.#options;
     const { callers, fleet, failureDomain } = settings;
@@ -363,9 +376,9 @@
       linkKey: this.#linkKey,
     };
     const configuration = {
-      version: () => this.routes.value?.configuration.version ?? 0,
-      manifest: () => this.#storedConfiguration,
-      offer: (stored: unknown) => this.#applyPeerConfiguration(stored),
+      version: () => this.#configuration.version,
+      manifest: () => this.#configuration.stored,
+      offer: (stored: unknown) => this.#configuration.applyFromPeer(stored),
     };
     const isStoreUnavailable = () => this.#isStoreUnavailable;
     const links = this.#links;
@@ -398,7 +411,7 @@
   /** Whether calls of this instance to the store fail; not told by a watch through a peer. */
   get #isStoreUnavailable(): boolean {
     const { isLost } = this.#configurationFollower;
-    const isRelayed = this.#relayedStore.isRelayed(this.#configurationPrefix);
+    const isRelayed = this.#relayedStore.isRelayed(this.#configuration.prefix);
     return isLost || (isRelayed && this.fleet.isListFailing);
   }
 
@@ -409,7 +422,7 @@
       clock,
       limitSharing: { instanceId, sharers: () => this.fleet.rateSharingInstances },
       instanceCount: () => this.fleet.sharingInstanceCount,
-      maxConnections: (service) => this.routes.value?.service(service)?.maxConnections ?? Infinity,
+      maxConnections: (service) => this.routes?.service(service)?.maxConnections ?? Infinity,
       warmUp: (service) => this.#warmUpOf(service),
       onChange: (change) => {
         metrics.count('upstreamChanges', change.what);
@@ -422,14 +435,14 @@
 
   #warmUpOf(service: ServiceName): WarmUpPolicy | undefined {
     const { overage, slack } = this.#options.settings.warmUp;
-    const traits = this.routes.value?.service(service)?.warmUp;
+    const traits = this.routes?.service(service)?.warmUp;
     if (traits === undefined) return undefined;
     return { ...traits, maxPerSecond: traits.requestsPerSecond * overage + slack };
   }
 
   #createDomainDrains(): DomainDrains {
     const { clock, log, metrics } = this.#options;
-    const services = () => this.routes.value?.configuration.services.map(({ name }) => name) ?? [];
+    const services = () => this.routes?.configuration.services.map(({ name }) => name) ?? [];
     return new DomainDrains({ clock, table: this.upstreams, services, log, metrics });
   }
 
@@ -479,73 +492,6 @@
     });
   }
 
-  get #configurationPrefix(): string {
-    const { configurationKey } = this.#options.codec;
-    return configurationKey.slice(0, configurationKey.indexOf('/') + 1);
-  }
-
-  #followConfiguration(): ObjectFollower {
-    const { clock, codec, log, random, settings } = this.#options;
-    const applyIfConfiguration = (stored: StoredObject | undefined) => {
-      if (stored?.key === codec.configurationKey) this.#applyConfiguration(stored);
-    };
-    return new ObjectFollower({
-      store: this.#relayedStore,
-      clock,
-      random,
-      prefix: this.#configurationPrefix,
-      // Reading several large versions at once would delay the newest one on a slow network.
-      isLatestStateSufficient: true,
-      batchDelayMs: batchShare.configuration * settings.configurationLimitMs,
-      onSnapshot: ({ objects }) => {
-        objects.forEach(applyIfConfiguration);
-      },
-      onChange: ({ object }) => {
-        applyIfConfiguration(object);
-      },
-      onLost: (error) => {
-        log.warn({ error: error.message }, 'store lost for the configuration');
-      },
-      onRegained: (awayMs) => {
-        log.info({ awayMs: Math.round(awayMs) }, 'store regained for the configuration');
-      },
-    });
-  }
-
-  /** Applies the stored object of a newer configuration from a peer. */
-  #applyPeerConfiguration(offered: unknown): boolean {
-    const parsed = storedObjectSchema.safeParse(offered);
-    if (!parsed.success || parsed.data.key !== this.#options.codec.configurationKey) return false;
-    return this.#applyConfiguration(parsed.data);
-  }
-
-  /**
-   * Applies a configuration, unless the current one of this process is the same or newer.
-   *
-   * @returns whether it was applied
-   */
-  #applyConfiguration(stored: StoredObject): boolean {
-    const { codec, log, metrics } = this.#options;
-    try {
-      const configuration = codec.readConfiguration(stored);
-      const currentVersion = this.routes.value?.configuration.version;
-      if (currentVersion !== undefined && configuration.version <= currentVersion) return false;
-      const table = new RouteTable(configuration);
-      this.#storedConfiguration = stored;
-      this.routes.set(table);
-      this.fleet.declareLive();
-      this.tokens.setLimits(table.prepaidLimits(), configuration.version);
-      applyCallerLimits(this.#server, configuration.limits);
-      metrics.count('configurations', 'applied');
-      log.info({ version: configuration.version, was: currentVersion }, 'configuration in force');
-      return true;
-    } catch (thrown) {
-      metrics.count('configurations', 'refused');
-      log.error({ error: toRouterError(thrown).message }, 'configuration refused');
-      return false;
-    }
-  }
-
   #followUpstreams(): ObjectFollower {
     const { clock, codec, log, metrics, random, settings } = this.#options;
     return createUpstreamFollower({
