UpstreamTable: departures apart, and the index of services is made anew only on a change

UpstreamDepartures keeps what left and what a restored store may bring back; isDifferentRun stands by itself.

--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -7,7 +7,9 @@
 } from '@acaciacrank/base';
 import { maxWarmUpMs, RunTimeEstimator } from '@acaciacrank/routing';
 import { maxCopyAgeMs } from '@acaciacrank/store';
+import { isDifferentRun } from '../_lib/isDifferentRun/index.js';
 import { Upstream } from '../_lib/Upstream/index.js';
+import { UpstreamDepartures } from '../_lib/UpstreamDepartures/index.js';
 import { expiredRecordGraceMs } from '../_lib/limits/index.js';
 import type { LimitChange, LimitSharing } from '../_lib/UpstreamLimit/index.js';
 import type { UpstreamRecord, WarmUpPolicy } from '../types.js';
@@ -62,16 +64,6 @@
   warmUp?: (service: ServiceName) => WarmUpPolicy | undefined;
 }
 
-/** An upstream that has left. */
-interface Departure {
-  readonly record: UpstreamRecord;
-  /** On the monotonic clock. */
-  readonly atMs: number;
-}
-
-/** Number of upstreams that have left which are remembered; many times those of a busy minute. */
-const maxDeparted = 4_096;
-
 /** How long the number of instances that share connections is cached, in milliseconds. */
 const instanceCountTtlMs = 250;
 
@@ -98,18 +90,14 @@
   readonly #expired = new Map<UpstreamId, Disposable | undefined>();
   /** Number of instances that share connections, and when it was determined. */
   #instanceCount = { value: 1, atMs: -Infinity };
-  /** Upstreams that have left, by the record with which they did; used after a restore of the store. */
-  readonly #departed = new Map<UpstreamId, Departure>();
-  /** Records that were left out since they show a run which has left. */
-  readonly #refused = new Map<UpstreamId, UpstreamRecord>();
-  /** When the store last came back from an older copy, on the monotonic clock. */
-  #storeRestoredAtMs = -Infinity;
+  readonly #departures: UpstreamDepartures;
   #isStoreUnavailable = false;
   /** When the store last became available again, on the monotonic clock. */
   #storeAvailableSinceMs = -Infinity;
 
   constructor(options: UpstreamTableOptions) {
     this.#options = options;
+    this.#departures = new UpstreamDepartures(options.clock);
   }
 
   /** Upstreams of a service that accept new requests. */
@@ -145,10 +133,9 @@
    * the others stay out of use until a record of their next run appears.
    */
   markStoreRestored(): void {
-    const { clock } = this.#options;
-    this.#storeRestoredAtMs = clock.monotonicMs();
-    clock.schedule(maxCopyAgeMs, () => {
-      this.#putRefused();
+    this.#departures.markStoreRestored();
+    this.#options.clock.schedule(maxCopyAgeMs, () => {
+      for (const record of this.#departures.takeRefused()) this.put(record);
     });
     this.markStoreAvailable();
   }
@@ -157,7 +144,8 @@
   replaceAll(records: readonly UpstreamRecord[]): void {
     const listed = new Set(records.map(({ id }) => id));
     for (const id of [...this.#byId.keys()]) if (!listed.has(id)) this.remove(id);
-    for (const record of records) this.put(record);
+    const changes = records.map((record) => this.#apply(record));
+    if (changes.includes(true)) this.#rebuildServiceIndex();
     this.#hasList = true;
   }
 
@@ -193,45 +181,22 @@
    * the peer's list are kept, since their records may only have expired.
    */
   mergeFromPeer(records: readonly UpstreamRecord[]): void {
-    for (const record of records) {
+    const changes = records.map((record) => {
       const known = this.#byId.get(record.id);
       const isLeaving = known?.isLeaving === true && !isDifferentRun(known.record, record);
-      if (!isLeaving) this.put(record);
-    }
+      return !isLeaving && this.#apply(record);
+    });
+    if (changes.includes(true)) this.#rebuildServiceIndex();
   }
 
   /** Adds or updates one record. */
   put(record: UpstreamRecord): void {
-    this.#expired.get(record.id)?.[Symbol.dispose]();
-    this.#expired.delete(record.id);
-    this.#refused.delete(record.id);
-    if (this.#hasDeparted(record)) {
-      this.#refused.set(record.id, record);
-      return;
-    }
-    const known = this.#byId.get(record.id);
-    if (known === undefined || isDifferentRun(known.record, record)) {
-      if (known !== undefined) this.#closeUpstream(known);
-      const upstream = this.#createUpstream(record);
-      this.#byId.set(record.id, upstream);
-      this.#applyWarmUp(upstream, record);
-      if (known !== undefined) this.#report(record, 'startedAgain');
-      this.#report(record, record.state === 'leaving' ? 'leaving' : 'seen');
-    } else {
-      const isNewlyLeaving = !known.isLeaving && record.state === 'leaving';
-      if (isNewerRecord(known.record, record)) this.#applyWarmUp(known, record);
-      known.record = record;
-      // A copy from before an upstream left does not bring it back.
-      const staysLeaving = this.#storeRestoredAtMs > -Infinity && known.isLeaving;
-      known.isLeaving = staysLeaving || record.state === 'leaving';
-      if (isNewlyLeaving) this.#report(record, 'leaving');
-    }
-    this.#rebuildServiceIndex();
+    if (this.#apply(record)) this.#rebuildServiceIndex();
   }
 
   /** Handles the disappearance of a record from the store. */
   remove(id: UpstreamId): void {
-    this.#refused.delete(id);
+    this.#departures.forgetRefused(id);
     const upstream = this.#byId.get(id);
     if (upstream === undefined || this.#expired.has(id)) return;
     const availableForMs = this.#options.clock.monotonicMs() - this.#storeAvailableSinceMs;
@@ -261,6 +226,36 @@
     this.#report(record, what, { limitPerS, toldBy });
   }
 
+  /** Applies one record; returns whether the upstreams that can be used may have changed. */
+  #apply(record: UpstreamRecord): boolean {
+    this.#expired.get(record.id)?.[Symbol.dispose]();
+    this.#expired.delete(record.id);
+    if (this.#departures.refuses(record)) return false;
+    const known = this.#byId.get(record.id);
+    if (known !== undefined && !isDifferentRun(known.record, record)) {
+      return this.#update(known, record);
+    }
+    if (known !== undefined) this.#closeUpstream(known);
+    const upstream = this.#createUpstream(record);
+    this.#byId.set(record.id, upstream);
+    this.#applyWarmUp(upstream, record);
+    if (known !== undefined) this.#report(record, 'startedAgain');
+    this.#report(record, record.state === 'leaving' ? 'leaving' : 'seen');
+    return true;
+  }
+
+  #update(known: Upstream, record: UpstreamRecord): boolean {
+    const wasLeaving = known.isLeaving;
+    const previousDomain = known.record.failureDomain;
+    if (isNewerRecord(known.record, record)) this.#applyWarmUp(known, record);
+    known.record = record;
+    // A copy from before an upstream left does not bring it back.
+    const staysLeaving = this.#departures.wasStoreRestored && wasLeaving;
+    known.isLeaving = staysLeaving || record.state === 'leaving';
+    if (!wasLeaving && record.state === 'leaving') this.#report(record, 'leaving');
+    return known.isLeaving !== wasLeaving || record.failureDomain !== previousDomain;
+  }
+
   #createUpstream(record: UpstreamRecord): Upstream {
     const { clock, limitSharing, warmUp = () => undefined } = this.#options;
     const { service } = record;
@@ -335,38 +330,13 @@
     this.#expired.set(id, timer);
   }
 
-  /** Takes up the records that were left out, and that the store still holds. */
-  #putRefused(): void {
-    const refused = [...this.#refused.values()];
-    for (const record of refused) this.put(record);
-  }
-
-  /**
-   * Whether a record is that of a run which has left, as only an older copy of the store shows it. After a
-   * while the store has caught up, and a run that had lost touch with it may be back.
-   */
-  #hasDeparted(record: UpstreamRecord): boolean {
-    const departure = this.#departed.get(record.id);
-    if (departure === undefined || isDifferentRun(departure.record, record)) return false;
-    const restoredAtMs = this.#storeRestoredAtMs;
-    const restoredForMs = this.#options.clock.monotonicMs() - restoredAtMs;
-    return restoredForMs < maxCopyAgeMs && restoredAtMs - departure.atMs < maxCopyAgeMs;
-  }
-
   #removeUpstream(upstream: Upstream): void {
-    this.#rememberDeparture(upstream.record);
+    this.#departures.add(upstream.record);
     this.#closeUpstream(upstream);
     this.#report(upstream.record, 'gone');
     this.#rebuildServiceIndex();
   }
 
-  #rememberDeparture(record: UpstreamRecord): void {
-    this.#departed.delete(record.id);
-    this.#departed.set(record.id, { record, atMs: this.#options.clock.monotonicMs() });
-    const [oldest] = this.#departed.keys();
-    if (oldest !== undefined && this.#departed.size > maxDeparted) this.#departed.delete(oldest);
-  }
-
   #closeUpstream(upstream: Upstream): void {
     upstream.isLeaving = true;
     this.#byId.delete(upstream.id);
@@ -394,16 +364,6 @@
   }
 }
 
-/**
- * Whether a record describes a different run of the upstream than the known record. Ids normally
- * identify a single run, but some upstreams restart under the same id, with no cache and no state
- * from before.
- */
-function isDifferentRun(known: UpstreamRecord, record: UpstreamRecord): boolean {
-  const isElsewhere = known.ip !== record.ip || known.port !== record.port;
-  return isElsewhere || known.service !== record.service || !isSameStart(known, record);
-}
-
 /**
  * Whether a record of the same run is newer than the known one. A repeated record, as in a complete list,
  * says nothing new: its times are those of its writing.
@@ -414,13 +374,3 @@
   }
   return record.warmUpMs !== known.warmUpMs;
 }
-
-/**
- * Whether two records can have the same start time. A missing time matches any; an earlier time
- * than the known one does not match, since the clock may have been set back before a restart.
- */
-function isSameStart(known: UpstreamRecord, record: UpstreamRecord): boolean {
-  const { startedAtMs } = record;
-  if (known.startedAtMs === undefined || startedAtMs === undefined) return true;
-  return known.startedAtMs === startedAtMs;
-}
--- /dev/null
+++ b/packages/forwarding/src/_lib/UpstreamDepartures/index.ts
@@ -0,0 +1,76 @@
+import type { Clock, UpstreamId } from '@acaciacrank/base';
+import { maxCopyAgeMs } from '@acaciacrank/store';
+import type { UpstreamRecord } from '../../types.js';
+import { isDifferentRun } from '../isDifferentRun/index.js';
+
+/** An upstream that has left. */
+interface Departure {
+  readonly record: UpstreamRecord;
+  /** On the monotonic clock. */
+  readonly atMs: number;
+}
+
+/** Number of upstreams that have left which are remembered; many times those of a busy minute. */
+const maxDeparted = 4_096;
+
+/**
+ * The upstreams that left, so that a store which comes back from an older copy does not bring them back.
+ *
+ * After a while the store has caught up, and a run that had lost touch with it may be back: records that were
+ * refused until then are given back by {@link takeRefused}.
+ */
+export class UpstreamDepartures {
+  readonly #clock: Clock;
+  readonly #departed = new Map<UpstreamId, Departure>();
+  /** Records that were left out since they show a run which has left. */
+  readonly #refused = new Map<UpstreamId, UpstreamRecord>();
+  /** When the store last came back from an older copy, on the monotonic clock. */
+  #storeRestoredAtMs = -Infinity;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** Whether the store ever came back from an older copy. */
+  get wasStoreRestored(): boolean {
+    return this.#storeRestoredAtMs > -Infinity;
+  }
+
+  /** Records that the store came back from an older copy. */
+  markStoreRestored(): void {
+    this.#storeRestoredAtMs = this.#clock.monotonicMs();
+  }
+
+  /** Records that an upstream left. */
+  add(record: UpstreamRecord): void {
+    this.#departed.delete(record.id);
+    this.#departed.set(record.id, { record, atMs: this.#clock.monotonicMs() });
+    const [oldest] = this.#departed.keys();
+    if (oldest !== undefined && this.#departed.size > maxDeparted) this.#departed.delete(oldest);
+  }
+
+  /** Whether a record is that of a run which has left, as only an older copy of the store shows it. */
+  refuses(record: UpstreamRecord): boolean {
+    this.#refused.delete(record.id);
+    if (!this.#hasDeparted(record)) return false;
+    this.#refused.set(record.id, record);
+    return true;
+  }
+
+  /** Forgets a record that was refused, since the store does not list it any more. */
+  forgetRefused(id: UpstreamId): void {
+    this.#refused.delete(id);
+  }
+
+  /** Returns the records that were refused and that the store still holds. */
+  takeRefused(): readonly UpstreamRecord[] {
+    return [...this.#refused.values()];
+  }
+
+  #hasDeparted(record: UpstreamRecord): boolean {
+    const departure = this.#departed.get(record.id);
+    if (departure === undefined || isDifferentRun(departure.record, record)) return false;
+    const restoredForMs = this.#clock.monotonicMs() - this.#storeRestoredAtMs;
+    return restoredForMs < maxCopyAgeMs && this.#storeRestoredAtMs - departure.atMs < maxCopyAgeMs;
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/_lib/isDifferentRun/index.ts
@@ -0,0 +1,24 @@
+import type { UpstreamRecord } from '../../types.js';
+
+/**
+ * Whether a record describes a different run of the upstream than the known record. Ids normally
+ * identify a single run, but some upstreams restart under the same id, with no cache and no state
+ * from before.
+ *
+ * @example
+ * isDifferentRun(known, { ...known, startedAtMs: 2_000 });
+ */
+export function isDifferentRun(known: UpstreamRecord, record: UpstreamRecord): boolean {
+  const isElsewhere = known.ip !== record.ip || known.port !== record.port;
+  return isElsewhere || known.service !== record.service || !isSameStart(known, record);
+}
+
+/**
+ * Whether two records can have the same start time. A missing time matches any; an earlier time
+ * than the known one does not match, since the clock may have been set back before a restart.
+ */
+function isSameStart(known: UpstreamRecord, record: UpstreamRecord): boolean {
+  const { startedAtMs } = record;
+  if (known.startedAtMs === undefined || startedAtMs === undefined) return true;
+  return known.startedAtMs === startedAtMs;
+}
