Placing: of many upstreams only those next to a key are looked at

Change: HashRing, the engines in the order of their hashes; 64 next to the prompt part's hash are candidates, the same on all instances, in the order that they had among themselves; all if none of these has room. Services of up to 64 upstreams are placed as before. The index is made when it is used.

--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -5,7 +5,7 @@
   ServiceName,
   UpstreamId,
 } from '@acaciacrank/base';
-import { maxWarmUpMs, RunTimeEstimator } from '@acaciacrank/routing';
+import { HashRing, maxWarmUpMs, RunTimeEstimator } from '@acaciacrank/routing';
 import { maxCopyAgeMs } from '@acaciacrank/store';
 import { isDifferentRun } from '../_lib/isDifferentRun/index.js';
 import { Upstream } from '../_lib/Upstream/index.js';
@@ -64,6 +64,9 @@
   warmUp?: (service: ServiceName) => WarmUpPolicy | undefined;
 }
 
+/** Number of upstreams that are looked at for a request: enough for a hot prompt part to spill to. */
+const maxCandidates = 64;
+
 /** How long the number of instances that share connections is cached, in milliseconds. */
 const instanceCountTtlMs = 250;
 
@@ -77,7 +80,9 @@
 export class UpstreamTable {
   readonly #options: UpstreamTableOptions;
   readonly #byId = new Map<UpstreamId, Upstream>();
-  readonly #byService = new Map<ServiceName, Upstream[]>();
+  readonly #byService = new Map<ServiceName, HashRing<Upstream>>();
+  /** Whether the index by service is to be made anew before it is used: once for many changes at a time. */
+  #isIndexStale = false;
   /** How long requests hold a slot of the upstreams of each service. */
   readonly #runTimes = new Map<ServiceName, RunTimeEstimator>();
   /** Failure domains whose upstreams get no new requests. */
@@ -102,7 +107,15 @@
 
   /** Upstreams of a service that accept new requests. */
   usable(service: ServiceName): readonly Upstream[] {
-    return this.#byService.get(service) ?? [];
+    return this.#ringOf(service)?.items ?? [];
+  }
+
+  /**
+   * Upstreams of a service among which one is chosen for a request: all of them, or of many the same few
+   * for each request with the same key.
+   */
+  candidates(service: ServiceName, key: string): readonly Upstream[] {
+    return this.#ringOf(service)?.neighbours(key, maxCandidates) ?? [];
   }
 
   /** Returns one upstream; undefined if it is not known. */
@@ -145,7 +158,7 @@
     const listed = new Set(records.map(({ id }) => id));
     for (const id of [...this.#byId.keys()]) if (!listed.has(id)) this.remove(id);
     const changes = records.map((record) => this.#apply(record));
-    if (changes.includes(true)) this.#rebuildServiceIndex();
+    if (changes.includes(true)) this.#isIndexStale = true;
     this.#hasList = true;
   }
 
@@ -161,7 +174,7 @@
     for (const upstream of this.#byId.values()) {
       if (ended.includes(upstream.record.failureDomain)) this.#assumeWarmUp(upstream);
     }
-    this.#rebuildServiceIndex();
+    this.#isIndexStale = true;
   }
 
   /** Failure domains whose upstreams get no new requests. */
@@ -186,12 +199,12 @@
       const isLeaving = known?.isLeaving === true && !isDifferentRun(known.record, record);
       return !isLeaving && this.#apply(record);
     });
-    if (changes.includes(true)) this.#rebuildServiceIndex();
+    if (changes.includes(true)) this.#isIndexStale = true;
   }
 
   /** Adds or updates one record. */
   put(record: UpstreamRecord): void {
-    if (this.#apply(record)) this.#rebuildServiceIndex();
+    if (this.#apply(record)) this.#isIndexStale = true;
   }
 
   /** Handles the disappearance of a record from the store. */
@@ -334,7 +347,7 @@
     this.#departures.add(upstream.record);
     this.#closeUpstream(upstream);
     this.#report(upstream.record, 'gone');
-    this.#rebuildServiceIndex();
+    this.#isIndexStale = true;
   }
 
   #closeUpstream(upstream: Upstream): void {
@@ -345,14 +358,22 @@
     });
   }
 
+  #ringOf(service: ServiceName): HashRing<Upstream> | undefined {
+    if (this.#isIndexStale) this.#rebuildServiceIndex();
+    return this.#byService.get(service);
+  }
+
   #rebuildServiceIndex(): void {
-    this.#byService.clear();
+    this.#isIndexStale = false;
+    const lists = new Map<ServiceName, Upstream[]>();
     for (const upstream of this.#byId.values()) {
       if (upstream.isLeaving || this.#drained.has(upstream.record.failureDomain)) continue;
-      const list = this.#byService.get(upstream.record.service) ?? [];
+      const list = lists.get(upstream.record.service) ?? [];
       list.push(upstream);
-      this.#byService.set(upstream.record.service, list);
+      lists.set(upstream.record.service, list);
     }
+    this.#byService.clear();
+    for (const [service, list] of lists) this.#byService.set(service, new HashRing(list));
   }
 
   #report(
--- a/packages/forwarding/src/UpstreamTable/test.ts
+++ b/packages/forwarding/src/UpstreamTable/test.ts
@@ -137,3 +137,20 @@
   table.put({ ...record, startedAtMs: 2_000 });
   t.true(table.get(id)?.hasRoom);
 });
+
+// Guards against requests of which each costs more the more upstreams there are.
+test('of many upstreams the same few are candidates for requests with the same key', (t) => {
+  const { table } = createTable();
+  const records = Array.from({ length: 300 }, (_, index) => ({
+    ...record,
+    id: `u${index}` as UpstreamId,
+  }));
+  table.replaceAll(records);
+  const candidates = table.candidates(service, 'part');
+  t.is(table.usable(service).length, 300);
+  t.true(candidates.length < 100);
+  t.deepEqual(table.candidates(service, 'part'), candidates);
+  const leaving = candidates[0]?.record ?? t.fail();
+  table.put({ ...leaving, state: 'leaving' });
+  t.false(table.candidates(service, 'part').some((upstream) => upstream.id === leaving.id));
+});
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -19,7 +19,7 @@
 import { maxConnectAttempts, upstreamInactivityMs } from '../limits/index.js';
 import type { TraceStep } from '../RequestTrace/index.js';
 import type { PromptPartLocations } from '../PromptPartLocations/index.js';
-import { pickUpstream, type UpstreamPick } from '../pickUpstream/index.js';
+import { lastSharedPart, pickUpstream, type UpstreamPick } from '../pickUpstream/index.js';
 import { delimitByConnectionClose } from '../StreamRelay/index.js';
 import type { InFlightRequest, Upstream } from '../Upstream/index.js';
 import type { LimitChange } from '../UpstreamLimit/index.js';
@@ -79,11 +79,22 @@
     }
   }
 
+  /** Chooses among the candidates, or among all upstreams if none of the candidates has room. */
   #pick(): UpstreamPick | undefined {
-    const { upstreams, ownDomain, promptPartLocations, clock, random } = this.#dependencies;
+    const { upstreams, random } = this.#dependencies;
+    const { head, service } = this.#call;
+    const key = lastSharedPart(head.promptParts)?.id ?? String(random());
+    const candidates = upstreams.candidates(service.name, key);
+    const all = upstreams.usable(service.name);
+    const pick = this.#pickFrom(candidates);
+    return pick ?? (candidates.length < all.length ? this.#pickFrom(all) : undefined);
+  }
+
+  #pickFrom(candidates: readonly Upstream[]): UpstreamPick | undefined {
+    const { ownDomain, promptPartLocations, clock, random } = this.#dependencies;
     const { head, service } = this.#call;
     return pickUpstream({
-      candidates: upstreams.usable(service.name),
+      candidates,
       attemptedIds: this.#attemptedIds,
       promptParts: head.promptParts,
       promptTokens: head.tokens?.promptTokens ?? 0,
--- a/packages/forwarding/src/_lib/pickUpstream/index.ts
+++ b/packages/forwarding/src/_lib/pickUpstream/index.ts
@@ -82,7 +82,7 @@
  * Returns the last part that other requests may share. The final part of a prompt belongs to the
  * request alone.
  */
-function lastSharedPart(parts: readonly PromptPart[]): PromptPart | undefined {
+export function lastSharedPart(parts: readonly PromptPart[]): PromptPart | undefined {
   return parts.length > 1 ? parts[parts.length - 2] : parts[0];
 }
 
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -24,6 +24,7 @@
 export * from './divideRate/index.js';
 export * from './RateShare/index.js';
 export * from './rankByKey/index.js';
+export * from './HashRing/index.js';
 export * from './chooseWarmUpHolders/index.js';
 export * from './WarmUp/index.js';
 export * from './PrefillTimeModel/index.js';
