Store calls in an outage: the configuration is asked for as often as before

Change: the bound of the delay is an option, set for the followers of upstreams and drains only. A test holds the configuration's time: back within half a second.

--- a/packages/forwarding/src/_lib/createDrainFollower/index.ts
+++ b/packages/forwarding/src/_lib/createDrainFollower/index.ts
@@ -1,6 +1,7 @@
 import type { Clock, FailureDomainId, Random } from '@acaciacrank/base';
 import { ObjectFollower, type ObjectStore } from '@acaciacrank/store';
 import type { DomainDrains } from '../../DomainDrains/index.js';
+import { maxFollowerRetryMs } from '../limits/index.js';
 
 /** Options of {@link createDrainFollower}. */
 export interface CreateDrainFollowerOptions {
@@ -31,6 +32,7 @@
     clock,
     random,
     prefix,
+    maxRetryMs: maxFollowerRetryMs,
     onSnapshot: ({ objects }) => {
       drains.replaceAll(objects.map(({ key }) => domainOf(key)));
     },
--- a/packages/forwarding/src/_lib/createUpstreamFollower/index.ts
+++ b/packages/forwarding/src/_lib/createUpstreamFollower/index.ts
@@ -2,6 +2,7 @@
 import { ObjectFollower, type ObjectStore, type StoredObject } from '@acaciacrank/store';
 import type { ForwardCodec } from '../../ForwardCodec/index.js';
 import type { UpstreamTable } from '../../UpstreamTable/index.js';
+import { maxFollowerRetryMs } from '../limits/index.js';
 
 /** Options of {@link createUpstreamFollower}. */
 export interface CreateUpstreamFollowerOptions {
@@ -43,6 +44,7 @@
     random,
     prefix: codec.upstreamPrefix,
     batchDelayMs,
+    maxRetryMs: maxFollowerRetryMs,
     onSnapshot: ({ objects }) => {
       table.replaceAll(objects.map(read).filter((record) => record !== undefined));
     },
--- a/packages/forwarding/src/_lib/limits/index.ts
+++ b/packages/forwarding/src/_lib/limits/index.ts
@@ -48,3 +48,8 @@
 export const maxEventBytes = 1_048_576;
 /** Time reserved for returning the response to the caller, in milliseconds. */
 export const responseMarginMs = 10;
+/**
+ * Upper bound for the delay between calls to a store that refuses them, of what follows upstreams and
+ * drains, in milliseconds. The configuration is asked for more often: it tells that the store is back.
+ */
+export const maxFollowerRetryMs = 1_000;
--- a/packages/store/src/ObjectFollower/index.ts
+++ b/packages/store/src/ObjectFollower/index.ts
@@ -19,11 +19,14 @@
    * milliseconds.
    */
   onRegained?: (awayMs: number) => void;
+  /** Mean delay before a failed call is retried, in milliseconds. */
+  retryMs?: number;
   /**
-   * Mean delay before a failed call is retried, in milliseconds; after a few failures in a row it is
-   * doubled each time.
+   * Upper bound to which the mean delay is doubled after a few failures in a row, in milliseconds; by
+   * default it is not. For what may be known a little later after an outage: each call is charged for,
+   * refused ones too.
    */
-  retryMs?: number;
+  maxRetryMs?: number;
   /**
    * Delay of the next watch after a change, to batch further changes, in milliseconds; 0 by
    * default.
@@ -44,12 +47,6 @@
 const defaultRetryMs = 350;
 /** Number of failures in a row that are retried at the first delay: most outages are short. */
 const failuresAtFirstDelay = 3;
-/**
- * Upper bound for the mean delay, in milliseconds. Changes must be known a few seconds after the end of an
- * outage; until then each instance would only add refused calls, which are charged for.
- */
-const maxRetryMs = 1_000;
-
 /**
  * Follows all objects under a prefix: reads a snapshot, then watches for changes.
  *
@@ -148,8 +145,9 @@
   }
 
   get #nextRetryMs(): number {
+    const { retryMs, maxRetryMs = retryMs } = this.#options;
     const doublings = Math.max(0, this.#failures - failuresAtFirstDelay);
-    return Math.min(maxRetryMs, this.#options.retryMs * 2 ** doublings);
+    return Math.min(maxRetryMs, retryMs * 2 ** doublings);
   }
 
   #handleFailure(error: RouterError): void {
--- a/packages/store/src/ObjectFollower/test.ts
+++ b/packages/store/src/ObjectFollower/test.ts
@@ -51,7 +51,8 @@
   {
     batchDelayMs = 0,
     isLatestStateSufficient = false,
-  }: { batchDelayMs?: number; isLatestStateSufficient?: boolean } = {},
+    ...more
+  }: { batchDelayMs?: number; isLatestStateSufficient?: boolean; maxRetryMs?: number } = {},
 ) {
   const clock = new ManualClock();
   const store = new ScriptedStore(steps);
@@ -61,6 +62,7 @@
     clock,
     batchDelayMs,
     isLatestStateSufficient,
+    ...more,
     prefix: 'a/',
     random: () => 0.5,
     onSnapshot: ({ objects }) => events.push(`all ${objects.map(({ key }) => key).join()}`),
@@ -142,12 +144,23 @@
   t.deepEqual(events, ['all a/1', 'lost', 'regained', 'all a/1']);
 });
 
+// Guards against requests that are refused for want of the store though it is back.
+test('without another bound an outage is noticed to be over within half a second', async (t) => {
+  const steps: Step[] = [{ objects: [], revision: 7 }];
+  for (let call = 0; call < 200; call += 1) steps.push(createUnavailableError());
+  const { clock, events } = follow(steps);
+  await clock.advance(8_000);
+  steps.splice(0, Infinity, { changes: [], revision: 7 });
+  await clock.advance(530);
+  t.deepEqual(events, ['all ', 'lost', 'regained']);
+});
+
 // Guards against calls that every instance makes in vain, and pays for, while the store refuses them; and
 // against an instance that is back late.
 test('a store that refuses calls for 8 s is called rarely and followed again soon after', async (t) => {
   const steps: Step[] = [{ objects: [], revision: 7 }];
   for (let call = 0; call < 200; call += 1) steps.push(createUnavailableError());
-  const { clock, store, events } = follow(steps);
+  const { clock, store, events } = follow(steps, { maxRetryMs: 1_000 });
   await clock.advance(8_000);
   t.true(store.calls.length <= 14, `${store.calls.length} calls`);
   steps.splice(0, Infinity, { changes: [], revision: 7 });
