--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -148,7 +148,7 @@
   markStoreRestored(): void {
     this.#departures.markStoreRestored();
     this.#options.clock.schedule(maxCopyAgeMs, () => {
-      for (const record of this.#departures.takeRefused()) this.put(record);
+      for (const record of this.#departures.refused) this.put(record);
     });
     this.markStoreAvailable();
   }
@@ -177,11 +177,6 @@
     this.#isIndexStale = true;
   }
 
-  /** Failure domains whose upstreams get no new requests. */
-  get drainedDomains(): ReadonlySet<FailureDomainId> {
-    return this.#drained;
-  }
-
   /** Whether a service has upstreams, all of which are in drained failure domains. */
   isDrained(service: ServiceName): boolean {
     if (this.#drained.size === 0 || this.usable(service).length > 0) return false;
--- a/packages/forwarding/src/_lib/UpstreamDepartures/index.ts
+++ b/packages/forwarding/src/_lib/UpstreamDepartures/index.ts
@@ -17,7 +17,7 @@
  * The upstreams that left, so that a store which comes back from an older copy does not bring them back.
  *
  * After a while the store has caught up, and a run that had lost touch with it may be back: records that were
- * refused until then are given back by {@link takeRefused}.
+ * refused until then can be applied again from {@link refused}.
  */
 export class UpstreamDepartures {
   readonly #clock: Clock;
@@ -62,8 +62,8 @@
     this.#refused.delete(id);
   }
 
-  /** Returns the records that were refused and that the store still holds. */
-  takeRefused(): readonly UpstreamRecord[] {
+  /** The records that were refused and that the store still holds. */
+  get refused(): readonly UpstreamRecord[] {
     return [...this.#refused.values()];
   }
 
