Statements of upstreams: decoded into one typed value, recorded, logged and counted

Change: what a response says of its upstream (load, limit, warm-up, leaving, backoff) is one value, read in platform/ and applied in one place; lines leaving (with its source and age), backoffBegan, backoffEnded, backoffImplausible; the steps sent and notRun tell what was known; gauges upstreams_backing_off and upstreams_leaving by source, counter sent_against_statement. The choice of an upstream is as it was. The load of another upstream at a reused address is left out now, as its limit was.

--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -37,7 +37,8 @@
 import { RelayedObjectStore } from '../RelayedObjectStore/index.js';
 import { PeerUpstreamSync } from '../PeerUpstreamSync/index.js';
 import type { WarmUpPolicy } from '../types.js';
-import { UpstreamTable, type UpstreamChange } from '../UpstreamTable/index.js';
+import { UpstreamTable } from '../UpstreamTable/index.js';
+import type { UpstreamChange } from '../_lib/UpstreamChange/index.js';
 
 /** Addresses and limits of a forwarding instance. */
 export interface ForwardingSettings {
--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -7,46 +7,15 @@
 } from '@acaciacrank/base';
 import { HashRing, maxWarmUpMs, RunTimeEstimator } from '@acaciacrank/routing';
 import { maxCopyAgeMs } from '@acaciacrank/store';
+import { applyStatement, type ReceivedStatement } from '../_lib/applyStatement/index.js';
 import { isDifferentRun } from '../_lib/isDifferentRun/index.js';
 import { Upstream } from '../_lib/Upstream/index.js';
+import type { ChangeDetails, UpstreamChange } from '../_lib/UpstreamChange/index.js';
 import { UpstreamDepartures } from '../_lib/UpstreamDepartures/index.js';
 import { expiredRecordGraceMs } from '../_lib/limits/index.js';
 import type { LimitChange, LimitSharing } from '../_lib/UpstreamLimit/index.js';
 import type { UpstreamRecord, WarmUpPolicy } from '../types.js';
 
-/** A change in this instance's view of an upstream. */
-export interface UpstreamChange {
-  readonly upstreamId: UpstreamId;
-  readonly service: ServiceName;
-  /**
-   * `seen`: a new record; `startedAgain`: a different run under the same id; `leaving`: it is
-   * draining; `lapsed`: its record disappeared, but it stays usable for a grace period; `gone`: it
-   * was removed; `leftOut`: it was ejected; `warmingUp`: it says that it is warming up;
-   * `warmUpImplausible`: it states a longer time than is believed.
-   */
-  readonly what:
-    | 'seen'
-    | 'startedAgain'
-    | 'leaving'
-    | 'lapsed'
-    | 'gone'
-    | 'leftOut'
-    | 'warmingUp'
-    | 'warmUpImplausible'
-    | LimitChange;
-  /**
-   * Requests per second that the upstream accepts from all instances combined; undefined if it sets
-   * no limit and for changes other than {@link LimitChange}.
-   */
-  readonly limitPerS?: number | undefined;
-  /** The peer that reported the limit; undefined if this instance read it in a response. */
-  readonly toldBy?: InstanceId | undefined;
-  /** How long it says that it is warming up, in milliseconds. */
-  readonly warmUpMs?: number | undefined;
-}
-
-type ChangeDetails = Pick<UpstreamChange, 'limitPerS' | 'toldBy' | 'warmUpMs'>;
-
 /** Options of {@link UpstreamTable}. */
 export interface UpstreamTableOptions {
   clock: Clock;
@@ -222,6 +191,18 @@
     if (this.#byId.get(upstream.id) === upstream) this.#removeUpstream(upstream);
   }
 
+  /** Applies what an upstream says of itself in a response. */
+  applyStatement(upstream: Upstream, received: ReceivedStatement): void {
+    applyStatement(upstream, received, (what, details) => {
+      this.#report(upstream.record, what, details);
+    });
+  }
+
+  /** Reports that the first request is sent to an upstream after its backoff. */
+  reportBackoffEnded(upstream: Upstream): void {
+    this.#report(upstream.record, 'backoffEnded');
+  }
+
   /** Reports that an upstream was ejected. */
   reportEjected(upstream: Upstream): void {
     this.#report(upstream.record, 'leftOut');
@@ -248,7 +229,8 @@
     this.#byId.set(record.id, upstream);
     this.#applyWarmUp(upstream, record);
     if (known !== undefined) this.#report(record, 'startedAgain');
-    this.#report(record, record.state === 'leaving' ? 'leaving' : 'seen');
+    if (record.state === 'leaving') this.#reportLeavingRecord(record);
+    else this.#report(record, 'seen');
     return true;
   }
 
@@ -260,7 +242,7 @@
     // A copy from before an upstream left does not bring it back.
     const staysLeaving = this.#departures.wasStoreRestored && wasLeaving;
     known.isLeaving = staysLeaving || record.state === 'leaving';
-    if (!wasLeaving && record.state === 'leaving') this.#report(record, 'leaving');
+    if (!wasLeaving && record.state === 'leaving') this.#reportLeavingRecord(record);
     return known.isLeaving !== wasLeaving || record.failureDomain !== previousDomain;
   }
 
@@ -371,6 +353,10 @@
     for (const [service, list] of lists) this.#byService.set(service, new HashRing(list));
   }
 
+  #reportLeavingRecord(record: UpstreamRecord): void {
+    this.#report(record, 'leaving', { source: 'record' });
+  }
+
   #report(
     { id: upstreamId, service }: UpstreamRecord,
     what: UpstreamChange['what'],
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -3,6 +3,7 @@
  */
 import { InactivityTimer, toRouterError, RouterError, type Clock } from '@acaciacrank/base';
 import type { ForwardCodec } from '../../ForwardCodec/index.js';
+import type { ReceivedStatement } from '../applyStatement/index.js';
 import type { AttemptResult } from '../AttemptResult/index.js';
 import { BodyCollector } from '../BodyCollector/index.js';
 import {
@@ -16,7 +17,6 @@
 import { responseMarginMs } from '../limits/index.js';
 import { StreamRelay } from '../StreamRelay/index.js';
 import type { PrefillEstimate, InFlightRequest, Upstream } from '../Upstream/index.js';
-import type { LimitChange } from '../UpstreamLimit/index.js';
 
 /** Options of {@link Attempt}. */
 export interface AttemptOptions {
@@ -32,8 +32,8 @@
   prefill: PrefillEstimate | undefined;
   /** Called once, when the first event arrives. */
   onFirstEvent: (inFlightRequest: InFlightRequest) => void;
-  /** Called when the response changes the upstream's known rate limit. */
-  onLimitChange: (change: LimitChange) => void;
+  /** Called with what the upstream says of itself in a response to the request. */
+  onStatement: (received: ReceivedStatement) => void;
   /**
    * Aborts the attempt after this long without data from the upstream, in milliseconds; undefined
    * for no limit.
@@ -110,11 +110,11 @@
     const { status, headers, isFramed } = response;
     const head = codec.readResponseHead(status, headers);
     this.#recordReceived(false);
-    if (head.load !== undefined) upstream.recordLoad(head.load);
-    this.#updateLimits(head);
+    this.#applyStatement(head);
     if (head.isNotRun) {
-      const { isWrongUpstream } = head;
-      this.#collect(() => ({ kind: 'notRun', status, isWrongUpstream }));
+      const { isWrongUpstream, statement } = head;
+      const { backoffMs } = statement;
+      this.#collect(() => ({ kind: 'notRun', status, isWrongUpstream, backoffMs }));
       return;
     }
     const isSuccess = status >= 200 && status < 300;
@@ -178,20 +178,15 @@
   }
 
   /**
-   * Updates the upstream's rate limit and warm-up from a response. A response without a limit clears the
-   * known one only if it is signed.
+   * Guards against the statement of another upstream at a reused address, and against one in a late response to
+   * an earlier request.
    */
-  #updateLimits({ limitPerS, requestId, isSigned, isWrongUpstream, warmUpMs }: ResponseHead): void {
-    const { call, upstream, clock, onLimitChange } = this.#options;
+  #applyStatement({ requestId, isSigned, isWrongUpstream, statement }: ResponseHead): void {
+    const { call, clock, onStatement } = this.#options;
     if (isWrongUpstream || (requestId !== undefined && requestId !== call.head.requestId)) return;
-    if (warmUpMs !== undefined) upstream.warmUp.assume(warmUpMs);
-    if (limitPerS === undefined || (limitPerS === Infinity && !isSigned)) return;
-    const change = upstream.limit.update({
-      requestsPerSecond: limitPerS,
-      sentMs: this.#inFlightRequest?.sentMs ?? clock.monotonicMs(),
-      receivedMs: clock.monotonicMs(),
-    });
-    if (change !== undefined) onLimitChange(change);
+    const receivedMs = clock.monotonicMs();
+    const sentMs = this.#inFlightRequest?.sentMs ?? receivedMs;
+    onStatement({ statement, isSigned, sentMs, receivedMs });
   }
 
   #recordReceived(hasFirstEvent: boolean): void {
--- a/packages/forwarding/src/_lib/AttemptResult/index.ts
+++ b/packages/forwarding/src/_lib/AttemptResult/index.ts
@@ -10,8 +10,7 @@
   | { readonly kind: 'streamed'; readonly longestGapMs: number }
   /** No byte was sent. */
   | { readonly kind: 'notSent'; readonly reason: string }
-  /** The upstream states that it did not run the request. */
-  | { readonly kind: 'notRun'; readonly status: number; readonly isWrongUpstream: boolean }
+  | NotRunResult
   /** The upstream or the connection failed; the request may have run. */
   | { readonly kind: 'broken'; readonly reason: string }
   /** Aborted by this instance in order to try another upstream, since no data arrived in time. */
@@ -21,6 +20,15 @@
   /** The caller disconnected; `wasSent` as for `deadline`. */
   | { readonly kind: 'callerGone'; readonly wasSent: boolean };
 
+/** The upstream states that it did not run the request. */
+export interface NotRunResult {
+  readonly kind: 'notRun';
+  readonly status: number;
+  readonly isWrongUpstream: boolean;
+  /** For how long it wants nothing from this instance, in milliseconds; undefined if it does not say. */
+  readonly backoffMs: number | undefined;
+}
+
 /** A complete response, held in memory. */
 export interface PlainResponse {
   readonly kind: 'answer';
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -13,6 +13,7 @@
 import type { ForwardCodec } from '../../ForwardCodec/index.js';
 import type { UpstreamTable } from '../../UpstreamTable/index.js';
 import { Attempt } from '../Attempt/index.js';
+import type { ReceivedStatement } from '../applyStatement/index.js';
 import type { AttemptResult, PlainResponse } from '../AttemptResult/index.js';
 import { isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
 import type { PrefillTimeModels } from '../PrefillTimeModels/index.js';
@@ -22,7 +23,6 @@
 import { lastSharedPart, pickUpstream, type UpstreamPick } from '../pickUpstream/index.js';
 import { delimitByConnectionClose } from '../StreamRelay/index.js';
 import type { InFlightRequest, Upstream } from '../Upstream/index.js';
-import type { LimitChange } from '../UpstreamLimit/index.js';
 
 /** Dependencies shared by all dispatches of an instance. */
 export interface DispatchDependencies {
@@ -109,17 +109,19 @@
 
   async #attempt(pick: UpstreamPick): Promise<AttemptResult> {
     const { upstream, fetchFrom, prefill } = pick;
-    const { clock, codec, retries } = this.#dependencies;
+    const { clock, codec, retries, upstreams } = this.#dependencies;
     const call = this.#call;
     if (this.#attemptedIds.size === 0) retries.recordRequest(call.service.name);
     this.#attemptedIds.add(upstream.id);
     call.trace.add('sent', this.#describeSend(pick));
+    this.#countAgainstStatements(upstream);
+    if (upstream.statements.backoff.recordSend()) upstreams.reportBackoffEnded(upstream);
     const inactivityTimeoutMs = this.#inactivityTimeoutMs();
     const onFirstEvent = (inFlightRequest: InFlightRequest) => {
       this.#observePrefill(inFlightRequest);
     };
-    const onLimitChange = (change: LimitChange) => {
-      this.#dependencies.upstreams.reportLimitChange(upstream, change);
+    const onStatement = (received: ReceivedStatement) => {
+      upstreams.applyStatement(upstream, received);
     };
     const attempt = new Attempt({
       clock,
@@ -129,7 +131,7 @@
       fetchFrom,
       prefill,
       onFirstEvent,
-      onLimitChange,
+      onStatement,
       inactivityTimeoutMs,
     });
     const result = await attempt.run();
@@ -137,10 +139,18 @@
     return result;
   }
 
+  /** Counts a request that is sent although the upstream asked for none. */
+  #countAgainstStatements({ statements }: Upstream): void {
+    const { metrics } = this.#dependencies;
+    if (statements.leavingForMs !== undefined) metrics.count('sentAgainstStatement', 'leaving');
+    if (statements.backoff.waitMs > 0) metrics.count('sentAgainstStatement', 'backoff');
+  }
+
   /** Describes the choice of an upstream for the log. */
   #describeSend({ upstream, fetchFrom, prefill, why }: UpstreamPick): TraceStep {
     const { requestsPerSecond } = upstream.limit;
-    const { reportAgeMs } = upstream;
+    const { reportAgeMs, statements } = upstream;
+    const { leavingForMs, backoff } = statements;
     return {
       upstreamId: upstream.id,
       why,
@@ -153,6 +163,8 @@
       reportAgeMs: reportAgeMs && Math.round(reportAgeMs),
       limitPerS: requestsPerSecond === Infinity ? undefined : requestsPerSecond,
       warmUpMs: Math.round(upstream.warmUp.remainingMs) || undefined,
+      backoffMs: Math.round(backoff.waitMs) || undefined,
+      leavingForMs: leavingForMs && Math.round(leavingForMs),
       outOf: this.#dependencies.upstreams.usable(this.#call.service.name).length,
     };
   }
@@ -290,10 +302,10 @@
   return result.kind !== 'notSent';
 }
 
-function describeResult(result: AttemptResult): Record<string, string | number | boolean> {
+function describeResult(result: AttemptResult): TraceStep {
   if (result.kind === 'answer') return { status: result.status, bytes: result.body.byteLength };
   if (result.kind === 'streamed') return { longestGapMs: result.longestGapMs };
-  if (result.kind === 'notRun') return { status: result.status };
+  if (result.kind === 'notRun') return { status: result.status, backoffMs: result.backoffMs };
   if (result.kind === 'notSent' || result.kind === 'broken') return { reason: result.reason };
   return {};
 }
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -12,6 +12,7 @@
 } from '@acaciacrank/routing';
 import type { ReportedLoad, UpstreamRecord, WarmUpPolicy } from '../../types.js';
 import { UpstreamConnection } from '../UpstreamConnection/index.js';
+import { UpstreamStatements } from '../UpstreamStatements/index.js';
 import { UpstreamLimit, unshared, type LimitSharing } from '../UpstreamLimit/index.js';
 import {
   failuresToEject,
@@ -103,6 +104,8 @@
   readonly limit: UpstreamLimit;
   /** Whether it is warming up, and what it takes meanwhile. */
   readonly warmUp: WarmUp;
+  /** What it has asked of this instance in its responses. */
+  readonly statements: UpstreamStatements;
   readonly inFlight = new Set<InFlightRequest>();
   readonly #clock: Clock;
   readonly #runTimes: RunTimeEstimator;
@@ -133,6 +136,7 @@
     this.#instanceCount = options.instanceCount ?? (() => 1);
     this.#runTimes = options.runTimes ?? new RunTimeEstimator();
     this.#connectionShare = connectionShare;
+    this.statements = new UpstreamStatements(clock);
     this.limit = new UpstreamLimit(clock, record.id, limitSharing);
     this.#warmUpPolicy = warmUp;
     const { mayHaveBeenUsed = false } = options;
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -6,6 +6,7 @@
 export * from './ForwardCodec/index.js';
 export * from './RouteTable/index.js';
 export * from './UpstreamTable/index.js';
+export type { UpstreamChange } from './_lib/UpstreamChange/index.js';
 export * from './DomainDrains/index.js';
 export * from './_lib/createDrainFollower/index.js';
 export * from './PeerUpstreamSync/index.js';
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -174,6 +174,25 @@
   readonly slots: number;
 }
 
+/** What an upstream says of itself in a response. */
+export interface UpstreamStatement {
+  readonly load: ReportedLoad | undefined;
+  /**
+   * Requests per second that the upstream accepts from all instances combined; infinite if the
+   * response has no limit, undefined if its limit cannot be parsed.
+   */
+  readonly limitPerS: number | undefined;
+  /** How much longer the upstream warms up, in milliseconds; undefined if it does not say. */
+  readonly warmUpMs: number | undefined;
+  /** Whether the upstream says that it is leaving. */
+  readonly isLeaving: boolean;
+  /**
+   * How long an overloaded upstream wants nothing from this instance, in milliseconds; undefined if it does not
+   * say.
+   */
+  readonly backoffMs: number | undefined;
+}
+
 /** The parsed headers of an upstream's response. */
 export interface ResponseHead {
   readonly requestId: string | undefined;
@@ -183,14 +202,7 @@
   readonly isNotRun: boolean;
   /** Whether the response comes from a different upstream than the one addressed. */
   readonly isWrongUpstream: boolean;
-  readonly load: ReportedLoad | undefined;
-  /**
-   * Requests per second that the upstream accepts from all instances combined; infinite if the
-   * response has no limit, undefined if its limit cannot be parsed.
-   */
-  readonly limitPerS: number | undefined;
-  /** How much longer the upstream warms up, in milliseconds; undefined if it does not say. */
-  readonly warmUpMs: number | undefined;
+  readonly statement: UpstreamStatement;
 }
 
 /** What an instance sends to an upstream in addition to the caller's headers. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -33,3 +33,4 @@
 export * from './estimateSlotWait/index.js';
 export * from './RunTimeEstimator/index.js';
 export * from './LoadAverage/index.js';
+export * from './OverloadBackoff/index.js';
