Red: requests reach upstreams that asked for none, by leaving or by a backoff

Measured: up to 14 requests of one instance within one backoff; new calls reach a leaving upstream while the store is away.

--- a/packages/soak/src/_lib/FakeUpstream/index.ts
+++ b/packages/soak/src/_lib/FakeUpstream/index.ts
@@ -25,6 +25,12 @@
   limitPerS: number | undefined;
   /** Whether its responses omit the limit. */
   isLimitHidden = false;
+  /** Whether its responses omit that it leaves. */
+  isLeavingHidden = false;
+  /** Backoff that it asks for while it is overloaded, in milliseconds; undefined if it is not. */
+  backoffMs: number | undefined;
+  /** Whether its refusals omit the backoff. */
+  isBackoffHidden = false;
   readonly #options: FakeUpstreamOptions;
   readonly #server: Server;
 
@@ -67,6 +73,11 @@
     }
     observations.noteArrival(service, id, this.drainingSinceMs);
     observations.limits.noteArrival(ownId);
+    observations.statements.noteArrival(ownId, id, this.drainingSinceMs !== undefined);
+    if (this.backoffMs !== undefined) {
+      this.#refuse(id, this.backoffMs, response);
+      return;
+    }
     const kind = requestKinds.find(({ path }) => request.url?.startsWith(path));
     const promptTokens = Number(String(request.headers['x-token-count'] ?? '0').split(',')[0]);
     const account = String(request.headers['x-tenant'] ?? '');
@@ -87,8 +98,21 @@
       'x-response-seal': `seal.${id}`,
       'x-server-load': '1,0,16',
     };
-    if (limitPerS === undefined || this.isLimitHidden) return headers;
-    return { ...headers, 'server-limit': String(limitPerS) };
+    const isLeavingTold = this.drainingSinceMs !== undefined && !this.isLeavingHidden;
+    return {
+      ...headers,
+      ...(limitPerS === undefined || this.isLimitHidden
+        ? {}
+        : { 'server-limit': String(limitPerS) }),
+      ...(isLeavingTold ? { 'server-leaving': '1' } : {}),
+    };
+  }
+
+  #refuse(id: string, backoffMs: number, response: ServerResponse): void {
+    this.#options.observations.statements.noteBackoff(this.id, id, backoffMs);
+    const retryAfter = { 'retry-after': String(backoffMs / 1_000) };
+    const headers = { ...this.#buildHeaders(id), 'x-not-executed': '1' };
+    response.writeHead(503, { ...headers, ...(this.isBackoffHidden ? {} : retryAfter) }).end();
   }
 
   async #stream(id: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/packages/soak/src/_lib/FaultInjector/index.ts
+++ b/packages/soak/src/_lib/FaultInjector/index.ts
@@ -6,6 +6,10 @@
 
 /** Rate limits that the fault `limitUpstream` chooses from, in requests per second. */
 const limitsPerS = [1.5, 0.5, 1, 3, 2.2] as const;
+/** Backoffs that the fault `overloadUpstream` chooses from, in milliseconds. */
+const backoffsMs = [3_000, 1_500, 5_000, 2_200] as const;
+/** Time that a killed process takes to be up again, at most, in milliseconds. */
+const restartMs = 2_000;
 
 /** The greatest age of the copy from which the store comes back, in milliseconds. */
 const maxCopyAgeMs = 20_000;
@@ -26,6 +30,8 @@
   readonly #options: FaultInjectorOptions;
   /** The fault that last set the limit of each upstream. */
   readonly #latestLimitFaults = new Map<FakeUpstream, PlannedFault>();
+  /** The fault that last overloaded each upstream. */
+  readonly #latestOverloads = new Map<FakeUpstream, PlannedFault>();
 
   constructor(options: FaultInjectorOptions) {
     this.#options = options;
@@ -43,20 +49,24 @@
     switch (fault.kind) {
       case 'kill':
         observations.noteDisturbance(0);
+        observations.statements.noteInstanceDisturbance(index, restartMs);
         process.signal('SIGKILL');
         return;
       case 'pause':
         observations.noteDisturbance(fault.durationMs);
+        observations.statements.noteInstanceDisturbance(index, fault.durationMs + restartMs);
         process.signal('SIGSTOP');
         setTimeout(() => process.signal('SIGCONT'), fault.durationMs);
         return;
       case 'powerOff':
         observations.noteDisturbance(fault.durationMs);
+        observations.statements.noteInstanceDisturbance(index, fault.durationMs + restartMs);
         observations.directoryCheck.notePowerOff(index);
         process.powerOff(fault.durationMs);
         return;
       case 'stop':
         observations.noteStop(index, stopLimitMs);
+        observations.statements.noteInstanceDisturbance(index, stopLimitMs + restartMs);
         if (injectedDefect === 'killForStop') process.signal('SIGKILL');
         else process.stop();
         return;
@@ -74,20 +84,21 @@
       case 'limitUpstream':
         this.#setLimit(upstream.server, fault);
         return;
+      case 'overloadUpstream':
+        this.#overload(upstream.server, fault);
+        return;
       case 'resetUpstream':
-        observations.noteDisturbance(0);
-        observations.limits.noteDisturbance(upstream.server.id, 0);
+        this.#noteUpstreamDisturbance(upstream.server, 0);
         upstream.proxy.reset();
         return;
       case 'silenceUpstream':
-        observations.noteDisturbance(0);
-        observations.limits.noteDisturbance(upstream.server.id, 0);
+        this.#noteUpstreamDisturbance(upstream.server, 0);
         upstream.proxy.silenceConnections();
         return;
       case 'delayUpstream':
       case 'cutUpstreamOneWay': {
         const { proxy: upstreamProxy, server } = upstream;
-        observations.limits.noteDisturbance(server.id, fault.durationMs);
+        this.#noteUpstreamDisturbance(server, fault.durationMs);
         const mode = fault.kind === 'delayUpstream' ? 'delay' : 'dropBack';
         this.#applyFor(
           fault.durationMs,
@@ -123,6 +134,24 @@
     }, durationMs);
   }
 
+  /** Overloads an upstream until the end of the fault, or of a later one of this kind. */
+  #overload(upstream: FakeUpstream, fault: PlannedFault): void {
+    const { durationMs, target } = fault;
+    this.#latestOverloads.set(upstream, fault);
+    upstream.backoffMs = backoffsMs[target % backoffsMs.length];
+    upstream.isBackoffHidden = this.#options.injectedDefect === 'hideBackoff';
+    setTimeout(() => {
+      if (this.#latestOverloads.get(upstream) === fault) upstream.backoffMs = undefined;
+    }, durationMs);
+  }
+
+  #noteUpstreamDisturbance({ id }: FakeUpstream, durationMs: number): void {
+    const { observations } = this.#options;
+    observations.noteDisturbance(durationMs);
+    observations.limits.noteDisturbance(id, durationMs);
+    observations.statements.noteUpstreamDisturbance(id, durationMs);
+  }
+
   /** The store is away, then comes back from a copy; its other users write again what is theirs. */
   #restoreStore({ durationMs, target }: PlannedFault): void {
     const { environment, observations } = this.#options;
--- a/packages/soak/src/_lib/LoadGenerator/index.ts
+++ b/packages/soak/src/_lib/LoadGenerator/index.ts
@@ -102,6 +102,8 @@
       ...(kind.isStream ? buildStreamHeaders(random) : {}),
     };
     const sentAtMs = now();
+    const instance = callerPorts.indexOf(port);
+    observations.statements.noteCallStart(id, instance);
     const target = { port, path: `${kind.path}x`, method: kind.method, headers };
     const isDefective = injectedDefect === 'refuseAll' || random() < defectShare;
     const response = isDefective
@@ -113,7 +115,7 @@
       path: kind.path,
       isRepeatable: kind.isRepeatable,
       account: account.name,
-      instance: callerPorts.indexOf(port),
+      instance,
       sentAtMs,
       endedAtMs: now(),
       ...result,
--- a/packages/soak/src/_lib/Observations/index.ts
+++ b/packages/soak/src/_lib/Observations/index.ts
@@ -2,6 +2,7 @@
 import { accounts, movedRouteService, tokensPerEvent } from '../buildSoakConfiguration/index.js';
 import { bounds, toleranceMs } from '../InstanceProcess/index.js';
 import { LimitCheck } from '../LimitCheck/index.js';
+import { StatementCheck } from '../StatementCheck/index.js';
 import { DirectoryCheck } from '../DirectoryCheck/index.js';
 
 /**
@@ -48,8 +49,11 @@
 const minServedShare = 0.5;
 /** Number of undisturbed requests below which that share is not significant. */
 const minUndisturbedCalls = 40;
-/** Requests made while more upstreams have a limit are not counted, since a service may have no other upstream. */
-const maxLimitedUpstreams = 1;
+/**
+ * Requests made while more upstreams have a limit or are overloaded are not counted, since a service may have no
+ * other upstream.
+ */
+const maxRestrictedUpstreams = 1;
 
 /** Collects what callers and upstreams observe in a run, and checks the invariants. */
 export class Observations {
@@ -57,6 +61,7 @@
   readonly violations: Violation[] = [];
   readonly directoryCheck: DirectoryCheck;
   readonly limits: LimitCheck;
+  readonly statements: StatementCheck;
   readonly #now: () => number;
   readonly #runs = new Map<string, UpstreamRuns>();
   readonly #refusedAtMs = new Map<string, number>();
@@ -78,6 +83,7 @@
     };
     this.directoryCheck = new DirectoryCheck({ now, onViolation });
     this.limits = new LimitCheck({ now, onViolation });
+    this.statements = new StatementCheck({ now, onViolation });
   }
 
   /** Records a fault. Invariants with a time limit are not checked during it and for `stableWindowMs` after it. */
@@ -126,6 +132,7 @@
   /** Records how a request ended for its caller. */
   noteCallEnd(call: ObservedCall): void {
     this.calls.push(call);
+    this.statements.noteCallEnd(call.id, call.outcome === 'served');
     this.#eventsByAccount.set(
       call.account,
       (this.#eventsByAccount.get(call.account) ?? 0) + call.events,
@@ -150,7 +157,7 @@
       ({ sentAtMs, endedAtMs, outcome }) =>
         outcome !== 'spent' &&
         this.#isUndisturbed(sentAtMs, endedAtMs) &&
-        this.limits.countLimited(sentAtMs, endedAtMs) <= maxLimitedUpstreams,
+        this.#countRestricted(sentAtMs, endedAtMs) <= maxRestrictedUpstreams,
     );
     const served = undisturbed.filter(({ outcome }) => outcome === 'served').length;
     if (undisturbed.length >= minUndisturbedCalls && served < minServedShare * undisturbed.length) {
@@ -161,6 +168,11 @@
     }
   }
 
+  /** Number of upstreams that had a limit or were overloaded at some point in a time span. */
+  #countRestricted(fromMs: number, toMs: number): number {
+    return this.limits.countLimited(fromMs, toMs) + this.statements.countOverloaded(fromMs, toMs);
+  }
+
   #checkPrepaid(name: string): void {
     const account = accounts.find((entry) => entry.name === name);
     if (account === undefined) return;
--- a/packages/soak/src/_lib/SoakEnvironment/index.ts
+++ b/packages/soak/src/_lib/SoakEnvironment/index.ts
@@ -151,8 +151,10 @@
     if (server.drainingSinceMs !== undefined || index < 0) return;
     this.upstreams.splice(index, 1);
     await this.#addUpstream(server.service);
+    const { injectedDefect } = this.#options;
     server.drainingSinceMs = this.#options.now();
-    if (this.#options.injectedDefect === 'holdLeaving') return;
+    server.isLeavingHidden = injectedDefect === 'hideLeaving' || injectedDefect === 'holdLeaving';
+    if (server.isLeavingHidden) return;
     this.#writeUpstreamRecord(upstream, 'draining');
     this.#draining.add(upstream);
     setTimeout(() => {
--- a/packages/soak/src/_lib/planFaults/index.ts
+++ b/packages/soak/src/_lib/planFaults/index.ts
@@ -90,6 +90,32 @@
   return plan;
 }
 
+/** Mean time between two overloads of an upstream, and the range of their durations. */
+const overloadTimesMs = { meanInterval: 8_000, min: 2_000, max: 12_000 } as const;
+
+/**
+ * Generates the times at which an upstream is overloaded. They are drawn apart from the other faults, so that a
+ * seed plans the same of those as before there were overloads.
+ *
+ * @param random - random numbers; the same sequence gives the same plan
+ * @param runDurationMs - duration of the run
+ *
+ * @example
+ * planOverloads(createRandom(7), 60_000).length;
+ */
+export function planOverloads(random: Random, runDurationMs: number): PlannedFault[] {
+  const { meanInterval, min, max } = overloadTimesMs;
+  const plan: PlannedFault[] = [];
+  let atMs = meanInterval * 2 * random();
+  while (atMs < runDurationMs) {
+    const durationMs = Math.round(min + random() * (max - min));
+    const target = Math.floor(random() * 1_000);
+    plan.push({ kind: 'overloadUpstream', atMs: Math.round(atMs), durationMs, target });
+    atMs += meanInterval * 2 * random();
+  }
+  return plan;
+}
+
 function drawProfile(random: Random): FaultProfile {
   let remainingWeight = random() * faultProfiles.reduce((sum, { weight }) => sum + weight, 0);
   for (const profile of faultProfiles) {
--- a/packages/soak/src/runSoak/index.ts
+++ b/packages/soak/src/runSoak/index.ts
@@ -5,7 +5,7 @@
 import { DirectoryPoller } from '../_lib/DirectoryPoller/index.js';
 import { FaultInjector } from '../_lib/FaultInjector/index.js';
 import { Observations } from '../_lib/Observations/index.js';
-import { planFaults, planRestores } from '../_lib/planFaults/index.js';
+import { planFaults, planOverloads, planRestores } from '../_lib/planFaults/index.js';
 import { SoakEnvironment } from '../_lib/SoakEnvironment/index.js';
 import type { PlannedFault, SoakOptions, SoakReport } from '../types.js';
 
@@ -75,9 +75,9 @@
   #planFaults(): PlannedFault[] {
     const { durationMs, seed, hasRestores } = this.#options;
     const faults = planFaults(createRandom(seed), durationMs);
-    if (hasRestores !== true) return faults;
-    const restores = planRestores(createRandom(seed + 1), durationMs);
-    return [...faults, ...restores].sort((a, b) => a.atMs - b.atMs);
+    const overloads = planOverloads(createRandom(seed + 2), durationMs);
+    const restores = hasRestores === true ? planRestores(createRandom(seed + 1), durationMs) : [];
+    return [...faults, ...overloads, ...restores].sort((a, b) => a.atMs - b.atMs);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
--- a/packages/soak/src/runSoak/test.ts
+++ b/packages/soak/src/runSoak/test.ts
@@ -82,6 +82,42 @@
   t.is(report.faults['storeRestored'], 2);
 });
 
+// Guards against instances that use an upstream which has said that it leaves, while the store tells nothing.
+test.serial.failing(
+  'upstreams that say in responses that they leave get no new requests',
+  async (t) => {
+    const leave = { kind: 'leaveUpstream', durationMs: 6_000 } as const;
+    const faults = [
+      { kind: 'storeAway', atMs: 1_000, durationMs: 12_000, target: 0 },
+      { ...leave, atMs: 2_000, target: 0 },
+      { ...leave, atMs: 2_500, target: 5 },
+      { kind: 'kill', atMs: 6_000, durationMs: 0, target: 1 },
+    ] as const;
+    const changes = { faults, instances: 3, durationMs: 12_000, requestsPerSecond: 120 };
+    const report = await runSoak(optionsFor('statedLeaving', changes));
+    t.deepEqual(report.violations, []);
+  },
+);
+
+// Guards against instances that keep sending to an upstream which has asked them for a backoff.
+test.serial.failing(
+  'overloaded upstreams get no requests in the backoff that they ask for',
+  async (t) => {
+    const overload = { kind: 'overloadUpstream', durationMs: 6_000 } as const;
+    const faults = [
+      { ...overload, atMs: 1_500, target: 0 },
+      { ...overload, atMs: 2_000, target: 5 },
+      { kind: 'storeAway', atMs: 3_000, durationMs: 3_000, target: 0 },
+      { kind: 'kill', atMs: 4_500, durationMs: 0, target: 1 },
+      { ...overload, atMs: 8_500, durationMs: 2_500, target: 6 },
+    ] as const;
+    const changes = { faults, instances: 3, durationMs: 12_000, requestsPerSecond: 120 };
+    const report = await runSoak(optionsFor('statedBackoff', changes));
+    t.deepEqual(report.violations, []);
+    t.true(report.served > 0.5 * report.requests);
+  },
+);
+
 /** Options for a run with a single fault, for defects in how the system handles that fault. */
 function singleFault(kind: FaultKind, durationMs = 0): Partial<SoakOptions> {
   return { faults: [{ kind, atMs: 2_000, durationMs, target: 0 }] };
@@ -97,6 +133,8 @@
   ['holdConfiguration', 'configuration', singleFault('changeConfiguration')],
   ['holdLeaving', 'leavingUpstream', singleFault('leaveUpstream')],
   ['hideLimit', 'upstreamLimit', singleFault('limitUpstream', 6_000)],
+  ['hideLeaving', 'statedLeaving', singleFault('leaveUpstream')],
+  ['hideBackoff', 'statedBackoff', singleFault('overloadUpstream', 6_000)],
   ['killForStop', 'plannedStop', singleFault('stop')],
   ['nameGone', 'goneInstance', { ...singleFault('powerOff', 9_000), durationMs: 10_500 }],
   ['hideLive', 'liveInstance', { faults: [] }],
--- a/packages/soak/src/types.ts
+++ b/packages/soak/src/types.ts
@@ -23,6 +23,10 @@
   | 'leavingUpstream'
   /** All instances combined respect the rate limit of an upstream. */
   | 'upstreamLimit'
+  /** An instance that was told in a response that an upstream leaves soon sends it nothing more. */
+  | 'statedLeaving'
+  /** An instance sends nothing to an upstream that asked it for a backoff, until that ends. */
+  | 'statedBackoff'
   /** A graceful shutdown cuts off no request. */
   | 'plannedStop'
   /** Directories stop listing an instance that lost power. */
@@ -63,6 +67,10 @@
   | 'holdLeaving'
   /** Omits the rate limit from the responses of the upstream. */
   | 'hideLimit'
+  /** Omits from the responses of a leaving upstream that it leaves, and its draining from the store. */
+  | 'hideLeaving'
+  /** Omits the backoff from the refusals of an overloaded upstream. */
+  | 'hideBackoff'
   /** Kills the process instead of stopping it gracefully. */
   | 'killForStop'
   /** Lists all instances in every directory response. */
@@ -111,6 +119,8 @@
   | 'leaveUpstream'
   /** Sets the rate limit of an upstream. */
   | 'limitUpstream'
+  /** An upstream refuses every request and asks for a backoff. */
+  | 'overloadUpstream'
   /** Writes a new configuration version. */
   | 'changeConfiguration';
 
