--- a/packages/fleet/src/MemberTable/index.ts
+++ b/packages/fleet/src/MemberTable/index.ts
@@ -59,12 +59,14 @@
  * What a record changed.
  *
  * - `unchanged`: nothing
+ * - `suspectedHere`: nothing, but its sender does not know that the member is suspected, or given up
  * - `changed`: the entry of another member
  * - `selfRaised`: this instance raised its own incarnation to refute the record
  * - `selfContested`: the same, for a record of another run that has not left; its id may be in use
  *   twice
  */
-export type MergeResult = 'unchanged' | 'changed' | 'selfRaised' | 'selfContested';
+export type MergeResult =
+  'unchanged' | 'suspectedHere' | 'changed' | 'selfRaised' | 'selfContested';
 
 interface Entry {
   record: MemberRecord;
@@ -169,7 +171,7 @@
     }
     const isSameIncarnation = record.incarnation === known.record.incarnation;
     if (isSameIncarnation && record.isSuspect) return this.suspect(record.id);
-    return 'unchanged';
+    return known.record.isSuspect ? 'suspectedHere' : 'unchanged';
   }
 
   /** Marks a member as suspected and starts its suspicion timeout. */
--- a/packages/fleet/src/Membership/index.ts
+++ b/packages/fleet/src/Membership/index.ts
@@ -219,8 +219,8 @@
   async #monitorPeer(id: InstanceId, signal: AbortSignal): Promise<void> {
     const { clock, random, heartbeatMs } = this.#options;
     // Probes at once: an instance that has just started has no records of other members to gossip
-    // until it receives them.
-    void this.#probe(id);
+    // until it receives them, and one that takes over from a failed observer has no time to lose.
+    await this.#checkPeer(id, signal);
     await clock.sleep(random() * heartbeatMs, signal);
     while (!signal.aborted) {
       const startedMs = clock.monotonicMs();
@@ -232,16 +232,22 @@
         await clock.sleep(intervalMs - silenceMs, signal);
         continue;
       }
-      const isReached = (await this.#probe(id)) || (await this.#probeIndirectly(id));
-      const tookMs = clock.monotonicMs() - startedMs;
-      // If this process was paused, the acknowledgement may have arrived and not been read yet, so
-      // its absence proves nothing.
-      if (!isReached && !signal.aborted && tookMs < pauseThresholdMs + heartbeatMs)
-        this.#suspect(id);
-      await clock.sleep(heartbeatMs - tookMs, signal);
+      await this.#checkPeer(id, signal);
+      await clock.sleep(heartbeatMs - (clock.monotonicMs() - startedMs), signal);
     }
   }
 
+  /** Suspects a peer that neither this instance nor another member reaches. */
+  async #checkPeer(id: InstanceId, signal: AbortSignal): Promise<void> {
+    const { clock, heartbeatMs } = this.#options;
+    const startedMs = clock.monotonicMs();
+    const isReached = (await this.#probe(id)) || (await this.#probeIndirectly(id));
+    const tookMs = clock.monotonicMs() - startedMs;
+    // If this process was paused, the acknowledgement may have arrived and not been read yet, so
+    // its absence proves nothing.
+    if (!isReached && !signal.aborted && tookMs < pauseThresholdMs + heartbeatMs) this.#suspect(id);
+  }
+
   /** Sends a heartbeat and resolves with whether it was acknowledged in time. */
   #probe(id: InstanceId): Promise<boolean> {
     const { clock, links, ackMs } = this.#options;
@@ -373,6 +379,7 @@
     const result = this.#table.merge(record);
     if (result === 'unchanged') return result;
     this.#queueUpdate(record.id);
+    if (result === 'suspectedHere') return 'unchanged';
     if (result === 'selfRaised') metrics.count('suspicionsRefuted');
     if (result === 'selfContested') {
       metrics.count('idContested');
@@ -427,19 +434,22 @@
     to: InstanceId,
     peerViewHash = this.#table.hash,
   ) {
-    const updateCount = this.#recordLimiter.take(
-      Math.min(maxUpdateRecords, this.#pendingUpdates.size),
-    );
-    const ids = new Set([this.#table.self.id, ...this.#pendingUpdates.take(updateCount)]);
-    // Sends the peer any suspicion of it or record of its earlier run, so that it can refute it.
     const peerRecord = this.#table.record(to);
-    if (peerRecord?.isSuspect === true || peerRecord?.state === 'left') ids.add(to);
+    const isDoubted = peerRecord?.isSuspect === true || peerRecord?.state === 'left';
+    // Sends the peer any suspicion of it or record of its earlier run, so that it can refute it, and no updates,
+    // which it most likely does not receive.
+    const ids = new Set([this.#table.self.id, ...(isDoubted ? [to] : this.#takeUpdates())]);
     if (peerViewHash !== this.#table.hash) for (const id of this.#nextSyncIds()) ids.add(id);
     const records = [...ids].flatMap((id) => this.#table.record(id) ?? []);
     const configurationVersion = this.#options.configurationVersion();
     return { kind, sequence, configurationVersion, viewHash: this.#table.hash, records };
   }
 
+  #takeUpdates(): InstanceId[] {
+    const wanted = Math.min(maxUpdateRecords, this.#pendingUpdates.size);
+    return this.#pendingUpdates.take(this.#recordLimiter.take(wanted));
+  }
+
   /**
    * Returns the next few member ids in round-robin order. Peers whose views differ exchange their
    * whole views slice by slice this way (anti-entropy).
@@ -447,9 +457,12 @@
   #nextSyncIds(): InstanceId[] {
     const ids = this.#table.knownIds();
     const count = this.#recordLimiter.take(Math.min(maxSyncRecords, ids.length));
-    const start = this.#syncOffset % Math.max(1, ids.length);
-    this.#syncOffset = start + count;
-    return ids.slice(start, start + count);
+    const start = this.#syncOffset;
+    this.#syncOffset = (start + count) % Math.max(1, ids.length);
+    // Wraps around, so that each id has its turn whatever their number.
+    return Array.from({ length: count }, (_, index) => ids[(start + index) % ids.length]).filter(
+      (id) => id !== undefined,
+    );
   }
 
   #publish(): void {
@@ -464,13 +477,7 @@
   /** Starts and stops peer monitors so that they match the current members. */
   #updateMonitors(others: readonly Member[]): void {
     if (this.#stop.signal.aborted || this.self.fleetUrl === '') return;
-    const candidates = others.filter(({ state, fleetUrl }) => {
-      return state !== 'dead' && state !== 'left' && fleetUrl !== '';
-    });
-    const ids = candidates.map(({ id }) => id);
-    const monitoredIds = new Set(
-      chooseMonitoredPeers(this.#options.self.id, ids, monitoredPeerCount),
-    );
+    const monitoredIds = this.#chooseMonitoredIds(others);
     for (const [id, { stop }] of this.#monitors) {
       if (monitoredIds.has(id)) continue;
       stop.abort();
@@ -483,6 +490,26 @@
     }
   }
 
+  /**
+   * Chooses the peers to monitor: among all that may run, and besides among those that are not suspected.
+   *
+   * Guards against a member that is monitored by nobody after its observers failed together with it: those next
+   * to them take over when they are suspected, not only when they are given up.
+   */
+  #chooseMonitoredIds(others: readonly Member[]): ReadonlySet<InstanceId> {
+    const choose = (members: readonly Member[]) => {
+      const ids = members.map(({ id }) => id);
+      return chooseMonitoredPeers(this.#options.self.id, ids, monitoredPeerCount);
+    };
+    const possible = others.filter(({ state, fleetUrl }) => {
+      return state !== 'dead' && state !== 'left' && fleetUrl !== '';
+    });
+    const unsuspected = possible.filter(({ state }) => state !== 'suspect');
+    const chosen = choose(possible);
+    if (unsuspected.length === possible.length) return new Set(chosen);
+    return new Set([...chosen, ...choose(unsuspected)]);
+  }
+
   #recentPeers(): InstanceId[] {
     return [...this.#lastMessages.keys()]
       .filter((id) => this.#table.member(id)?.state !== 'left')
--- a/packages/standins/src/failures/fleet/test.ts
+++ b/packages/standins/src/failures/fleet/test.ts
@@ -7,6 +7,8 @@
 
 /** Time after which no instance lists one that lost power, in milliseconds. */
 const removalDeadlineMs = 6_000;
+/** The same for many that lost power together, some of them with all that monitored them. */
+const joint = { instances: 30, lost: 18, removalDeadlineMs: 7_000 } as const;
 /** Time after which every instance lists one that returned, in milliseconds. */
 const returnDeadlineMs = 4_000;
 const ids = ['a', 'b', 'c', 'd', 'e'];
@@ -185,3 +187,18 @@
   const simulation = new FleetSimulation(1, []);
   t.is(simulation.start('a').fleet.sharingInstanceCount, Infinity);
 });
+
+// Guards against callers that are sent to instances which failed together with all that monitored them.
+test('instances that lost power together are no longer listed', async (t) => {
+  const manyIds = Array.from({ length: joint.instances }, (_, index) => `i${index}`);
+  for (const seed of seeds) {
+    const simulation = new FleetSimulation(seed, manyIds);
+    await simulation.clock.advance(8_000);
+    const lost = manyIds.filter((_, index) => (index * 7 + seed) % joint.instances < joint.lost);
+    for (const id of lost) simulation.powerOff(id);
+    await simulation.clock.advance(joint.removalDeadlineMs);
+    const isNoneListed = () => !lost.some((id) => simulation.isListedByAny(id));
+    t.true(await simulation.holdsThroughout(isNoneListed, 5_000), `seed ${seed}`);
+    for (const id of simulation.nodes.keys()) t.true(simulation.isListedByAll(id), `seed ${seed}`);
+  }
+});
