The product's own path: an engine or service that asks for a backoff gets nothing until it ends

In the recovery requests follow each other at 100 ms (before: the allowance grew from the end on, so that nine could go at once). Tests failed before: the registry's candidates held the engine after its next report.

--- a/packages/base/src/RouterError/index.ts
+++ b/packages/base/src/RouterError/index.ts
@@ -14,6 +14,11 @@
   ran?: ExecutionClaim;
   /** Overrides the retry delay in {@link errorAnswers}, in milliseconds. */
   retryAfterMs?: number;
+  /**
+   * For how long the upstream that refused the request wants nothing from this instance, in milliseconds; not
+   * sent to the caller.
+   */
+  backoffMs?: number | undefined;
   /**
    * Whether `ran` applies to all attempts of the request with this idempotency key, or only to this
    * attempt (the default).
@@ -38,6 +43,7 @@
   readonly kind: ErrorKind;
   readonly ran: ExecutionClaim;
   readonly retryAfterMs: number | undefined;
+  readonly backoffMs: number | undefined;
   readonly claimScope: 'request' | 'attempt';
 
   constructor(kind: ErrorKind, message: string, options: RouterErrorOptions = {}) {
@@ -47,6 +53,7 @@
     this.kind = kind;
     this.ran = options.ran ?? answer.ran;
     this.retryAfterMs = options.retryAfterMs ?? answer.retryAfterMs;
+    this.backoffMs = options.backoffMs;
     this.claimScope = options.claimScope ?? 'attempt';
   }
 
--- a/packages/callers/src/ServiceDispatch/index.ts
+++ b/packages/callers/src/ServiceDispatch/index.ts
@@ -6,7 +6,7 @@
   type ServiceName,
 } from '@acaciacrank/base';
 import type { Upstream } from '@acaciacrank/routing';
-import type { ServiceResponse, ServiceRequest } from '@acaciacrank/upstreams';
+import { readBackoffMs, type ServiceResponse, type ServiceRequest } from '@acaciacrank/upstreams';
 import { toPossiblyRunError } from '../_lib/toPossiblyRunError/index.js';
 import { UpstreamPicker, type UpstreamPickerOptions } from '../_lib/UpstreamPicker/index.js';
 import { abortReason, untilAborted } from '../_lib/untilAborted/index.js';
@@ -125,6 +125,8 @@
       throw error;
     });
     inFlight.progress();
+    const backoffMs = readBackoffMs(answer.status, answer.headers);
+    if (backoffMs !== undefined) inFlight.backOff(backoffMs);
     plain.responseTimeout.observe(clock.monotonicMs() - startedMs);
     return answer;
   }
--- a/packages/routing/src/InFlightRequest/index.ts
+++ b/packages/routing/src/InFlightRequest/index.ts
@@ -5,6 +5,13 @@
   /** Records progress: a token of an engine, or the complete response of another service. */
   abstract progress(): void;
 
+  /**
+   * Records that the upstream is overloaded and wants nothing from this instance for a while.
+   *
+   * @param durationMs - in milliseconds
+   */
+  abstract backOff(durationMs: number): void;
+
   /**
    * Records that the request failed at the upstream. Errors caused by the caller do not count against
    * the upstream.
--- a/packages/routing/src/OverloadBackoff/index.ts
+++ b/packages/routing/src/OverloadBackoff/index.ts
@@ -25,8 +25,8 @@
   readonly #clock: Clock;
   /** On the monotonic clock. */
   #untilMs = -Infinity;
-  /** Requests sent since it ended. */
-  #sentSinceEnd = 0;
+  /** When the last request was sent. */
+  #lastSentMs = -Infinity;
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -37,11 +37,16 @@
     return Math.max(0, this.#untilMs - this.#clock.monotonicMs());
   }
 
+  /** Whether neither it nor the recovery after it goes on. */
+  get isOver(): boolean {
+    return this.#clock.monotonicMs() - this.#untilMs >= recoveryMs;
+  }
+
   /** Time until a request may be sent, in milliseconds. */
   get waitMs(): number {
-    const sinceEndMs = this.#clock.monotonicMs() - this.#untilMs;
-    if (sinceEndMs >= recoveryMs) return 0;
-    return Math.max(0, this.#sentSinceEnd * recoveryIntervalMs - sinceEndMs);
+    if (this.isOver) return 0;
+    const nextMs = this.#hasSentSinceEnd ? this.#lastSentMs + recoveryIntervalMs : this.#untilMs;
+    return Math.max(0, nextMs - this.#clock.monotonicMs());
   }
 
   /**
@@ -55,14 +60,17 @@
     if (untilMs <= nowMs || untilMs <= this.#untilMs) return false;
     const isBeginning = this.#untilMs <= nowMs;
     this.#untilMs = untilMs;
-    this.#sentSinceEnd = 0;
     return isBeginning;
   }
 
   /** Records that a request is sent; returns whether it is the first one after a backoff. */
   recordSend(): boolean {
-    if (this.#untilMs === -Infinity || this.remainingMs > 0) return false;
-    this.#sentSinceEnd += 1;
-    return this.#sentSinceEnd === 1;
+    const isFirst = this.#untilMs > -Infinity && !this.#hasSentSinceEnd && this.remainingMs === 0;
+    this.#lastSentMs = this.#clock.monotonicMs();
+    return isFirst;
+  }
+
+  get #hasSentSinceEnd(): boolean {
+    return this.#lastSentMs >= this.#untilMs;
   }
 }
--- a/packages/routing/src/PrefixAffinity/test.ts
+++ b/packages/routing/src/PrefixAffinity/test.ts
@@ -1,12 +1,14 @@
 import test from 'ava';
 import {
   createRandom,
+  ManualClock,
   type FailureDomainId,
   type ServiceName,
   type UpstreamId,
 } from '@acaciacrank/base';
 import type { Upstream } from '../types.js';
 import { EvenShareLimit } from '../EvenShareLimit/index.js';
+import { OverloadBackoff } from '../OverloadBackoff/index.js';
 import { UpstreamHealth } from '../UpstreamHealth/index.js';
 import { PrefixAffinity } from './index.js';
 
@@ -31,6 +33,7 @@
     state: 'live',
     incarnation: 0,
     isSuspect: false,
+    backoff: new OverloadBackoff(new ManualClock()),
     limit: new EvenShareLimit(),
     health: new UpstreamHealth(),
   };
--- a/packages/routing/src/UpstreamRegistry/index.ts
+++ b/packages/routing/src/UpstreamRegistry/index.ts
@@ -16,6 +16,7 @@
 import { AimdLimit } from '../AimdLimit/index.js';
 import { chooseSubset, type ChooseSubsetOptions } from '../chooseSubset/index.js';
 import type { ConcurrencyLimit } from '../ConcurrencyLimit/index.js';
+import { OverloadBackoff } from '../OverloadBackoff/index.js';
 import { OutlierDetector, type OutlierDetectorOptions } from '../OutlierDetector/index.js';
 import { UpstreamHealth, type UnansweredRequest } from '../UpstreamHealth/index.js';
 import { InFlightRequest } from '../InFlightRequest/index.js';
@@ -77,6 +78,8 @@
   readonly #entries = new Map<UpstreamId, Entry>();
   readonly #entryByUpstream = new WeakMap<Upstream, Entry>();
   readonly #pools = new Map<ServiceName, ServicePool>();
+  /** Upstreams whose backoff, or the recovery after it, is not over. */
+  readonly #backingOff = new Set<Upstream>();
   readonly #detector: OutlierDetector;
   readonly #closing = new Set<Promise<void>>();
   readonly #stop = new AbortController();
@@ -170,6 +173,9 @@
       failed: (error) => {
         this.#handleFailure(entry, error);
       },
+      backOff: (durationMs) => {
+        this.#backOff(entry, durationMs);
+      },
     });
   }
 
@@ -226,6 +232,7 @@
       isSuspect: false,
       limit: this.#options.createLimit?.() ?? new AimdLimit(),
       health: new UpstreamHealth(),
+      backoff: new OverloadBackoff(this.#options.clock),
     };
     return {
       listed,
@@ -285,10 +292,25 @@
     this.#updatePool(entry);
   }
 
+  #backOff(entry: Entry, durationMs: number): void {
+    entry.upstream.backoff.extend(durationMs);
+    this.#backingOff.add(entry.upstream);
+    this.#updatePool(entry);
+  }
+
+  /** Updates the pools of upstreams whose backoff or recovery goes on or has just ended. */
+  #updateBackingOff(): void {
+    for (const upstream of this.#backingOff) {
+      if (upstream.backoff.isOver) this.#backingOff.delete(upstream);
+      this.#getOrCreatePool(upstream.service).update(upstream);
+    }
+  }
+
   async #runHealthChecks(): Promise<void> {
     while (!this.#stop.signal.aborted) {
       await this.#options.clock.sleep(healthCheckIntervalMs, this.#stop.signal);
       for (const pool of this.#pools.values()) this.#checkHealth(pool);
+      this.#updateBackingOff();
     }
   }
 
@@ -401,6 +423,7 @@
   readonly pool: ServicePool;
   readonly ended: () => void;
   readonly failed: (error: RouterError) => void;
+  readonly backOff: (durationMs: number) => void;
 }
 
 /** Errors attributed to the upstream rather than the caller. */
@@ -432,6 +455,7 @@
     upstream.inFlightRequests += 1;
     upstream.limit.recordInFlight(upstream.inFlightRequests);
     upstream.health.begin(this.#request);
+    upstream.backoff.recordSend();
     this.#recordChange(1);
   }
 
@@ -448,7 +472,12 @@
     if (health.state === 'probing') this.#context.pool.update(this.#entry.upstream);
   }
 
+  override backOff(durationMs: number): void {
+    this.#context.backOff(durationMs);
+  }
+
   override failed(error: RouterError): void {
+    if (error.backoffMs !== undefined) this.backOff(error.backoffMs);
     if (!upstreamFailureKinds.has(error.kind)) return;
     this.#entry.upstream.health.recordFailure(this.#request);
     this.#context.failed(error);
--- a/packages/routing/src/UpstreamRegistry/test.ts
+++ b/packages/routing/src/UpstreamRegistry/test.ts
@@ -342,3 +342,35 @@
   for (let count = 0; count < 3; count += 1) await send(setup, failing, 'upstreamFailed', 1);
   t.is(registry.slots(service), slotsBefore - failing.limit.slots + 2);
 });
+
+// Guards against requests to an engine that has asked for a backoff, and whose reports go on saying that it is live.
+test('an upstream gets no requests in the backoff that it asks for', async (t) => {
+  const { clock, registry, first, engine } = await startRegistry(['e1', 'e2']);
+  const request = registry.begin(first);
+  request.failed(new RouterError('upstreamUnavailable', 'busy', { backoffMs: 3_000 }));
+  request[Symbol.dispose]();
+  await clock.advance(1_000);
+  engine.report = { ...engine.report, measuredAtMs: clock.wallMs() };
+  await clock.advance(1_900);
+  t.false(registry.candidates(service).includes(first));
+  await clock.advance(300);
+  t.true(registry.candidates(service).includes(first));
+  registry.begin(first)[Symbol.dispose]();
+  t.false(
+    registry.candidates(service).includes(first),
+    'requests follow each other at an interval',
+  );
+  await clock.advance(1_200);
+  t.true(registry.candidates(service).includes(first));
+});
+
+// Guards against the last resort: all upstreams of a service that back off are none.
+test('a service whose upstreams all back off has no candidates', async (t) => {
+  const { clock, registry, first } = await startRegistry(['e1']);
+  const request = registry.begin(first);
+  request.backOff(1_000);
+  request[Symbol.dispose]();
+  t.deepEqual(registry.candidates(service), []);
+  await clock.advance(1_200);
+  t.is(registry.candidates(service).length, 1);
+});
--- a/packages/routing/src/_lib/ServicePool/index.ts
+++ b/packages/routing/src/_lib/ServicePool/index.ts
@@ -40,15 +40,17 @@
 
   /**
    * Returns the upstreams that may receive requests. If none has room, returns the usable ones: a limit
-   * may have been lowered after a request was admitted, which must not fail that request. If none is
-   * usable, returns those that have refused requests without reporting that they are leaving: the fault
+   * may have been lowered after a request was admitted, which must not fail that request. An upstream that
+   * asked for a backoff is never among them. If none is usable, returns those that have refused requests without reporting that they are leaving: the fault
    * may lie with this instance.
    */
   candidates(): readonly Upstream[] {
     if (this.#available.items.length > 0) return this.#available.items;
     const usable = this.live.filter((upstream) => isUsable(upstream));
     if (usable.length > 0) return usable;
-    return this.live.filter(({ health }) => health.state === 'healthy');
+    return this.live.filter(
+      ({ health, backoff }) => health.state === 'healthy' && backoff.remainingMs === 0,
+    );
   }
 
   /** Updates the pool after a change of an upstream's state. */
@@ -104,8 +106,8 @@
   }
 }
 
-function isUsable({ state, isSuspect, health }: Upstream): boolean {
-  return state === 'live' && !isSuspect && health.state === 'healthy';
+function isUsable({ state, isSuspect, health, backoff }: Upstream): boolean {
+  return state === 'live' && !isSuspect && health.state === 'healthy' && backoff.remainingMs === 0;
 }
 
 /**
@@ -119,13 +121,14 @@
 }
 
 function hasRoom(upstream: Upstream): boolean {
-  const { limit, inFlightRequests } = upstream;
-  if (isUsable(upstream)) return limit.hasRoom(inFlightRequests);
+  const { limit, inFlightRequests, backoff } = upstream;
+  if (isUsable(upstream)) return backoff.waitMs === 0 && limit.hasRoom(inFlightRequests);
   return canProbe(upstream);
 }
 
 /** A probing upstream receives one request at a time until that request has its first token. */
-function canProbe({ state, isSuspect, health }: Upstream): boolean {
+function canProbe({ state, isSuspect, health, backoff }: Upstream): boolean {
   if (state !== 'live' || isSuspect || health.state !== 'probing') return false;
+  if (backoff.waitMs > 0) return false;
   return health.unansweredRequests.size === 0;
 }
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -5,6 +5,7 @@
 import type { ListedInstance } from '@acaciacrank/store';
 import type { EngineClient, LoadReport, ServiceClient } from '@acaciacrank/upstreams';
 import type { ConcurrencyLimit } from './ConcurrencyLimit/index.js';
+import type { OverloadBackoff } from './OverloadBackoff/index.js';
 import type { UpstreamHealth } from './UpstreamHealth/index.js';
 
 /** State of an upstream as observed by this instance. */
@@ -31,6 +32,8 @@
   incarnation: number;
   /** Whether it has refused a request and not reported since that it is live; it may be leaving. */
   isSuspect: boolean;
+  /** The time for which it has asked this instance to send it nothing. */
+  readonly backoff: OverloadBackoff;
   /** Limits the in-flight requests of this instance at the upstream. */
   readonly limit: ConcurrencyLimit;
   /** Health as observed by this instance's own requests. */
--- a/packages/upstreams/src/HttpEngineClient/index.ts
+++ b/packages/upstreams/src/HttpEngineClient/index.ts
@@ -7,6 +7,7 @@
 import { engineStateSchema, orderOutcomeSchema } from '../_lib/orderSchemas/index.js';
 import { loadReportSchema } from '../_lib/loadReportSchema/index.js';
 import { isConnectFailure } from '../_lib/isConnectFailure/index.js';
+import { readBackoffMs } from '../readBackoffMs/index.js';
 import { controlRequestTimeoutMs, readJson } from '../_lib/readJson/index.js';
 import type {
   EngineFrame,
@@ -79,7 +80,8 @@
       const kind = refusedStatuses.has(answer.statusCode)
         ? 'upstreamUnavailable'
         : 'upstreamFailed';
-      throw new RouterError(kind, `the engine answered ${answer.statusCode}`);
+      const backoffMs = readBackoffMs(answer.statusCode, answer.headers);
+      throw new RouterError(kind, `the engine answered ${answer.statusCode}`, { backoffMs });
     }
     yield* readFrames(answer.body);
   }
--- a/packages/upstreams/src/index.ts
+++ b/packages/upstreams/src/index.ts
@@ -7,6 +7,7 @@
 export * from './HttpEngineClient/index.js';
 export * from './HttpServiceClient/index.js';
 export * from './checkFrames/index.js';
+export * from './readBackoffMs/index.js';
 export * from './AdaptiveTimeout/index.js';
 export * from './watchProgress/index.js';
 export * from './StoreLease/index.js';
