--- a/packages/standins/src/StandinEngine/index.ts
+++ b/packages/standins/src/StandinEngine/index.ts
@@ -90,6 +90,9 @@
   #startedAtMs: number;
   /** Factor by which prefill and token generation are slowed down. */
   slowFactor = 1;
+  /** Number of requests that it refused since it was overloaded. */
+  refusedForOverload = 0;
+  #overload = { untilMs: -Infinity, backoffMs: 0 };
   failureMode: EngineFailureMode = 'none';
 
   constructor(options: StandinEngineOptions) {
@@ -120,6 +123,11 @@
     this.#leavingSinceMs = this.#options.clock.monotonicMs();
   }
 
+  /** Refuses new requests for a while, and asks each time to be sent nothing for the backoff. */
+  overload(durationMs: number, backoffMs: number): void {
+    this.#overload = { untilMs: this.#options.clock.monotonicMs() + durationMs, backoffMs };
+  }
+
   /** Restarts under the same id; streams, cache, load reports and control state are lost. */
   restart(): void {
     for (const stream of this.#streams.values()) this.cancel(stream.request.requestId);
@@ -159,6 +167,11 @@
       this.requestsWhileLeaving.push({ requestId: request.requestId, sinceLeavingMs });
       throw new RouterError('upstreamUnavailable', `${this.id} is leaving`);
     }
+    if (this.#options.clock.monotonicMs() < this.#overload.untilMs) {
+      this.refusedForOverload += 1;
+      const { backoffMs } = this.#overload;
+      throw new RouterError('upstreamUnavailable', `${this.id} is overloaded`, { backoffMs });
+    }
     if (this.failureMode === 'failing') {
       throw new RouterError('upstreamFailed', `${this.id} simulates failure of every request`);
     }
--- a/packages/standins/src/scenarios/runScenario/index.ts
+++ b/packages/standins/src/scenarios/runScenario/index.ts
@@ -15,6 +15,7 @@
   readonly requests: number;
   readonly answeredPercent: number;
   readonly refusals: Readonly<Record<string, number>>;
+  readonly refusedForOverload: number;
   readonly settledTokens: number;
   readonly version: number;
   readonly inForceMs: number;
@@ -156,6 +157,7 @@
     else if ('loseAnswers' in event) injector.loseWriteResponses(event.loseAnswers, event.count);
     else if ('silence' in event) this.#silence(event.silence, event.to);
     else if ('leave' in event) this.#leave(event.leave);
+    else if ('overload' in event) this.#overload(event.overload, event.for, event.backoff);
     else if ('topUp' in event) this.#backgroundTasks.push(this.#topUp(event));
     else this.#backgroundTasks.push(this.#promote(event));
   }
@@ -190,6 +192,10 @@
     if (listed !== undefined) platform.setInstance({ ...listed, state: 'leaving' });
   }
 
+  #overload(id: string, durationMs: number, backoffMs: number): void {
+    this.#fleet.clients.engines.get(id)?.overload(durationMs, backoffMs);
+  }
+
   async #topUp(event: { topUp: string; tokens: number; by: string }): Promise<void> {
     this.#context.topUps.set(event.topUp, event.tokens);
     const store = this.#context.operatorStore(event.by);
@@ -245,6 +251,7 @@
       requests: outcomes.length,
       answeredPercent: Math.round(answeredPercent * 100) / 100,
       refusals,
+      refusedForOverload: this.#refusedForOverload(),
       settledTokens: this.#settledTokens(),
       version: this.#version(),
       inForceMs: this.#inForceMs,
@@ -262,6 +269,11 @@
     };
   }
 
+  #refusedForOverload(): number {
+    const engines = [...this.#fleet.clients.engines.values()];
+    return engines.reduce((sum, engine) => sum + engine.refusedForOverload, 0);
+  }
+
   #settledTokens(): number {
     return this.#fleet.platform
       .objects()
@@ -283,6 +295,7 @@
   const { refused, ...bounds } = scenario.expect;
   const rows: (readonly [string, number, Bounds | undefined])[] = [
     ['answeredPercent', measured.answeredPercent, bounds.answeredPercent],
+    ['refusedForOverload', measured.refusedForOverload, bounds.refusedForOverload],
     ['settledTokens', measured.settledTokens, bounds.settledTokens],
     ['version', measured.version, bounds.version],
     ['inForceMs', measured.inForceMs, bounds.inForceMs],
--- a/packages/standins/src/scenarios/scenarioSchema/index.ts
+++ b/packages/standins/src/scenarios/scenarioSchema/index.ts
@@ -49,6 +49,8 @@
   z.strictObject({ ...at, silence: actor, to: z.enum(['store', 'engine', 'service', 'fleet']) }),
   /** An upstream begins to leave: it rejects new requests and finishes those in progress. */
   z.strictObject({ ...at, leave: actor }),
+  /** An engine refuses new requests, and asks each time to be sent nothing for the backoff. */
+  z.strictObject({ ...at, overload: actor, for: duration, backoff: duration }),
   /** An operator tops up the budget; the value is the id of the top-up. */
   z.strictObject({ ...at, topUp: z.string(), tokens: count, by: actor.default('operator') }),
   /** An operator promotes a document with this note, based on version `from`. */
@@ -85,6 +87,8 @@
     answeredPercent: bounds.optional(),
     /** Number of refused attempts by error kind. */
     refused: z.record(z.string(), bounds).default({}),
+    /** Number of requests that overloaded engines refused, from all instances. */
+    refusedForOverload: bounds.optional(),
     /** Tokens that were settled in the budget. */
     settledTokens: bounds.optional(),
     /** Latest accepted configuration version. */
