--- a/packages/base/src/RouterError/index.ts
+++ b/packages/base/src/RouterError/index.ts
@@ -15,8 +15,7 @@
   /** Overrides the retry delay in {@link errorAnswers}, in milliseconds. */
   retryAfterMs?: number;
   /**
-   * For how long the upstream that refused the request wants nothing from this instance, in milliseconds; not
-   * sent to the caller.
+   * Backoff that the upstream requested with its refusal, in milliseconds; not sent to the caller.
    */
   backoffMs?: number | undefined;
   /**
--- a/packages/base/src/errorKinds/index.ts
+++ b/packages/base/src/errorKinds/index.ts
@@ -4,14 +4,14 @@
  * Every error that is returned to a caller or an operator has one of these kinds.
  */
 
-/** What an error response says about whether the request was executed. */
+/** The claim of an error response about whether the request was executed. */
 export type ExecutionClaim = 'notRun' | 'ran' | 'unknown';
 
 /** How an error kind is reported to callers and operators. */
 export interface ErrorAnswer {
   /** HTTP status of the response. */
   readonly httpStatus: number;
-  /** Whether the request was executed, unless the error itself says otherwise. */
+  /** Whether the request was executed, unless the error itself states otherwise. */
   readonly ran: ExecutionClaim;
   /** Delay before a retry, in milliseconds; undefined where a retry without a change is useless. */
   readonly retryAfterMs: number | undefined;
--- a/packages/callers/src/ChatHandler/index.ts
+++ b/packages/callers/src/ChatHandler/index.ts
@@ -51,7 +51,7 @@
 /** Part of the longest request duration that is reserved for writing the bill, in milliseconds. */
 const billMarginMs = 10 * millisecondsInSecond;
 
-/** One attempt at a request: the call, and what the configuration says about it. */
+/** One attempt at a request: the call and its configuration. */
 interface Attempt {
   readonly call: ChatCall;
   readonly key: RequestKey;
--- a/packages/callers/src/ServiceHandler/index.ts
+++ b/packages/callers/src/ServiceHandler/index.ts
@@ -53,7 +53,7 @@
 /** Attempts to write the outcome of a call; after the last one its record remains an intent. */
 const maxRecordWrites = 20;
 
-/** One attempt at a request: the call, and what the configuration says about it. */
+/** One attempt at a request: the call and its configuration. */
 interface Attempt {
   readonly call: ServiceCall;
   readonly key: RequestKey;
@@ -235,8 +235,8 @@
 
   /**
    * Ends a call without a response. A call that may have run is billed once and its record stays an
-   * intent, so that every retry is told that the outcome is unknown. A call that did not run is not
-   * billed. Its record is updated before the caller is told; only then does the error's claim cover
+   * intent, so that the response to every retry states that the outcome is unknown. A call that did not run is not
+   * billed. Its record is updated before the response is sent; only then does the error's claim cover
    * the whole request rather than this attempt.
    */
   async #handleUnanswered(
--- a/packages/callers/src/_lib/createCallerDeadline/index.ts
+++ b/packages/callers/src/_lib/createCallerDeadline/index.ts
@@ -14,7 +14,7 @@
  * Bounds a caller's wait while the store is unavailable.
  *
  * Otherwise a caller whose answer is complete would wait for its final frame as long as the store
- * is down, for ten minutes or more. Instead it is told that the request ran and when to retry.
+ * is down, for ten minutes or more. Instead the response states that the request ran and when to retry.
  * Billing continues, and a retry with the same idempotency key gets the complete answer.
  *
  * @param clock - measures the wait
--- a/packages/callers/src/_lib/toPossiblyRunError/index.ts
+++ b/packages/callers/src/_lib/toPossiblyRunError/index.ts
@@ -7,7 +7,7 @@
  * Turns an error that claims `notRun` into one that claims `unknown`.
  *
  * Guards against a false `notRun`: if a first upstream accepts the request and stops responding and
- * the next one refuses it, the refusal alone would tell the caller that nothing ran.
+ * the next one refuses it, the refusal alone would claim that nothing ran.
  *
  * @param error - why the request failed, after its first byte may have reached an upstream
  */
--- a/packages/ctl/src/OperatorPortClient/index.ts
+++ b/packages/ctl/src/OperatorPortClient/index.ts
@@ -6,7 +6,7 @@
   /**
    * Asks an instance for its status.
    *
-   * @throws RouterError `upstreamUnavailable` when the status is unknown; the message says why
+   * @throws RouterError `upstreamUnavailable` when the status is unknown; the message contains the reason
    */
   abstract status(entry: ListedInstance): Promise<InstanceAnswer>;
 
--- a/packages/fleet/src/Membership/index.ts
+++ b/packages/fleet/src/Membership/index.ts
@@ -189,7 +189,7 @@
   }
 
   /**
-   * Changes the state of this instance to `left` and tells the neighbours at once, so that none of
+   * Changes the state of this instance to `left` and notifies the neighbours at once, so that none of
    * them has to detect the shutdown by missing heartbeats.
    */
   end(): void {
--- a/packages/fleet/src/Registrations/index.ts
+++ b/packages/fleet/src/Registrations/index.ts
@@ -19,7 +19,7 @@
   readonly state: 'live' | 'leaving';
   /** Counter that rises with each write while the instance runs and reaches the store. */
   readonly heartbeat: number;
-  /** What this instance tells about restores of the store; undefined until it has listed the others. */
+  /** What this instance reports about restores of the store; undefined until it has listed the others. */
   readonly restores?: RestoreReport | undefined;
 }
 
@@ -157,7 +157,7 @@
 
   /** Writes heartbeats and reads the list until disposed of. */
   async run(): Promise<void> {
-    // Registered after the first list: what it tells about restores belongs into the first registration.
+    // Registered after the first list: its report on restores belongs into the first registration.
     await this.#list();
     await Promise.all([this.#runHeartbeats(), this.#runListing()]);
   }
--- a/packages/fleet/src/RestoreWitness/index.ts
+++ b/packages/fleet/src/RestoreWitness/index.ts
@@ -2,7 +2,7 @@
 import { maxCopyAgeMs } from '@acaciacrank/store';
 import type { RegisteredRun } from '../Registrations/index.js';
 
-/** What one run of an instance tells the others about restores of the store. */
+/** Report of one run of an instance on restores of the store. */
 export interface RestoreReport {
   /** The epoch in which the fleet first started, if it is known. */
   readonly firstEpoch?: number | undefined;
@@ -60,7 +60,7 @@
   /**
    * The epoch in which the fleet first started; undefined before the first list.
    *
-   * It is 0, so that any object may be older than the present epoch, as long as nobody tells it.
+   * It is 0, so that any object may be older than the present epoch, as long as nobody reports it.
    */
   get firstEpoch(): number | undefined {
     return this.#epoch === undefined ? undefined : (this.#firstEpoch ?? 0);
@@ -71,7 +71,7 @@
     return [...this.#pending];
   }
 
-  /** What this run tells the others; undefined before the first list. */
+  /** What this run reports to the others; undefined before the first list. */
   get report(): RestoreReport | undefined {
     if (this.#epoch === undefined) return undefined;
     return {
--- a/packages/forwarding/src/DomainDrains/index.ts
+++ b/packages/forwarding/src/DomainDrains/index.ts
@@ -18,7 +18,7 @@
  * taken back. Requests that are in progress there run to their end.
  *
  * If all failure domains of a service are drained, its requests are refused as not run: the operator asked
- * that nothing be sent there, and a log line says so.
+ * that nothing be sent there, which is logged.
  */
 export class DomainDrains implements Disposable {
   readonly #options: DomainDrainsOptions;
@@ -79,7 +79,7 @@
    * Ends a drain that is not listed any more.
    *
    * Guards against requests to a failure domain whose drain was lost with a restore of the store: until the
-   * operator's next change can be told from that, the drain stays in force.
+   * operator's next change can be distinguished from that, the drain stays in force.
    */
   #removeMissing(domain: FailureDomainId): void {
     const { clock } = this.#options;
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -251,7 +251,7 @@
     return this.#fleetPort;
   }
 
-  /** Epoch of the store, as last told by it; 0 if it tells none. */
+  /** Epoch of the store, as last reported by it; 0 if it reports none. */
   get storeEpoch(): number {
     return this.#options.store.epochs.value;
   }
@@ -409,7 +409,7 @@
     });
   }
 
-  /** Whether calls of this instance to the store fail; not told by a watch through a peer. */
+  /** Whether calls of this instance to the store fail; not shown by a watch through a peer. */
   get #isStoreUnavailable(): boolean {
     const { isLost } = this.#configurationFollower;
     const isRelayed = this.#relayedStore.isRelayed(this.#configuration.prefix);
--- a/packages/forwarding/src/PeerUpstreamSync/index.ts
+++ b/packages/forwarding/src/PeerUpstreamSync/index.ts
@@ -25,7 +25,7 @@
  *
  * Guards against an instance that keeps using upstreams which announced long ago that they are
  * leaving: connections are refused and responses never arrive, at this one instance only. A peer
- * that cannot reach the store either says so and sends no records.
+ * that cannot reach the store either reports that and sends no records.
  */
 export class PeerUpstreamSync implements Disposable {
   readonly #options: PeerUpstreamSyncOptions;
--- a/packages/forwarding/src/RelayedObjectStore/index.ts
+++ b/packages/forwarding/src/RelayedObjectStore/index.ts
@@ -72,7 +72,7 @@
   }
 
   /**
-   * Whether the last watch of a prefix went through a peer, so that it tells nothing about the store
+   * Whether the last watch of a prefix went through a peer, so that it shows nothing about the store
    * itself.
    */
   isRelayed(prefix: string): boolean {
--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -135,7 +135,7 @@
    * Sets the failure domains whose upstreams get no new requests; requests in progress there continue.
    *
    * Guards against a burst at the end of a drain: upstreams that were idle may have to warm up again, and
-   * their records may not say so yet.
+   * their records may not state it yet.
    */
   setDrainedDomains(drained: ReadonlySet<FailureDomainId>): void {
     const ended = [...this.#drained].filter((domain) => !drained.has(domain));
@@ -191,7 +191,7 @@
     if (this.#byId.get(upstream.id) === upstream) this.#removeUpstream(upstream);
   }
 
-  /** Applies what an upstream says of itself in a response. */
+  /** Applies the statement of an upstream in a response. */
   applyStatement(upstream: Upstream, received: ReceivedStatement): void {
     const wasLeaving = upstream.isLeaving;
     applyStatement(upstream, received, (what, details) => {
@@ -273,8 +273,8 @@
   }
 
   /**
-   * Applies what a record says of the upstream's warm-up. An upstream that registers while this instance
-   * follows the records has just started, so it warms up even if its record does not say so.
+   * Applies the warm-up in an upstream's record. An upstream that registers while this instance
+   * follows the records has just started, so it warms up even if its record does not state it.
    */
   #applyWarmUp(upstream: Upstream, { warmUpMs }: UpstreamRecord): void {
     if (warmUpMs === undefined) {
@@ -372,7 +372,7 @@
 
 /**
  * Whether a record of the same run is newer than the known one. A repeated record, as in a complete list,
- * says nothing new: its times are those of its writing.
+ * contains nothing new: its times are those of its writing.
  */
 function isNewerRecord(known: UpstreamRecord, record: UpstreamRecord): boolean {
   if (known.version !== undefined && record.version !== undefined) {
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -32,7 +32,7 @@
   prefill: PrefillEstimate | undefined;
   /** Called once, when the first event arrives. */
   onFirstEvent: (inFlightRequest: InFlightRequest) => void;
-  /** Called with what the upstream says of itself in a response to the request. */
+  /** Called with the upstream's statement in a response to the request. */
   onStatement: (received: ReceivedStatement) => void;
   /**
    * Aborts the attempt after this long without data from the upstream, in milliseconds; undefined
--- a/packages/forwarding/src/_lib/AttemptResult/index.ts
+++ b/packages/forwarding/src/_lib/AttemptResult/index.ts
@@ -25,7 +25,7 @@
   readonly kind: 'notRun';
   readonly status: number;
   readonly isWrongUpstream: boolean;
-  /** For how long it wants nothing from this instance, in milliseconds; undefined if it does not say. */
+  /** The backoff that it requests, in milliseconds; undefined for none. */
   readonly backoffMs: number | undefined;
 }
 
--- a/packages/forwarding/src/_lib/Exchange/index.ts
+++ b/packages/forwarding/src/_lib/Exchange/index.ts
@@ -87,8 +87,8 @@
   /**
    * Sends the request; resolves when the response is complete.
    *
-   * @throws the connection's error, the receiver's, or one that tells of {@link abort};
-   * {@link wasNeverSent} tells whether the request may have run
+   * @throws the connection's error, the receiver's, or one that reports {@link abort};
+   * {@link wasNeverSent} returns whether the request may have run
    */
   run(): Promise<void> {
     const { method, path, headers, body } = this.#request;
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -110,7 +110,7 @@
   readonly limit: UpstreamLimit;
   /** Whether it is warming up, and what it takes meanwhile. */
   readonly warmUp: WarmUp;
-  /** What it has asked of this instance in its responses. */
+  /** What it has requested of this instance in its responses. */
   readonly statements: UpstreamStatements;
   readonly inFlight = new Set<InFlightRequest>();
   readonly #clock: Clock;
--- a/packages/forwarding/src/_lib/UpstreamChange/index.ts
+++ b/packages/forwarding/src/_lib/UpstreamChange/index.ts
@@ -15,15 +15,15 @@
   | 'gone'
   /** It was ejected. */
   | 'leftOut'
-  /** It says that it is warming up. */
+  /** It reports that it is warming up. */
   | 'warmingUp'
-  /** It states a longer warm-up than is believed. */
+  /** It states a longer warm-up than is accepted. */
   | 'warmUpImplausible'
-  /** It is overloaded and wants nothing from this instance for a while. */
+  /** It is overloaded and requests a backoff. */
   | 'backoffBegan'
   /** The first request after that is sent. */
   | 'backoffEnded'
-  /** It asks for a longer backoff than is believed. */
+  /** It requests a longer backoff than is accepted. */
   | 'backoffImplausible'
   | LimitChange;
 
@@ -34,7 +34,7 @@
   readonly what: UpstreamChangeKind;
   /** How this instance learnt that it is leaving; undefined for other changes. */
   readonly source?: 'record' | 'response' | undefined;
-  /** Time since the request was sent whose response told it, in milliseconds; undefined for records. */
+  /** Maximum age of the statement: time since its request was sent, in milliseconds; undefined for records. */
   readonly maxAgeMs?: number | undefined;
   /**
    * Requests per second that the upstream accepts from all instances combined; undefined if it sets
@@ -43,11 +43,11 @@
   readonly limitPerS?: number | undefined;
   /** The peer that reported the limit; undefined if this instance read it in a response. */
   readonly toldBy?: InstanceId | undefined;
-  /** How long it says that it is warming up, in milliseconds. */
+  /** Remaining warm-up that it reports, in milliseconds. */
   readonly warmUpMs?: number | undefined;
-  /** For how long it asked to be sent nothing, in milliseconds. */
+  /** Duration of the backoff that it requests, in milliseconds. */
   readonly backoffMs?: number | undefined;
 }
 
-/** What a change says beyond its kind and its upstream. */
+/** Details of a change besides its kind and its upstream. */
 export type ChangeDetails = Omit<UpstreamChange, 'upstreamId' | 'service' | 'what'>;
--- a/packages/forwarding/src/_lib/applyStatement/index.ts
+++ b/packages/forwarding/src/_lib/applyStatement/index.ts
@@ -17,7 +17,7 @@
 export type ReportChange = (what: UpstreamChangeKind, details: ChangeDetails) => void;
 
 /**
- * Applies all that an upstream says of itself in a response.
+ * Applies the statement of an upstream in a response.
  *
  * @example
  * applyStatement(upstream, received, (what, details) => log.info({ what, ...details }));
--- a/packages/forwarding/src/_lib/createDrainFollower/index.ts
+++ b/packages/forwarding/src/_lib/createDrainFollower/index.ts
@@ -16,7 +16,7 @@
 
 /**
  * Creates the follower that keeps the drained failure domains equal to their objects in the store. The
- * existence of an object is the operator's request; its content, which may be anything, says nothing.
+ * existence of an object is the operator's request; its content may be anything and is ignored.
  *
  * @param options - the store, the prefix and the drains
  * @returns a follower that does not run yet
--- a/packages/forwarding/src/_lib/limits/index.ts
+++ b/packages/forwarding/src/_lib/limits/index.ts
@@ -50,6 +50,6 @@
 export const responseMarginMs = 10;
 /**
  * Upper bound for the delay between calls to a store that refuses them, of what follows upstreams and
- * drains, in milliseconds. The configuration is asked for more often: it tells that the store is back.
+ * drains, in milliseconds. The configuration is read more often: it shows that the store is available again.
  */
 export const maxFollowerRetryMs = 1_000;
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -174,7 +174,7 @@
   readonly slots: number;
 }
 
-/** What an upstream says of itself in a response. */
+/** What an upstream reports about itself in a response. */
 export interface UpstreamStatement {
   readonly load: ReportedLoad | undefined;
   /**
@@ -182,13 +182,12 @@
    * response has no limit, undefined if its limit cannot be parsed.
    */
   readonly limitPerS: number | undefined;
-  /** How much longer the upstream warms up, in milliseconds; undefined if it does not say. */
+  /** How much longer the upstream warms up, in milliseconds; undefined if not stated. */
   readonly warmUpMs: number | undefined;
-  /** Whether the upstream says that it is leaving. */
+  /** Whether the upstream states that it is leaving. */
   readonly isLeaving: boolean;
   /**
-   * How long an overloaded upstream wants nothing from this instance, in milliseconds; undefined if it does not
-   * say.
+   * Backoff that an overloaded upstream requests from this instance, in milliseconds; undefined if not stated.
    */
   readonly backoffMs: number | undefined;
 }
--- a/packages/ledger/src/_lib/StoredGrant/index.ts
+++ b/packages/ledger/src/_lib/StoredGrant/index.ts
@@ -49,7 +49,7 @@
  *
  * When the store comes back from an older copy, the page may lack grants that are being spent. The own
  * grant stays in force and has to be written again. Ungranted tokens are withheld meanwhile, since they
- * may be held by others: `RestoreKnowledge` tells from when on every grant is in the page again.
+ * may be held by others: `RestoreKnowledge` determines from when on every grant is in the page again.
  */
 export class StoredGrant {
   /** Tokens granted to all process runs, as last read or listed; a list may be stale. */
--- a/packages/routing/src/InFlightRequest/index.ts
+++ b/packages/routing/src/InFlightRequest/index.ts
@@ -6,7 +6,7 @@
   abstract progress(): void;
 
   /**
-   * Records that the upstream is overloaded and wants nothing from this instance for a while.
+   * Records that the upstream is overloaded and requests a backoff.
    *
    * @param durationMs - in milliseconds
    */
--- a/packages/routing/src/OverloadBackoff/index.ts
+++ b/packages/routing/src/OverloadBackoff/index.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@acaciacrank/base';
 
-/** The longest backoff that an upstream is believed to ask for, in milliseconds. */
+/** Upper bound for a backoff that an upstream requests, in milliseconds. */
 export const maxBackoffMs = 60_000;
 /** For how long after a backoff requests are sent one by one, in milliseconds. */
 const recoveryMs = 1_000;
@@ -8,8 +8,7 @@
 const recoveryIntervalMs = 100;
 
 /**
- * The time for which an overloaded upstream has asked this instance to send it nothing (`Retry-After`), and the
- * recovery after it.
+ * The backoff that an overloaded upstream requested from this instance (`Retry-After`), and the recovery after it.
  *
  * A later request for a backoff only ever extends it: each one holds until its own end, so a shorter one does not
  * shorten a longer one, and neither does a response to a request that was already on its way.
--- a/packages/routing/src/UpstreamRegistry/index.ts
+++ b/packages/routing/src/UpstreamRegistry/index.ts
@@ -261,7 +261,7 @@
     void closing.finally(() => this.#closing.delete(closing));
   }
 
-  /** Updates an upstream's state and pool. It is leaving if the list or its last report says so. */
+  /** Updates an upstream's state and pool. It is leaving if the list or its last report states it. */
   #updatePool({ upstream, listed, stop }: Entry): void {
     const isLeaving =
       stop.signal.aborted || listed.state === 'leaving' || upstream.report?.state === 'leaving';
@@ -279,7 +279,7 @@
 
   /**
    * An upstream that refuses a request may be leaving although the list and the reports, which lag, do
-   * not say so yet. It receives no more requests until a report measured after the refusal says that it
+   * not state it yet. It receives no more requests until a report measured after the refusal states that it
    * is live.
    */
   #handleFailure(entry: Entry, error: RouterError): void {
--- a/packages/routing/src/WarmUp/index.ts
+++ b/packages/routing/src/WarmUp/index.ts
@@ -16,7 +16,7 @@
   mayHaveBeenUsed?: boolean;
 }
 
-/** The longest time for which an upstream is believed to warm up, in milliseconds. */
+/** The longest time for which an upstream is assumed to warm up, in milliseconds. */
 export const maxWarmUpMs = 60_000;
 /** Requests sent within this time count towards the bound of one second, in milliseconds. */
 const boundWindowMs = 1_000;
--- a/packages/routing/src/checkAvailability/index.ts
+++ b/packages/routing/src/checkAvailability/index.ts
@@ -8,7 +8,7 @@
   readonly isLeaving: boolean;
   /** Whether its failure domain is drained. */
   readonly isDomainDrained: boolean;
-  /** Time until the end of the backoff that it asked this instance for. */
+  /** Time until the end of the backoff that it requested from this instance. */
   readonly backoffWaitMs: number;
   /** Time until this instance's share of its rate limit allows a request. */
   readonly limitWaitMs: number;
@@ -38,7 +38,7 @@
  * Decides whether an upstream may be sent a request now. Every request passes this, first attempts as well as
  * retries and resumed streams. The strictest bound decides, and none ends another.
  *
- * Handles an upstream that is overloaded, or about to leave, and has said so: it looks idle, since it refuses or
+ * Handles an upstream that is overloaded or leaving and has stated it: it looks idle, since it refuses or
  * loses its requests, so that load alone would attract more of them.
  *
  * @example
--- a/packages/routing/src/estimateSlotWait/index.ts
+++ b/packages/routing/src/estimateSlotWait/index.ts
@@ -18,7 +18,7 @@
  * Estimates how long a request that is sent now waits for a slot, in milliseconds.
  *
  * Handles engines with few slots whose load other instances cause: to each instance alone such an engine
- * looks idle, but a request waits there until a stream of another instance ends. A recent report tells of
+ * looks idle, but a request waits there until a stream of another instance ends. A recent report shows
  * their requests. The older it is, the more the usual number counts: all instances place by the same rules
  * and see the same mix of prompts, so the others use the engine about as much as this one did on average.
  * Without that, a prompt part that many prompts share would move from engine to engine as reports age.
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -32,7 +32,7 @@
   incarnation: number;
   /** Whether it has refused a request and not reported since that it is live; it may be leaving. */
   isSuspect: boolean;
-  /** The time for which it has asked this instance to send it nothing. */
+  /** The backoff that it requested from this instance. */
   readonly backoff: OverloadBackoff;
   /** Limits the in-flight requests of this instance at the upstream. */
   readonly limit: ConcurrencyLimit;
--- a/packages/soak/src/_lib/Observations/index.ts
+++ b/packages/soak/src/_lib/Observations/index.ts
@@ -21,7 +21,7 @@
   readonly sentAtMs: number;
   readonly endedAtMs: number;
   readonly outcome: CallOutcome;
-  /** Service that sent the response; empty if the response does not tell. */
+  /** Service that sent the response; empty if the response does not show it. */
   readonly service: string;
   /** What was wrong with a successful response; empty if nothing was. */
   readonly problem: string;
--- a/packages/soak/src/_lib/StatementCheck/index.ts
+++ b/packages/soak/src/_lib/StatementCheck/index.ts
@@ -15,7 +15,7 @@
   readonly reached: Map<string, boolean>;
 }
 
-/** A time in which an upstream wants nothing from an instance. */
+/** A period in which an upstream accepts no requests from an instance. */
 interface Backoff {
   readonly fromMs: number;
   readonly untilMs: number;
@@ -30,8 +30,8 @@
 const maxArrivalsInBackoff = 2;
 
 /**
- * Checks that each instance heeds what an upstream asked of it in a response: that it leaves, or that it wants
- * nothing for a while. An instance that was restarted or stood still is excused, and so is a disturbed
+ * Checks that each instance applies what an upstream stated in a response: that it is leaving, or that it
+ * requests a backoff. An instance that was restarted or stood still is excused, and so is a disturbed
  * connection to the upstream; disturbances of the store excuse nothing.
  */
 export class StatementCheck {
@@ -88,7 +88,7 @@
     }
   }
 
-  /** Records that an instance is restarted or stands still; it may have lost what it was told until then. */
+  /** Records that an instance is restarted or stands still; it may have lost the statements received until then. */
   noteInstanceDisturbance(instance: number, durationMs: number): void {
     const untilMs = this.#options.now() + durationMs;
     extend(this.#instancesDisturbedUntilMs, instance, untilMs);
--- a/packages/soak/src/types.ts
+++ b/packages/soak/src/types.ts
@@ -23,9 +23,9 @@
   | 'leavingUpstream'
   /** All instances combined respect the rate limit of an upstream. */
   | 'upstreamLimit'
-  /** An instance that was told in a response that an upstream leaves soon sends it nothing more. */
+  /** An instance soon stops sending requests to an upstream that stated in a response that it is leaving. */
   | 'statedLeaving'
-  /** An instance sends nothing to an upstream that asked it for a backoff, until that ends. */
+  /** An instance sends no requests to an upstream during a backoff that the upstream requested. */
   | 'statedBackoff'
   /** A graceful shutdown cuts off no request. */
   | 'plannedStop'
--- a/packages/standins/src/_lib/WarmUpSimulation/index.ts
+++ b/packages/standins/src/_lib/WarmUpSimulation/index.ts
@@ -179,7 +179,7 @@
     return next;
   }
 
-  /** Lets running upstreams warm up again; their records say so after a while. */
+  /** Lets running upstreams warm up again; their records state it after a while. */
   coolDown(upstreams: readonly WarmingUpstream[], toldAfterMs: number): void {
     for (const upstream of upstreams) {
       upstream.warmUpArrivalsMs = [];
--- a/packages/store/src/MemoryPlatform/index.ts
+++ b/packages/store/src/MemoryPlatform/index.ts
@@ -323,7 +323,7 @@
     return { ...result, version: composeVersion(this.epochs.value, result.version) };
   }
 
-  /** Each response of the platform tells its epoch. */
+  /** Each response of the platform contains its epoch. */
   #observeEpoch(): void {
     this.epochs.observe(this.#platform.epoch);
   }
--- a/packages/store/src/ObjectStore/index.ts
+++ b/packages/store/src/ObjectStore/index.ts
@@ -19,7 +19,7 @@
 export abstract class ObjectStore {
   readonly #epochs = new StoreEpochs();
 
-  /** The epoch of the store as last told by it, and every later one; 0 if it tells none. */
+  /** The epoch of the store as last reported by it, and every later one; 0 if it reports none. */
   get epochs(): StoreEpochs {
     return this.#epochs;
   }
--- a/packages/store/src/StoreEpochs/index.ts
+++ b/packages/store/src/StoreEpochs/index.ts
@@ -1,7 +1,7 @@
 import { StateStream } from '@acaciacrank/base';
 
 /**
- * The epochs of a store, as its responses tell them: the present one, and every later one.
+ * The epochs of a store, as its responses report them: the present one, and every later one.
  *
  * An epoch ends when the store comes back from an older copy of its objects. Writes that it acknowledged
  * after that copy are lost, and every holder of state from before has to write its state again, read it
@@ -21,7 +21,7 @@
   }
 
   /**
-   * Records the epoch that a response told.
+   * Records the epoch in a response.
    *
    * @param epoch - at least the present one
    *
--- a/packages/upstreams/src/StoreLease/index.ts
+++ b/packages/upstreams/src/StoreLease/index.ts
@@ -167,7 +167,7 @@
     else this.#held = { version, untilMs };
   }
 
-  /** The response to a write can be lost after it took effect; the nonce tells whether it did. */
+  /** The response to a write can be lost after it took effect; the nonce shows whether it did. */
   async #findOwnWrite(nonce: string): Promise<number | undefined> {
     const stored = await this.#options.store.read(this.#options.key);
     if (stored === undefined) return undefined;
--- a/packages/upstreams/src/_lib/isConnectFailure/index.ts
+++ b/packages/upstreams/src/_lib/isConnectFailure/index.ts
@@ -6,9 +6,9 @@
 const connectTimeoutCode = 'UND_ERR_CONNECT_TIMEOUT';
 
 /**
- * Whether an error says that no connection was established, so that no byte reached the upstream.
+ * Whether an error shows that no connection was established, so that no byte reached the upstream.
  *
- * Only errors of the connect call itself say so. `EHOSTUNREACH` or `ETIMEDOUT` may also end a
+ * Only errors of the connect call itself show it. `EHOSTUNREACH` or `ETIMEDOUT` may also end a
  * connection that has carried the request, and a pooled connection that its peer closes shows as a
  * reset after the request was written: in both cases it is unknown whether the request ran.
  *
--- a/packages/upstreams/src/readBackoffMs/index.ts
+++ b/packages/upstreams/src/readBackoffMs/index.ts
@@ -5,9 +5,9 @@
 const overloadStatuses: ReadonlySet<number> = new Set([429, 503]);
 
 /**
- * Reads for how long an overloaded upstream wants nothing from this instance.
+ * Reads the backoff that an overloaded upstream requests.
  *
- * @returns milliseconds; undefined if the response does not say, or not in seconds
+ * @returns milliseconds; undefined if the response has none in seconds
  *
  * @example
  * readBackoffMs(503, { 'retry-after': '1.5' }); // 1500
