--- a/packages/base/src/Metrics/index.ts
+++ b/packages/base/src/Metrics/index.ts
@@ -1,3 +1,4 @@
+import { getOrCreate } from '../getOrCreate/index.js';
 import { build, type Histogram } from 'hdr-histogram-js';
 
 /** Name of the series that collects values once a metric has its maximum number of series. */
@@ -94,11 +95,3 @@
     return overflowSeries;
   }
 }
-
-function getOrCreate<Key, Value>(map: Map<Key, Value>, key: Key, create: () => Value): Value {
-  const existing = map.get(key);
-  if (existing !== undefined) return existing;
-  const created = create();
-  map.set(key, created);
-  return created;
-}
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -15,6 +15,8 @@
 export * from './readSettings/index.js';
 export * from './createLog/index.js';
 export * from './createLogStream/index.js';
+export * from './getOrCreate/index.js';
+export * from './parseBackoffMs/index.js';
 export * from './Metrics/index.js';
 export * from './formatMetrics/index.js';
 export * from './createRandom/index.js';
--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -1,9 +1,10 @@
-import type {
-  Clock,
-  FailureDomainId,
-  InstanceId,
-  ServiceName,
-  UpstreamId,
+import {
+  getOrCreate,
+  type Clock,
+  type FailureDomainId,
+  type InstanceId,
+  type ServiceName,
+  type UpstreamId,
 } from '@acaciacrank/base';
 import { HashRing, maxWarmUpMs, RunTimeEstimator } from '@acaciacrank/routing';
 import { maxCopyAgeMs } from '@acaciacrank/store';
@@ -265,11 +266,7 @@
   }
 
   #runTimesOf(service: ServiceName): RunTimeEstimator {
-    const known = this.#runTimes.get(service);
-    if (known !== undefined) return known;
-    const runTimes = new RunTimeEstimator();
-    this.#runTimes.set(service, runTimes);
-    return runTimes;
+    return getOrCreate(this.#runTimes, service, () => new RunTimeEstimator());
   }
 
   /**
--- a/packages/routing/src/UpstreamRegistry/index.ts
+++ b/packages/routing/src/UpstreamRegistry/index.ts
@@ -1,5 +1,6 @@
 import {
   DisposableStore,
+  getOrCreate,
   RouterError,
   withTimeout,
   type Clock,
@@ -270,11 +271,7 @@
   }
 
   #getOrCreatePool(service: ServiceName): ServicePool {
-    const existing = this.#pools.get(service);
-    if (existing !== undefined) return existing;
-    const created = new ServicePool();
-    this.#pools.set(service, created);
-    return created;
+    return getOrCreate(this.#pools, service, () => new ServicePool());
   }
 
   /**
--- a/packages/soak/src/_lib/LimitCheck/index.ts
+++ b/packages/soak/src/_lib/LimitCheck/index.ts
@@ -1,3 +1,4 @@
+import { getOrCreate } from '@acaciacrank/base';
 import type { InvariantName } from '../../types.js';
 import { bounds, toleranceMs } from '../InstanceProcess/index.js';
 
@@ -81,11 +82,9 @@
   }
 
   #stateOf(upstream: string): UpstreamState {
-    const existing = this.#upstreams.get(upstream);
-    if (existing !== undefined) return existing;
-    const state = { periods: [], arrivalsMs: [], disturbedUntilMs: -Infinity };
-    this.#upstreams.set(upstream, state);
-    return state;
+    return getOrCreate(this.#upstreams, upstream, () => {
+      return { periods: [], arrivalsMs: [], disturbedUntilMs: -Infinity };
+    });
   }
 }
 
--- a/packages/soak/src/_lib/StatementCheck/index.ts
+++ b/packages/soak/src/_lib/StatementCheck/index.ts
@@ -1,3 +1,4 @@
+import { getOrCreate } from '@acaciacrank/base';
 import type { InvariantName } from '../../types.js';
 
 /** Options of {@link StatementCheck}. */
@@ -143,11 +144,3 @@
 function extend<Key>(times: Map<Key, number>, key: Key, untilMs: number): void {
   times.set(key, Math.max(untilMs, times.get(key) ?? 0));
 }
-
-function getOrCreate<Key, Value>(map: Map<Key, Value>, key: Key, create: () => Value): Value {
-  const existing = map.get(key);
-  if (existing !== undefined) return existing;
-  const created = create();
-  map.set(key, created);
-  return created;
-}
