--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -9,7 +9,7 @@
   type Random,
   type UpstreamId,
 } from '@acaciacrank/base';
-import type { Availability, PrefillTimeModel, RetryShare } from '@acaciacrank/routing';
+import type { PrefillTimeModel, RetryShare } from '@acaciacrank/routing';
 import type { ForwardCodec } from '../../ForwardCodec/index.js';
 import type { UpstreamTable } from '../../UpstreamTable/index.js';
 import { Attempt } from '../Attempt/index.js';
@@ -268,15 +268,18 @@
     return new RouterError('upstreamUnavailable', reason, this.#retryDelay());
   }
 
-  /**
-   * Returns a retry delay if an upstream will have room, otherwise an empty object.
-   */
+  /** Returns a retry delay if an upstream will have room, otherwise an empty object. */
   #retryDelay(): { retryAfterMs?: number } {
     const { upstreams, metrics } = this.#dependencies;
-    const limited = upstreams.usable(this.#call.service.name).filter(({ hasRoom }) => !hasRoom);
+    const limited = upstreams
+      .usable(this.#call.service.name)
+      .map(({ availability }) => availability)
+      .filter(({ bound }) => bound !== undefined);
     if (limited.length === 0) return {};
     metrics.count('refusedAtLimit');
-    const { bound, waitMs } = soonestAvailable(limited);
+    const { bound, waitMs } = limited.reduce((soonest, other) =>
+      other.waitMs < soonest.waitMs ? other : soonest,
+    );
     this.#call.trace.add('atLimit', {
       upstreams: limited.length,
       bound,
@@ -299,12 +302,6 @@
   }
 }
 
-function soonestAvailable(upstreams: readonly Upstream[]): Availability {
-  return upstreams
-    .map(({ availability }) => availability)
-    .reduce((soonest, other) => (other.waitMs < soonest.waitMs ? other : soonest));
-}
-
 /** Whether the request may have reached the upstream. */
 function wasSent(result: AttemptResult): boolean {
   if (result.kind === 'deadline' || result.kind === 'callerGone') return result.wasSent;
--- a/packages/soak/src/_lib/FaultInjector/index.ts
+++ b/packages/soak/src/_lib/FaultInjector/index.ts
@@ -88,10 +88,12 @@
         this.#overload(upstream.server, fault);
         return;
       case 'resetUpstream':
+        observations.noteDisturbance(0);
         this.#noteUpstreamDisturbance(upstream.server, 0);
         upstream.proxy.reset();
         return;
       case 'silenceUpstream':
+        observations.noteDisturbance(0);
         this.#noteUpstreamDisturbance(upstream.server, 0);
         upstream.proxy.silenceConnections();
         return;
@@ -124,30 +126,25 @@
   /** Sets the limit of an upstream and removes it after the fault, unless a later fault has set it again. */
   #setLimit(upstream: FakeUpstream, fault: PlannedFault): void {
     const { injectedDefect } = this.#options;
-    const { durationMs, target } = fault;
-    this.#latestLimitFaults.set(upstream, fault);
-    const limitPerS = limitsPerS[target % limitsPerS.length];
-    upstream.limitPerS = limitPerS;
+    upstream.limitPerS = limitsPerS[fault.target % limitsPerS.length];
     upstream.isLimitHidden = injectedDefect === 'hideLimit';
-    setTimeout(() => {
-      if (this.#latestLimitFaults.get(upstream) === fault) upstream.limitPerS = undefined;
-    }, durationMs);
+    endUnlessReplaced(this.#latestLimitFaults, upstream, fault, () => {
+      upstream.limitPerS = undefined;
+    });
   }
 
   /** Overloads an upstream until the end of the fault, or of a later one of this kind. */
   #overload(upstream: FakeUpstream, fault: PlannedFault): void {
-    const { durationMs, target } = fault;
-    this.#latestOverloads.set(upstream, fault);
-    upstream.backoffMs = backoffsMs[target % backoffsMs.length];
+    upstream.backoffMs = backoffsMs[fault.target % backoffsMs.length];
     upstream.isBackoffHidden = this.#options.injectedDefect === 'hideBackoff';
-    setTimeout(() => {
-      if (this.#latestOverloads.get(upstream) === fault) upstream.backoffMs = undefined;
-    }, durationMs);
+    endUnlessReplaced(this.#latestOverloads, upstream, fault, () => {
+      upstream.backoffMs = undefined;
+    });
   }
 
+  /** Records for the checks of single upstreams that responses of one may be lost. */
   #noteUpstreamDisturbance({ id }: FakeUpstream, durationMs: number): void {
     const { observations } = this.#options;
-    observations.noteDisturbance(durationMs);
     observations.limits.noteDisturbance(id, durationMs);
     observations.statements.noteUpstreamDisturbance(id, durationMs);
   }
@@ -194,3 +191,16 @@
     setTimeout(end, durationMs);
   }
 }
+
+/** Ends a fault of an upstream after its duration, unless a later one of its kind has taken its place. */
+function endUnlessReplaced(
+  latest: Map<FakeUpstream, PlannedFault>,
+  upstream: FakeUpstream,
+  fault: PlannedFault,
+  end: () => void,
+): void {
+  latest.set(upstream, fault);
+  setTimeout(() => {
+    if (latest.get(upstream) === fault) end();
+  }, fault.durationMs);
+}
