Upstreams that end under requests: told from connections that break

A trace said broken for both, and nothing showed that two attempts of callers are the same request. After a lost connection the instance asks once whether anything still listens (one connection for all requests that broke together, 300 ms at most); a refusal is an end. Logged as upstream change ended with the requests under way, counted in upstream_changes_total, and in the trace as upstreamEnded with a digest of what the request asks for (method, path, body, prompt parts; no id, no caller). No decision changes.

--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -206,6 +206,13 @@
     this.#report(upstream.record, 'backoffEnded');
   }
 
+  /** Reports once that an upstream has ended while requests of this instance were in progress there. */
+  reportEnded(upstream: Upstream, underWay: number): void {
+    if (upstream.hasReportedEnd) return;
+    upstream.hasReportedEnd = true;
+    this.#report(upstream.record, 'ended', { underWay });
+  }
+
   /** Reports that an upstream was ejected. */
   reportEjected(upstream: Upstream): void {
     this.#report(upstream.record, 'leftOut');
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -146,11 +146,16 @@
 
   #finish({ longestGapMs }: InFlightRequest): AttemptResult {
     const handling = this.#bodyHandling;
-    if (handling === undefined) return { kind: 'broken', reason: 'the response has no head' };
+    if (handling === undefined)
+      return { kind: 'broken', reason: 'the response has no head', isConnectionLost: false };
     if (handling.kind === 'collect') return handling.result(handling.collector.body);
     return handling.relay.finish()
       ? { kind: 'streamed', longestGapMs: Math.round(longestGapMs) }
-      : { kind: 'broken', reason: 'the stream ended in the middle of an event' };
+      : {
+          kind: 'broken',
+          reason: 'the stream ended in the middle of an event',
+          isConnectionLost: true,
+        };
   }
 
   #collect(result: (body: Buffer) => AttemptResult): void {
@@ -208,7 +213,8 @@
     if (abortReason === 'silent') return { kind: abortReason };
     if (abortReason !== undefined) return { kind: abortReason, wasSent: !wasNeverSent(thrown) };
     if (wasNeverSent(thrown)) return { kind: 'notSent', reason: toRouterError(thrown).message };
-    return { kind: 'broken', reason: toRouterError(thrown).message };
+    const isConnectionLost = !(thrown instanceof RouterError);
+    return { kind: 'broken', reason: toRouterError(thrown).message, isConnectionLost };
   }
 }
 
--- a/packages/forwarding/src/_lib/AttemptResult/index.ts
+++ b/packages/forwarding/src/_lib/AttemptResult/index.ts
@@ -11,8 +11,7 @@
   /** No byte was sent. */
   | { readonly kind: 'notSent'; readonly reason: string }
   | NotRunResult
-  /** The upstream or the connection failed; the request may have run. */
-  | { readonly kind: 'broken'; readonly reason: string }
+  | BrokenResult
   /** Aborted by this instance in order to try another upstream, since no data arrived in time. */
   | { readonly kind: 'silent' }
   /** The deadline of the request passed; `wasSent`: the request may have reached the upstream. */
@@ -20,6 +19,14 @@
   /** The caller disconnected; `wasSent` as for `deadline`. */
   | { readonly kind: 'callerGone'; readonly wasSent: boolean };
 
+/** The upstream or the connection failed; the request may have run. */
+export interface BrokenResult {
+  readonly kind: 'broken';
+  readonly reason: string;
+  /** Whether the connection was lost, rather than the response being invalid. */
+  readonly isConnectionLost: boolean;
+}
+
 /** The upstream states that it did not run the request. */
 export interface NotRunResult {
   readonly kind: 'notRun';
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -20,6 +20,7 @@
 import { maxConnectAttempts, upstreamInactivityMs } from '../limits/index.js';
 import type { TraceStep } from '../RequestTrace/index.js';
 import type { PromptPartLocations } from '../PromptPartLocations/index.js';
+import { digestContent } from '../digestContent/index.js';
 import { lastSharedPart, pickUpstream, type UpstreamPick } from '../pickUpstream/index.js';
 import { delimitByConnectionClose } from '../StreamRelay/index.js';
 import type { InFlightRequest, Upstream } from '../Upstream/index.js';
@@ -59,6 +60,7 @@
   readonly #call: ForwardCall;
   readonly #attemptedIds = new Set<UpstreamId>();
   #unsentAttempts = 0;
+  #contentDigest: string | undefined;
 
   constructor(dependencies: DispatchDependencies, call: ForwardCall) {
     this.#dependencies = dependencies;
@@ -75,6 +77,7 @@
       const pick = this.#pick();
       if (pick === undefined) throw this.#createUnavailableError();
       const result = await this.#attempt(pick);
+      if (result.kind === 'broken' && result.isConnectionLost) await this.#checkEnd(pick.upstream);
       if (await this.#handleResult(pick.upstream, result)) return;
     }
   }
@@ -196,6 +199,20 @@
     return slowResponseFactor * route.targetLatencyMs;
   }
 
+  /** Finds out whether the upstream has ended under the request. */
+  async #checkEnd(upstream: Upstream): Promise<void> {
+    const underWay = upstream.inFlight.size + 1;
+    if (!(await upstream.confirmEnd())) return;
+    this.#dependencies.upstreams.reportEnded(upstream, underWay);
+    const { id: upstreamId } = upstream;
+    this.#call.trace.add('upstreamEnded', { upstreamId, underWay, content: this.#content });
+  }
+
+  /** The digest of what the request asks for, the same for all attempts to send it. */
+  get #content(): string {
+    return (this.#contentDigest ??= digestContent(this.#call));
+  }
+
   /** Handles the result of an attempt; returns whether the caller's request is complete. */
   async #handleResult(upstream: Upstream, result: AttemptResult): Promise<boolean> {
     const call = this.#call;
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -13,10 +13,13 @@
   type EngineLoad,
 } from '@acaciacrank/routing';
 import type { ReportedLoad, UpstreamRecord, WarmUpPolicy } from '../../types.js';
+import { probeAddress } from '../probeAddress/index.js';
 import { UpstreamConnection } from '../UpstreamConnection/index.js';
 import { UpstreamStatements } from '../UpstreamStatements/index.js';
 import { UpstreamLimit, unshared, type LimitSharing } from '../UpstreamLimit/index.js';
 import {
+  endProbeTimeoutMs,
+  endProbeTtlMs,
   failuresToEject,
   initialEjectionMs,
   maxEjectionMs,
@@ -113,6 +116,8 @@
   /** What it has requested of this instance in its responses. */
   readonly statements: UpstreamStatements;
   readonly inFlight = new Set<InFlightRequest>();
+  /** Whether its end was reported, and nothing came from it since. */
+  hasReportedEnd = false;
   readonly #clock: Clock;
   readonly #runTimes: RunTimeEstimator;
   readonly #instanceCount: () => number;
@@ -133,6 +138,8 @@
   #ejectionMs = 0;
   #ejectedUntilMs = 0;
   #lastReceivedMs = 0;
+  /** The last probe of its address, and when it began. */
+  #endProbe: { readonly hasEnded: Promise<boolean>; readonly atMs: number } | undefined;
 
   constructor(record: UpstreamRecord, options: UpstreamOptions) {
     const { clock, limitSharing = unshared } = options;
@@ -335,6 +342,7 @@
 
   /** Records a successful request, which resets failures and ejection. */
   recordSuccess(): void {
+    this.hasReportedEnd = false;
     this.#consecutiveFailures = 0;
     this.#ejectionMs = 0;
     this.#ejectedUntilMs = 0;
@@ -364,6 +372,19 @@
     if (policy !== undefined) this.warmUp.assume(this.#ejectionMs + policy.durationMs);
   }
 
+  /**
+   * Finds out after a lost connection whether it has ended: it accepts no new connection, and does not merely
+   * keep silent. Requests whose connections broke at the same time share one probe.
+   */
+  confirmEnd(): Promise<boolean> {
+    const nowMs = this.#clock.monotonicMs();
+    if (this.#endProbe === undefined || nowMs - this.#endProbe.atMs >= endProbeTtlMs) {
+      const probe = probeAddress(this.address, endProbeTimeoutMs);
+      this.#endProbe = { hasEnded: probe.then((outcome) => outcome === 'refused'), atMs: nowMs };
+    }
+    return this.#endProbe.hasEnded;
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     const connections = [...this.#open];
     this.#open.clear();
--- a/packages/forwarding/src/_lib/UpstreamChange/index.ts
+++ b/packages/forwarding/src/_lib/UpstreamChange/index.ts
@@ -15,6 +15,8 @@
   | 'gone'
   /** It was ejected. */
   | 'leftOut'
+  /** Its connections broke and it accepts no new ones. */
+  | 'ended'
   /** It reports that it is warming up. */
   | 'warmingUp'
   /** It states a longer warm-up than is accepted. */
@@ -32,6 +34,8 @@
   readonly upstreamId: UpstreamId;
   readonly service: ServiceName;
   readonly what: UpstreamChangeKind;
+  /** Requests of this instance that were in progress there when it ended. */
+  readonly underWay?: number | undefined;
   /** How this instance learnt that it is leaving; undefined for other changes. */
   readonly source?: 'record' | 'response' | undefined;
   /** Maximum age of the statement: time since its request was sent, in milliseconds; undefined for records. */
--- a/packages/forwarding/src/_lib/limits/index.ts
+++ b/packages/forwarding/src/_lib/limits/index.ts
@@ -4,6 +4,10 @@
 
 /** Timeout for connecting to an upstream, in milliseconds. Network latency is 1 to 3 ms. */
 export const connectTimeoutMs = 500;
+/** How long an upstream may take to accept a connection that shows that it has not ended, in milliseconds. */
+export const endProbeTimeoutMs = 300;
+/** How long the outcome of such a probe is used, in milliseconds. */
+export const endProbeTtlMs = 200;
 /**
  * How long an idle connection is kept open, in milliseconds, if the upstream announces no
  * keep-alive timeout.
