--- a/packages/soak/src/_lib/FakeUpstream/index.ts
+++ b/packages/soak/src/_lib/FakeUpstream/index.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { deadlyRequestOf } from '../DeadlyCaller/index.js';
 import { requestKinds } from '../buildSoakConfiguration/index.js';
 import { closeServer, listenOnLoopback } from '../listenOnLoopback/index.js';
 import type { Observations } from '../Observations/index.js';
@@ -11,6 +12,8 @@
   readonly observations: Observations;
   /** Milliseconds from the start of the run. */
   readonly now: () => number;
+  /** Called when a deadly request ends it; its connections are to be lost. */
+  readonly onEnd: (upstream: FakeUpstream) => void;
 }
 
 /** Delay of a plain response, and of each event of a stream. */
@@ -33,6 +36,8 @@
   isBackoffHidden = false;
   readonly #options: FakeUpstreamOptions;
   readonly #server: Server;
+  /** Ids of the requests that it is running. */
+  readonly #running = new Set<string>();
 
   constructor(options: FakeUpstreamOptions) {
     this.#options = options;
@@ -82,11 +87,30 @@
     const promptTokens = Number(String(request.headers['x-token-count'] ?? '0').split(',')[0]);
     const account = String(request.headers['x-tenant'] ?? '');
     observations.noteRun(id, kind?.isRepeatable ?? false, account, promptTokens);
+    const deadlyRequest = deadlyRequestOf(request.url ?? '');
+    if (deadlyRequest !== undefined) {
+      await sleep(delaysMs.plain);
+      this.#end(deadlyRequest);
+      return;
+    }
+    this.#running.add(id);
     if (kind?.isStream === true) await this.#stream(id, request, response);
     else {
       await sleep(delaysMs.plain);
-      response.writeHead(200, this.#buildHeaders(id)).end(`${id} ${service} whole`);
+      if (!response.destroyed) {
+        response.writeHead(200, this.#buildHeaders(id)).end(`${id} ${service} whole`);
+      }
     }
+    this.#running.delete(id);
+  }
+
+  /** Ends under a deadly request; requests that it is running get no response. */
+  #end(deadlyRequest: string): void {
+    const { observations, onEnd } = this.#options;
+    observations.deadly.noteEnd(deadlyRequest, this.id, this.#running);
+    this.#running.clear();
+    this.#server.closeAllConnections();
+    onEnd(this);
   }
 
   /** Builds the headers of a response, and reports the current limit to the checks. */
--- a/packages/soak/src/_lib/FaultInjector/index.ts
+++ b/packages/soak/src/_lib/FaultInjector/index.ts
@@ -1,4 +1,5 @@
 import type { InjectedDefect, PlannedFault } from '../../types.js';
+import type { DeadlyCaller } from '../DeadlyCaller/index.js';
 import type { FakeUpstream } from '../FakeUpstream/index.js';
 import { stopLimitMs } from '../InstanceProcess/index.js';
 import type { Observations } from '../Observations/index.js';
@@ -20,6 +21,7 @@
 export interface FaultInjectorOptions {
   readonly environment: SoakEnvironment;
   readonly observations: Observations;
+  readonly deadlyCaller: () => DeadlyCaller;
   readonly injectedDefect: InjectedDefect | undefined;
 }
 
@@ -115,6 +117,9 @@
       case 'storeRestored':
         this.#restoreStore(fault);
         return;
+      case 'deadlyRequest':
+        void this.#options.deadlyCaller().send(fault.target);
+        return;
       case 'changeConfiguration':
         environment.changeConfiguration();
         return;
--- a/packages/soak/src/_lib/FaultProxy/index.ts
+++ b/packages/soak/src/_lib/FaultProxy/index.ts
@@ -1,4 +1,4 @@
-import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { connect, createServer, type Server, type Socket } from 'node:net';
 import { closeServer, listenOnLoopback } from '../listenOnLoopback/index.js';
 
 /**
@@ -25,6 +25,7 @@
   /** All open sockets, including those of silenced connections whose other socket is closed. */
   readonly #sockets = new Set<Socket>();
   #mode: ProxyMode = 'pass';
+  #port = 0;
 
   constructor(targetPort: number) {
     this.#targetPort = targetPort;
@@ -35,12 +36,24 @@
 
   /** Port that the proxy listens on; 0 before {@link listen}. */
   get port(): number {
-    return (this.#server.address() as AddressInfo | null)?.port ?? 0;
+    return this.#port;
   }
 
   /** Starts listening on a free port and returns the port. */
-  listen(): Promise<number> {
-    return listenOnLoopback(this.#server);
+  async listen(): Promise<number> {
+    this.#port = await listenOnLoopback(this.#server);
+    return this.#port;
+  }
+
+  /** Resets all connections and refuses new ones, as after the end of the target's process. */
+  goDown(): void {
+    this.reset();
+    this.#server.close();
+  }
+
+  /** Listens again on the same port. */
+  comeBack(): void {
+    if (!this.#server.listening) this.#server.listen(this.#port, '127.0.0.1');
   }
 
   /** Changes the mode, also for open connections. */
--- a/packages/soak/src/_lib/LoadGenerator/index.ts
+++ b/packages/soak/src/_lib/LoadGenerator/index.ts
@@ -104,7 +104,9 @@
     const sentAtMs = now();
     const instance = callerPorts.indexOf(port);
     observations.statements.noteCallStart(id, instance);
-    const target = { port, path: `${kind.path}x`, method: kind.method, headers };
+    // Every second request asks for the same as others of its kind.
+    const item = this.#callCount % 2 === 0 ? 'x' : `x-${this.#callCount}`;
+    const target = { port, path: `${kind.path}${item}`, method: kind.method, headers };
     const isDefective = injectedDefect === 'refuseAll' || random() < defectShare;
     const response = isDefective
       ? await this.#sendWithDefect(target, kind, injectedDefect)
--- a/packages/soak/src/_lib/Observations/index.ts
+++ b/packages/soak/src/_lib/Observations/index.ts
@@ -2,6 +2,7 @@
 import { accounts, movedRouteService, tokensPerEvent } from '../buildSoakConfiguration/index.js';
 import { bounds, toleranceMs } from '../InstanceProcess/index.js';
 import { LimitCheck } from '../LimitCheck/index.js';
+import { DeadlyCheck } from '../DeadlyCheck/index.js';
 import { StatementCheck } from '../StatementCheck/index.js';
 import { DirectoryCheck } from '../DirectoryCheck/index.js';
 
@@ -62,6 +63,7 @@
   readonly directoryCheck: DirectoryCheck;
   readonly limits: LimitCheck;
   readonly statements: StatementCheck;
+  readonly deadly: DeadlyCheck;
   readonly #now: () => number;
   readonly #runs = new Map<string, UpstreamRuns>();
   readonly #refusedAtMs = new Map<string, number>();
@@ -84,6 +86,7 @@
     this.directoryCheck = new DirectoryCheck({ now, onViolation });
     this.limits = new LimitCheck({ now, onViolation });
     this.statements = new StatementCheck({ now, onViolation });
+    this.deadly = new DeadlyCheck({ onViolation });
   }
 
   /** Records a fault. Invariants with a time limit are not checked during it and for `stableWindowMs` after it. */
@@ -150,6 +153,7 @@
 
   /** Checks the invariants that apply to the run as a whole. */
   finish(): void {
+    this.deadly.finish(this.calls);
     for (const service of new Set(this.#arrivals.map((arrival) => arrival.service))) {
       this.#checkRetries(service);
     }
--- a/packages/soak/src/_lib/SoakEnvironment/index.ts
+++ b/packages/soak/src/_lib/SoakEnvironment/index.ts
@@ -49,6 +49,8 @@
 const copyTimes = { intervalMs: 500, count: 41 } as const;
 /** Time for which a draining upstream keeps serving before it is removed. */
 const drainMs = 5_000;
+/** Time that an upstream takes to start again after its end. */
+const upstreamRestartMs = 1_000;
 
 /** The instances under test with the fake store, the fake upstreams and the fault proxies between them. */
 export class SoakEnvironment implements AsyncDisposable {
@@ -176,7 +178,10 @@
     this.#upstreamCount += 1;
     const id = `u${this.#upstreamCount}`;
     const { observations, now } = this.#options;
-    const server = this.#owned.add(new FakeUpstream({ id, service, observations, now }));
+    const onEnd = (ended: FakeUpstream) => {
+      this.#endUpstream(ended);
+    };
+    const server = this.#owned.add(new FakeUpstream({ id, service, observations, now, onEnd }));
     const proxy = this.#owned.add(new FaultProxy(await server.listen()));
     await proxy.listen();
     const upstream = { server, proxy };
@@ -184,6 +189,19 @@
     this.#writeUpstreamRecord(upstream, 'ready');
   }
 
+  /** The process of an upstream ends, and is started again. */
+  #endUpstream(ended: FakeUpstream): void {
+    const { observations } = this.#options;
+    observations.noteDisturbance(upstreamRestartMs);
+    observations.limits.noteDisturbance(ended.id, upstreamRestartMs);
+    observations.statements.noteUpstreamDisturbance(ended.id, upstreamRestartMs);
+    const proxy = this.upstreams.find(({ server }) => server === ended)?.proxy;
+    proxy?.goDown();
+    setTimeout(() => {
+      proxy?.comeBack();
+    }, upstreamRestartMs);
+  }
+
   #removeUpstreamRecord(key: string): void {
     const stored = this.#platform.read(key);
     if (stored !== undefined) this.#platform.remove(key, stored.version);
--- a/packages/soak/src/_lib/planFaults/index.ts
+++ b/packages/soak/src/_lib/planFaults/index.ts
@@ -116,6 +116,30 @@
   return plan;
 }
 
+/** Mean time between two deadly requests. */
+const deadlyRequestIntervalMs = 12_000;
+
+/**
+ * Generates the times at which a caller sends a request that ends upstreams. They are drawn apart from the other
+ * faults, like the overloads.
+ *
+ * @param random - random numbers; the same sequence gives the same plan
+ * @param runDurationMs - duration of the run
+ *
+ * @example
+ * planDeadlyRequests(createRandom(7), 60_000).length;
+ */
+export function planDeadlyRequests(random: Random, runDurationMs: number): PlannedFault[] {
+  const plan: PlannedFault[] = [];
+  let atMs = deadlyRequestIntervalMs * 2 * random();
+  while (atMs < runDurationMs) {
+    const target = Math.floor(random() * 1_000);
+    plan.push({ kind: 'deadlyRequest', atMs: Math.round(atMs), durationMs: 0, target });
+    atMs += deadlyRequestIntervalMs * 2 * random();
+  }
+  return plan;
+}
+
 function drawProfile(random: Random): FaultProfile {
   let remainingWeight = random() * faultProfiles.reduce((sum, { weight }) => sum + weight, 0);
   for (const profile of faultProfiles) {
--- a/packages/soak/src/runSoak/index.ts
+++ b/packages/soak/src/runSoak/index.ts
@@ -2,10 +2,16 @@
 import { mkdirSync } from 'node:fs';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { LoadGenerator } from '../_lib/LoadGenerator/index.js';
+import { DeadlyCaller } from '../_lib/DeadlyCaller/index.js';
 import { DirectoryPoller } from '../_lib/DirectoryPoller/index.js';
 import { FaultInjector } from '../_lib/FaultInjector/index.js';
 import { Observations } from '../_lib/Observations/index.js';
-import { planFaults, planOverloads, planRestores } from '../_lib/planFaults/index.js';
+import {
+  planDeadlyRequests,
+  planFaults,
+  planOverloads,
+  planRestores,
+} from '../_lib/planFaults/index.js';
 import { SoakEnvironment } from '../_lib/SoakEnvironment/index.js';
 import type { PlannedFault, SoakOptions, SoakReport } from '../types.js';
 
@@ -32,6 +38,7 @@
   readonly #observations = new Observations(() => this.#now());
   readonly #environment: SoakEnvironment;
   readonly #injector: FaultInjector;
+  #createdDeadlyCaller: DeadlyCaller | undefined;
 
   constructor(options: SoakOptions) {
     this.#options = options;
@@ -50,10 +57,19 @@
     this.#injector = new FaultInjector({
       environment,
       observations,
+      deadlyCaller: () => this.#deadlyCaller,
       injectedDefect,
     });
   }
 
+  get #deadlyCaller(): DeadlyCaller {
+    return (this.#createdDeadlyCaller ??= new DeadlyCaller({
+      random: this.#random,
+      callerPorts: this.#environment.instances.map(({ process }) => process.ports.front),
+      isVaried: this.#options.injectedDefect === 'varyDeadly',
+    }));
+  }
+
   async run(): Promise<SoakReport> {
     const { durationMs } = this.#options;
     await this.#environment.start();
@@ -77,7 +93,8 @@
     const faults = planFaults(createRandom(seed), durationMs);
     const overloads = planOverloads(createRandom(seed + 2), durationMs);
     const restores = hasRestores === true ? planRestores(createRandom(seed + 1), durationMs) : [];
-    return [...faults, ...overloads, ...restores].sort((a, b) => a.atMs - b.atMs);
+    const deadly = planDeadlyRequests(createRandom(seed + 3), durationMs);
+    return [...faults, ...overloads, ...deadly, ...restores].sort((a, b) => a.atMs - b.atMs);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
--- a/packages/soak/src/runSoak/test.ts
+++ b/packages/soak/src/runSoak/test.ts
@@ -112,6 +112,17 @@
   t.true(report.served > 0.5 * report.requests);
 });
 
+// Guards against a caller's request that ends one upstream after another, whoever repeats it where.
+test.serial.failing('a deadly request ends at most three upstreams', async (t) => {
+  const deadly = { kind: 'deadlyRequest', durationMs: 0 } as const;
+  const faults = [0, 3, 1, 4].map((target, index) => {
+    return { ...deadly, atMs: 1_500 + 4_000 * index, target };
+  });
+  const changes = { faults, instances: 4, durationMs: 18_000, requestsPerSecond: 160 };
+  const report = await runSoak(optionsFor('deadly', changes));
+  t.deepEqual(report.violations, []);
+});
+
 /** Options for a run with a single fault, for defects in how the system handles that fault. */
 function singleFault(kind: FaultKind, durationMs = 0): Partial<SoakOptions> {
   return { faults: [{ kind, atMs: 2_000, durationMs, target: 0 }] };
@@ -129,6 +140,7 @@
   ['hideLimit', 'upstreamLimit', singleFault('limitUpstream', 6_000)],
   ['hideLeaving', 'statedLeaving', singleFault('leaveUpstream')],
   ['hideBackoff', 'statedBackoff', singleFault('overloadUpstream', 6_000)],
+  ['varyDeadly', 'queryOfDeath', singleFault('deadlyRequest')],
   ['killForStop', 'plannedStop', singleFault('stop')],
   ['nameGone', 'goneInstance', { ...singleFault('powerOff', 9_000), durationMs: 10_500 }],
   ['hideLive', 'liveInstance', { faults: [] }],
--- a/packages/soak/src/types.ts
+++ b/packages/soak/src/types.ts
@@ -27,6 +27,8 @@
   | 'statedLeaving'
   /** An instance sends no requests to an upstream during a backoff that the upstream requested. */
   | 'statedBackoff'
+  /** One request ends at most three upstreams, whoever repeats it, and the requests beside it are served. */
+  | 'queryOfDeath'
   /** A graceful shutdown cuts off no request. */
   | 'plannedStop'
   /** Directories stop listing an instance that lost power. */
@@ -71,6 +73,8 @@
   | 'hideLeaving'
   /** Omits the backoff from the refusals of an overloaded upstream. */
   | 'hideBackoff'
+  /** Sends each attempt of a deadly request for something else. */
+  | 'varyDeadly'
   /** Kills the process instead of stopping it gracefully. */
   | 'killForStop'
   /** Lists all instances in every directory response. */
@@ -121,6 +125,8 @@
   | 'limitUpstream'
   /** An upstream refuses every request and asks for a backoff. */
   | 'overloadUpstream'
+  /** A caller sends a request that ends each upstream which runs it, and repeats it at any instance. */
+  | 'deadlyRequest'
   /** Writes a new configuration version. */
   | 'changeConfiguration';
 
