Upstreams that this instance does not reach: evidence, probes, a line and a gauge

Nothing told an instance that reaches no upstream from upstreams that fail. routing/UpstreamReach collects what passes by anyway (connections that come about or not, silence of several); a doubt is answered by up to three probes of 250 ms, and only while there is one. Connections are opened by a connector of our own: undici's timer was up to 418 ms late in the incident's logs (544 to 918 ms for 500). No decision changes.

--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -26,6 +26,7 @@
 import { PromptPartLocations } from '../_lib/PromptPartLocations/index.js';
 import { RequestTrace } from '../_lib/RequestTrace/index.js';
 import type { ForwardCodec } from '../ForwardCodec/index.js';
+import type { ReachMonitor } from '../ReachMonitor/index.js';
 import type { RequestQuarantine } from '../RequestQuarantine/index.js';
 import type { RouteTable } from '../RouteTable/index.js';
 import type {
@@ -48,6 +49,8 @@
   tokens: PrepaidAccounts;
   retries: RetryShare;
   quarantine: RequestQuarantine;
+  /** Whether this instance reaches upstreams. */
+  reach: ReachMonitor;
   ownDomain: FailureDomainId;
   /** Whether new requests are accepted; false in the final phase of a shutdown. */
   isAccepting: () => boolean;
@@ -154,7 +157,9 @@
     const account = accountFor(routes, route, head.key);
     summary.accountId = account?.accountId;
     const waitMs = Math.min(head.budgetMs ?? route.timeoutMs, route.timeoutMs);
-    trace.add('admitted', { route: route.name, version: routes.configuration.version, waitMs });
+    const { version } = routes.configuration;
+    const isUnreached = this.#options.reach.isReached ? undefined : true;
+    trace.add('admitted', { route: route.name, version, waitMs, isUnreached });
     return {
       request,
       response,
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -32,6 +32,7 @@
 import { createUpstreamFollower } from '../_lib/createUpstreamFollower/index.js';
 import { DirectoryLog } from '../_lib/DirectoryLog/index.js';
 import { planShutdown } from '../_lib/planShutdown/index.js';
+import { ReachMonitor } from '../ReachMonitor/index.js';
 import { RequestQuarantine } from '../RequestQuarantine/index.js';
 import type { RouteTable } from '../RouteTable/index.js';
 import { UpstreamLimitGossip } from '../UpstreamLimitGossip/index.js';
@@ -147,6 +148,8 @@
   readonly #server: Server;
   readonly #links: WsFleetLinks;
   readonly #limitGossip: UpstreamLimitGossip;
+  /** Whether this instance reaches upstreams. */
+  readonly reach: ReachMonitor;
   /** What is known of requests under which upstreams have ended. */
   readonly quarantine: RequestQuarantine;
   readonly #directoryLog: DirectoryLog;
@@ -174,6 +177,10 @@
       this.#relayedStore,
       batchShare.configuration * settings.configurationLimitMs,
     );
+    const addresses = () => this.upstreams.all().map(({ address }) => address);
+    this.reach = this.#disposables.add(
+      new ReachMonitor({ clock, random, log, metrics, addresses }),
+    );
     this.upstreams = this.#createUpstreamTable();
     this.drains = this.#createDomainDrains();
     this.#limitGossip = new UpstreamLimitGossip({
@@ -220,6 +227,7 @@
       tokens: this.tokens,
       retries,
       quarantine: this.quarantine,
+      reach: this.reach,
       ownDomain: settings.failureDomain,
       isAccepting: () => this.#phase !== 'refusing',
       isLeaving: () => this.#phase !== 'running',
@@ -427,6 +435,7 @@
     const { instanceId } = settings;
     return new UpstreamTable({
       clock,
+      reach: this.reach.reach,
       limitSharing: { instanceId, sharers: () => this.fleet.rateSharingInstances },
       instanceCount: () => this.fleet.sharingInstanceCount,
       maxConnections: (service) => this.routes?.service(service)?.maxConnections ?? Infinity,
--- /dev/null
+++ b/packages/forwarding/src/ReachMonitor/index.ts
@@ -0,0 +1,96 @@
+import type { Clock, Log, Metrics, Random } from '@acaciacrank/base';
+import { UpstreamReach } from '@acaciacrank/routing';
+import { probeAddress } from '../_lib/probeAddress/index.js';
+
+/** Options of {@link ReachMonitor}. */
+export interface ReachMonitorOptions {
+  clock: Clock;
+  random: Random;
+  log: Log;
+  metrics: Metrics;
+  /** Returns the addresses of the upstreams, `IP:PORT`. */
+  addresses: () => readonly string[];
+}
+
+/** Number of upstreams that are probed at once, and how long each may take, in milliseconds. */
+const probes = { count: 3, timeoutMs: 250 } as const;
+/** Time between two rounds of probes while no upstream is reached, in milliseconds. */
+const roundIntervalMs = 400;
+
+/** Finds out whether this instance reaches upstreams; probes are sent only while that is in doubt. */
+export class ReachMonitor implements Disposable {
+  readonly reach: UpstreamReach;
+  readonly #options: ReachMonitorOptions;
+  readonly #lostCallbacks = new Set<() => void>();
+  #isProbing = false;
+  #nextRound: Disposable | undefined;
+  #isDisposed = false;
+
+  constructor(options: ReachMonitorOptions) {
+    this.#options = options;
+    this.reach = new UpstreamReach(options.clock);
+  }
+
+  /**
+   * Whether requests can be sent to upstreams, as far as is known. A doubt counts as no until probes have answered
+   * it.
+   */
+  get isReached(): boolean {
+    const { state } = this.reach;
+    if (state === 'inDoubt') void this.#probe();
+    return state === 'reached';
+  }
+
+  /** Calls back when it turns out that no upstream is reached and nothing is received from any. */
+  onLost(callback: () => void): Disposable {
+    this.#lostCallbacks.add(callback);
+    return { [Symbol.dispose]: () => void this.#lostCallbacks.delete(callback) };
+  }
+
+  [Symbol.dispose](): void {
+    this.#isDisposed = true;
+    this.#nextRound?.[Symbol.dispose]();
+  }
+
+  async #probe(): Promise<void> {
+    if (this.#isProbing || this.#isDisposed) return;
+    this.#isProbing = true;
+    const isSilent = this.reach.isSilent;
+    const isReached = await this.#probeSome();
+    this.#isProbing = false;
+    this.#options.metrics.count('reachProbes', isReached ? 'accepted' : 'failed');
+    if (this.reach.recordProbes(isReached)) this.#report(isSilent);
+    if (this.reach.state !== 'unreached' || this.#isDisposed) return;
+    this.#nextRound = this.#options.clock.schedule(roundIntervalMs, () => void this.#probe());
+  }
+
+  /** Returns whether any of a few random upstreams accepts a connection. */
+  async #probeSome(): Promise<boolean> {
+    const { addresses, random } = this.#options;
+    const candidates = [...addresses()];
+    const accepting: Promise<void>[] = [];
+    while (accepting.length < probes.count && candidates.length > 0) {
+      const [address = ''] = candidates.splice(Math.floor(random() * candidates.length), 1);
+      accepting.push(probeUntilAccepted(address));
+    }
+    return Promise.any(accepting).then(
+      () => true,
+      () => false,
+    );
+  }
+
+  #report(isSilent: boolean): void {
+    const { log, metrics } = this.#options;
+    const isReached = this.reach.state === 'reached';
+    metrics.count('reachChanges', isReached ? 'reached' : 'unreached');
+    if (isReached) log.info('upstreams are reached again');
+    else log.warn({ isSilent }, 'no upstream is reached');
+    if (isReached || !isSilent) return;
+    for (const callback of [...this.#lostCallbacks]) callback();
+  }
+}
+
+async function probeUntilAccepted(address: string): Promise<void> {
+  const outcome = await probeAddress(address, probes.timeoutMs);
+  if (outcome !== 'accepted') throw new Error(`${address} is not reached: ${outcome}`);
+}
--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -6,7 +6,7 @@
   type ServiceName,
   type UpstreamId,
 } from '@acaciacrank/base';
-import { HashRing, maxWarmUpMs, RunTimeEstimator } from '@acaciacrank/routing';
+import { HashRing, maxWarmUpMs, RunTimeEstimator, type UpstreamReach } from '@acaciacrank/routing';
 import { maxCopyAgeMs } from '@acaciacrank/store';
 import { applyStatement, type ReceivedStatement } from '../_lib/applyStatement/index.js';
 import { isDifferentRun } from '../_lib/isDifferentRun/index.js';
@@ -30,6 +30,8 @@
   maxConnections?: (service: ServiceName) => number;
   /** Number of instances that share connections, including this one; 1 by default. */
   instanceCount?: () => number;
+  /** Evidence whether this instance reaches upstreams at all; none is collected by default. */
+  reach?: UpstreamReach;
   /** How the upstreams of a service warm up; by default they do not. */
   warmUp?: (service: ServiceName) => WarmUpPolicy | undefined;
 }
@@ -257,11 +259,12 @@
   }
 
   #createUpstream(record: UpstreamRecord): Upstream {
-    const { clock, limitSharing, warmUp = () => undefined } = this.#options;
+    const { clock, limitSharing, reach, warmUp = () => undefined } = this.#options;
     const { service } = record;
     return new Upstream(record, {
       clock,
       limitSharing,
+      reach,
       connectionShare: () => this.#connectionShare(service),
       warmUp: () => warmUp(service),
       runTimes: this.#runTimesOf(service),
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -12,6 +12,7 @@
   WarmUp,
   type Availability,
   type EngineLoad,
+  type UpstreamReach,
 } from '@acaciacrank/routing';
 import type { ReportedLoad, UpstreamRecord, WarmUpPolicy } from '../../types.js';
 import { probeAddress } from '../probeAddress/index.js';
@@ -106,6 +107,8 @@
   isDomainDrained?: (domain: FailureDomainId) => boolean;
   /** What this run of the upstream has stated before its record disappeared; by default nothing. */
   statements?: UpstreamStatements | undefined;
+  /** Evidence whether this instance reaches upstreams at all; none is collected by default. */
+  reach?: UpstreamReach | undefined;
   /** Whether an earlier run of this process may just have used the upstream; false by default. */
   mayHaveBeenUsed?: boolean;
 }
@@ -133,6 +136,7 @@
   readonly #ownAverage = new LoadAverage();
   readonly #connectionShare: () => number;
   readonly #warmUpPolicy: () => WarmUpPolicy | undefined;
+  readonly #reach: UpstreamReach | undefined;
   readonly #idle: UpstreamConnection[] = [];
   readonly #open = new Set<UpstreamConnection>();
   readonly #peerBacklog = new PeerBacklogEstimator();
@@ -159,6 +163,7 @@
     this.#isDomainDrained = options.isDomainDrained ?? (() => false);
     this.#runTimes = options.runTimes ?? new RunTimeEstimator();
     this.#connectionShare = connectionShare;
+    this.#reach = options.reach;
     this.statements = options.statements ?? new UpstreamStatements(clock);
     this.limit = new UpstreamLimit(clock, record.id, limitSharing);
     this.#warmUpPolicy = warmUp;
@@ -278,7 +283,10 @@
   acquireConnection(): UpstreamConnection {
     const idle = this.#idle.pop();
     if (idle !== undefined) return idle;
-    const connection = new UpstreamConnection(this.address);
+    const connection = new UpstreamConnection(this.address, (isConnected) => {
+      if (isConnected) this.#reach?.recordConnected();
+      else this.#reach?.recordConnectFailed(this.id);
+    });
     this.#open.add(connection);
     return connection;
   }
@@ -318,6 +326,7 @@
       this.#prefilling.add(inFlightRequest);
       this.#prefillingMs += inFlightRequest.prefill.expectedMs;
     }
+    this.#reach?.recordSent(this.id);
     this.limit.recordSend();
     this.warmUp.recordSend();
     return inFlightRequest;
@@ -339,6 +348,7 @@
     inFlightRequest.hasFirstEvent ||= hasFirstEvent;
     inFlightRequest.lastReceivedMs = nowMs;
     this.#lastReceivedMs = nowMs;
+    this.#reach?.recordReceived();
   }
 
   /** Records that a request has ended. */
--- a/packages/forwarding/src/_lib/UpstreamConnection/index.ts
+++ b/packages/forwarding/src/_lib/UpstreamConnection/index.ts
@@ -1,36 +1,54 @@
 /**
  * One connection to an upstream, used by one request at a time.
  */
-import { buildConnector, Client } from 'undici';
+import { connect, type Socket } from 'node:net';
+import { Client } from 'undici';
 import { connectTimeoutMs, keepAliveTimeoutMs, maxKeepAliveTimeoutMs } from '../limits/index.js';
 
+/** Called when a connection came about, or did not. */
+export type ConnectListener = (isConnected: boolean) => void;
+
+/** A connection did not come about in time; no byte was sent. */
+class ConnectTimeoutError extends Error {
+  readonly code = 'ETIMEDOUT';
+  readonly syscall = 'connect';
+
+  constructor(address: string) {
+    super(`no connection to ${address} within ${connectTimeoutMs} ms`);
+  }
+}
+
 /**
  * A connection that is opened by its first request, and reopened by the next one if it was closed.
  */
 export class UpstreamConnection {
   readonly client: Client;
+  readonly #address: string;
+  readonly #onConnect: ConnectListener;
   #wasReset = false;
 
-  /** @param address - `IP:PORT` of the upstream */
-  constructor(address: string) {
-    const connect = buildConnector({ timeout: connectTimeoutMs });
+  /**
+   * @param address - `IP:PORT` of the upstream
+   * @param onConnect - called after each attempt to open it
+   */
+  constructor(address: string, onConnect: ConnectListener = () => undefined) {
+    this.#address = address;
+    this.#onConnect = onConnect;
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: keepAliveTimeoutMs,
       keepAliveMaxTimeout: maxKeepAliveTimeoutMs,
-      connect: (options, callback) => {
-        this.#wasReset = false;
-        connect(options, (...result) => {
-          const [, socket] = result;
-          socket?.once('error', (error: NodeJS.ErrnoException) => {
-            // Errors raised by undici itself, including the one for an orderly close, have no
-            // `syscall`.
-            if (error.syscall !== undefined) this.#wasReset = true;
-          });
-          callback(...result);
-        });
+      connect: (_options, callback) => {
+        this.#open().then(
+          (socket) => {
+            callback(null, socket);
+          },
+          (error: unknown) => {
+            callback(error as Error, null);
+          },
+        );
       },
     });
   }
@@ -52,4 +70,29 @@
       // The connection is unusable in either case.
     });
   }
+
+  /** Opens the connection; the timer of undici's own connector is up to half a second late. */
+  #open(): Promise<Socket> {
+    this.#wasReset = false;
+    const [host = '', port = ''] = this.#address.split(':');
+    return new Promise((resolve, reject) => {
+      const socket = connect({ host, port: Number(port), noDelay: true, keepAlive: true });
+      const timer = setTimeout(() => {
+        socket.destroy(new ConnectTimeoutError(this.#address));
+      }, connectTimeoutMs);
+      socket.once('connect', () => {
+        clearTimeout(timer);
+        this.#onConnect(true);
+        resolve(socket);
+      });
+      socket.once('error', (error: NodeJS.ErrnoException) => {
+        clearTimeout(timer);
+        // Errors raised by undici itself, including the one for an orderly close, have no
+        // `syscall`.
+        if (error.syscall !== undefined) this.#wasReset = true;
+        if (error.syscall === 'connect') this.#onConnect(false);
+        reject(error);
+      });
+    });
+  }
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -36,3 +36,4 @@
 export * from './OverloadBackoff/index.js';
 export * from './checkAvailability/index.js';
 export * from './SuspectRequests/index.js';
+export * from './UpstreamReach/index.js';
