Red: instances that reach no upstream serve next to nothing

The soak cuts single processes off from the upstreams (a module loaded before the program hangs, resets or refuses their connections), in three forms, for one, two or all of four instances.

--- a/packages/soak/src/_lib/FaultInjector/index.ts
+++ b/packages/soak/src/_lib/FaultInjector/index.ts
@@ -9,6 +9,8 @@
 const limitsPerS = [1.5, 0.5, 1, 3, 2.2] as const;
 /** Backoffs that the fault `overloadUpstream` chooses from, in milliseconds. */
 const backoffsMs = [3_000, 1_500, 5_000, 2_200] as const;
+/** The forms of a cut that the fault `cutFromUpstreams` chooses from. */
+const cutForms = ['hang', 'refuse', 'keepOpen'] as const;
 /** Time that a killed process takes to be up again, at most, in milliseconds. */
 const restartMs = 2_000;
 
@@ -117,6 +119,9 @@
       case 'storeRestored':
         this.#restoreStore(fault);
         return;
+      case 'cutFromUpstreams':
+        this.#cutFromUpstreams(fault);
+        return;
       case 'crashUpstream':
         environment.endUpstream(upstream.server);
         return;
@@ -131,6 +136,28 @@
     }
   }
 
+  /**
+   * Cuts instances off from all upstreams. The target chooses the form of the cut, then whether one, two or all
+   * instances are cut off, then from which instance on.
+   */
+  #cutFromUpstreams({ target, durationMs }: PlannedFault): void {
+    const { environment, observations } = this.#options;
+    const { instances, upstreams } = environment;
+    const form = cutForms[target % cutForms.length] ?? 'hang';
+    const counts = [1, Math.min(2, instances.length - 1), instances.length];
+    const count = counts[Math.floor(target / cutForms.length) % counts.length] ?? 1;
+    const first = Math.floor(target / (cutForms.length * counts.length));
+    const cut = Array.from({ length: count }, (_, index) => (first + index) % instances.length);
+    const ports = upstreams.map(({ proxy }) => proxy.port);
+    observations.noteDisturbance(durationMs);
+    observations.reach.noteCut(cut, durationMs, instances.length);
+    for (const index of cut) instances[index]?.upstreamCut.begin({ form, ports });
+    for (const { server } of upstreams) this.#noteUpstreamDisturbance(server, durationMs);
+    setTimeout(() => {
+      for (const index of cut) instances[index]?.upstreamCut.end();
+    }, durationMs);
+  }
+
   /** Sets the limit of an upstream and removes it after the fault, unless a later fault has set it again. */
   #setLimit(upstream: FakeUpstream, fault: PlannedFault): void {
     const { injectedDefect } = this.#options;
--- a/packages/soak/src/_lib/InstanceProcess/index.ts
+++ b/packages/soak/src/_lib/InstanceProcess/index.ts
@@ -1,6 +1,7 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { openSync, closeSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
+import { cutFileVariable, cutModule, type UpstreamCut } from '../UpstreamCut/index.js';
 
 /** Ports that an instance listens on: for callers, readiness, the directory and links between instances. */
 export interface InstancePorts {
@@ -20,6 +21,8 @@
   readonly storePort: number;
   /** Directory for the settings file and the log. */
   readonly directory: string;
+  /** Cuts the process off from upstreams. */
+  readonly upstreamCut: UpstreamCut;
 }
 
 /** Time limit for a graceful shutdown; after it the process is killed. */
@@ -61,10 +64,12 @@
 
   /** Starts the process; its output is appended to its log file. */
   start(): void {
-    const { program, directory, name } = this.#options;
+    const { program, directory, name, upstreamCut } = this.#options;
     const log = openSync(join(directory, `${name}.log`), 'a');
-    const child = spawn(process.execPath, [program, '--settings', this.#settingsPath], {
+    const settings = ['--settings', this.#settingsPath];
+    const child = spawn(process.execPath, ['--import', cutModule, program, ...settings], {
       stdio: ['ignore', log, log],
+      env: { ...process.env, [cutFileVariable]: upstreamCut.file },
     });
     closeSync(log);
     this.#child = child;
--- a/packages/soak/src/_lib/Observations/index.ts
+++ b/packages/soak/src/_lib/Observations/index.ts
@@ -3,6 +3,7 @@
 import { bounds, toleranceMs } from '../InstanceProcess/index.js';
 import { LimitCheck } from '../LimitCheck/index.js';
 import { DeadlyCheck } from '../DeadlyCheck/index.js';
+import { ReachCheck } from '../ReachCheck/index.js';
 import { StatementCheck } from '../StatementCheck/index.js';
 import { DirectoryCheck } from '../DirectoryCheck/index.js';
 
@@ -64,6 +65,7 @@
   readonly limits: LimitCheck;
   readonly statements: StatementCheck;
   readonly deadly: DeadlyCheck;
+  readonly reach: ReachCheck;
   readonly #now: () => number;
   readonly #runs = new Map<string, UpstreamRuns>();
   readonly #refusedAtMs = new Map<string, number>();
@@ -87,6 +89,7 @@
     this.limits = new LimitCheck({ now, onViolation });
     this.statements = new StatementCheck({ now, onViolation });
     this.deadly = new DeadlyCheck({ onViolation });
+    this.reach = new ReachCheck({ now, onViolation });
   }
 
   /** Records a fault. Invariants with a time limit are not checked during it and for `stableWindowMs` after it. */
@@ -156,6 +159,7 @@
   /** Checks the invariants that apply to the run as a whole. */
   finish(): void {
     this.deadly.finish(this.calls);
+    this.reach.finish(this.calls);
     for (const service of new Set(this.#arrivals.map((arrival) => arrival.service))) {
       this.#checkRetries(service);
     }
--- a/packages/soak/src/_lib/SoakEnvironment/index.ts
+++ b/packages/soak/src/_lib/SoakEnvironment/index.ts
@@ -1,5 +1,6 @@
 import { DisposableStore, SystemClock, type Random } from '@acaciacrank/base';
 import { MemoryPlatform, type PlatformCopy } from '@acaciacrank/store';
+import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import type { SoakOptions } from '../../types.js';
@@ -9,6 +10,7 @@
 import { FaultProxy } from '../FaultProxy/index.js';
 import { findFreePorts } from '../findFreePorts/index.js';
 import { InstanceProcess } from '../InstanceProcess/index.js';
+import { UpstreamCut } from '../UpstreamCut/index.js';
 import type { Observations } from '../Observations/index.js';
 
 /** A fake upstream and the fault proxy through which instances reach it. */
@@ -21,6 +23,7 @@
 export interface ProxiedInstance {
   readonly process: InstanceProcess;
   readonly storeProxy: FaultProxy;
+  readonly upstreamCut: UpstreamCut;
 }
 
 /** Options of {@link SoakEnvironment}. */
@@ -91,14 +94,17 @@
         0,
         portsPerInstance,
       );
+      const upstreamCut = new UpstreamCut(join(directory, `instance-${index}.cut`));
+      upstreamCut.end();
       const process = new InstanceProcess({
         name: `instance-${index}`,
+        upstreamCut,
         program,
         ports: { front, ready, directory: directoryPort, fleet },
         storePort: await storeProxy.listen(),
         directory,
       });
-      this.instances.push({ process, storeProxy });
+      this.instances.push({ process, storeProxy, upstreamCut });
       process.start();
     }
     await Promise.all(this.instances.map(({ process }) => waitUntilReady(process)));
--- a/packages/soak/src/runSoak/test.ts
+++ b/packages/soak/src/runSoak/test.ts
@@ -140,6 +140,31 @@
   t.true(report.failed < 0.02 * report.requests, `${report.failed} of ${report.requests} failed`);
 });
 
+/** A cut of one, two or all instances from the upstreams, and what it looks like. */
+const cuts = [
+  ['one instance, connections hang', 0],
+  ['one instance, connections are refused', 1],
+  ['one instance, only new connections hang', 2],
+  ['two instances, connections hang', 3],
+  ['two instances, connections are refused', 4],
+  ['all instances, connections hang', 6],
+  ['all instances, connections are refused', 7],
+] as const;
+
+/** Cuts that are not served yet; see KNOWN-RED.txt. */
+const knownRed: readonly number[] = [0, 1, 3, 4, 6];
+
+// Guards against instances that take their own cut from the upstreams for the failure of these.
+for (const [name, target] of cuts) {
+  const run = knownRed.includes(target) ? test.serial.failing : test.serial;
+  run(`an instance that reaches no upstream serves its callers: ${name}`, async (t) => {
+    const faults = [{ kind: 'cutFromUpstreams', atMs: 2_000, durationMs: 8_000, target }] as const;
+    const changes = { faults, instances: 4, durationMs: 12_000, requestsPerSecond: 160 };
+    const report = await runSoak(optionsFor(`cut-${target}`, changes));
+    t.deepEqual(report.violations, []);
+  });
+}
+
 /** Options for a run with a single fault, for defects in how the system handles that fault. */
 function singleFault(kind: FaultKind, durationMs = 0): Partial<SoakOptions> {
   return { faults: [{ kind, atMs: 2_000, durationMs, target: 0 }] };
--- a/packages/soak/src/types.ts
+++ b/packages/soak/src/types.ts
@@ -29,6 +29,8 @@
   | 'statedBackoff'
   /** One request ends at most three upstreams, whoever repeats it, and the requests beside it are served. */
   | 'queryOfDeath'
+  /** An instance that reaches no upstream serves nearly what the others do; if none does, all refuse at once. */
+  | 'unreachedUpstreams'
   /** A graceful shutdown cuts off no request. */
   | 'plannedStop'
   /** Directories stop listing an instance that lost power. */
@@ -127,6 +129,8 @@
   | 'overloadUpstream'
   /** A caller sends a request that ends each upstream which runs it, and repeats it at any instance. */
   | 'deadlyRequest'
+  /** Some or all instances reach no upstream: their connections hang, are reset, or only new ones hang. */
+  | 'cutFromUpstreams'
   /** An upstream ends by itself and starts again. */
   | 'crashUpstream'
   /** Writes a new configuration version. */
