Red: upstreams that fall over when they have to refuse too much

The soak makes the upstreams of a service brittle: 4 slots of 200 ms, 4 may wait and 1 from 3 s on, and one that refuses more than 5 requests in a second falls over for a second.

--- a/packages/soak/src/_lib/FakeUpstream/index.ts
+++ b/packages/soak/src/_lib/FakeUpstream/index.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { BrittleRoom } from '../BrittleRoom/index.js';
 import { deadlyRequestOf } from '../DeadlyCaller/index.js';
 import { requestKinds } from '../buildSoakConfiguration/index.js';
 import { closeServer, listenOnLoopback } from '../listenOnLoopback/index.js';
@@ -17,7 +18,9 @@
 }
 
 /** Delay of a plain response, and of each event of a stream. */
-const delaysMs = { plain: 15, event: 20 } as const;
+const delaysMs = { plain: 15, event: 20, brittle: 200 } as const;
+/** Requests a second that one slot of a brittle upstream runs. */
+export const brittleRunsPerSlot = 1_000 / delaysMs.brittle;
 const eventsPerStream = 8;
 
 /** Fake upstream that sends plain or event-stream responses and reports the requests that it receives and runs. */
@@ -32,6 +35,10 @@
   isLeavingHidden = false;
   /** Backoff that it asks for while it is overloaded, in milliseconds; undefined if it is not. */
   backoffMs: number | undefined;
+  /** Its room while it is brittle; undefined if it has room for all. */
+  brittleRoom: BrittleRoom | undefined;
+  /** Whether its responses omit that it is brittle. */
+  isBrittlenessHidden = false;
   /** Whether its refusals omit the backoff. */
   isBackoffHidden = false;
   readonly #options: FakeUpstreamOptions;
@@ -83,6 +90,10 @@
       this.#refuse(id, this.backoffMs, response);
       return;
     }
+    if (this.brittleRoom !== undefined) {
+      await this.#runBrittle(this.brittleRoom, request, response);
+      return;
+    }
     const kind = requestKinds.find(({ path }) => request.url?.startsWith(path));
     const promptTokens = Number(String(request.headers['x-token-count'] ?? '0').split(',')[0]);
     const account = String(request.headers['x-tenant'] ?? '');
@@ -104,6 +115,35 @@
     this.#running.delete(id);
   }
 
+  async #runBrittle(
+    room: BrittleRoom,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const id = String(request.headers['x-request-id']);
+    const { observations, service, onEnd } = this.#options;
+    const entering = room.enter();
+    if (entering === undefined) {
+      response.writeHead(503, { ...this.#buildHeaders(id), 'x-not-executed': '1' }).end();
+      if (!room.refuse()) return;
+      // Requests that it loses may still hold room in the former one.
+      this.brittleRoom = new BrittleRoom(room.options);
+      observations.brittle.noteFall(this.id);
+      this.#server.closeAllConnections();
+      onEnd(this);
+      return;
+    }
+    await entering;
+    const kind = requestKinds.find(({ path }) => request.url?.startsWith(path));
+    const account = String(request.headers['x-tenant'] ?? '');
+    observations.noteRun(id, kind?.isRepeatable ?? false, account, 0);
+    await sleep(delaysMs.brittle);
+    room.leave();
+    if (response.destroyed) return;
+    observations.brittle.noteRun();
+    response.writeHead(200, this.#buildHeaders(id)).end(`${id} ${service} whole`);
+  }
+
   /** Ends under a deadly request; requests that it is running get no response. */
   #end(deadlyRequest: string): void {
     const { observations, onEnd } = this.#options;
@@ -120,7 +160,8 @@
     const headers = {
       'x-request-id': id,
       'x-response-seal': `seal.${id}`,
-      'x-server-load': '1,0,16',
+      'x-server-load': this.brittleRoom?.load ?? '1,0,16',
+      ...this.#brittleHeaders,
     };
     const isLeavingTold = this.drainingSinceMs !== undefined && !this.isLeavingHidden;
     return {
@@ -132,6 +173,11 @@
     };
   }
 
+  get #brittleHeaders(): Record<string, string> {
+    if (this.brittleRoom === undefined || this.isBrittlenessHidden) return {};
+    return { 'server-brittle': String(this.brittleRoom.options.maxRefusalsPerS) };
+  }
+
   #refuse(id: string, backoffMs: number, response: ServerResponse): void {
     this.#options.observations.statements.noteBackoff(this.id, id, backoffMs);
     const retryAfter = { 'retry-after': String(backoffMs / 1_000) };
--- a/packages/soak/src/_lib/FaultInjector/index.ts
+++ b/packages/soak/src/_lib/FaultInjector/index.ts
@@ -1,6 +1,7 @@
 import type { InjectedDefect, PlannedFault } from '../../types.js';
 import type { DeadlyCaller } from '../DeadlyCaller/index.js';
-import type { FakeUpstream } from '../FakeUpstream/index.js';
+import { BrittleRoom } from '../BrittleRoom/index.js';
+import { brittleRunsPerSlot, type FakeUpstream } from '../FakeUpstream/index.js';
 import { stopLimitMs } from '../InstanceProcess/index.js';
 import type { Observations } from '../Observations/index.js';
 import type { SoakEnvironment } from '../SoakEnvironment/index.js';
@@ -11,6 +12,12 @@
 const backoffsMs = [3_000, 1_500, 5_000, 2_200] as const;
 /** The forms of a cut that the fault `cutFromUpstreams` chooses from. */
 const cutForms = ['hang', 'refuse', 'keepOpen'] as const;
+/** Room of an upstream while it is brittle. */
+const brittleRoomOptions = {
+  slots: 4,
+  queue: { before: 4, after: 1 },
+  maxRefusalsPerS: 5,
+} as const;
 /** Time that a killed process takes to be up again, at most, in milliseconds. */
 const restartMs = 2_000;
 
@@ -122,6 +129,9 @@
       case 'cutFromUpstreams':
         this.#cutFromUpstreams(fault);
         return;
+      case 'brittleService':
+        this.#makeBrittle(fault);
+        return;
       case 'crashUpstream':
         environment.endUpstream(upstream.server);
         return;
@@ -158,6 +168,25 @@
     }, durationMs);
   }
 
+  /** The upstreams of the service with plain responses that most requests go to are brittle. */
+  #makeBrittle({ durationMs }: PlannedFault): void {
+    const { environment, observations, injectedDefect } = this.#options;
+    const service = 'app';
+    const servers = environment.upstreams.flatMap(({ server }) =>
+      server.service === service ? [server] : [],
+    );
+    observations.noteDisturbance(durationMs);
+    const runsPerSecond = brittleRoomOptions.slots * brittleRunsPerSlot;
+    observations.brittle.notePeriod(durationMs, servers.length, runsPerSecond);
+    for (const server of servers) {
+      server.brittleRoom = new BrittleRoom({ ...brittleRoomOptions, now: environment.now });
+      server.isBrittlenessHidden = injectedDefect === 'hideBrittle';
+      setTimeout(() => {
+        server.brittleRoom = undefined;
+      }, durationMs);
+    }
+  }
+
   /** Sets the limit of an upstream and removes it after the fault, unless a later fault has set it again. */
   #setLimit(upstream: FakeUpstream, fault: PlannedFault): void {
     const { injectedDefect } = this.#options;
--- a/packages/soak/src/_lib/Observations/index.ts
+++ b/packages/soak/src/_lib/Observations/index.ts
@@ -3,6 +3,7 @@
 import { bounds, toleranceMs } from '../InstanceProcess/index.js';
 import { LimitCheck } from '../LimitCheck/index.js';
 import { DeadlyCheck } from '../DeadlyCheck/index.js';
+import { BrittleCheck } from '../BrittleCheck/index.js';
 import { ReachCheck } from '../ReachCheck/index.js';
 import { StatementCheck } from '../StatementCheck/index.js';
 import { DirectoryCheck } from '../DirectoryCheck/index.js';
@@ -66,6 +67,7 @@
   readonly statements: StatementCheck;
   readonly deadly: DeadlyCheck;
   readonly reach: ReachCheck;
+  readonly brittle: BrittleCheck;
   readonly #now: () => number;
   readonly #runs = new Map<string, UpstreamRuns>();
   readonly #refusedAtMs = new Map<string, number>();
@@ -90,6 +92,7 @@
     this.statements = new StatementCheck({ now, onViolation });
     this.deadly = new DeadlyCheck({ onViolation });
     this.reach = new ReachCheck({ now, onViolation });
+    this.brittle = new BrittleCheck({ now, onViolation });
   }
 
   /** Records a fault. Invariants with a time limit are not checked during it and for `stableWindowMs` after it. */
@@ -160,6 +163,7 @@
   finish(): void {
     this.deadly.finish(this.calls);
     this.reach.finish(this.calls);
+    this.brittle.finish();
     for (const service of new Set(this.#arrivals.map((arrival) => arrival.service))) {
       this.#checkRetries(service);
     }
--- a/packages/soak/src/_lib/SoakEnvironment/index.ts
+++ b/packages/soak/src/_lib/SoakEnvironment/index.ts
@@ -119,6 +119,11 @@
     await sleep(startupTimes.settleMs);
   }
 
+  /** Milliseconds from the start of the run. */
+  get now(): () => number {
+    return this.#options.now;
+  }
+
   /** Puts the store back to a copy; everything written since is lost. */
   restoreStore(ageMs: number): void {
     const index = this.#copies.length - 1 - Math.floor(ageMs / copyTimes.intervalMs);
--- a/packages/soak/src/runSoak/test.ts
+++ b/packages/soak/src/runSoak/test.ts
@@ -140,6 +140,14 @@
   t.true(report.failed < 0.02 * report.requests, `${report.failed} of ${report.requests} failed`);
 });
 
+// Guards against load that goes on to upstreams without room: each that falls over moves its load to the next.
+test.serial.failing('upstreams that say that they are brittle do not fall over', async (t) => {
+  const faults = [{ kind: 'brittleService', atMs: 2_000, durationMs: 12_000, target: 0 }] as const;
+  const changes = { faults, instances: 4, durationMs: 15_000, requestsPerSecond: 300 };
+  const report = await runSoak(optionsFor('brittle', changes));
+  t.deepEqual(report.violations, []);
+});
+
 /** A cut of one, two or all instances from the upstreams, and what it looks like. */
 const cuts = [
   ['one instance, connections hang', 0],
@@ -183,6 +191,11 @@
   ['hideLeaving', 'statedLeaving', singleFault('leaveUpstream')],
   ['hideBackoff', 'statedBackoff', singleFault('overloadUpstream', 6_000)],
   ['varyDeadly', 'queryOfDeath', singleFault('deadlyRequest')],
+  [
+    'hideBrittle',
+    'brittleUpstream',
+    { ...singleFault('brittleService', 7_000), requestsPerSecond: 300 },
+  ],
   ['killForStop', 'plannedStop', singleFault('stop')],
   ['nameGone', 'goneInstance', { ...singleFault('powerOff', 9_000), durationMs: 10_500 }],
   ['hideLive', 'liveInstance', { faults: [] }],
@@ -193,7 +206,7 @@
 // do not know of, and the violation must be detected within a short run.
 for (const [injectedDefect, invariant, defectOptions] of defects) {
   test.serial(`the check of ${invariant} detects the defect ${injectedDefect}`, async (t) => {
-    const changes = { ...defectOptions, injectedDefect, requestsPerSecond: 120 };
+    const changes = { requestsPerSecond: 120, ...defectOptions, injectedDefect };
     const report = await runSoak(optionsFor(injectedDefect, changes));
     const violated = new Set(report.violations.map((violation) => violation.promise));
     t.true(violated.has(invariant), `violated: ${[...violated].join(', ')}`);
--- a/packages/soak/src/types.ts
+++ b/packages/soak/src/types.ts
@@ -31,6 +31,8 @@
   | 'queryOfDeath'
   /** An instance that reaches no upstream serves nearly what the others do; if none does, all refuse at once. */
   | 'unreachedUpstreams'
+  /** Upstreams that fall over when they refuse too much rarely do, and are used. */
+  | 'brittleUpstream'
   /** A graceful shutdown cuts off no request. */
   | 'plannedStop'
   /** Directories stop listing an instance that lost power. */
@@ -77,6 +79,8 @@
   | 'hideBackoff'
   /** Sends each attempt of a deadly request for something else. */
   | 'varyDeadly'
+  /** Omits from the responses of brittle upstreams that they are. */
+  | 'hideBrittle'
   /** Kills the process instead of stopping it gracefully. */
   | 'killForStop'
   /** Lists all instances in every directory response. */
@@ -131,6 +135,8 @@
   | 'deadlyRequest'
   /** Some or all instances reach no upstream: their connections hang, are reset, or only new ones hang. */
   | 'cutFromUpstreams'
+  /** The upstreams of a service have little room, and fall over if they refuse too much. */
+  | 'brittleService'
   /** An upstream ends by itself and starts again. */
   | 'crashUpstream'
   /** Writes a new configuration version. */
