RECOVER: a doubt whether upstreams are reached refuses nothing

Cause: a doubt counted as a cut at the peer as well. Change: only an instance whose probes failed refuses a relay; where no peer takes a request that is in doubt, it is sent directly; a stream that has begun ends as broken; ends count for the quarantine once probes have answered the doubt.

--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -204,13 +204,14 @@
   }
 
   async #serve(call: ForwardCall): Promise<void> {
-    if (!this.#options.reach.isReached) {
-      if (this.#options.relayPeers.canRelay(call)) {
-        // The peer debits the account.
-        await new Relay(this.#dispatchDependencies, call).run();
-        return;
-      }
-      this.#refuseUnreached(call);
+    const { reach, relayPeers } = this.#options;
+    if (!reach.isReached) {
+      // The peer debits the account.
+      const isRelayed =
+        relayPeers.canRelay(call) && (await new Relay(this.#dispatchDependencies, call).run());
+      if (isRelayed) return;
+      if (reach.reach.state === 'unreached')
+        throw new RouterError('upstreamsUnreached', 'no upstream is reached, by any peer asked');
     }
     const { tokens } = call.head;
     const { account } = call;
@@ -230,12 +231,6 @@
     }
   }
 
-  /** A doubt refuses only what a peer relays, since it can ask another one. */
-  #refuseUnreached({ relayedBy }: ForwardCall): void {
-    if (relayedBy === undefined && this.#options.reach.reach.state !== 'unreached') return;
-    throw new RouterError('upstreamsUnreached', 'this instance reaches no upstream');
-  }
-
   async #reserve(call: ForwardCall, account: ForwardAccount, tokens: number): Promise<void> {
     const { clock, tokens: ledger } = this.#options;
     // Almost all requests find the tokens in stock; only the others need a timer.
--- a/packages/forwarding/src/ReachMonitor/index.ts
+++ b/packages/forwarding/src/ReachMonitor/index.ts
@@ -24,7 +24,7 @@
   readonly reach: UpstreamReach;
   readonly #options: ReachMonitorOptions;
   readonly #lostCallbacks = new Set<() => void>();
-  #isProbing = false;
+  #probing: Promise<void> | undefined;
   #nextRound: Disposable | undefined;
   #isDisposed = false;
 
@@ -39,10 +39,16 @@
    */
   get isReached(): boolean {
     const { state } = this.reach;
-    if (state === 'inDoubt') void this.#probe();
+    if (state === 'inDoubt') void this.#answerDoubt();
     return state === 'reached';
   }
 
+  /** Like {@link isReached}, once probes have answered a doubt. */
+  async settle(): Promise<boolean> {
+    if (this.reach.state === 'inDoubt') await this.#answerDoubt();
+    return this.reach.state === 'reached';
+  }
+
   /** Calls back when it turns out that no upstream is reached and nothing is received from any. */
   onLost(callback: () => void): Disposable {
     this.#lostCallbacks.add(callback);
@@ -54,16 +60,20 @@
     this.#nextRound?.[Symbol.dispose]();
   }
 
+  #answerDoubt(): Promise<void> {
+    this.#probing ??= this.#probe().finally(() => {
+      this.#probing = undefined;
+    });
+    return this.#probing;
+  }
+
   async #probe(): Promise<void> {
-    if (this.#isProbing || this.#isDisposed) return;
-    this.#isProbing = true;
     const isSilent = this.reach.isSilent;
     const isReached = await this.#probeSome();
-    this.#isProbing = false;
     this.#options.metrics.count('reachProbes', isReached ? 'accepted' : 'failed');
     if (this.reach.recordProbes(isReached)) this.#report(isSilent);
     if (this.reach.state !== 'unreached' || this.#isDisposed) return;
-    this.#nextRound = this.#options.clock.schedule(roundIntervalMs, () => void this.#probe());
+    this.#nextRound = this.#options.clock.schedule(roundIntervalMs, () => void this.#answerDoubt());
   }
 
   /** Returns whether any of a few random upstreams accepts a connection. */
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -72,6 +72,7 @@
   readonly #call: ForwardCall;
   readonly #attemptedIds = new Set<UpstreamId>();
   #unsentAttempts = 0;
+  #wasRelayed = false;
   #contentDigest: string | undefined;
 
   constructor(dependencies: DispatchDependencies, call: ForwardCall) {
@@ -86,10 +87,7 @@
    */
   async run(): Promise<void> {
     for (;;) {
-      if (this.#attemptedIds.size > 0 && this.#mustRelay) {
-        await new Relay(this.#dependencies, this.#call).run();
-        return;
-      }
+      if (this.#attemptedIds.size > 0 && this.#mustRelay && (await this.#relay())) return;
       const suspect = this.#isSuspect ? await this.#admitSuspect() : undefined;
       const pick = suspect === undefined ? this.#pick() : this.#pickGranted(suspect);
       if (pick === undefined) {
@@ -104,7 +102,15 @@
   /** Whether the request is to go on through a peer, since it turned out that no upstream is reached. */
   get #mustRelay(): boolean {
     const { reach, relayPeers } = this.#dependencies;
-    return !reach.isReached && relayPeers.canRelay(this.#call);
+    return !this.#wasRelayed && !reach.isReached && relayPeers.canRelay(this.#call);
+  }
+
+  /** Asks peers once; where none takes the request, a doubt whether upstreams are reached refuses nothing. */
+  async #relay(): Promise<boolean> {
+    this.#wasRelayed = true;
+    if (await new Relay(this.#dependencies, this.#call).run()) return true;
+    if (this.#dependencies.reach.reach.state === 'unreached') throw this.#createUnavailableError();
+    return false;
   }
 
   /** Whether upstreams have ended under the request, as far as this instance knows. */
@@ -296,7 +302,7 @@
     if (!(await upstream.confirmEnd())) return;
     const { upstreams, quarantine, reach } = this.#dependencies;
     reach.reach.recordConnectFailed(upstream.id);
-    if (!reach.isReached) return;
+    if (!(await reach.settle())) return;
     upstreams.reportEnded(upstream, underWay);
     const { id: upstreamId } = upstream;
     const { name: service } = this.#call.service;
@@ -322,6 +328,9 @@
       case 'answer':
         call.progress.mayHaveRun = true;
         if (result.status >= firstServerError && this.#tryTakeRetry()) return false;
+        // A stream that has begun cannot end with another response.
+        if (call.response.headersSent)
+          throw new RouterError('upstreamFailed', 'the upstream did not resume the stream');
         this.#writeResponseHead(result, upstream.id);
         await call.writer.end(result.body);
         return true;
--- a/packages/forwarding/src/_lib/Relay/index.ts
+++ b/packages/forwarding/src/_lib/Relay/index.ts
@@ -42,6 +42,7 @@
   readonly #dependencies: RelayDependencies;
   readonly #call: ForwardCall;
   readonly #asked = new Set<InstanceId>();
+  #hasSent = false;
 
   constructor(dependencies: RelayDependencies, call: ForwardCall) {
     this.#dependencies = dependencies;
@@ -49,22 +50,23 @@
   }
 
   /**
-   * Serves the request; the response has been written when this returns.
+   * Serves the request.
    *
-   * @throws RouterError `upstreamsUnreached` if no peer takes it, or that states whether it may have run
+   * @returns whether the response has been written; false if no peer took the request, which was then sent nowhere
+   * @throws RouterError that states why there is no response and whether the request may have run
    */
-  async run(): Promise<void> {
+  async run(): Promise<boolean> {
     const { progress } = this.#call;
     progress.eventsBeforeRelay ??= progress.events;
     while (this.#asked.size < maxPeers) {
       const peer = this.#dependencies.relayPeers.choose(this.#asked);
       if (peer === undefined) break;
       const result = await this.#attempt(peer);
-      if (await this.#handleResult(peer, result)) return;
+      if (await this.#handleResult(peer, result)) return true;
     }
-    const reason = 'no peer that reaches upstreams took the request';
-    if (progress.mayHaveRun) throw new RouterError('upstreamFailed', reason);
-    throw new RouterError('upstreamsUnreached', reason);
+    if (this.#hasSent) throw new RouterError('upstreamFailed', 'no other peer took the request');
+    progress.eventsBeforeRelay = undefined;
+    return false;
   }
 
   async #attempt(peer: Upstream): Promise<AttemptResult> {
@@ -96,7 +98,7 @@
   /** Handles the result of an attempt; returns whether the caller's request is complete. */
   async #handleResult(peer: Upstream, result: AttemptResult): Promise<boolean> {
     const { relayPeers, metrics } = this.#dependencies;
-    const { trace, writer, progress } = this.#call;
+    const { trace, writer, progress, response } = this.#call;
     trace.add(result.kind, 'reason' in result ? { reason: result.reason } : {});
     metrics.count('relayed', result.kind);
     switch (result.kind) {
@@ -104,6 +106,9 @@
         await writer.end();
         return true;
       case 'answer':
+        // A stream that has begun cannot end with another response.
+        if (response.headersSent)
+          throw new RouterError('upstreamFailed', 'the peer did not resume the stream');
         this.#writeResponseHead(result);
         await writer.end(result.body);
         return true;
@@ -116,6 +121,7 @@
       case 'broken':
       case 'silent':
         progress.mayHaveRun = true;
+        this.#hasSent = true;
         relayPeers.passOver(instanceIdOf(peer), 'unreachable');
         if (this.#tryTakeRetry()) return false;
         throw new RouterError(
