BUDGET: requests that were answered a moment ago are no suspects

Found by the soak with ends counted after a doubt: 16 crashes in 16 s put requests that many callers send into quarantine; they are at each upstream that crashes. Cause: only successes of suspects cleared a request, and most are sent by instances that suspect nothing.

--- a/packages/forwarding/src/RequestQuarantine/index.ts
+++ b/packages/forwarding/src/RequestQuarantine/index.ts
@@ -8,6 +8,7 @@
 } from '@acaciacrank/base';
 import type { FleetLinks, FleetMessageOf, FleetRpc } from '@acaciacrank/fleet';
 import {
+  AnsweredRequests,
   maxEndsPerRequest,
   rankByKey,
   SuspectRequests,
@@ -69,6 +70,7 @@
  */
 export class RequestQuarantine implements Disposable {
   readonly suspects: SuspectRequests;
+  readonly #answered: AnsweredRequests;
   readonly #options: RequestQuarantineOptions;
   readonly #subscriptions: readonly Disposable[];
   #attemptCount = 0;
@@ -77,6 +79,7 @@
     this.#options = options;
     const { clock, links, rpc } = options;
     this.suspects = new SuspectRequests({ clock });
+    this.#answered = new AnsweredRequests(clock);
     this.#subscriptions = [
       links.subscribe((message) => {
         if (message.kind === 'suspectRequests') this.#receive(message);
@@ -96,9 +99,15 @@
     return this.suspects.ends(digest).length > 0;
   }
 
+  /** Records that an upstream has answered a request. */
+  recordAnswered(digest: string): void {
+    this.#answered.record(digest);
+  }
+
   /** Records that an upstream ended under a request of this instance, and tells the home of its service. */
   recordEnd(request: SuspectRequest, upstreamId: UpstreamId): void {
     const { clock } = this.#options;
+    if (this.#answered.has(request.digest)) return;
     this.#add(request, { upstreamId, atMs: clock.monotonicMs() });
     for (const home of this.#homesOf(request)) this.#tell(home, [request]);
   }
@@ -212,6 +221,7 @@
   /** Adds an end, and as the home of the service tells all instances if they have to know. */
   #add(request: SuspectRequest, end: UpstreamEnd): void {
     const { digest } = request;
+    if (this.#answered.has(digest)) return;
     if (!this.suspects.recordEnd(request, end)) return;
     const endCount = this.suspects.ends(digest).length;
     if (endCount < endsToTellAll || !this.#isHome(request)) return;
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -190,6 +190,7 @@
     try {
       const result = await this.#send(pick);
       wasAnswered = result.kind === 'answer' || result.kind === 'streamed';
+      if (wasAnswered) this.#dependencies.quarantine.recordAnswered(this.#content);
       if (result.kind === 'broken' && result.isConnectionLost) await this.#checkEnd(upstream);
       return result;
     } finally {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -36,5 +36,6 @@
 export * from './OverloadBackoff/index.js';
 export * from './checkAvailability/index.js';
 export * from './SuspectRequests/index.js';
+export * from './AnsweredRequests/index.js';
 export * from './UpstreamReach/index.js';
 export * from './divideSlots/index.js';
