BUDGET: ends of an upstream that starts again at once, and a home that is gone

Found by the new experiment suspects (virtual time, 2 to 390 instances): a request repeated every 80 ms ended 12 upstreams, since two ends of one upstream within a second counted as one, and with the home of the service gone, not known to be, nobody told the others. Change: an end at an upstream to which a later attempt was granted is another one; reports within 0.5 s are one end; the instance that takes the home's place tells all too.

--- a/packages/forwarding/src/RequestQuarantine/index.ts
+++ b/packages/forwarding/src/RequestQuarantine/index.ts
@@ -109,7 +109,7 @@
     const { clock } = this.#options;
     if (this.#answered.has(request.digest)) return;
     this.#add(request, { upstreamId, atMs: clock.monotonicMs() });
-    for (const home of this.#homesOf(request)) this.#tell(home, [request]);
+    for (const home of this.homesOf(request)) this.#tell(home, [request]);
   }
 
   /**
@@ -165,7 +165,7 @@
     if (this.suspects.ends(question.digest).length >= maxEndsPerRequest) {
       return { decision: own(), home: instanceId };
     }
-    for (const home of this.#homesOf(question)) {
+    for (const home of this.homesOf(question)) {
       if (home === instanceId) break;
       const decision = await this.#askHome(home, question, { attempt, candidates });
       if (decision !== undefined) return { decision, home };
@@ -249,12 +249,16 @@
     return { digest, service, ends, isConvicted: this.suspects.isConvicted(digest) };
   }
 
+  /**
+   * Whether this instance is the home of a request's service, or takes its place: both tell all instances, since a
+   * home that is gone is not known to be for some seconds.
+   */
   #isHome(request: SuspectRequest): boolean {
-    return this.#homesOf(request)[0] === this.#options.instanceId;
+    return this.homesOf(request).includes(this.#options.instanceId);
   }
 
   /** The home of a request's service, and who takes its place. */
-  #homesOf({ service }: SuspectRequest): readonly InstanceId[] {
+  homesOf({ service }: SuspectRequest): readonly InstanceId[] {
     const candidates = this.#options.live().map((id) => ({ id }));
     return rankByKey(service, candidates)
       .slice(0, homeCount)
--- a/packages/routing/src/SuspectRequests/index.ts
+++ b/packages/routing/src/SuspectRequests/index.ts
@@ -41,7 +41,7 @@
 }
 
 /** Two reports about one upstream within this time are about the same end, in milliseconds. */
-const sameEndMs = 1_000;
+const sameEndMs = 500;
 /** For how long suspects, and requests in quarantine, are remembered after the last news of them, in ms. */
 const retentionMs = { suspect: 600_000, quarantined: 3_600_000 } as const;
 /** Time after which an attempt without a result no longer counts, in milliseconds. */
@@ -64,7 +64,7 @@
   readonly digest: string;
   readonly upstreamId: UpstreamId;
   readonly isIsolated: boolean;
-  readonly untilMs: number;
+  readonly grantedMs: number;
 }
 
 /**
@@ -127,11 +127,12 @@
   /** Records that an upstream ended under a request; returns whether that was not known. */
   recordEnd(request: SuspectRequest, end: UpstreamEnd): boolean {
     const entry = this.#touch(request);
-    if (isKnown(entry.ends, end) || isKnown(entry.excused, end)) return false;
-    if (isKnown(this.#explained, end)) return false;
+    const known = [...entry.ends, ...entry.excused, ...this.#explained];
+    const attempt = this.#attemptAt(request.digest, end);
+    if (known.some((one) => isSameEnd(one, end) && !isBefore(one, attempt))) return false;
     entry.ends.push(end);
     this.#suspected.add(request.digest);
-    if (entry.ends.length >= maxEndsPerRequest && this.#wasIsolated(request.digest, end))
+    if (entry.ends.length >= maxEndsPerRequest && attempt?.isIsolated === true)
       this.convict(request.digest);
     return true;
   }
@@ -145,7 +146,7 @@
     this.#explained.splice(0, this.#explained.length - maxExplained);
     for (const [other, { ends, isConvicted }] of this.#entries) {
       if (isConvicted) continue;
-      const left = ends.filter((end) => !isKnown(entry.ends, end));
+      const left = ends.filter((end) => !entry.ends.some((one) => isSameEnd(one, end)));
       ends.splice(0, ends.length, ...left);
       if (left.length === 0) this.#suspected.delete(other);
     }
@@ -164,8 +165,8 @@
     const isIsolated = ends.length >= endsToIsolate;
     const upstreamId = chooseApart(request.candidates, pending, isIsolated);
     if (upstreamId === undefined) return { verdict: 'busy' };
-    const untilMs = this.#clock.monotonicMs() + attemptTimeoutMs;
-    this.#attempts.set(attempt, { digest, upstreamId, isIsolated, untilMs });
+    const grantedMs = this.#clock.monotonicMs();
+    this.#attempts.set(attempt, { digest, upstreamId, isIsolated, grantedMs });
     return { verdict: 'granted', upstreamId };
   }
 
@@ -187,9 +188,10 @@
     this.#suspected.delete(digest);
   }
 
-  #wasIsolated(digest: string, { upstreamId }: UpstreamEnd): boolean {
-    return [...this.#attempts.values()].some(
-      (one) => one.isIsolated && one.digest === digest && one.upstreamId === upstreamId,
+  /** The attempt under way at the upstream that ended, if there is one. */
+  #attemptAt(digest: string, { upstreamId }: UpstreamEnd): PendingAttempt | undefined {
+    return [...this.#attempts.values()].find(
+      (one) => one.digest === digest && one.upstreamId === upstreamId,
     );
   }
 
@@ -219,8 +221,8 @@
 
   #discardOverdueAttempts(): void {
     const nowMs = this.#clock.monotonicMs();
-    for (const [attempt, { untilMs }] of this.#attempts)
-      if (untilMs <= nowMs) this.#attempts.delete(attempt);
+    for (const [attempt, { grantedMs }] of this.#attempts)
+      if (nowMs - grantedMs >= attemptTimeoutMs) this.#attempts.delete(attempt);
   }
 }
 
@@ -247,10 +249,13 @@
   return { service, ends: [], excused: [], isConvicted: false, lastNewsMs: nowMs };
 }
 
-function isKnown(known: readonly UpstreamEnd[], { upstreamId, atMs }: UpstreamEnd): boolean {
-  return known.some(
-    (one) => one.upstreamId === upstreamId && Math.abs(one.atMs - atMs) < sameEndMs,
-  );
+function isSameEnd(one: UpstreamEnd, other: UpstreamEnd): boolean {
+  return one.upstreamId === other.upstreamId && Math.abs(one.atMs - other.atMs) < sameEndMs;
+}
+
+/** Whether an end came before an attempt was granted, so that the upstream has started again since. */
+function isBefore({ atMs }: UpstreamEnd, attempt: PendingAttempt | undefined): boolean {
+  return attempt !== undefined && atMs < attempt.grantedMs;
 }
 
 function isQuarantined({ ends }: SuspectEntry): boolean {
--- a/packages/routing/src/SuspectRequests/test.ts
+++ b/packages/routing/src/SuspectRequests/test.ts
@@ -50,6 +50,17 @@
   t.is(suspects.ends(guilty.digest).length, 2);
 });
 
+// Guards against missing the end of an upstream that starts again at once, and ends again.
+test('an end of an attempt that was granted later than the last end is another one', async (t) => {
+  const { suspects, clock } = createSuspects();
+  suspects.recordEnd(guilty, endOf('u1'));
+  suspects.recordEnd(guilty, endOf('u4', 10));
+  await clock.advance(50);
+  t.is(tryAttempt(suspects, 'one/1'), 'granted');
+  t.true(suspects.recordEnd(guilty, endOf('u4', 90)));
+  t.is(tryAttempt(suspects, 'one/2'), 'quarantined');
+});
+
 // Guards against refusing a request that many callers send, since it was at upstreams that ended for other reasons.
 test('successes take back ends, also for those who report them later', (t) => {
   const { suspects } = createSuspects();
--- /dev/null
+++ b/packages/standins/src/experiments/suspects/index.ts
@@ -0,0 +1,190 @@
+/**
+ * How many upstreams one request ends that callers repeat at any instance, and what it costs in messages, by the size
+ * of the fleet and with links that lose messages.
+ */
+import {
+  createLog,
+  createRandom,
+  ManualClock,
+  Metrics,
+  type InstanceId,
+  type Random,
+  type ServiceName,
+  type UpstreamId,
+} from '@acaciacrank/base';
+import { FleetRpc } from '@acaciacrank/fleet';
+import { RequestQuarantine } from '@acaciacrank/forwarding';
+import type { RunOptions } from '../../_lib/runModuleByName/index.js';
+import { MemoryNetwork, type MemoryFleetLinks } from '../../MemoryNetwork/index.js';
+import type { ResultRow } from '../../printTable/index.js';
+
+/** A fleet whose links may fail while callers repeat a request that ends upstreams. */
+export interface SuspectCase {
+  readonly instances: number;
+  /** Share of the messages between any two instances that are lost. */
+  readonly lossRatio: number;
+  /** Whether the home of the service is gone, unknown to the others. */
+  readonly isHomeGone: boolean;
+  /** Number of callers that repeat the request at the same time. */
+  readonly callers: number;
+}
+
+/** What became of it. */
+export interface SuspectResult {
+  /** Number of upstreams that ended. */
+  readonly ends: number;
+  /** Messages of all instances together, and the most that one instance sent. */
+  readonly messages: number;
+  readonly mostOfOne: number;
+  readonly bytes: number;
+  /** Messages that were lost. */
+  readonly lost: number;
+}
+
+const service = 'tutor' as ServiceName;
+const upstreams = Array.from({ length: 24 }, (_, index) => `u${index}` as UpstreamId);
+/** Requests that run beside the guilty one at an upstream when it ends. */
+const companionsPerEnd = 63;
+/** How often each caller sends the request, the time between two attempts, and how long it runs, in ms. */
+const repeats = { perCaller: 12, pauseMs: 60, runMs: 20 } as const;
+
+const fleetSizes = [2, 28, 78, 390] as const;
+
+/** Plays each size calmly, with lossy links, with the home gone and with several callers at once. */
+export async function run({ seed }: RunOptions): Promise<readonly ResultRow[]> {
+  const rows: ResultRow[] = [];
+  for (const instances of fleetSizes) {
+    const calm = { instances, lossRatio: 0, isHomeGone: false, callers: 1 };
+    const cases = {
+      calm,
+      lossy: { ...calm, lossRatio: 0.05 },
+      homeGone: { ...calm, isHomeGone: true },
+      threeCallers: { ...calm, callers: 3 },
+    };
+    for (const [name, suspectCase] of Object.entries(cases)) {
+      const { ends, messages, mostOfOne, bytes } = await simulateSuspect(suspectCase, seed);
+      const perInstance = Math.round((100 * messages) / instances) / 100;
+      rows.push({ instances, case: name, ends, messages, perInstance, mostOfOne, bytes });
+    }
+  }
+  return rows;
+}
+
+/** Plays one case on virtual time. */
+export async function simulateSuspect(
+  suspectCase: SuspectCase,
+  seed: number,
+): Promise<SuspectResult> {
+  using simulation = new SuspectSimulation(suspectCase, createRandom(seed));
+  return await simulation.run();
+}
+
+interface SimulatedInstance {
+  readonly id: InstanceId;
+  readonly links: MemoryFleetLinks;
+  readonly quarantine: RequestQuarantine;
+}
+
+class SuspectSimulation implements Disposable {
+  readonly #case: SuspectCase;
+  readonly #random: Random;
+  readonly #clock = new ManualClock();
+  readonly #network: MemoryNetwork;
+  readonly #instances: readonly SimulatedInstance[];
+  #companionCount = 0;
+  #ends = 0;
+
+  constructor(suspectCase: SuspectCase, random: Random) {
+    this.#case = suspectCase;
+    this.#random = random;
+    this.#network = new MemoryNetwork({ clock: this.#clock, seed: 7 });
+    const ids = Array.from(
+      { length: suspectCase.instances },
+      (_, index) => `instance-${index}` as InstanceId,
+    );
+    this.#instances = ids.map((id) => this.#createInstance(id, ids));
+  }
+
+  async run(): Promise<SuspectResult> {
+    this.#disturbLinks();
+    const calls = Array.from({ length: this.#case.callers }, () => this.#repeat());
+    await this.#clock.runUntil(Promise.all(calls));
+    const traffic = this.#instances.map(({ links }) => links.traffic);
+    const sum = (values: readonly number[]) => values.reduce((total, one) => total + one, 0);
+    return {
+      ends: this.#ends,
+      messages: sum(traffic.map(({ sentMessages }) => sentMessages)),
+      mostOfOne: Math.max(...traffic.map(({ sentMessages }) => sentMessages)),
+      bytes: sum(traffic.map(({ sentBytes }) => sentBytes)),
+      lost: sum(traffic.map(({ lostMessages }) => lostMessages)),
+    };
+  }
+
+  [Symbol.dispose](): void {
+    for (const { quarantine } of this.#instances) quarantine[Symbol.dispose]();
+  }
+
+  #createInstance(id: InstanceId, ids: readonly InstanceId[]): SimulatedInstance {
+    const links = this.#network.linksFor(id);
+    const clock = this.#clock;
+    const quarantine = new RequestQuarantine({
+      rpc: new FleetRpc({ links, clock }),
+      links,
+      clock,
+      instanceId: id,
+      live: () => ids,
+      log: createLog('experiment', { stream: { write: () => true } }),
+      metrics: new Metrics(),
+    });
+    return { id, links, quarantine };
+  }
+
+  #disturbLinks(): void {
+    const { lossRatio, isHomeGone } = this.#case;
+    const ids = this.#instances.map(({ id }) => id);
+    if (lossRatio > 0) {
+      for (const from of ids) {
+        for (const to of ids) this.#network.setLossRatio(from, to, lossRatio);
+      }
+    }
+    const home = this.#instances[0]?.quarantine.homesOf({ digest: '', service })[0];
+    if (isHomeGone && home !== undefined) this.#network.isolate(home);
+  }
+
+  /** One caller that repeats the request at random instances. */
+  async #repeat(): Promise<void> {
+    for (let attempt = 0; attempt < repeats.perCaller; attempt += 1) {
+      const instance = this.#pick(this.#instances);
+      if (instance !== undefined) await this.#send(instance.quarantine).catch(() => undefined);
+      await this.#clock.sleep(repeats.pauseMs);
+    }
+  }
+
+  async #send(quarantine: RequestQuarantine): Promise<void> {
+    const request = { digest: 'guilty', service };
+    const deadlineMs = this.#clock.monotonicMs() + 3_000;
+    const suspect = quarantine.isSuspect(request.digest)
+      ? await quarantine.admit({ ...request, candidates: () => upstreams, deadlineMs })
+      : undefined;
+    const upstream = suspect?.upstreamId ?? this.#pick(upstreams);
+    await this.#clock.sleep(repeats.runMs);
+    if (upstream === undefined) return;
+    this.#end(quarantine, upstream);
+    suspect?.finish(false);
+  }
+
+  /** The upstream ends under the request, and under others that random instances had there. */
+  #end(quarantine: RequestQuarantine, upstream: UpstreamId): void {
+    this.#ends += 1;
+    quarantine.recordEnd({ digest: 'guilty', service }, upstream);
+    for (let index = 0; index < companionsPerEnd; index += 1) {
+      this.#companionCount += 1;
+      const digest = `companion-${this.#companionCount}`;
+      this.#pick(this.#instances)?.quarantine.recordEnd({ digest, service }, upstream);
+    }
+  }
+
+  #pick<Item>(items: readonly Item[]): Item | undefined {
+    return items[Math.floor(this.#random() * items.length)];
+  }
+}
