BUDGET: the product's own path keeps requests that end upstreams in quarantine too

Change: RequestQuarantine moves to callers, which both paths use; EngineDispatch and ServiceDispatch ask it through SuspectTracker, with the digest that tells retries from other requests. An upstream that does not report its load after a broken connection has ended.

--- a/packages/callers/src/ChatHandler/index.ts
+++ b/packages/callers/src/ChatHandler/index.ts
@@ -223,6 +223,7 @@
           maxTokens,
           priority: classEntry.priority,
         },
+        digest: attempt.digest,
         service: attempt.service.name as ServiceName,
         className: classEntry.name as ClassName,
         prefixHash: hashText(call.messages[0]?.content ?? ''),
--- a/packages/callers/src/EngineDispatch/index.ts
+++ b/packages/callers/src/EngineDispatch/index.ts
@@ -9,14 +9,20 @@
   type GenerateRequest,
 } from '@acaciacrank/upstreams';
 import { toPossiblyRunError } from '../_lib/toPossiblyRunError/index.js';
+import type { RequestQuarantine } from '../RequestQuarantine/index.js';
+import { SuspectTracker } from '../_lib/SuspectTracker/index.js';
 import { UpstreamPicker, type UpstreamPickerOptions } from '../_lib/UpstreamPicker/index.js';
 
 /** Options of {@link EngineDispatch}. */
-export type EngineDispatchOptions = UpstreamPickerOptions;
+export interface EngineDispatchOptions extends UpstreamPickerOptions {
+  quarantine: RequestQuarantine;
+}
 
 /** One generation to run at any suitable engine. */
 export interface GenerationTask {
   readonly request: GenerateRequest;
+  /** Names what is asked for, the same for all attempts to generate it. */
+  readonly digest: string;
   readonly service: ServiceName;
   readonly className: ClassName;
   /** Hash of the start of the prompt, for prefix affinity. */
@@ -78,15 +84,22 @@
   async *stream(task: GenerationTask, signal: AbortSignal): AsyncIterable<EngineFrame> {
     const picker = new UpstreamPicker(this.#options, { ...task, dueMs: task.firstTokenDueMs });
     const outcome: DispatchOutcome = { mayHaveRun: false, forwardedTokens: 0 };
+    const { digest, service, firstTokenDueMs: dueMs } = task;
+    const tracker = new SuspectTracker({ ...this.#options, request: { digest, service }, dueMs });
     let lastError: RouterError | undefined;
-    for (let upstream = picker.next(); upstream !== undefined; upstream = picker.next()) {
+    for (;;) {
+      const upstream = await tracker.next(picker);
+      if (upstream === undefined) break;
       try {
         yield* this.#streamFrom(upstream, task, outcome, signal);
+        tracker.recordAnswered();
         return;
       } catch (error) {
         if (!(error instanceof RouterError)) throw error;
         lastError = error;
         this.#options.metrics.count('upstreamFailures', upstream.id);
+        if (outcome.mayHaveRun) await tracker.recordFailure(upstream);
+        else tracker.recordNotRun();
         // Answers are never spliced: once a token has been forwarded, only the same stream may
         // continue.
         if (outcome.forwardedTokens > 0 || signal.aborted) break;
--- a/packages/callers/src/ServiceDispatch/index.ts
+++ b/packages/callers/src/ServiceDispatch/index.ts
@@ -9,14 +9,20 @@
 import { readBackoffMs, type ServiceResponse, type ServiceRequest } from '@acaciacrank/upstreams';
 import { toPossiblyRunError } from '../_lib/toPossiblyRunError/index.js';
 import { UpstreamPicker, type UpstreamPickerOptions } from '../_lib/UpstreamPicker/index.js';
+import type { RequestQuarantine } from '../RequestQuarantine/index.js';
+import { SuspectTracker } from '../_lib/SuspectTracker/index.js';
 import { abortReason, untilAborted } from '../_lib/untilAborted/index.js';
 
 /** Options of {@link ServiceDispatch}. */
-export type ServiceDispatchOptions = UpstreamPickerOptions;
+export interface ServiceDispatchOptions extends UpstreamPickerOptions {
+  quarantine: RequestQuarantine;
+}
 
 /** One call to make at any suitable upstream. */
 export interface ServiceCallTask {
   readonly request: ServiceRequest;
+  /** Names what is asked for, the same for all attempts to call it. */
+  readonly digest: string;
   readonly service: ServiceName;
   readonly className: ClassName;
   /** Whether the call is idempotent, so that it may be retried. */
@@ -58,11 +64,16 @@
    */
   async call(task: ServiceCallTask, signal: AbortSignal): Promise<ServiceResponse> {
     const picker = new UpstreamPicker(this.#options, { ...task, dueMs: task.answerDueMs });
+    const { digest, service, answerDueMs: dueMs } = task;
+    const tracker = new SuspectTracker({ ...this.#options, request: { digest, service }, dueMs });
     let mayHaveRun = false;
     let lastAttempt: Attempt | undefined;
-    for (let upstream = picker.next(); upstream !== undefined; upstream = picker.next()) {
+    for (;;) {
+      const upstream = await tracker.next(picker);
+      if (upstream === undefined) break;
       if (lastAttempt !== undefined) await this.#backOff(picker.triedUpstreams, signal);
       lastAttempt = await this.#attempt(upstream, task, signal);
+      await recordAttempt(tracker, upstream, lastAttempt);
       if ('answer' in lastAttempt) {
         if (lastAttempt.answer.status !== unavailableStatus) return lastAttempt.answer;
         mayHaveRun = true;
@@ -145,6 +156,17 @@
   }
 }
 
+/** A connection that broke may have broken since the upstream has ended. */
+async function recordAttempt(
+  tracker: SuspectTracker,
+  upstream: Upstream,
+  attempt: Attempt,
+): Promise<void> {
+  if ('answer' in attempt) tracker.recordAnswered();
+  else if (attempt.error.kind === 'outcomeUnknown') await tracker.recordFailure(upstream);
+  else tracker.recordNotRun();
+}
+
 function notSent(error: RouterError): RouterError {
   return new RouterError(error.kind, error.message, { ran: 'notRun' });
 }
--- a/packages/callers/src/ServiceHandler/index.ts
+++ b/packages/callers/src/ServiceHandler/index.ts
@@ -305,6 +305,7 @@
     return this.#options.services.call(
       {
         request: { requestId, method, path, headers, body },
+        digest: attempt.digest,
         service: service.name as ServiceName,
         className: classEntry.name as ClassName,
         isRepeatable,
--- a/packages/callers/src/_lib/UpstreamPicker/index.ts
+++ b/packages/callers/src/_lib/UpstreamPicker/index.ts
@@ -70,6 +70,25 @@
     return upstream;
   }
 
+  /** Ids of the upstreams that may be tried next. */
+  get candidateIds(): readonly UpstreamId[] {
+    const { registry } = this.#options;
+    if (this.#tried.size >= maxUpstreamsTried) return [];
+    return registry.candidates(this.#criteria.service, this.#tried).map(({ id }) => id);
+  }
+
+  /** Takes the given upstream as the next one; undefined if it may not be tried. */
+  take(id: UpstreamId): Upstream | undefined {
+    const { registry, retries } = this.#options;
+    const { service, className } = this.#criteria;
+    const upstream = registry.candidates(service, this.#tried).find((one) => one.id === id);
+    if (upstream === undefined || !this.#isAttemptAllowed()) return undefined;
+    this.#lastTried = upstream;
+    this.#tried.add(id);
+    retries.recordAttempt(id, className);
+    return upstream;
+  }
+
   #isAttemptAllowed(): boolean {
     const { clock, metrics, retries } = this.#options;
     const failed = this.#lastTried;
--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -15,3 +15,4 @@
 export * from './CallerWriter/index.js';
 export * from './writeError/index.js';
 export * from './endToEndHeaders/index.js';
+export * from './RequestQuarantine/index.js';
--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -31,7 +31,7 @@
 import type { ForwardCodec } from '../ForwardCodec/index.js';
 import type { ReachMonitor } from '../ReachMonitor/index.js';
 import type { RelayPeers } from '../RelayPeers/index.js';
-import type { RequestQuarantine } from '../RequestQuarantine/index.js';
+import type { RequestQuarantine } from '@acaciacrank/callers';
 import type { RouteTable } from '../RouteTable/index.js';
 import type {
   RequestHead,
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -34,7 +34,7 @@
 import { planShutdown } from '../_lib/planShutdown/index.js';
 import { ReachMonitor } from '../ReachMonitor/index.js';
 import { RelayPeers } from '../RelayPeers/index.js';
-import { RequestQuarantine } from '../RequestQuarantine/index.js';
+import { RequestQuarantine } from '@acaciacrank/callers';
 import type { RouteTable } from '../RouteTable/index.js';
 import { UpstreamLimitGossip } from '../UpstreamLimitGossip/index.js';
 import { RelayedObjectStore } from '../RelayedObjectStore/index.js';
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -14,7 +14,7 @@
 import type { ForwardCodec } from '../../ForwardCodec/index.js';
 import type { ReachMonitor } from '../../ReachMonitor/index.js';
 import type { RelayPeers } from '../../RelayPeers/index.js';
-import type { RequestQuarantine, SuspectAttempt } from '../../RequestQuarantine/index.js';
+import type { RequestQuarantine, SuspectAttempt } from '@acaciacrank/callers';
 import type { UpstreamTable } from '../../UpstreamTable/index.js';
 import { Attempt } from '../Attempt/index.js';
 import type { ReceivedStatement } from '../applyStatement/index.js';
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -19,5 +19,4 @@
 export * from './createForwardServer/index.js';
 export { relayedByHeader, relayHeaders } from './_lib/relayProtocol/index.js';
 export * from './InstanceFleet/index.js';
-export * from './RequestQuarantine/index.js';
 export * from './ForwardingInstance/index.js';
--- a/packages/router/src/Instance/index.ts
+++ b/packages/router/src/Instance/index.ts
@@ -18,6 +18,7 @@
   ServiceDispatch,
   ServiceHandler,
   type DirectoryResponse,
+  RequestQuarantine,
 } from '@acaciacrank/callers';
 import {
   BudgetLedger,
@@ -90,6 +91,8 @@
   readonly ledger: BudgetLedger;
   readonly chat: ChatHandler;
   readonly services: ServiceHandler;
+  /** What is known of requests under which upstreams have ended. */
+  readonly quarantine: RequestQuarantine;
   readonly orders: EngineOrders;
   readonly #options: InstanceOptions;
   readonly #owned = new DisposableStore();
@@ -207,8 +210,20 @@
         service === undefined ? 0 : this.registry.averageFirstTokenMs(service, priority),
     });
     const retries = new RetryBudget({ clock, instanceCount: () => 1 + this.#peerCount });
-    const engines = new EngineDispatch({ ...sharedOptions, retries });
-    const services = new ServiceDispatch({ ...sharedOptions, retries });
+    this.quarantine = this.#owned.add(
+      new RequestQuarantine({
+        rpc: this.rpc,
+        links: this.links,
+        clock,
+        instanceId,
+        live: () => [instanceId, ...this.#reachablePeers()],
+        log: options.log,
+        metrics: this.metrics,
+      }),
+    );
+    const { quarantine } = this;
+    const engines = new EngineDispatch({ ...sharedOptions, retries, quarantine });
+    const services = new ServiceDispatch({ ...sharedOptions, retries, quarantine });
     this.chat = new ChatHandler({ ...sharedOptions, queue, engines, lingerMs: options.lingerMs });
     const records = this.#owned.add(new RequestRecords({ store, clock, instanceId }));
     this.services = new ServiceHandler({ ...sharedOptions, records, services });
--- a/packages/standins/src/LocalUpstreamClients/index.ts
+++ b/packages/standins/src/LocalUpstreamClients/index.ts
@@ -83,7 +83,7 @@
     return this.#service.call(request);
   }
 
-  override readLoad(): Promise<LoadReport> {
+  override async readLoad(): Promise<LoadReport> {
     return Promise.resolve(this.#service.load());
   }
 }
--- a/packages/standins/src/_lib/FaultyUpstreams/index.ts
+++ b/packages/standins/src/_lib/FaultyUpstreams/index.ts
@@ -58,6 +58,8 @@
   readonly #servicePlan: ServiceFaultPlan;
   /** Creates time-outs for gaps between tokens, instead of those of the clients, to compare alternatives. */
   makeTokenGaps: (() => AdaptiveTimeout) | undefined;
+  /** Ids of engines that have ended: they accept no connection. */
+  readonly endedEngines = new Set<string>();
   /** Whether engines report the usage of a cancelled generation. */
   isReportingUsage = true;
   /** Whether engines generate more tokens than requested. */
@@ -104,8 +106,9 @@
   /** Applies the fault plan to one connection to an engine. */
   async *applyToConnection(connection: Connection, frames: () => AsyncIterable<EngineFrame>) {
     this.connections.push(connection);
-    const fault = this.#plan(connection, this.connections.length - 1);
-    if (fault?.kind === 'refused') {
+    const hasEnded = this.endedEngines.has(connection.engineId);
+    const fault = hasEnded ? undefined : this.#plan(connection, this.connections.length - 1);
+    if (fault?.kind === 'refused' || hasEnded) {
       throw new RouterError('upstreamUnavailable', 'the connection was refused');
     }
     let tokens = 0;
@@ -171,7 +174,9 @@
       : Promise.resolve(undefined);
   }
 
-  override readLoad(): Promise<LoadReport> {
+  override async readLoad(): Promise<LoadReport> {
+    if (this.#parent.endedEngines.has(this.#engineId))
+      throw new RouterError('upstreamUnavailable', `${this.#engineId} has ended`);
     return this.#wrapped.readLoad();
   }
 }
--- a/packages/standins/src/experiments/suspects/index.ts
+++ b/packages/standins/src/experiments/suspects/index.ts
@@ -13,7 +13,7 @@
   type UpstreamId,
 } from '@acaciacrank/base';
 import { FleetRpc } from '@acaciacrank/fleet';
-import { RequestQuarantine } from '@acaciacrank/forwarding';
+import { RequestQuarantine } from '@acaciacrank/callers';
 import type { RunOptions } from '../../_lib/runModuleByName/index.js';
 import { MemoryNetwork, type MemoryFleetLinks } from '../../MemoryNetwork/index.js';
 import type { ResultRow } from '../../printTable/index.js';
--- /dev/null
+++ b/packages/standins/src/failures/queryOfDeath/test.ts
@@ -0,0 +1,69 @@
+import test from 'ava';
+import { digestText, type BudgetId, type ClassName } from '@acaciacrank/base';
+import type { ChatCall } from '@acaciacrank/callers';
+import { FaultyUpstreams } from '../../_lib/FaultyUpstreams/index.js';
+import { createLocalFleet } from '../../createLocalFleet/index.js';
+
+const document = `environment: test
+classes:
+  - { name: review, firstTokenDeadlineMs: 8000, totalDeadlineMs: 20000 }
+services:
+  - { name: tutor, kind: engines, models: [small], checksFencing: true, maxOutputTokens: 2000 }
+accounts:
+  - id: one
+    keyDigests: [${digestText('secret')}]
+    budgets:
+      - { id: one-2026, openingTokens: 1000000 }
+`;
+
+const engineCount = 8;
+const deadlyText = 'the deadly question';
+
+function chatCall(idempotencyKey: string, content: string): ChatCall {
+  return {
+    accountKey: 'secret',
+    budgetId: 'one-2026' as BudgetId,
+    className: 'review' as ClassName,
+    idempotencyKey,
+    model: 'small',
+    messages: [{ role: 'user', content }],
+    maxTokens: 20,
+  };
+}
+
+// Guards against a prompt that ends one engine after another while its caller repeats it under new keys.
+test('a prompt ends at most three engines, however often it is repeated', async (t) => {
+  const ended = new Set<string>();
+  let isDeadly = true;
+  const fleet = await createLocalFleet({
+    document,
+    engines: engineCount,
+    wrap: (parts) => {
+      const clients = new FaultyUpstreams(parts.clients, ({ engineId }) => {
+        if (!isDeadly) return undefined;
+        ended.add(engineId);
+        clients.endedEngines.add(engineId);
+        return { kind: 'dies', afterTokens: 0 };
+      });
+      return { ...parts, clients };
+    },
+  });
+  const [local] = fleet.instances;
+  if (local === undefined) throw new Error('there is no instance');
+  const ask = async (key: string, content: string) => {
+    let hasEnd = false;
+    for await (const frame of local.instance.chat.run(
+      chatCall(key, content),
+      new AbortController().signal,
+    ))
+      hasEnd ||= frame.kind === 'final';
+    return hasEnd;
+  };
+  for (let repeat = 0; repeat < engineCount; repeat += 1) {
+    await fleet.clock.runUntil(ask(`deadly-${repeat}`, deadlyText).catch(() => undefined));
+  }
+  isDeadly = false;
+  t.true(ended.size >= 1 && ended.size <= 3, `${ended.size} ended`);
+  t.true(await fleet.clock.runUntil(ask('other', 'how long does broth boil?')));
+  await fleet[Symbol.asyncDispose]();
+});
--- a/packages/standins/src/scenarios/runScenario/index.ts
+++ b/packages/standins/src/scenarios/runScenario/index.ts
@@ -16,6 +16,8 @@
   readonly answeredPercent: number;
   readonly refusals: Readonly<Record<string, number>>;
   readonly refusedForOverload: number;
+  /** Number of times that services ended under deadly calls. */
+  readonly endedUpstreams: number;
   readonly settledTokens: number;
   readonly version: number;
   readonly inForceMs: number;
@@ -158,6 +160,7 @@
     else if ('silence' in event) this.#silence(event.silence, event.to);
     else if ('leave' in event) this.#leave(event.leave);
     else if ('overload' in event) this.#overload(event.overload, event.for, event.backoff);
+    else if ('deadly' in event) this.#endUnder(event.deadly, event.down);
     else if ('topUp' in event) this.#backgroundTasks.push(this.#topUp(event));
     else this.#backgroundTasks.push(this.#promote(event));
   }
@@ -196,6 +199,10 @@
     this.#fleet.clients.engines.get(id)?.overload(durationMs, backoffMs);
   }
 
+  #endUnder(text: string, downMs: number): void {
+    for (const service of this.#fleet.clients.services.values()) service.endUnder(text, downMs);
+  }
+
   async #topUp(event: { topUp: string; tokens: number; by: string }): Promise<void> {
     this.#context.topUps.set(event.topUp, event.tokens);
     const store = this.#context.operatorStore(event.by);
@@ -252,6 +259,7 @@
       answeredPercent: Math.round(answeredPercent * 100) / 100,
       refusals,
       refusedForOverload: this.#refusedForOverload(),
+      endedUpstreams: this.#endedUpstreams(),
       settledTokens: this.#settledTokens(),
       version: this.#version(),
       inForceMs: this.#inForceMs,
@@ -274,6 +282,11 @@
     return engines.reduce((sum, engine) => sum + engine.refusedForOverload, 0);
   }
 
+  #endedUpstreams(): number {
+    const services = [...this.#fleet.clients.services.values()];
+    return services.reduce((sum, service) => sum + service.ends, 0);
+  }
+
   #settledTokens(): number {
     return this.#fleet.platform
       .objects()
@@ -296,6 +309,7 @@
   const rows: (readonly [string, number, Bounds | undefined])[] = [
     ['answeredPercent', measured.answeredPercent, bounds.answeredPercent],
     ['refusedForOverload', measured.refusedForOverload, bounds.refusedForOverload],
+    ['endedUpstreams', measured.endedUpstreams, bounds.endedUpstreams],
     ['settledTokens', measured.settledTokens, bounds.settledTokens],
     ['version', measured.version, bounds.version],
     ['inForceMs', measured.inForceMs, bounds.inForceMs],
--- a/packages/standins/src/scenarios/scenarioSchema/index.ts
+++ b/packages/standins/src/scenarios/scenarioSchema/index.ts
@@ -51,6 +51,8 @@
   z.strictObject({ ...at, leave: actor }),
   /** An engine refuses new requests, and asks each time to be sent nothing for the backoff. */
   z.strictObject({ ...at, overload: actor, for: duration, backoff: duration }),
+  /** Services end under each call of requests whose key contains a text, and are down for a while each time. */
+  z.strictObject({ ...at, deadly: z.string().min(1), down: duration }),
   /** An operator tops up the budget; the value is the id of the top-up. */
   z.strictObject({ ...at, topUp: z.string(), tokens: count, by: actor.default('operator') }),
   /** An operator promotes a document with this note, based on version `from`. */
@@ -89,6 +91,8 @@
     refused: z.record(z.string(), bounds).default({}),
     /** Number of requests that overloaded engines refused, from all instances. */
     refusedForOverload: bounds.optional(),
+    /** Number of times that services ended under deadly calls. */
+    endedUpstreams: bounds.optional(),
     /** Tokens that were settled in the budget. */
     settledTokens: bounds.optional(),
     /** Latest accepted configuration version. */
