Readability: parts of the budget ledger and of the upstream registry in modules of their own

Errors of the ledger and its public types, the registry's entries and requests in flight now stand by themselves; 542 and 404 lines.

--- a/packages/ledger/src/BudgetLedger/index.ts
+++ b/packages/ledger/src/BudgetLedger/index.ts
@@ -5,7 +5,6 @@
   type GrantId,
   type InstanceId,
   type Random,
-  type RequestId,
   type RequestKey,
 } from '@acaciacrank/base';
 import type { ObjectStore } from '@acaciacrank/store';
@@ -15,6 +14,13 @@
 import { pageKeyOf } from '../pageKeyOf/index.js';
 import { parsePage } from '../pageSchema/index.js';
 import { PageWriter } from '../PageWriter/index.js';
+import {
+  checkTokens,
+  createExhaustedError,
+  createTimeoutError,
+  ignoreTransientError,
+  isTransient,
+} from '../_lib/ledgerErrors/index.js';
 import { DemandMeter } from '../_lib/DemandMeter/index.js';
 import { HeldGrants } from '../_lib/HeldGrants/index.js';
 import { OpenRequests } from '../_lib/OpenRequests/index.js';
@@ -22,14 +28,18 @@
 import { UnconfirmedReturns } from '../_lib/UnconfirmedReturns/index.js';
 import { waitAtMost } from '../_lib/waitAtMost/index.js';
 import type {
+  Bill,
   BudgetRef,
   DeniedResult,
   GrantOperation,
   GrantPart,
+  LedgerCounts,
   OperationResult,
   PageBill,
   PageOperation,
   RenewOperation,
+  Reservation,
+  SettleRequest,
 } from '../types.js';
 
 /** Options of {@link BudgetLedger}. */
@@ -65,43 +75,6 @@
   maxKeysPerPage?: number;
 }
 
-/** Tokens reserved for one request before it is dispatched. */
-export interface Reservation {
-  readonly budget: BudgetRef;
-  readonly parts: readonly GrantPart[];
-  readonly tokens: number;
-}
-
-/** The result of billing a request. */
-export interface Bill {
-  readonly tokens: number;
-  /** Tokens that were generated but not covered by the budget; counted, never charged. */
-  readonly unbillableTokens: number;
-  /** Whether an earlier attempt with the same key had already been billed. */
-  readonly isRepeat: boolean;
-  /** Digest of the billed body; differs from the requested one if the key was reused for another body. */
-  readonly bodyDigest: string;
-}
-
-/** A request to bill. */
-export interface SettleRequest {
-  readonly requestKey: RequestKey;
-  readonly requestId: RequestId;
-  readonly bodyDigest: string;
-  readonly tokens: number;
-}
-
-/** Counts since the ledger was created, for metrics. */
-export interface LedgerCounts {
-  commits: number;
-  conflicts: number;
-  grants: number;
-  recalls: number;
-  receivedTokens: number;
-  transferredTokens: number;
-  unbillableTokens: number;
-}
-
 /** The interval at which idle grants are returned and expiring ones renewed, in milliseconds. */
 const sweepIntervalMs = 5_000;
 /** The grants of a budget are returned after it was unused for this long, in milliseconds. */
@@ -567,37 +540,3 @@
     return state;
   }
 }
-
-function checkTokens(tokens: number): void {
-  if (Number.isSafeInteger(tokens) && tokens > 0) return;
-  throw new RouterError(
-    'badRequest',
-    `a reservation must be a positive whole number of tokens, got ${tokens}`,
-  );
-}
-
-/** Whether an error is temporary: the store did not respond, or its queue is full. */
-function isTransient(error: RouterError): boolean {
-  return error.kind === 'storeUnavailable' || error.kind === 'overloaded';
-}
-
-function ignoreTransientError(error: unknown): undefined {
-  if (error instanceof RouterError && isTransient(error)) return undefined;
-  throw error;
-}
-
-function createTimeoutError(budget: BudgetRef): RouterError {
-  const message = `neither the store nor a peer provided tokens of budget ${budget.budgetId} in time`;
-  return new RouterError('storeUnavailable', message);
-}
-
-function createExhaustedError(
-  budget: BudgetRef,
-  neededTokens: number,
-  denied: DeniedResult,
-): RouterError {
-  return new RouterError(
-    'budgetExhausted',
-    `budget ${budget.budgetId} has ${denied.availableTokens} tokens that are not in use; ${neededTokens} are needed`,
-  );
-}
--- a/packages/ledger/src/types.ts
+++ b/packages/ledger/src/types.ts
@@ -183,3 +183,40 @@
   /** Generated at each start, so that two runs of the same instance are never confused. */
   readonly runId: string;
 }
+
+/** Tokens reserved for one request before it is dispatched. */
+export interface Reservation {
+  readonly budget: BudgetRef;
+  readonly parts: readonly GrantPart[];
+  readonly tokens: number;
+}
+
+/** The result of billing a request. */
+export interface Bill {
+  readonly tokens: number;
+  /** Tokens that were generated but not covered by the budget; counted, never charged. */
+  readonly unbillableTokens: number;
+  /** Whether an earlier attempt with the same key had already been billed. */
+  readonly isRepeat: boolean;
+  /** Digest of the billed body; differs from the requested one if the key was reused for another body. */
+  readonly bodyDigest: string;
+}
+
+/** A request to bill. */
+export interface SettleRequest {
+  readonly requestKey: RequestKey;
+  readonly requestId: RequestId;
+  readonly bodyDigest: string;
+  readonly tokens: number;
+}
+
+/** Counts since the ledger was created, for metrics. */
+export interface LedgerCounts {
+  commits: number;
+  conflicts: number;
+  grants: number;
+  recalls: number;
+  receivedTokens: number;
+  transferredTokens: number;
+  unbillableTokens: number;
+}
--- a/packages/routing/src/UpstreamRegistry/index.ts
+++ b/packages/routing/src/UpstreamRegistry/index.ts
@@ -4,7 +4,6 @@
   RouterError,
   withTimeout,
   type Clock,
-  type ErrorKind,
   type InstanceId,
   type ServiceName,
   type UpstreamId,
@@ -12,6 +11,8 @@
 import type { InstanceList, ListedInstance } from '@acaciacrank/store';
 import type { CacheEvent, LoadReport } from '@acaciacrank/upstreams';
 import { setMaxListeners } from 'node:events';
+import type { RegistryEntry } from '../_lib/RegistryEntry/index.js';
+import { RegistryRequest } from '../_lib/RegistryRequest/index.js';
 import { InFlightDelta } from '../_lib/InFlightDelta/index.js';
 import { ServicePool } from '../_lib/ServicePool/index.js';
 import { AimdLimit } from '../AimdLimit/index.js';
@@ -19,7 +20,7 @@
 import type { ConcurrencyLimit } from '../ConcurrencyLimit/index.js';
 import { OverloadBackoff } from '../OverloadBackoff/index.js';
 import { OutlierDetector, type OutlierDetectorOptions } from '../OutlierDetector/index.js';
-import { UpstreamHealth, type UnansweredRequest } from '../UpstreamHealth/index.js';
+import { UpstreamHealth } from '../UpstreamHealth/index.js';
 import { InFlightRequest } from '../InFlightRequest/index.js';
 import type { Upstream, UpstreamClients } from '../types.js';
 
@@ -46,21 +47,6 @@
   onCacheEvent?: (upstream: Upstream, event: CacheEvent) => void;
 }
 
-/** An upstream and its state that is private to the registry. */
-interface Entry {
-  /** Latest list entry. */
-  listed: ListedInstance;
-  readonly upstream: Upstream;
-  /** Requests started minus ended since the last report was measured. */
-  readonly inFlightDelta: InFlightDelta;
-  /** Stops the polling; aborted when the entry is removed. */
-  readonly stop: AbortController;
-  polling: Promise<void>;
-  lastCacheSequence: number;
-  /** Time of its last refusal of a request, by this machine's wall clock. */
-  refusedAtMs: number;
-}
-
 /** Timeout for reading a load report or cache events, in milliseconds. */
 const loadTimeoutMs = 2_000;
 
@@ -76,8 +62,8 @@
 /** Tracks the upstreams of each service, their clients, load and health. */
 export class UpstreamRegistry implements AsyncDisposable {
   readonly #options: UpstreamRegistryOptions & { listIntervalMs: number; loadIntervalMs: number };
-  readonly #entries = new Map<UpstreamId, Entry>();
-  readonly #entryByUpstream = new WeakMap<Upstream, Entry>();
+  readonly #entries = new Map<UpstreamId, RegistryEntry>();
+  readonly #entryByUpstream = new WeakMap<Upstream, RegistryEntry>();
   readonly #pools = new Map<ServiceName, ServicePool>();
   /** Upstreams whose backoff, or the recovery after it, is not over. */
   readonly #backingOff = new Set<Upstream>();
@@ -216,7 +202,7 @@
     entry.polling = this.#pollLoad(entry);
   }
 
-  #createEntry(id: UpstreamId, listed: ListedInstance): Entry {
+  #createEntry(id: UpstreamId, listed: ListedInstance): RegistryEntry {
     const { clients } = this.#options;
     const upstream: Upstream = {
       id,
@@ -246,7 +232,7 @@
     };
   }
 
-  #removeEntry(entry: Entry): void {
+  #removeEntry(entry: RegistryEntry): void {
     this.#entries.delete(entry.upstream.id);
     entry.stop.abort();
     this.#updatePool(entry);
@@ -254,7 +240,7 @@
   }
 
   /** Closes the client of a removed upstream, once, when no request uses it. */
-  #closeIfIdle({ upstream, polling }: Entry): void {
+  #closeIfIdle({ upstream, polling }: RegistryEntry): void {
     if (upstream.inFlightRequests > 0) return;
     const client: object | undefined = upstream.engine ?? upstream.plain;
     const closing = polling.then(() => disposeIfPossible(client));
@@ -263,7 +249,7 @@
   }
 
   /** Updates an upstream's state and pool. It is leaving if the list or its last report states it. */
-  #updatePool({ upstream, listed, stop }: Entry): void {
+  #updatePool({ upstream, listed, stop }: RegistryEntry): void {
     const isLeaving =
       stop.signal.aborted || listed.state === 'leaving' || upstream.report?.state === 'leaving';
     upstream.state = isLeaving ? 'leaving' : 'live';
@@ -279,7 +265,7 @@
    * not state it yet. It receives no more requests until a report measured after the refusal states that it
    * is live.
    */
-  #handleFailure(entry: Entry, error: RouterError): void {
+  #handleFailure(entry: RegistryEntry, error: RouterError): void {
     const { upstream } = entry;
     if (error.kind === 'upstreamUnavailable') {
       upstream.isSuspect = true;
@@ -289,7 +275,7 @@
     this.#updatePool(entry);
   }
 
-  #backOff(entry: Entry, durationMs: number): void {
+  #backOff(entry: RegistryEntry, durationMs: number): void {
     entry.upstream.backoff.extend(durationMs);
     this.#backingOff.add(entry.upstream);
     this.#updatePool(entry);
@@ -326,7 +312,7 @@
     }
   }
 
-  async #pollLoad(entry: Entry): Promise<void> {
+  async #pollLoad(entry: RegistryEntry): Promise<void> {
     const { clock, loadIntervalMs } = this.#options;
     while (!entry.stop.signal.aborted) {
       await this.#readLoad(entry).catch(() => undefined);
@@ -335,7 +321,7 @@
     }
   }
 
-  async #readLoad(entry: Entry): Promise<void> {
+  async #readLoad(entry: RegistryEntry): Promise<void> {
     const client = entry.upstream.engine ?? entry.upstream.plain;
     if (client === undefined) return;
     const report = await withTimeout(this.#options.clock, loadTimeoutMs, () => client.readLoad(), {
@@ -346,7 +332,7 @@
     this.#applyReport(entry, report);
   }
 
-  #applyReport(entry: Entry, report: LoadReport): void {
+  #applyReport(entry: RegistryEntry, report: LoadReport): void {
     const { upstream, inFlightDelta } = entry;
     const previous = upstream.report;
     upstream.report = report;
@@ -360,7 +346,10 @@
     this.#updatePool(entry);
   }
 
-  #applyNewReport({ upstream, inFlightDelta, refusedAtMs }: Entry, report: LoadReport): void {
+  #applyNewReport(
+    { upstream, inFlightDelta, refusedAtMs }: RegistryEntry,
+    report: LoadReport,
+  ): void {
     const measuredAtMs = this.#toLocalMeasuredAtMs(report);
     inFlightDelta.discardCounted(measuredAtMs);
     if (measuredAtMs > refusedAtMs) upstream.isSuspect = false;
@@ -388,7 +377,7 @@
     return Math.abs(nowMs - measuredAtMs) > maxClockSkewMs ? nowMs : measuredAtMs;
   }
 
-  async #readCacheEvents(entry: Entry): Promise<void> {
+  async #readCacheEvents(entry: RegistryEntry): Promise<void> {
     const { onCacheEvent, clock } = this.#options;
     const { engine } = entry.upstream;
     if (engine === undefined || onCacheEvent === undefined) return;
@@ -413,90 +402,3 @@
     await (client as AsyncDisposable)[Symbol.asyncDispose]();
   }
 }
-
-/** Dependencies of a {@link RegistryRequest}. */
-interface RegistryRequestContext {
-  readonly clock: Clock;
-  readonly pool: ServicePool;
-  readonly ended: () => void;
-  readonly failed: (error: RouterError) => void;
-  readonly backOff: (durationMs: number) => void;
-}
-
-/** Errors attributed to the upstream rather than the caller. */
-const upstreamFailureKinds: ReadonlySet<ErrorKind> = new Set([
-  'upstreamUnavailable',
-  'upstreamFailed',
-  'outcomeUnknown',
-]);
-
-/** An in-flight request that updates the statistics of its upstream. */
-class RegistryRequest extends InFlightRequest {
-  readonly #entry: Entry;
-  readonly #priority: number;
-  readonly #context: RegistryRequestContext;
-  readonly #request: UnansweredRequest;
-  #hasProgressed = false;
-  #isEnded = false;
-
-  constructor(entry: Entry, priority: number, context: RegistryRequestContext) {
-    super();
-    this.#entry = entry;
-    this.#priority = priority;
-    this.#context = context;
-    this.#request = {
-      startedMs: context.clock.monotonicMs(),
-      averageFirstTokenMs: context.pool.averageFirstTokenMs(priority),
-    };
-    const { upstream } = entry;
-    upstream.inFlightRequests += 1;
-    upstream.limit.recordInFlight(upstream.inFlightRequests);
-    upstream.health.begin(this.#request);
-    upstream.backoff.recordSend();
-    this.#recordChange(1);
-  }
-
-  override progress(): void {
-    const { health } = this.#entry.upstream;
-    const nowMs = this.#context.clock.monotonicMs();
-    health.recordProgress(nowMs);
-    if (this.#hasProgressed) return;
-    this.#hasProgressed = true;
-    const elapsedMs = nowMs - this.#request.startedMs;
-    const averageMs = this.#request.averageFirstTokenMs ?? elapsedMs;
-    health.recordFirstToken(this.#request, averageMs > 0 ? elapsedMs / averageMs : 1);
-    this.#context.pool.recordFirstToken(this.#priority, elapsedMs);
-    if (health.state === 'probing') this.#context.pool.update(this.#entry.upstream);
-  }
-
-  override backOff(durationMs: number): void {
-    this.#context.backOff(durationMs);
-  }
-
-  override failed(error: RouterError): void {
-    if (error.backoffMs !== undefined) this.backOff(error.backoffMs);
-    if (!upstreamFailureKinds.has(error.kind)) return;
-    this.#entry.upstream.health.recordFailure(this.#request);
-    this.#context.failed(error);
-  }
-
-  override [Symbol.dispose](): void {
-    if (this.#isEnded) return;
-    this.#isEnded = true;
-    const { upstream } = this.#entry;
-    upstream.inFlightRequests -= 1;
-    upstream.health.end(this.#request);
-    this.#context.pool.recordRequestDuration(
-      this.#context.clock.monotonicMs() - this.#request.startedMs,
-    );
-    this.#recordChange(-1);
-    this.#context.ended();
-  }
-
-  #recordChange(by: 1 | -1): void {
-    const { upstream, inFlightDelta } = this.#entry;
-    inFlightDelta.record(by, this.#context.clock.wallMs());
-    upstream.inFlightDelta = inFlightDelta.net;
-    this.#context.pool.update(upstream);
-  }
-}
