DRAIN: an upstream whose record is removed just after an outage leaves in time

Cause: a removal that the instance sees was treated like a record that lapsed unseen. Change: the former ends after 1.4 s at the latest; what is missing from a list, or lapsed while the store was away, keeps its 2 s.

--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -14,7 +14,7 @@
 import { Upstream } from '../_lib/Upstream/index.js';
 import type { ChangeDetails, UpstreamChange } from '../_lib/UpstreamChange/index.js';
 import { UpstreamDepartures } from '../_lib/UpstreamDepartures/index.js';
-import { expiredRecordGraceMs } from '../_lib/limits/index.js';
+import { expiredRecordGraceMs, removedRecordGraceMs } from '../_lib/limits/index.js';
 import type { LimitChange, LimitSharing } from '../_lib/UpstreamLimit/index.js';
 import type { UpstreamRecord, WarmUpPolicy } from '../types.js';
 
@@ -131,7 +131,7 @@
   /** Applies the complete list of records. */
   replaceAll(records: readonly UpstreamRecord[]): void {
     const listed = new Set(records.map(({ id }) => id));
-    for (const id of [...this.#byId.keys()]) if (!listed.has(id)) this.remove(id);
+    for (const id of [...this.#byId.keys()]) if (!listed.has(id)) this.#handleMissing(id);
     const changes = records.map((record) => this.#apply(record));
     if (changes.includes(true)) this.#isIndexStale = true;
     this.#hasList = true;
@@ -177,8 +177,18 @@
     if (this.#apply(record)) this.#isIndexStale = true;
   }
 
-  /** Handles the disappearance of a record from the store. */
+  /**
+   * Handles the removal of a record from the store.
+   *
+   * Guards against an upstream that left and is used for too long: this instance may notice late that the store is
+   * available again, and count the grace period from then.
+   */
   remove(id: UpstreamId): void {
+    this.#handleMissing(id, removedRecordGraceMs);
+  }
+
+  /** Handles that a record is not in the store; it stays usable for the time given at most. */
+  #handleMissing(id: UpstreamId, maxGraceMs = Infinity): void {
     this.#departures.forgetRefused(id);
     const upstream = this.#byId.get(id);
     if (upstream === undefined || this.#expired.has(id)) return;
@@ -189,7 +199,7 @@
     }
     this.#report(upstream.record, 'lapsed');
     this.#expired.set(id, undefined);
-    if (!this.#isStoreUnavailable) this.#startGracePeriod(id);
+    if (!this.#isStoreUnavailable) this.#startGracePeriod(id, maxGraceMs);
   }
 
   /** Removes an upstream because a different upstream responds at its address. */
@@ -333,11 +343,11 @@
     return this.#instanceCount.value;
   }
 
-  #startGracePeriod(id: UpstreamId): void {
+  #startGracePeriod(id: UpstreamId, maxGraceMs = Infinity): void {
     const { clock } = this.#options;
     this.#expired.get(id)?.[Symbol.dispose]();
     const remainingMs = this.#storeAvailableSinceMs + expiredRecordGraceMs - clock.monotonicMs();
-    const timer = clock.schedule(remainingMs, () => {
+    const timer = clock.schedule(Math.min(remainingMs, maxGraceMs), () => {
       this.#expired.delete(id);
       const upstream = this.#byId.get(id);
       if (upstream !== undefined) this.#removeUpstream(upstream);
--- a/packages/forwarding/src/UpstreamTable/test.ts
+++ b/packages/forwarding/src/UpstreamTable/test.ts
@@ -81,6 +81,22 @@
   t.is(table.usable(service).length, 0);
 });
 
+// Guards against an upstream that left just after this instance noticed that the store is available again.
+test('a record that is removed after the store was regained is used for a shorter time', async (t) => {
+  const { clock, table } = createTable();
+  table.put(record);
+  table.markStoreUnavailable();
+  await clock.advance(5_000);
+  table.markStoreAvailable();
+  table.replaceAll([record]);
+  await clock.advance(100);
+  table.remove(id);
+  await clock.advance(1_300);
+  t.is(table.usable(service).length, 1);
+  await clock.advance(200);
+  t.is(table.usable(service).length, 0);
+});
+
 // Guards against an instance that cannot reach the store and keeps using upstreams that are
 // leaving.
 test('records from a peer add and drain upstreams, but do not revive leaving ones', (t) => {
--- a/packages/forwarding/src/_lib/limits/index.ts
+++ b/packages/forwarding/src/_lib/limits/index.ts
@@ -41,6 +41,11 @@
  * milliseconds.
  */
 export const expiredRecordGraceMs = 2_000;
+/**
+ * How long an upstream stays usable whose record was seen to be removed in that time, in milliseconds: less than
+ * a leaving upstream may still get requests, by the time that it takes to see the removal.
+ */
+export const removedRecordGraceMs = 1_400;
 /**
  * Total size of request bodies, and size of one response, held in memory: a small part of an
  * instance's memory.
