--- a/packages/soak/src/_lib/FaultProxy/index.ts
+++ b/packages/soak/src/_lib/FaultProxy/index.ts
@@ -26,6 +26,7 @@
   readonly #sockets = new Set<Socket>();
   #mode: ProxyMode = 'pass';
   #port = 0;
+  #isDisposed = false;
 
   constructor(targetPort: number) {
     this.#targetPort = targetPort;
@@ -51,9 +52,9 @@
     this.#server.close();
   }
 
-  /** Listens again on the same port. */
+  /** Listens again on the same port, unless it is disposed of. */
   comeBack(): void {
-    if (!this.#server.listening) this.#server.listen(this.#port, '127.0.0.1');
+    if (!this.#isDisposed && !this.#server.listening) this.#server.listen(this.#port, '127.0.0.1');
   }
 
   /** Changes the mode, also for open connections. */
@@ -75,6 +76,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    this.#isDisposed = true;
     for (const socket of this.#sockets) socket.destroy();
     await closeServer(this.#server);
   }
