--- a/packages/fleet/src/messageSchemas/index.ts
+++ b/packages/fleet/src/messageSchemas/index.ts
@@ -64,6 +64,7 @@
   slots: z.number().positive(),
   state: z.enum(['live', 'leaving']),
   startedAtMs: z.number().int().optional(),
+  softwareVersion: z.string().max(64).optional(),
   /** How much longer it warms up, in milliseconds, when the record was written. */
   warmUpMs: z.number().nonnegative().optional(),
   /** Version of the stored record. */
--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -80,6 +80,9 @@
  */
 const retryAfterStepMs = 100;
 
+/** Maximum length of an id of a caller's attempt in the log. */
+const maxTracedIdLength = 64;
+
 /** Handles callers' requests by forwarding them to upstreams. */
 export class ForwardHandler {
   readonly #options: ForwardHandlerOptions;
@@ -165,7 +168,9 @@
     const waitMs = Math.min(head.budgetMs ?? route.timeoutMs, route.timeoutMs);
     const { version } = routes.configuration;
     const isUnreached = this.#options.reach.isReached ? undefined : true;
-    trace.add('admitted', { route: route.name, version, waitMs, isUnreached });
+    const { resumeAfter, resumedAttempt } = head;
+    const resumed = { resumeAfter, resumedAttempt: resumedAttempt?.slice(0, maxTracedIdLength) };
+    trace.add('admitted', { route: route.name, version, waitMs, isUnreached, ...resumed });
     return {
       request,
       response,
@@ -186,6 +191,7 @@
         events: 0,
         eventsBeforeRelay: undefined,
         lastEventId: undefined,
+        origin: undefined,
       },
     };
   }
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -10,6 +10,7 @@
   type UpstreamId,
 } from '@acaciacrank/base';
 import { rawHeaderValue } from '@acaciacrank/callers';
+import type { UpstreamRun } from '@acaciacrank/routing';
 import type { ForwardCodec, RawHeaders } from '../../ForwardCodec/index.js';
 import type { ReceivedStatement } from '../applyStatement/index.js';
 import type { AttemptResult } from '../AttemptResult/index.js';
@@ -40,6 +41,8 @@
   fetchFrom: string | undefined;
   /** Estimated prefill work of the engine; undefined for plain services. */
   prefill: PrefillEstimate | undefined;
+  /** Called before the first events are passed on to the caller, with the run of the upstream that sent them. */
+  onStreamBegun: (run: UpstreamRun) => void;
   /** Called once, when the first event arrives. */
   onFirstEvent: (inFlightRequest: InFlightRequest) => void;
   /**
@@ -139,11 +142,11 @@
     const isSuccess = status >= 200 && status < 300;
     checkResponse(head, call, isSuccess);
     if (isSuccess && call.route.kind === 'stream') {
-      const onFirstEvent = () => {
-        call.trace.add('firstEvent', { upstreamId: upstream.id });
+      const onBegin = () => {
+        this.#beginStream();
       };
       const callerHeaders = () => responseHeaders(call, codec, headers, upstream.id);
-      const relay = new StreamRelay({ call, head: response, callerHeaders, onFirstEvent });
+      const relay = new StreamRelay({ call, head: response, callerHeaders, onBegin });
       this.#bodyHandling = { kind: 'relay', relay };
     } else {
       this.#collect((body) => ({ kind: 'answer', status, headers, body, isFramed }));
@@ -164,6 +167,14 @@
     return handling.relay.relay(chunk);
   }
 
+  #beginStream(): void {
+    const { call, upstream, onStreamBegun } = this.#options;
+    const { run } = upstream;
+    const { softwareVersion } = run;
+    call.trace.add('firstEvent', { upstreamId: upstream.id, softwareVersion });
+    onStreamBegun(run);
+  }
+
   #finish({ longestGapMs }: InFlightRequest): AttemptResult {
     const handling = this.#bodyHandling;
     if (handling === undefined)
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -10,7 +10,7 @@
   type Random,
   type UpstreamId,
 } from '@acaciacrank/base';
-import type { PrefillTimeModel, RetryShare } from '@acaciacrank/routing';
+import type { PrefillTimeModel, RetryShare, UpstreamRun } from '@acaciacrank/routing';
 import type { ForwardCodec } from '../../ForwardCodec/index.js';
 import type { ReachMonitor } from '../../ReachMonitor/index.js';
 import type { RelayPeers } from '../../RelayPeers/index.js';
@@ -221,6 +221,9 @@
       upstream,
       fetchFrom,
       prefill,
+      onStreamBegun: (run) => {
+        this.#recordBegin(run);
+      },
       onFirstEvent,
       onStatement,
       inactivityTimeoutMs,
@@ -246,6 +249,17 @@
     if (statements.backoff.remainingMs > 0) metrics.count('sentAgainstStatement', 'backoff');
   }
 
+  /** Records which software version sends a part of the stream, and whether it is the one that began it. */
+  #recordBegin(run: UpstreamRun): void {
+    const { metrics } = this.#dependencies;
+    const { progress } = this.#call;
+    if (progress.origin !== undefined) {
+      const isKept = progress.origin.softwareVersion === run.softwareVersion;
+      metrics.count('resumedStreams', isKept ? 'sameVersion' : 'otherVersion');
+    }
+    progress.origin ??= run;
+  }
+
   /** Describes the choice of an upstream for the log. */
   #describeSend({ upstream, fetchFrom, prefill, why }: UpstreamPick): TraceStep {
     const { requestsPerSecond } = upstream.limit;
@@ -253,6 +267,8 @@
     const { leavingForMs, backoff } = statements;
     return {
       upstreamId: upstream.id,
+      softwareVersion: upstream.record.softwareVersion,
+      startedAtMs: upstream.record.startedAtMs,
       why,
       fetchFrom,
       backlogMs: Math.round(upstream.backlogMs),
--- a/packages/forwarding/src/_lib/ForwardCall/index.ts
+++ b/packages/forwarding/src/_lib/ForwardCall/index.ts
@@ -2,6 +2,7 @@
  * A caller's request while an instance processes it.
  */
 import type { CallerWriter } from '@acaciacrank/callers';
+import type { UpstreamRun } from '@acaciacrank/routing';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { RequestHead, ForwardAccount, Route, ServiceTraits } from '../../types.js';
 import type { CallerDisconnect } from '../CallerDisconnect/index.js';
@@ -43,6 +44,8 @@
   eventsBeforeRelay: number | undefined;
   /** The id of the last event relayed to the caller. */
   lastEventId: string | undefined;
+  /** The run of an upstream that sent the first event; undefined before that. */
+  origin: UpstreamRun | undefined;
 }
 
 /** Whether a request may be sent again even though it may already have run. */
--- a/packages/forwarding/src/_lib/Relay/index.ts
+++ b/packages/forwarding/src/_lib/Relay/index.ts
@@ -86,6 +86,7 @@
       relayedBy: relayPeers.instanceId,
       fetchFrom: undefined,
       prefill: undefined,
+      onStreamBegun: () => undefined,
       onFirstEvent: () => undefined,
       onStatement: (received, relayedFrom) => {
         this.#applyStatement(received, relayedFrom);
--- a/packages/forwarding/src/_lib/StreamRelay/index.ts
+++ b/packages/forwarding/src/_lib/StreamRelay/index.ts
@@ -14,14 +14,15 @@
   head: UpstreamResponseHead;
   /** Creates the headers of the response to the caller. */
   callerHeaders: () => string[];
-  /** Called before the head of the response is written. */
-  onFirstEvent: () => void;
+  /** Called before the first events of this part of the stream are passed on. */
+  onBegin: () => void;
 }
 
 /** Relays complete events as they arrive; an incomplete one waits for its rest. */
 export class StreamRelay {
   readonly #options: StreamRelayOptions;
   readonly #buffer = new EventBuffer();
+  #hasBegun = false;
 
   constructor(options: StreamRelayOptions) {
     this.#options = options;
@@ -37,6 +38,8 @@
     const events = this.#buffer.push(chunk);
     if (events === undefined) return undefined;
     const { progress, writer } = this.#options.call;
+    if (!this.#hasBegun) this.#options.onBegin();
+    this.#hasBegun = true;
     for (const id of events.ids) {
       if (!isNextEvent(progress.lastEventId, id)) {
         throw new RouterError('upstreamFailed', 'an event is missing or duplicated');
@@ -56,10 +59,9 @@
   }
 
   #ensureHead(): void {
-    const { call, head, callerHeaders, onFirstEvent } = this.#options;
+    const { call, head, callerHeaders } = this.#options;
     const { response } = call;
     if (response.headersSent) return;
-    onFirstEvent();
     if (!head.isFramed) delimitByConnectionClose(response);
     response.writeHead(head.status, callerHeaders());
   }
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -14,6 +14,7 @@
   type Availability,
   type EngineLoad,
   type UpstreamReach,
+  type UpstreamRun,
 } from '@acaciacrank/routing';
 import type { ReportedLoad, UpstreamRecord, WarmUpPolicy } from '../../types.js';
 import { Brittleness } from '../Brittleness/index.js';
@@ -187,6 +188,12 @@
     return this.record.id;
   }
 
+  /** Its current run, as its record states it. */
+  get run(): UpstreamRun {
+    const { id: upstreamId, service, startedAtMs, softwareVersion } = this.record;
+    return { service, upstreamId, startedAtMs, softwareVersion };
+  }
+
   /**
    * Whether it gets no new requests since it is draining, by its record or its own responses, or was removed.
    */
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -131,6 +131,8 @@
    * stated.
    */
   readonly startedAtMs?: number | undefined;
+  /** Version of the software that the current run of the upstream runs; undefined if not stated. */
+  readonly softwareVersion?: string | undefined;
   /**
    * How much longer the upstream warms up, in milliseconds, when it wrote the record; undefined if not
    * stated.
@@ -163,6 +165,11 @@
   readonly promptParts: readonly PromptPart[];
   /** The id of the last event that the caller received, if it resumes a stream. */
   readonly resumeAfter: string | undefined;
+  /**
+   * Id of the caller's attempt that received the first event, if it resumes a stream; undefined if not
+   * stated.
+   */
+  readonly resumedAttempt: string | undefined;
 }
 
 /** The load that an upstream reports in a response. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -39,3 +39,4 @@
 export * from './AnsweredRequests/index.js';
 export * from './UpstreamReach/index.js';
 export * from './divideSlots/index.js';
+export * from './mayContinueStream/index.js';
