ORDER: a stream goes on only at the software version that began it

Change: the run of an upstream that sends the first event is the stream's origin (CallProgress). All picks, retries and waits of the request keep to mayContinueStream (routing): the same version, or where one is not known the same run. Over a caller's tries the origin is found by the attempt that Resumes names: here, or at the homes of the stream, two instances next to its key on a hash ring that are told within 50 ms of the first event, in batches (StreamAffinity). Who goes on for an instance that reaches no upstream is told the origin and tells it. Nobody known: refused at once, 503, not run. No upstream of the version left: 502, for good, without a time. An answer that is whole before the batch is not told.

Weighed: a version chosen by a hash of the attempt (a guess where views differ), questions to all (390 for one stream), records in the store (a write a stream). A record that states another version is a different run also without a start time. Fixtures and the soak state a version in their records, as the platform's always do. Measured: the three red tests pass, four more (home told after a stop, id used twice, version gone, relay); 297 tests of platform, routing, forwarding, fleet, callers, base pass.

--- a/packages/base/src/errorKinds/index.ts
+++ b/packages/base/src/errorKinds/index.ts
@@ -144,6 +144,20 @@
     remedy:
       'The request was not started or not completed before its deadline: check whether it ran, then retry.',
   },
+  streamVersionUnknown: {
+    httpStatus: 503,
+    ran: 'notRun',
+    retryAfterMs: undefined,
+    remedy:
+      'It is not known which software version began the stream: discard its events and send the request anew.',
+  },
+  streamVersionGone: {
+    httpStatus: 502,
+    ran: 'notRun',
+    retryAfterMs: undefined,
+    remedy:
+      'No upstream runs the software version that began the stream: discard its events and send the request anew.',
+  },
   requestQuarantined: {
     httpStatus: 502,
     ran: 'ran',
--- a/packages/base/src/types.ts
+++ b/packages/base/src/types.ts
@@ -31,5 +31,8 @@
 /** Identifies one attempt to run a request; made by the instance that received it. */
 export type RequestId = Brand<string, 'RequestId'>;
 
+/** Names a stream of events: a digest of the caller's account and of the attempt that received its first event. */
+export type StreamKey = Brand<string, 'StreamKey'>;
+
 /** Returns the next random number, in [0, 1). */
 export type Random = () => number;
--- a/packages/fleet/src/messageSchemas/index.ts
+++ b/packages/fleet/src/messageSchemas/index.ts
@@ -10,6 +10,7 @@
   GrantId,
   InstanceId,
   ServiceName,
+  StreamKey,
   UpstreamId,
 } from '@acaciacrank/base';
 import * as z from 'zod';
@@ -19,6 +20,8 @@
 const maxUpstreams = 4_096;
 /** Maximum number of drained failure domains in one reply. */
 const maxDrainedDomains = 256;
+/** Maximum length of the version of an upstream's software. */
+const maxVersionLength = 64;
 const nonNegativeInteger = z.number().int().nonnegative();
 const failureDomainId = z.string().max(64) as unknown as z.ZodType<FailureDomainId>;
 
@@ -64,7 +67,7 @@
   slots: z.number().positive(),
   state: z.enum(['live', 'leaving']),
   startedAtMs: z.number().int().optional(),
-  softwareVersion: z.string().max(64).optional(),
+  softwareVersion: z.string().max(maxVersionLength).optional(),
   /** How much longer it warms up, in milliseconds, when the record was written. */
   warmUpMs: z.number().nonnegative().optional(),
   /** Version of the stored record. */
@@ -109,6 +112,20 @@
   isConvicted: z.boolean(),
 });
 
+/** Maximum number of streams in one message, and of the runs that began them. */
+const maxStreams = 512;
+const streamKey = z.string().min(1).max(64) as unknown as z.ZodType<StreamKey>;
+
+/** The run of an upstream that began streams; without start or version if these are not known. */
+const streamOriginSchema = z.object({
+  service: serviceName,
+  upstreamId,
+  startedAtMs: z.number().int().optional(),
+  softwareVersion: z.string().max(maxVersionLength).optional(),
+  streams: z.array(streamKey).max(maxStreams),
+});
+const streamOrigins = z.array(streamOriginSchema).max(maxStreams);
+
 /** A record of a member, sent by the member itself or by any other. */
 export const memberRecordSchema = z.object({
   id: instanceId,
@@ -176,6 +193,8 @@
     /** Upstreams to which it may be sent, the preferred one first. */
     candidates: z.array(upstreamId).max(maxCandidates),
   }),
+  /** Asks which runs of upstreams began streams. */
+  z.object({ kind: z.literal('streamOrigins'), streams: z.array(streamKey).max(maxStreams) }),
   /** Asks for the upstreams that the peer knows from the store. */
   z.object({ kind: z.literal('upstreams') }),
   /** Asks a peer that watches the store for the changes under a prefix after a revision. */
@@ -225,6 +244,8 @@
     upstreamId: upstreamId.optional(),
     suspect: suspectSchema,
   }),
+  /** Of the streams that the peer knows. */
+  z.object({ kind: z.literal('streamOrigins'), origins: streamOrigins }),
   /** `isCurrent` is false, and `records` empty, when the peer cannot reach the store either. */
   z.object({
     kind: z.literal('upstreams'),
@@ -258,6 +279,8 @@
     kind: z.literal('upstreamLimits'),
     limits: z.array(upstreamLimitSchema).max(512),
   }),
+  /** Which runs of upstreams began streams, to the homes of these. */
+  z.object({ kind: z.literal('streamOrigins'), origins: streamOrigins }),
   /** Requests under which upstreams have ended, to their homes, and from these to all. */
   z.object({
     kind: z.literal('suspectRequests'),
--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -32,6 +32,8 @@
 import type { ReachMonitor } from '../ReachMonitor/index.js';
 import type { RelayPeers } from '../RelayPeers/index.js';
 import type { RequestQuarantine } from '@acaciacrank/callers';
+import type { StreamAffinity } from '../StreamAffinity/index.js';
+import { bindResumption } from '../_lib/bindResumption/index.js';
 import type { RouteTable } from '../RouteTable/index.js';
 import type {
   RequestHead,
@@ -57,6 +59,7 @@
   reach: ReachMonitor;
   /** The peers that send requests to upstreams while this instance reaches none. */
   relayPeers: RelayPeers;
+  affinity: StreamAffinity;
   ownDomain: FailureDomainId;
   /** Whether new requests are accepted; false in the final phase of a shutdown. */
   isAccepting: () => boolean;
@@ -192,6 +195,7 @@
         eventsBeforeRelay: undefined,
         lastEventId: undefined,
         origin: undefined,
+        streamKey: undefined,
       },
     };
   }
@@ -209,8 +213,9 @@
     return routes.service(name) ?? { name, maxConnections: 1, engine: undefined };
   }
 
-  async #serve(call: ForwardCall): Promise<void> {
-    const { reach, relayPeers } = this.#options;
+  async #serve(admitted: ForwardCall): Promise<void> {
+    const { reach, relayPeers, affinity, metrics } = this.#options;
+    let call = admitted;
     if (!reach.isReached) {
       // The peer debits the account.
       const isRelayed =
@@ -219,6 +224,7 @@
       if (reach.reach.state === 'unreached')
         throw new RouterError('upstreamsUnreached', 'no upstream is reached, by any peer asked');
     }
+    call = await bindResumption(call, { affinity, metrics, routes: this.#options.routes() });
     const { tokens } = call.head;
     const { account } = call;
     if (tokens === undefined || account?.prepaidTokens === undefined) {
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -36,6 +36,7 @@
 import { RelayPeers } from '../RelayPeers/index.js';
 import { RequestQuarantine } from '@acaciacrank/callers';
 import type { RouteTable } from '../RouteTable/index.js';
+import { StreamAffinity } from '../StreamAffinity/index.js';
 import { UpstreamLimitGossip } from '../UpstreamLimitGossip/index.js';
 import { RelayedObjectStore } from '../RelayedObjectStore/index.js';
 import { PeerUpstreamSync } from '../PeerUpstreamSync/index.js';
@@ -153,6 +154,8 @@
   readonly reach: ReachMonitor;
   /** What is known of requests under which upstreams have ended. */
   readonly quarantine: RequestQuarantine;
+  /** Which runs of upstreams began streams. */
+  readonly affinity: StreamAffinity;
   readonly #directoryLog: DirectoryLog;
   readonly #linkKey = randomBytes(linkKeyBytes).toString('hex');
   #fleetPort: number | undefined;
@@ -204,6 +207,7 @@
       peers: () => this.#livePeers,
     });
     this.quarantine = this.#disposables.add(this.#createQuarantine());
+    this.affinity = this.#disposables.add(this.#createAffinity());
     const onEvent = (event: GrantEvent) => {
       metrics.count('grants', event.what);
       log.info(event, 'grant');
@@ -242,6 +246,7 @@
       quarantine: this.quarantine,
       reach: this.reach,
       relayPeers: this.#createRelayPeers(),
+      affinity: this.affinity,
       ownDomain: settings.failureDomain,
       isAccepting: () => this.#phase !== 'refusing',
       isLeaving: () => this.#phase !== 'running',
@@ -471,6 +476,18 @@
     return this.#disposables.add(new RelayPeers({ clock, random, instanceId, peers }));
   }
 
+  #createAffinity(): StreamAffinity {
+    const { clock, metrics, settings } = this.#options;
+    return new StreamAffinity({
+      rpc: this.fleet.rpc,
+      links: this.#links,
+      clock,
+      metrics,
+      instanceId: settings.instanceId,
+      live: () => this.fleet.liveInstances,
+    });
+  }
+
   #createQuarantine(): RequestQuarantine {
     const { clock, log, metrics, settings } = this.#options;
     const { instanceId } = settings;
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -24,7 +24,13 @@
 import type { ForwardCall } from '../ForwardCall/index.js';
 import type { ResponseHead } from '../../types.js';
 import { responseMarginMs } from '../limits/index.js';
-import { relayRefusedHeader, relayUpstreamHeader } from '../relayProtocol/index.js';
+import {
+  formatOrigin,
+  parseOrigin,
+  relayOriginHeader,
+  relayRefusedHeader,
+  relayUpstreamHeader,
+} from '../relayProtocol/index.js';
 import { responseHeaders } from '../responseHeaders/index.js';
 import { StreamRelay } from '../StreamRelay/index.js';
 import type { PrefillEstimate, InFlightRequest, Upstream } from '../Upstream/index.js';
@@ -143,7 +149,7 @@
     checkResponse(head, call, isSuccess);
     if (isSuccess && call.route.kind === 'stream') {
       const onBegin = () => {
-        this.#beginStream();
+        this.#beginStream(headers);
       };
       const callerHeaders = () => responseHeaders(call, codec, headers, upstream.id);
       const relay = new StreamRelay({ call, head: response, callerHeaders, onBegin });
@@ -167,9 +173,13 @@
     return handling.relay.relay(chunk);
   }
 
-  #beginStream(): void {
-    const { call, upstream, onStreamBegun } = this.#options;
-    const { run } = upstream;
+  #beginStream(headers: RawHeaders): void {
+    const { call, upstream, relayedBy, onStreamBegun } = this.#options;
+    // A peer that names no run, as earlier releases do, leaves the version unknown.
+    const run =
+      relayedBy === undefined
+        ? upstream.run
+        : (parseOrigin(rawHeaderValue(headers, relayOriginHeader)) ?? upstream.run);
     const { softwareVersion } = run;
     call.trace.add('firstEvent', { upstreamId: upstream.id, softwareVersion });
     onStreamBegun(run);
@@ -210,6 +220,7 @@
       budgetMs: Math.max(1, Math.floor(remainingMs - responseMarginMs)),
       resumeAfter: call.progress.lastEventId ?? call.head.resumeAfter,
     };
+    const origin = call.progress.origin && formatOrigin(call.progress.origin);
     const headers =
       relayedBy === undefined
         ? codec.upstreamHeaders(request.rawHeaders, {
@@ -219,7 +230,7 @@
             priority: undefined,
             fetchFrom,
           })
-        : codec.relayHeaders(request.rawHeaders, { ...common, relayedBy });
+        : codec.relayHeaders(request.rawHeaders, { ...common, origin, relayedBy });
     const { method = 'GET', url: path = '/' } = request;
     return { method, path, headers, body: call.body };
   }
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -10,10 +10,11 @@
   type Random,
   type UpstreamId,
 } from '@acaciacrank/base';
-import type { PrefillTimeModel, RetryShare, UpstreamRun } from '@acaciacrank/routing';
+import { mayContinueStream, type PrefillTimeModel, type RetryShare } from '@acaciacrank/routing';
 import type { ForwardCodec } from '../../ForwardCodec/index.js';
 import type { ReachMonitor } from '../../ReachMonitor/index.js';
 import type { RelayPeers } from '../../RelayPeers/index.js';
+import type { StreamAffinity } from '../../StreamAffinity/index.js';
 import type { RequestQuarantine, SuspectAttempt } from '@acaciacrank/callers';
 import type { UpstreamTable } from '../../UpstreamTable/index.js';
 import { Attempt } from '../Attempt/index.js';
@@ -25,7 +26,9 @@
 import type { TraceStep } from '../RequestTrace/index.js';
 import type { PromptPartLocations } from '../PromptPartLocations/index.js';
 import { digestContent } from '../digestContent/index.js';
+import { recordStreamBegin, recordStreamEnd } from '../recordStreamBegin/index.js';
 import { Relay } from '../Relay/index.js';
+import { createVersionGoneError } from '../versionErrors/index.js';
 import { responseHeaders, writePlainHead } from '../responseHeaders/index.js';
 import { lastSharedPart, pickUpstream, type UpstreamPick } from '../pickUpstream/index.js';
 import type { InFlightRequest, Upstream } from '../Upstream/index.js';
@@ -39,6 +42,7 @@
   readonly quarantine: RequestQuarantine;
   readonly reach: ReachMonitor;
   readonly relayPeers: RelayPeers;
+  readonly affinity: StreamAffinity;
   readonly ownDomain: FailureDomainId;
   readonly promptPartLocations: PromptPartLocations;
   readonly models: PrefillTimeModels;
@@ -139,10 +143,8 @@
    * with one; what ran beside such a request parts from it.
    */
   #rankApart(): readonly UpstreamId[] {
-    const { upstreams, clock } = this.#dependencies;
-    const nowMs = clock.monotonicMs();
-    return upstreams
-      .usable(this.#call.service.name)
+    const nowMs = this.#dependencies.clock.monotonicMs();
+    return this.#usable
       .filter(({ id, hasRoom }) => hasRoom && !this.#attemptedIds.has(id))
       .sort((a, b) => costApart(a, nowMs) - costApart(b, nowMs))
       .map(({ id }) => id);
@@ -158,12 +160,25 @@
     const { upstreams, random } = this.#dependencies;
     const { head, service } = this.#call;
     const key = lastSharedPart(head.promptParts)?.id ?? String(random());
-    const candidates = upstreams.candidates(service.name, key);
-    const all = upstreams.usable(service.name);
+    const candidates = this.#filterSuitable(upstreams.candidates(service.name, key));
+    const all = this.#usable;
     const pick = this.#pickFrom(candidates);
     return pick ?? (candidates.length < all.length ? this.#pickFrom(all) : undefined);
   }
 
+  /** The upstreams of the service that the request may be sent to. */
+  get #usable(): readonly Upstream[] {
+    const { upstreams } = this.#dependencies;
+    return this.#filterSuitable(upstreams.usable(this.#call.service.name));
+  }
+
+  /** Leaves out what may not go on with the stream. */
+  #filterSuitable(upstreams: readonly Upstream[]): readonly Upstream[] {
+    const { origin } = this.#call.progress;
+    if (origin === undefined) return upstreams;
+    return upstreams.filter(({ run }) => mayContinueStream(origin, run));
+  }
+
   #pickFrom(candidates: readonly Upstream[]): UpstreamPick | undefined {
     const { ownDomain, promptPartLocations, clock, random } = this.#dependencies;
     const { head, service } = this.#call;
@@ -222,7 +237,7 @@
       fetchFrom,
       prefill,
       onStreamBegun: (run) => {
-        this.#recordBegin(run);
+        recordStreamBegin(call, run, this.#dependencies);
       },
       onFirstEvent,
       onStatement,
@@ -249,17 +264,6 @@
     if (statements.backoff.remainingMs > 0) metrics.count('sentAgainstStatement', 'backoff');
   }
 
-  /** Records which software version sends a part of the stream, and whether it is the one that began it. */
-  #recordBegin(run: UpstreamRun): void {
-    const { metrics } = this.#dependencies;
-    const { progress } = this.#call;
-    if (progress.origin !== undefined) {
-      const isKept = progress.origin.softwareVersion === run.softwareVersion;
-      metrics.count('resumedStreams', isKept ? 'sameVersion' : 'otherVersion');
-    }
-    progress.origin ??= run;
-  }
-
   /** Describes the choice of an upstream for the log. */
   #describeSend({ upstream, fetchFrom, prefill, why }: UpstreamPick): TraceStep {
     const { requestsPerSecond } = upstream.limit;
@@ -281,7 +285,7 @@
       warmUpMs: Math.round(upstream.warmUp.remainingMs) || undefined,
       backoffMs: Math.round(backoff.remainingMs) || undefined,
       leavingForMs: leavingForMs && Math.round(leavingForMs),
-      outOf: this.#dependencies.upstreams.usable(this.#call.service.name).length,
+      outOf: this.#usable.length,
     };
   }
 
@@ -340,6 +344,7 @@
     switch (result.kind) {
       case 'streamed':
         await call.writer.end();
+        recordStreamEnd(call, this.#dependencies);
         return true;
       case 'answer':
         call.progress.mayHaveRun = true;
@@ -394,8 +399,8 @@
     // What was lost with upstreams that ended does not count against the request, within bounds.
     const countedSends = progress.sendCount - Math.min(progress.endedCount, maxUncountedEnds);
     if (countedSends >= route.maxUpstreams) return false;
-    const others = this.#dependencies.upstreams.usable(service.name);
-    if (!others.some(({ id, hasRoom }) => hasRoom && !this.#attemptedIds.has(id))) return false;
+    if (!this.#usable.some(({ id, hasRoom }) => hasRoom && !this.#attemptedIds.has(id)))
+      return false;
     const isAllowed = this.#dependencies.retries.tryRetry(service.name);
     this.#call.trace.add(isAllowed ? 'repeat' : 'noRepeatLeft');
     return isAllowed;
@@ -405,14 +410,16 @@
     const { progress, service } = this.#call;
     const reason = `no upstream of ${service.name} could take the request`;
     if (progress.mayHaveRun) return new RouterError('upstreamFailed', reason);
+    if (progress.origin !== undefined && this.#usable.length === 0) {
+      return createVersionGoneError(progress.origin);
+    }
     return new RouterError('upstreamUnavailable', reason, this.#retryDelay());
   }
 
   /** Returns a retry delay if an upstream will have room, otherwise an empty object. */
   #retryDelay(): { retryAfterMs?: number } {
-    const { upstreams, metrics } = this.#dependencies;
-    const limited = upstreams
-      .usable(this.#call.service.name)
+    const { metrics } = this.#dependencies;
+    const limited = this.#usable
       .map(({ availability }) => availability)
       .filter(({ bound }) => bound !== undefined);
     if (limited.length === 0) return {};
--- a/packages/forwarding/src/_lib/Relay/index.ts
+++ b/packages/forwarding/src/_lib/Relay/index.ts
@@ -11,11 +11,13 @@
 import type { RetryShare } from '@acaciacrank/routing';
 import type { ForwardCodec } from '../../ForwardCodec/index.js';
 import type { RelayPeers } from '../../RelayPeers/index.js';
+import type { StreamAffinity } from '../../StreamAffinity/index.js';
 import type { UpstreamTable } from '../../UpstreamTable/index.js';
 import { Attempt } from '../Attempt/index.js';
 import type { ReceivedStatement } from '../applyStatement/index.js';
 import type { AttemptResult } from '../AttemptResult/index.js';
 import { isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
+import { recordStreamBegin, recordStreamEnd } from '../recordStreamBegin/index.js';
 import { writePlainHead } from '../responseHeaders/index.js';
 import type { Upstream } from '../Upstream/index.js';
 
@@ -26,6 +28,7 @@
   readonly upstreams: UpstreamTable;
   readonly retries: RetryShare;
   readonly relayPeers: RelayPeers;
+  readonly affinity: StreamAffinity;
   readonly metrics: Metrics;
 }
 
@@ -86,7 +89,9 @@
       relayedBy: relayPeers.instanceId,
       fetchFrom: undefined,
       prefill: undefined,
-      onStreamBegun: () => undefined,
+      onStreamBegun: (run) => {
+        recordStreamBegin(this.#call, run, this.#dependencies);
+      },
       onFirstEvent: () => undefined,
       onStatement: (received, relayedFrom) => {
         this.#applyStatement(received, relayedFrom);
@@ -105,6 +110,7 @@
     switch (result.kind) {
       case 'streamed':
         await writer.end();
+        recordStreamEnd(this.#call, this.#dependencies);
         return true;
       case 'answer':
         // A stream that has begun cannot end with another response.
--- a/packages/forwarding/src/_lib/isDifferentRun/index.ts
+++ b/packages/forwarding/src/_lib/isDifferentRun/index.ts
@@ -10,7 +10,8 @@
  */
 export function isDifferentRun(known: UpstreamRecord, record: UpstreamRecord): boolean {
   const isElsewhere = known.ip !== record.ip || known.port !== record.port;
-  return isElsewhere || known.service !== record.service || !isSameStart(known, record);
+  if (isElsewhere || known.service !== record.service) return true;
+  return !isSameStart(known, record) || !isSameSoftware(known, record);
 }
 
 /**
@@ -22,3 +23,9 @@
   if (known.startedAtMs === undefined || startedAtMs === undefined) return true;
   return known.startedAtMs === startedAtMs;
 }
+
+/** Whether two records can be of the same software. A missing version matches any. */
+function isSameSoftware(known: UpstreamRecord, { softwareVersion }: UpstreamRecord): boolean {
+  if (known.softwareVersion === undefined || softwareVersion === undefined) return true;
+  return known.softwareVersion === softwareVersion;
+}
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -17,6 +17,7 @@
 export * from './_lib/PromptPartLocations/index.js';
 export * from './ForwardHandler/index.js';
 export * from './createForwardServer/index.js';
-export { relayedByHeader, relayHeaders } from './_lib/relayProtocol/index.js';
+export { relayedByHeader, relayHeaders, relayOriginHeader } from './_lib/relayProtocol/index.js';
+export * from './StreamAffinity/index.js';
 export * from './InstanceFleet/index.js';
 export * from './ForwardingInstance/index.js';
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -223,6 +223,8 @@
   readonly budgetMs: number;
   /** The id of the event after which the stream is to be resumed. */
   readonly resumeAfter: string | undefined;
+  /** The run of the upstream that began the stream, as a header's value; undefined if none has. */
+  readonly origin: string | undefined;
   /** Id of this instance. */
   readonly relayedBy: InstanceId;
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -40,3 +40,4 @@
 export * from './UpstreamReach/index.js';
 export * from './divideSlots/index.js';
 export * from './mayContinueStream/index.js';
+export * from './StreamOrigins/index.js';
--- a/packages/soak/src/_lib/SoakEnvironment/index.ts
+++ b/packages/soak/src/_lib/SoakEnvironment/index.ts
@@ -221,7 +221,7 @@
   #writeUpstreamRecord({ server, proxy }: ProxiedUpstream, state: 'ready' | 'draining'): void {
     const address = `127.0.0.1:${proxy.port}`;
     const { id, service } = server;
-    const record = { service, address, zone: 'here', slots: 16, state };
+    const record = { service, address, zone: 'here', version: 'v1', slots: 16, state };
     this.#platform.write(`servers/${id}`, record, { kind: 'none' });
   }
 }
