ORDER: a new connection proves no run where another one may be there

An engine may start again under its id with other software before its record says so; X-Expect-Instance asks for the id only. Cause: a stream's version was taken from the record, whoever answered. A connection that stays open leads to the run that it was opened to; over a new one the upstream is asked for its report first, over the same connection (checkRun), where that may matter (needsRunCheck in routing): for a stream that is taken up, after a connection to that upstream ended, and while its service has two versions. Another run is out of use until its record appears; where it does not tell, a doubted one takes up nothing, and what it begins has no known version. A calm stream of a service with one version is not asked about.

--- a/packages/forwarding/src/ForwardCodec/index.ts
+++ b/packages/forwarding/src/ForwardCodec/index.ts
@@ -24,6 +24,9 @@
    */
   abstract readonly domainDrainPrefix: string;
 
+  /** The path at which an upstream reports on itself. */
+  abstract readonly runReportPath: string;
+
   /**
    * Parses a configuration.
    *
@@ -34,6 +37,9 @@
   /** Parses an upstream record; returns undefined if it does not describe a usable upstream. */
   abstract readUpstream(stored: StoredObject): UpstreamRecord | undefined;
 
+  /** Parses when the run of an upstream started from its report, in milliseconds since 1970; undefined if not stated. */
+  abstract readRunStart(report: string): number | undefined;
+
   /** Parses the headers of a caller's request. */
   abstract readRequestHead(headers: IncomingHttpHeaders): RequestHead;
 
--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -54,6 +54,8 @@
   readonly #options: UpstreamTableOptions;
   readonly #byId = new Map<UpstreamId, Upstream>();
   readonly #byService = new Map<ServiceName, HashRing<Upstream>>();
+  /** Services whose upstreams run several versions of their software. */
+  readonly #mixed = new Set<ServiceName>();
   /** Whether the index by service is to be made anew before it is used: once for many changes at a time. */
   #isIndexStale = false;
   /** How long requests hold a slot of the upstreams of each service. */
@@ -93,6 +95,12 @@
     return this.#ringOf(service)?.neighbours(key, maxCandidates) ?? [];
   }
 
+  /** Whether the upstreams of a service, leaving ones included, run several versions of their software. */
+  isMixed(service: ServiceName): boolean {
+    this.#ringOf(service);
+    return this.#mixed.has(service);
+  }
+
   /** Returns one upstream; undefined if it is not known. */
   get(id: UpstreamId): Upstream | undefined {
     return this.#byId.get(id);
@@ -378,7 +386,12 @@
   #rebuildServiceIndex(): void {
     this.#isIndexStale = false;
     const lists = new Map<ServiceName, Upstream[]>();
+    const versions = new Map<ServiceName, string | undefined>();
+    this.#mixed.clear();
     for (const upstream of this.#byId.values()) {
+      const { service, softwareVersion } = upstream.record;
+      if (getOrSet(versions, service, softwareVersion) !== softwareVersion)
+        this.#mixed.add(service);
       if (upstream.isLeaving || this.#drained.has(upstream.record.failureDomain)) continue;
       const list = lists.get(upstream.record.service) ?? [];
       list.push(upstream);
@@ -411,3 +424,9 @@
   }
   return record.warmUpMs !== known.warmUpMs;
 }
+
+/** Returns the value of a key, which is set if it has none. */
+function getOrSet<Key, Value>(map: Map<Key, Value>, key: Key, value: Value): Value | undefined {
+  if (!map.has(key)) map.set(key, value);
+  return map.get(key);
+}
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -10,12 +10,14 @@
   type UpstreamId,
 } from '@acaciacrank/base';
 import { rawHeaderValue } from '@acaciacrank/callers';
-import type { UpstreamRun } from '@acaciacrank/routing';
+import { needsRunCheck, type UpstreamRun } from '@acaciacrank/routing';
 import type { ForwardCodec, RawHeaders } from '../../ForwardCodec/index.js';
 import type { ReceivedStatement } from '../applyStatement/index.js';
 import type { AttemptResult } from '../AttemptResult/index.js';
+import { checkRun, type RunCheck } from '../checkRun/index.js';
 import { BodyCollector } from '../BodyCollector/index.js';
 import {
+  AbortedError,
   Exchange,
   ResponseReceiver,
   wasNeverSent,
@@ -34,6 +36,7 @@
 import { responseHeaders } from '../responseHeaders/index.js';
 import { StreamRelay } from '../StreamRelay/index.js';
 import type { PrefillEstimate, InFlightRequest, Upstream } from '../Upstream/index.js';
+import type { UpstreamConnection } from '../UpstreamConnection/index.js';
 
 /** Options of {@link Attempt}. */
 export interface AttemptOptions {
@@ -56,6 +59,8 @@
    * relayed it.
    */
   onStatement: (received: ReceivedStatement, relayedFrom?: UpstreamId) => void;
+  /** Whether upstreams of the service run several versions of their software. */
+  isMixed: boolean;
   /** Id of this instance if the target is a peer that is to relay the request. */
   relayedBy?: InstanceId;
   /**
@@ -65,6 +70,14 @@
   inactivityTimeoutMs: number | undefined;
 }
 
+/** A connection over which the upstream has told its run, and how often it had been opened then. */
+interface CheckedConnection {
+  readonly connection: UpstreamConnection;
+  readonly openCount: number;
+}
+
+const anotherRun = 'the upstream is another run than that of its record';
+
 /** Why this instance aborted an attempt. */
 type AbortReason = 'silent' | 'deadline' | 'callerGone';
 
@@ -84,6 +97,9 @@
   #inFlightRequest: InFlightRequest | undefined;
   #bodyHandling: BodyHandling | undefined;
   #abortReason: AbortReason | undefined;
+  #checkedConnection: CheckedConnection | undefined;
+  /** Whether the upstream may be another run than that of its record. */
+  #isRunUnproven = false;
   #inactivityTimer: InactivityTimer | undefined;
 
   constructor(options: AttemptOptions) {
@@ -109,6 +125,11 @@
     this.#restartInactivityTimer();
     let isReusable = false;
     try {
+      const check = await this.#checkRun(connection);
+      if (this.#abortReason !== undefined) return this.#classifyError(new AbortedError(false));
+      if (check === 'other') return { kind: 'notSent', reason: anotherRun, isOtherRun: true };
+      if (check === 'unproven' && this.#isResumption)
+        return { kind: 'notSent', reason: 'it is not known which run the upstream is' };
       const exchange = new Exchange(connection.client, this.#createRequest(remainingMs), this);
       this.#exchange = exchange;
       await exchange.run();
@@ -129,10 +150,40 @@
     }
   }
 
+  get #isResumption(): boolean {
+    return this.#options.call.progress.origin !== undefined;
+  }
+
+  /** Finds out, where that is in doubt, whether the upstream is the run of its record. */
+  async #checkRun(connection: UpstreamConnection): Promise<RunCheck | 'unproven' | undefined> {
+    const { call, upstream, codec, relayedBy, isMixed } = this.#options;
+    if (call.route.kind !== 'stream' || relayedBy !== undefined) return undefined;
+    const { isOpen: isConnected } = connection;
+    const { isRunDoubted: isDoubted } = upstream;
+    const evidence = { isResumption: this.#isResumption, isConnected, isDoubted, isMixed };
+    if (!needsRunCheck(evidence)) return undefined;
+    const check = await checkRun(connection.client, upstream.record.startedAtMs, codec);
+    call.trace.add('runCheck', { upstreamId: upstream.id, check, isDoubted });
+    if (check === 'same') {
+      upstream.confirmRun();
+      this.#checkedConnection = { connection, openCount: connection.openCount };
+    }
+    this.#isRunUnproven = check === 'notStated' && isDoubted;
+    return this.#isRunUnproven ? 'unproven' : check;
+  }
+
+  /** Guards against a connection that was opened anew after the check, maybe to another run. */
+  #assertSameConnection(): void {
+    const { connection, openCount } = this.#checkedConnection ?? {};
+    if (connection === undefined || connection.openCount === openCount) return;
+    throw new RouterError('upstreamFailed', 'the connection ended before the response');
+  }
+
   override onHead(response: UpstreamResponseHead): void {
     const { call, codec, upstream } = this.#options;
     const { status, headers, isFramed } = response;
     const head = codec.readResponseHead(status, headers);
+    this.#assertSameConnection();
     this.#recordReceived(false);
     this.#applyStatement(head, headers);
     if (this.#options.relayedBy !== undefined && rawHeaderValue(headers, relayRefusedHeader)) {
@@ -178,13 +229,19 @@
     // A peer that names no run, as earlier releases do, leaves the version unknown.
     const run =
       relayedBy === undefined
-        ? upstream.run
+        ? this.#ownRun
         : (parseOrigin(rawHeaderValue(headers, relayOriginHeader)) ?? upstream.run);
     const { softwareVersion } = run;
     call.trace.add('firstEvent', { upstreamId: upstream.id, softwareVersion });
     onStreamBegun(run);
   }
 
+  get #ownRun(): UpstreamRun {
+    const { run } = this.#options.upstream;
+    if (!this.#isRunUnproven) return run;
+    return { ...run, startedAtMs: undefined, softwareVersion: undefined };
+  }
+
   #finish({ longestGapMs }: InFlightRequest): AttemptResult {
     const handling = this.#bodyHandling;
     if (handling === undefined)
--- a/packages/forwarding/src/_lib/AttemptResult/index.ts
+++ b/packages/forwarding/src/_lib/AttemptResult/index.ts
@@ -8,8 +8,7 @@
   | PlainResponse
   /** A stream that was relayed to its end. */
   | { readonly kind: 'streamed'; readonly longestGapMs: number }
-  /** No byte was sent. */
-  | { readonly kind: 'notSent'; readonly reason: string }
+  | NotSentResult
   | NotRunResult
   | BrokenResult
   /** Aborted by this instance in order to try another upstream, since no data arrived in time. */
@@ -19,6 +18,14 @@
   /** The caller disconnected; `wasSent` as for `deadline`. */
   | { readonly kind: 'callerGone'; readonly wasSent: boolean };
 
+/** No byte was sent. */
+export interface NotSentResult {
+  readonly kind: 'notSent';
+  readonly reason: string;
+  /** Whether the upstream turned out to be another run than that of its record. */
+  readonly isOtherRun?: boolean;
+}
+
 /** The upstream or the connection failed; the request may have run. */
 export interface BrokenResult {
   readonly kind: 'broken';
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -236,6 +236,7 @@
       upstream,
       fetchFrom,
       prefill,
+      isMixed: upstreams.isMixed(call.service.name),
       onStreamBegun: (run) => {
         recordStreamBegin(call, run, this.#dependencies);
       },
@@ -442,6 +443,7 @@
     if (result.kind === 'streamed') upstream.recordSuccess();
     if (result.kind === 'answer' && result.status < firstServerError) upstream.recordSuccess();
     if (result.kind === 'notRun' && result.isWrongUpstream) upstreams.removeMismatched(upstream);
+    if (result.kind === 'notSent' && result.isOtherRun) upstreams.removeMismatched(upstream);
     // While no upstream is reached, failures show nothing of the upstream.
     if (!this.#dependencies.reach.isReached) return;
     const isFault = result.kind === 'broken' || result.kind === 'silent';
--- a/packages/forwarding/src/_lib/Exchange/index.ts
+++ b/packages/forwarding/src/_lib/Exchange/index.ts
@@ -49,7 +49,7 @@
 const firstFinalStatus = 200;
 
 /** The request was aborted by this instance. */
-class AbortedError extends Error {
+export class AbortedError extends Error {
   constructor(readonly wasStarted: boolean) {
     super('the request was aborted');
   }
--- a/packages/forwarding/src/_lib/Relay/index.ts
+++ b/packages/forwarding/src/_lib/Relay/index.ts
@@ -86,6 +86,7 @@
       codec,
       call: this.#call,
       upstream: peer,
+      isMixed: false,
       relayedBy: relayPeers.instanceId,
       fetchFrom: undefined,
       prefill: undefined,
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -28,6 +28,7 @@
   failuresToEject,
   initialEjectionMs,
   maxEjectionMs,
+  runDoubtMs,
   upstreamInactivityMs,
 } from '../limits/index.js';
 
@@ -160,6 +161,7 @@
   #ejectionMs = 0;
   #ejectedUntilMs = 0;
   #lastReceivedMs = 0;
+  #runDoubtedUntilMs = -Infinity;
   /** The last probe of its address, and when it began. */
   #endProbe: { readonly hasEnded: Promise<boolean>; readonly atMs: number } | undefined;
 
@@ -188,6 +190,23 @@
     return this.record.id;
   }
 
+  /**
+   * Whether a connection has ended and nothing has shown since which run is there: it may have started again under
+   * its id, with other software. A record that still stands after a while shows that it has not.
+   */
+  get isRunDoubted(): boolean {
+    return this.#clock.monotonicMs() < this.#runDoubtedUntilMs;
+  }
+
+  /** Records that it has told that it is the run of its record. */
+  confirmRun(): void {
+    this.#runDoubtedUntilMs = -Infinity;
+  }
+
+  #doubtRun(): void {
+    this.#runDoubtedUntilMs = this.#clock.monotonicMs() + runDoubtMs;
+  }
+
   /** Its current run, as its record states it. */
   get run(): UpstreamRun {
     const { id: upstreamId, service, startedAtMs, softwareVersion } = this.record;
@@ -322,9 +341,15 @@
   acquireConnection(): UpstreamConnection {
     const idle = this.#idle.pop();
     if (idle !== undefined) return idle;
-    const connection = new UpstreamConnection(this.address, (isConnected) => {
-      if (isConnected) this.#reach?.recordConnected();
-      else this.#reach?.recordConnectFailed(this.id);
+    const connection = new UpstreamConnection(this.address, {
+      onConnect: (isConnected) => {
+        if (isConnected) this.#reach?.recordConnected();
+        else this.#reach?.recordConnectFailed(this.id);
+        if (!isConnected) this.#doubtRun();
+      },
+      onClosedByPeer: () => {
+        this.#doubtRun();
+      },
     });
     this.#open.add(connection);
     return connection;
--- a/packages/forwarding/src/_lib/UpstreamConnection/index.ts
+++ b/packages/forwarding/src/_lib/UpstreamConnection/index.ts
@@ -5,8 +5,13 @@
 import { Client } from 'undici';
 import { connectTimeoutMs, keepAliveTimeoutMs, maxKeepAliveTimeoutMs } from '../limits/index.js';
 
-/** Called when a connection came about, or did not. */
-export type ConnectListener = (isConnected: boolean) => void;
+/** Gets news of a connection. */
+export interface ConnectionListener {
+  /** Called when it came about, or did not. */
+  readonly onConnect?: (isConnected: boolean) => void;
+  /** Called when the other end has closed it, in good order or not. */
+  readonly onClosedByPeer?: () => void;
+}
 
 /** A connection did not come about in time; no byte was sent. */
 class ConnectTimeoutError extends Error {
@@ -24,16 +29,18 @@
 export class UpstreamConnection {
   readonly client: Client;
   readonly #address: string;
-  readonly #onConnect: ConnectListener;
+  readonly #listener: ConnectionListener;
   #wasReset = false;
+  #socket: Socket | undefined;
+  #openCount = 0;
 
   /**
    * @param address - `IP:PORT` of the upstream
-   * @param onConnect - called after each attempt to open it
+   * @param listener - gets news of it
    */
-  constructor(address: string, onConnect: ConnectListener = () => undefined) {
+  constructor(address: string, listener: ConnectionListener = {}) {
     this.#address = address;
-    this.#onConnect = onConnect;
+    this.#listener = listener;
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: 0,
@@ -64,6 +71,16 @@
     return this.#wasReset;
   }
 
+  /** Whether it is open. */
+  get isOpen(): boolean {
+    return this.#socket !== undefined && !this.#socket.destroyed && !this.#socket.readableEnded;
+  }
+
+  /** How often it was opened: the same number means the same process at the other end. */
+  get openCount(): number {
+    return this.#openCount;
+  }
+
   /** Closes the connection immediately. */
   destroy(): void {
     this.client.destroy().catch(() => {
@@ -82,15 +99,21 @@
       }, connectTimeoutMs);
       socket.once('connect', () => {
         clearTimeout(timer);
-        this.#onConnect(true);
+        this.#socket = socket;
+        this.#openCount += 1;
+        this.#listener.onConnect?.(true);
         resolve(socket);
       });
+      socket.once('end', () => {
+        this.#listener.onClosedByPeer?.();
+      });
       socket.once('error', (error: NodeJS.ErrnoException) => {
         clearTimeout(timer);
         // Errors raised by undici itself, including the one for an orderly close, have no
         // `syscall`.
         if (error.syscall !== undefined) this.#wasReset = true;
-        if (error.syscall === 'connect') this.#onConnect(false);
+        if (error.syscall === 'connect') this.#listener.onConnect?.(false);
+        else if (error.syscall !== undefined) this.#listener.onClosedByPeer?.();
         reject(error);
       });
     });
--- a/packages/forwarding/src/_lib/limits/index.ts
+++ b/packages/forwarding/src/_lib/limits/index.ts
@@ -34,6 +34,11 @@
 export const initialEjectionMs = 1_000;
 /** Upper bound for the duration of an ejection, in milliseconds. */
 export const maxEjectionMs = 8_000;
+/**
+ * How long an upstream that starts again takes at most until its record says so, while the store is available, in
+ * milliseconds.
+ */
+export const runDoubtMs = 5_000;
 /** Number of consecutive failures after which an upstream is ejected. */
 export const failuresToEject = 2;
 /**
