ORDER: the first event of a stream that is taken up follows its caller's last one

Nothing held it against the caller's Last-Event-Id: a gap or a repetition at the seam was passed on. Cause: the check of consecutive events began with the second event. Red before (first event 5 after 3 answered with 200).

--- a/packages/forwarding/src/_lib/bindResumption/index.ts
+++ b/packages/forwarding/src/_lib/bindResumption/index.ts
@@ -43,6 +43,7 @@
   call.trace.add('resumption', { knownFrom: found?.source, softwareVersion });
   if (found === undefined) throw createVersionUnknownError();
   call.progress.origin = found.run;
+  call.progress.lastEventId = call.head.resumeAfter;
   const { service: name } = found.run;
   const service = routes?.service(name);
   const isRouted = call.route.targets.some((target) => target.service === name);
