ORDER: streams that were passed on whole are told to their homes too

Found by the own test 'begun elsewhere', which failed in 3 of 8 runs: a stream whose events came within the 50 ms of a batch was not told, since it had been passed on to its end; its caller had left after the third event, and was refused elsewhere with all instances alive. What an instance has passed on, its caller need not have. New test, red before; 5 of 5 runs green.

--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -195,7 +195,6 @@
         eventsBeforeRelay: undefined,
         lastEventId: undefined,
         origin: undefined,
-        streamKey: undefined,
       },
     };
   }
--- a/packages/forwarding/src/StreamAffinity/index.ts
+++ b/packages/forwarding/src/StreamAffinity/index.ts
@@ -45,7 +45,8 @@
  *
  * Who passes on the first event of a stream remembers the run that sent it, and tells the homes of the stream: the
  * instances next to its key on a hash ring. Who is asked to go on with a stream that it does not know asks the homes.
- * A stream costs two entries in batched messages, however many instances there are, and none if it ends first.
+ * A stream costs two entries in batched messages, however many instances there are. One that has been passed on to
+ * its end is told as well: its caller may not have received it.
  */
 export class StreamAffinity implements Disposable {
   readonly origins: StreamOrigins;
@@ -86,11 +87,6 @@
     this.#untold.set(stream, run);
   }
 
-  /** Records that a stream has been passed on to its end, so that nobody takes it up. */
-  end(stream: StreamKey): void {
-    this.#untold.delete(stream);
-  }
-
   /** Finds the run that began a stream; undefined if neither this instance nor the homes that answer know it. */
   async find(stream: StreamKey): Promise<KnownOrigin | undefined> {
     const own = this.origins.get(stream);
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -26,7 +26,7 @@
 import type { TraceStep } from '../RequestTrace/index.js';
 import type { PromptPartLocations } from '../PromptPartLocations/index.js';
 import { digestContent } from '../digestContent/index.js';
-import { recordStreamBegin, recordStreamEnd } from '../recordStreamBegin/index.js';
+import { recordStreamBegin } from '../recordStreamBegin/index.js';
 import { Relay } from '../Relay/index.js';
 import { createVersionGoneError } from '../versionErrors/index.js';
 import { responseHeaders, writePlainHead } from '../responseHeaders/index.js';
@@ -345,7 +345,6 @@
     switch (result.kind) {
       case 'streamed':
         await call.writer.end();
-        recordStreamEnd(call, this.#dependencies);
         return true;
       case 'answer':
         call.progress.mayHaveRun = true;
--- a/packages/forwarding/src/_lib/ForwardCall/index.ts
+++ b/packages/forwarding/src/_lib/ForwardCall/index.ts
@@ -1,7 +1,6 @@
 /**
  * A caller's request while an instance processes it.
  */
-import type { StreamKey } from '@acaciacrank/base';
 import type { CallerWriter } from '@acaciacrank/callers';
 import type { UpstreamRun } from '@acaciacrank/routing';
 import type { IncomingMessage, ServerResponse } from 'node:http';
@@ -47,8 +46,6 @@
   lastEventId: string | undefined;
   /** The run of an upstream that sent the first event; undefined before that. */
   origin: UpstreamRun | undefined;
-  /** Under which the stream's begin was recorded; undefined before its first event. */
-  streamKey: StreamKey | undefined;
 }
 
 /** Whether a request may be sent again even though it may already have run. */
--- a/packages/forwarding/src/_lib/Relay/index.ts
+++ b/packages/forwarding/src/_lib/Relay/index.ts
@@ -17,7 +17,7 @@
 import type { ReceivedStatement } from '../applyStatement/index.js';
 import type { AttemptResult } from '../AttemptResult/index.js';
 import { isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
-import { recordStreamBegin, recordStreamEnd } from '../recordStreamBegin/index.js';
+import { recordStreamBegin } from '../recordStreamBegin/index.js';
 import { writePlainHead } from '../responseHeaders/index.js';
 import type { Upstream } from '../Upstream/index.js';
 
@@ -111,7 +111,6 @@
     switch (result.kind) {
       case 'streamed':
         await writer.end();
-        recordStreamEnd(this.#call, this.#dependencies);
         return true;
       case 'answer':
         // A stream that has begun cannot end with another response.
--- a/packages/forwarding/src/_lib/recordStreamBegin/index.ts
+++ b/packages/forwarding/src/_lib/recordStreamBegin/index.ts
@@ -26,14 +26,5 @@
   }
   progress.origin ??= run;
   if (progress.events > 0 || head.requestId === undefined) return;
-  progress.streamKey = streamKeyOf(account?.accountId, head.requestId);
-  affinity.begin(progress.streamKey, progress.origin);
-}
-
-/** Records that a stream has been passed on to its end. */
-export function recordStreamEnd(
-  { progress: { streamKey } }: ForwardCall,
-  { affinity }: Pick<RecordStreamBeginOptions, 'affinity'>,
-): void {
-  if (streamKey !== undefined) affinity.end(streamKey);
+  affinity.begin(streamKeyOf(account?.accountId, head.requestId), progress.origin);
 }
