--- a/packages/forwarding/src/UpstreamTable/test.ts
+++ b/packages/forwarding/src/UpstreamTable/test.ts
@@ -170,3 +170,25 @@
   table.put({ ...leaving, state: 'leaving' });
   t.false(table.candidates(service, 'part').some((upstream) => upstream.id === leaving.id));
 });
+
+// Guards against a stream that is kept at a version which its upstream does not run any more.
+test('a record that states another version is a new run, also without a start time', (t) => {
+  const { table, changes } = createTable();
+  const unstated = { ...record, startedAtMs: undefined };
+  table.put({ ...unstated, softwareVersion: 'v1' });
+  table.put({ ...unstated, softwareVersion: 'v2' });
+  t.is(table.get(id)?.run.softwareVersion, 'v2');
+  t.deepEqual(changes, ['seen', 'startedAgain', 'seen']);
+});
+
+test('a service is mixed while its upstreams run several versions, leaving ones included', (t) => {
+  const { table } = createTable();
+  const other = { ...record, id: 'u2' as UpstreamId, softwareVersion: 'v2' };
+  table.put({ ...record, softwareVersion: 'v1', state: 'leaving' });
+  t.false(table.isMixed(service));
+  table.put(other);
+  t.true(table.isMixed(service));
+  t.false(table.isMixed('app' as ServiceName));
+  table.replaceAll([other]);
+  t.false(table.isMixed(service));
+});
--- a/packages/forwarding/src/_lib/pickUpstream/index.ts
+++ b/packages/forwarding/src/_lib/pickUpstream/index.ts
@@ -109,7 +109,8 @@
   const { engine: upstream, holder } = placement;
   promptPartLocations.recordSent(shared.id, upstream.id, nowMs);
   const sharedCopyMs = copyMs(sharedTokens, request.engine);
-  const isCopied = holder !== undefined && sharedCopyMs < maxCopyTimeShare * sharedPartsMs;
+  const isSource = holder !== undefined && isSameSoftware(holder, upstream);
+  const isCopied = isSource && sharedCopyMs < maxCopyTimeShare * sharedPartsMs;
   const isSharedCached = holders.has(upstream.id);
   const obtainSharedMs = isCopied ? sharedCopyMs : sharedPartsMs;
   return {
@@ -125,6 +126,11 @@
   };
 }
 
+/** Whether two engines run the same software: what one version has cached is not known to fit another. */
+function isSameSoftware(one: Upstream, other: Upstream): boolean {
+  return one.record.softwareVersion === other.record.softwareVersion;
+}
+
 /** Returns the time needed to copy tokens from one engine to another, in milliseconds. */
 function copyMs(tokens: number, engine: EngineTraits | undefined): number {
   const { cacheBytesPerToken, copyMbps } = engine ?? {};
