Soak: two versions of an engine side by side, and callers that take streams up elsewhere

Fault mixVersions: two engines of a new version join, one of the others starts again under its id with it and its record says so 1 s later, the two leave at the end; meanwhile callers leave streams after 1 to 6 events and take them up at other instances with Resumes. Promise softwareVersion: no stream has events of two versions, in one answer or over all tries, and 0.95 of those taken up in calm times go on. Injected defect hideVersion, found by its check. Fake upstreams state their version and start and answer reports.

--- a/packages/soak/src/_lib/FakeUpstream/index.ts
+++ b/packages/soak/src/_lib/FakeUpstream/index.ts
@@ -10,6 +10,8 @@
 export interface FakeUpstreamOptions {
   readonly id: string;
   readonly service: string;
+  /** Version of the software that its first run runs. */
+  readonly softwareVersion: string;
   readonly observations: Observations;
   /** Milliseconds from the start of the run. */
   readonly now: () => number;
@@ -29,6 +31,8 @@
   drainingSinceMs: number | undefined;
   /** Requests per second that it accepts from all instances combined; undefined for no limit. */
   limitPerS: number | undefined;
+  /** The software that it runs, and when the run started, in milliseconds since 1970. */
+  run: { readonly softwareVersion: string; readonly bornMs: number };
   /** Whether its responses omit the limit. */
   isLimitHidden = false;
   /** Whether its responses omit that it leaves. */
@@ -48,6 +52,7 @@
 
   constructor(options: FakeUpstreamOptions) {
     this.#options = options;
+    this.run = { softwareVersion: options.softwareVersion, bornMs: Date.now() };
     this.#server = createServer((request, response) => {
       this.#handle(request, response).catch(() => {
         response.destroy();
@@ -70,6 +75,13 @@
     return listenOnLoopback(this.#server);
   }
 
+  /** Starts again under its id, with other software; what it runs is lost. */
+  startAgain(softwareVersion: string): void {
+    this.run = { softwareVersion, bornMs: Date.now() };
+    this.#running.clear();
+    this.#server.closeAllConnections();
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.#server.closeAllConnections();
     await closeServer(this.#server);
@@ -79,6 +91,10 @@
     const { service, observations, id: ownId } = this.#options;
     const id = String(request.headers['x-request-id']);
     for await (const chunk of request) void chunk;
+    if (request.url === '/report') {
+      response.end(JSON.stringify({ phase: 'colocated', born: this.run.bornMs }));
+      return;
+    }
     if (request.headers['x-expect-instance'] !== ownId) {
       response.writeHead(421, { 'x-not-executed': '1' }).end();
       return;
@@ -188,10 +204,13 @@
   async #stream(id: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
     response.writeHead(200, { ...this.#buildHeaders(id), 'content-type': 'text/event-stream' });
     const lastEventId = Number(request.headers['last-event-id'] ?? 0);
+    const { softwareVersion } = this.run;
     for (let event = lastEventId + 1; event <= eventsPerStream; event += 1) {
       await sleep(delaysMs.event);
       if (response.destroyed) return;
-      response.write(`id: ${event}\ndata: ${id} ${event} of ${eventsPerStream}\n\n`);
+      response.write(
+        `id: ${event}\ndata: ${id} ${event} of ${eventsPerStream} ${softwareVersion}\n\n`,
+      );
     }
     response.end();
   }
--- a/packages/soak/src/_lib/FaultInjector/index.ts
+++ b/packages/soak/src/_lib/FaultInjector/index.ts
@@ -1,5 +1,6 @@
 import type { InjectedDefect, PlannedFault } from '../../types.js';
 import type { DeadlyCaller } from '../DeadlyCaller/index.js';
+import type { ResumingCaller } from '../ResumingCaller/index.js';
 import { BrittleRoom } from '../BrittleRoom/index.js';
 import { brittleRunsPerSlot, type FakeUpstream } from '../FakeUpstream/index.js';
 import { stopLimitMs } from '../InstanceProcess/index.js';
@@ -31,6 +32,7 @@
   readonly environment: SoakEnvironment;
   readonly observations: Observations;
   readonly deadlyCaller: () => DeadlyCaller;
+  readonly resumingCaller: () => ResumingCaller;
   readonly injectedDefect: InjectedDefect | undefined;
 }
 
@@ -132,6 +134,10 @@
       case 'brittleService':
         this.#makeBrittle(fault);
         return;
+      case 'mixVersions':
+        await environment.mixVersions(fault.durationMs);
+        void this.#options.resumingCaller().run(fault.durationMs);
+        return;
       case 'crashUpstream':
         environment.endUpstream(upstream.server);
         return;
--- a/packages/soak/src/_lib/LoadGenerator/index.ts
+++ b/packages/soak/src/_lib/LoadGenerator/index.ts
@@ -114,6 +114,7 @@
       ? await this.#sendWithDefect(target, kind, injectedDefect)
       : await this.#send(target, 'a body');
     const result = classifyResponse(response, id, kind);
+    observations.versions.noteEvents(id, response.body);
     observations.noteCallEnd({
       id,
       path: kind.path,
@@ -221,7 +222,7 @@
     const isExpected = body.startsWith(`${id} `) && body.endsWith(' whole');
     return isExpected ? '' : 'successful response with an unexpected body';
   }
-  const streamEvents = [...body.matchAll(/^id: (\d+)\ndata: (\S+) (\d+) of (\d+)\n\n/gm)];
+  const streamEvents = [...body.matchAll(/^id: (\d+)\ndata: (\S+) (\d+) of (\d+) \S+\n\n/gm)];
   const isInOrder = streamEvents.every(
     ([, number, callId, position], index) =>
       callId === id && Number(number) === index + 1 && number === position,
--- a/packages/soak/src/_lib/Observations/index.ts
+++ b/packages/soak/src/_lib/Observations/index.ts
@@ -5,6 +5,7 @@
 import { DeadlyCheck } from '../DeadlyCheck/index.js';
 import { BrittleCheck } from '../BrittleCheck/index.js';
 import { ReachCheck } from '../ReachCheck/index.js';
+import { VersionCheck } from '../VersionCheck/index.js';
 import { StatementCheck } from '../StatementCheck/index.js';
 import { DirectoryCheck } from '../DirectoryCheck/index.js';
 
@@ -68,6 +69,7 @@
   readonly deadly: DeadlyCheck;
   readonly reach: ReachCheck;
   readonly brittle: BrittleCheck;
+  readonly versions: VersionCheck;
   readonly #now: () => number;
   readonly #runs = new Map<string, UpstreamRuns>();
   readonly #refusedAtMs = new Map<string, number>();
@@ -93,6 +95,8 @@
     this.deadly = new DeadlyCheck({ onViolation });
     this.reach = new ReachCheck({ now, onViolation });
     this.brittle = new BrittleCheck({ now, onViolation });
+    const isUndisturbed = (fromMs: number, toMs: number) => this.#isUndisturbed(fromMs, toMs);
+    this.versions = new VersionCheck({ onViolation, isUndisturbed });
   }
 
   /** Records a fault. Invariants with a time limit are not checked during it and for `stableWindowMs` after it. */
@@ -164,6 +168,7 @@
     this.deadly.finish(this.calls);
     this.reach.finish(this.calls);
     this.brittle.finish();
+    this.versions.finish();
     for (const service of new Set(this.#arrivals.map((arrival) => arrival.service))) {
       this.#checkRetries(service);
     }
--- a/packages/soak/src/_lib/SoakEnvironment/index.ts
+++ b/packages/soak/src/_lib/SoakEnvironment/index.ts
@@ -52,6 +52,11 @@
 const copyTimes = { intervalMs: 500, count: 41 } as const;
 /** Time for which a draining upstream keeps serving before it is removed. */
 const drainMs = 5_000;
+/** The service of engines, and the version of the software that all upstreams run at first. */
+const engineService = 'lm';
+const firstVersion = 'v1';
+/** Time after which the record of an engine that has started again says so. */
+const recordDelayMs = 1_000;
 /** Time that an upstream takes to start again after its end. */
 const upstreamRestartMs = 1_000;
 
@@ -69,6 +74,7 @@
   readonly #removedKeys = new Set<string>();
   #version = 0;
   #upstreamCount = 0;
+  #versionCount = 0;
 
   constructor(options: SoakEnvironmentOptions) {
     this.#options = options;
@@ -159,11 +165,20 @@
 
   /** Adds a replacement for an upstream, drains the upstream and removes it after `drainMs`. */
   async leave(upstream: ProxiedUpstream): Promise<void> {
+    const { server } = upstream;
+    if (server.drainingSinceMs !== undefined || !this.upstreams.includes(upstream)) return;
+    // Another fault must not take it meanwhile.
+    this.upstreams.splice(this.upstreams.indexOf(upstream), 1);
+    await this.#addUpstream(server.service, server.run.softwareVersion);
+    this.#drain(upstream);
+  }
+
+  /** Drains an upstream and removes it after `drainMs`. */
+  #drain(upstream: ProxiedUpstream): void {
     const { server, proxy } = upstream;
+    if (server.drainingSinceMs !== undefined) return;
     const index = this.upstreams.indexOf(upstream);
-    if (server.drainingSinceMs !== undefined || index < 0) return;
-    this.upstreams.splice(index, 1);
-    await this.#addUpstream(server.service);
+    if (index >= 0) this.upstreams.splice(index, 1);
     const { injectedDefect } = this.#options;
     server.drainingSinceMs = this.#options.now();
     server.isLeavingHidden = injectedDefect === 'hideLeaving' || injectedDefect === 'holdLeaving';
@@ -185,19 +200,46 @@
     await this.#owned.dispose();
   }
 
-  async #addUpstream(service: string): Promise<void> {
+  /**
+   * Adds two engines of a new version, and lets one of the others start again under its id with that version; its
+   * record tells that later. The two leave at the end.
+   */
+  async mixVersions(durationMs: number): Promise<void> {
+    this.#versionCount += 1;
+    const version = `v1.${this.#versionCount}`;
+    const [restarted] = this.upstreams.filter(({ server }) => server.service === engineService);
+    const added = [
+      await this.#addUpstream(engineService, version),
+      await this.#addUpstream(engineService, version),
+    ];
+    setTimeout(() => {
+      if (restarted === undefined || !this.upstreams.includes(restarted)) return;
+      restarted.server.startAgain(version);
+      setTimeout(() => {
+        if (this.upstreams.includes(restarted)) this.#writeUpstreamRecord(restarted, 'ready');
+      }, recordDelayMs);
+    }, durationMs / 2);
+    setTimeout(() => {
+      for (const upstream of added) this.#drain(upstream);
+    }, durationMs);
+  }
+
+  async #addUpstream(service: string, softwareVersion = firstVersion): Promise<ProxiedUpstream> {
     this.#upstreamCount += 1;
     const id = `u${this.#upstreamCount}`;
     const { observations, now } = this.#options;
     const onEnd = (ended: FakeUpstream) => {
       this.endUpstream(ended);
     };
-    const server = this.#owned.add(new FakeUpstream({ id, service, observations, now, onEnd }));
+    const server = this.#owned.add(
+      new FakeUpstream({ id, service, softwareVersion, observations, now, onEnd }),
+    );
     const proxy = this.#owned.add(new FaultProxy(await server.listen()));
     await proxy.listen();
     const upstream = { server, proxy };
     this.upstreams.push(upstream);
     this.#writeUpstreamRecord(upstream, 'ready');
+    return upstream;
   }
 
   /** The process of an upstream ends, and is started again. */
@@ -220,8 +262,11 @@
 
   #writeUpstreamRecord({ server, proxy }: ProxiedUpstream, state: 'ready' | 'draining'): void {
     const address = `127.0.0.1:${proxy.port}`;
-    const { id, service } = server;
-    const record = { service, address, zone: 'here', version: 'v1', slots: 16, state };
+    const { id, service, run } = server;
+    const isHidden = this.#options.injectedDefect === 'hideVersion';
+    const version = isHidden ? firstVersion : run.softwareVersion;
+    const born = run.bornMs;
+    const record = { service, address, zone: 'here', version, born, slots: 16, state };
     this.#platform.write(`servers/${id}`, record, { kind: 'none' });
   }
 }
--- a/packages/soak/src/_lib/planFaults/index.ts
+++ b/packages/soak/src/_lib/planFaults/index.ts
@@ -140,6 +140,30 @@
   return plan;
 }
 
+/** Mean time between two times of mixed versions, and how long these last. */
+const versionMixTimesMs = { meanInterval: 15_000, duration: 6_000 } as const;
+
+/**
+ * Generates the times at which two versions of an engine serve side by side. They are drawn apart from the other
+ * faults, like the overloads.
+ *
+ * @param random - random numbers; the same sequence gives the same plan
+ * @param runDurationMs - duration of the run
+ *
+ * @example
+ * planVersionMixes(createRandom(7), 60_000).length;
+ */
+export function planVersionMixes(random: Random, runDurationMs: number): PlannedFault[] {
+  const { meanInterval, duration: durationMs } = versionMixTimesMs;
+  const plan: PlannedFault[] = [];
+  let atMs = meanInterval * random();
+  while (atMs < runDurationMs) {
+    plan.push({ kind: 'mixVersions', atMs: Math.round(atMs), durationMs, target: 0 });
+    atMs += durationMs + meanInterval * 2 * random();
+  }
+  return plan;
+}
+
 function drawProfile(random: Random): FaultProfile {
   let remainingWeight = random() * faultProfiles.reduce((sum, { weight }) => sum + weight, 0);
   for (const profile of faultProfiles) {
--- a/packages/soak/src/runSoak/index.ts
+++ b/packages/soak/src/runSoak/index.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { LoadGenerator } from '../_lib/LoadGenerator/index.js';
 import { DeadlyCaller } from '../_lib/DeadlyCaller/index.js';
+import { ResumingCaller } from '../_lib/ResumingCaller/index.js';
 import { DirectoryPoller } from '../_lib/DirectoryPoller/index.js';
 import { FaultInjector } from '../_lib/FaultInjector/index.js';
 import { Observations } from '../_lib/Observations/index.js';
@@ -11,6 +12,7 @@
   planFaults,
   planOverloads,
   planRestores,
+  planVersionMixes,
 } from '../_lib/planFaults/index.js';
 import { SoakEnvironment } from '../_lib/SoakEnvironment/index.js';
 import type { PlannedFault, SoakOptions, SoakReport } from '../types.js';
@@ -39,6 +41,7 @@
   readonly #environment: SoakEnvironment;
   readonly #injector: FaultInjector;
   #createdDeadlyCaller: DeadlyCaller | undefined;
+  #createdResumingCaller: ResumingCaller | undefined;
 
   constructor(options: SoakOptions) {
     this.#options = options;
@@ -58,6 +61,7 @@
       environment,
       observations,
       deadlyCaller: () => this.#deadlyCaller,
+      resumingCaller: () => this.#resumingCaller,
       injectedDefect,
     });
   }
@@ -70,6 +74,15 @@
     }));
   }
 
+  get #resumingCaller(): ResumingCaller {
+    return (this.#createdResumingCaller ??= new ResumingCaller({
+      random: this.#random,
+      check: this.#observations.versions,
+      now: () => this.#now(),
+      callerPorts: this.#environment.instances.map(({ process }) => process.ports.front),
+    }));
+  }
+
   async run(): Promise<SoakReport> {
     const { durationMs } = this.#options;
     await this.#environment.start();
@@ -94,7 +107,10 @@
     const overloads = planOverloads(createRandom(seed + 2), durationMs);
     const restores = hasRestores === true ? planRestores(createRandom(seed + 1), durationMs) : [];
     const deadly = planDeadlyRequests(createRandom(seed + 3), durationMs);
-    return [...faults, ...overloads, ...deadly, ...restores].sort((a, b) => a.atMs - b.atMs);
+    const mixes = planVersionMixes(createRandom(seed + 4), durationMs);
+    return [...faults, ...overloads, ...deadly, ...mixes, ...restores].sort(
+      (a, b) => a.atMs - b.atMs,
+    );
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -139,6 +155,7 @@
       served: count('served'),
       refused: count('refused', 'spent'),
       failed: count('failed', 'cut'),
+      ...this.#observations.versions.counts,
       faults: this.#injector.counts,
       violations,
     };
--- a/packages/soak/src/runSoak/test.ts
+++ b/packages/soak/src/runSoak/test.ts
@@ -1,7 +1,13 @@
 import test from 'ava';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import type { FaultKind, InjectedDefect, InvariantName, SoakOptions } from '../types.js';
+import type {
+  FaultKind,
+  InjectedDefect,
+  InvariantName,
+  SoakOptions,
+  SoakReport,
+} from '../types.js';
 import { runSoak } from './index.js';
 
 function optionsFor(name: string, changes: Partial<SoakOptions> = {}): SoakOptions {
@@ -148,6 +154,34 @@
   t.deepEqual(report.violations, []);
 });
 
+// Guards against streams that go on at another version than the one that began them, at other instances too.
+test.serial('streams stay at the software version that began them', async (t) => {
+  const mix = { kind: 'mixVersions', durationMs: 8_000, target: 0 } as const;
+  const faults = [{ ...mix, atMs: 2_000 }] as const;
+  const changes = { faults, instances: 4, durationMs: 11_000 };
+  const report = await runSoak(optionsFor('versions', changes));
+  t.deepEqual(report.violations, []);
+  t.true(report.takenUp > 50 && report.wentOn >= 0.95 * report.takenUp, describeTakenUp(report));
+});
+
+// Guards against streams that are lost with the instance that began them, while two engines of their version serve.
+test.serial('streams go on when instances are killed in a roll', async (t) => {
+  const mix = { kind: 'mixVersions', durationMs: 10_000, target: 0 } as const;
+  const kill = { kind: 'kill', durationMs: 0 } as const;
+  const faults = [
+    { ...mix, atMs: 2_000 },
+    ...[3, 5, 7, 9].map((atS, target) => ({ ...kill, atMs: 1_000 * atS, target })),
+  ] as const;
+  const changes = { faults, instances: 4, durationMs: 13_000 };
+  const report = await runSoak(optionsFor('versionsKilled', changes));
+  t.deepEqual(report.violations, []);
+  t.true(report.takenUp > 50 && report.wentOn >= 0.9 * report.takenUp, describeTakenUp(report));
+});
+
+function describeTakenUp({ takenUp, wentOn }: SoakReport): string {
+  return `${wentOn} of ${takenUp} streams taken up went on`;
+}
+
 /** A cut of one, two or all instances from the upstreams, and what it looks like. */
 const cuts = [
   ['one instance, connections hang', 0],
@@ -192,6 +226,7 @@
     'brittleUpstream',
     { ...singleFault('brittleService', 7_000), requestsPerSecond: 300 },
   ],
+  ['hideVersion', 'softwareVersion', singleFault('mixVersions', 5_000)],
   ['killForStop', 'plannedStop', singleFault('stop')],
   ['nameGone', 'goneInstance', { ...singleFault('powerOff', 9_000), durationMs: 10_500 }],
   ['hideLive', 'liveInstance', { faults: [] }],
--- a/packages/soak/src/types.ts
+++ b/packages/soak/src/types.ts
@@ -33,6 +33,8 @@
   | 'unreachedUpstreams'
   /** Upstreams that fall over when they refuse too much rarely do, and are used. */
   | 'brittleUpstream'
+  /** No stream has events of two software versions, over all tries of its caller, and nearly all taken up go on. */
+  | 'softwareVersion'
   /** A graceful shutdown cuts off no request. */
   | 'plannedStop'
   /** Directories stop listing an instance that lost power. */
@@ -81,6 +83,8 @@
   | 'varyDeadly'
   /** Omits from the responses of brittle upstreams that they are. */
   | 'hideBrittle'
+  /** States the same version in the records of all upstreams. */
+  | 'hideVersion'
   /** Kills the process instead of stopping it gracefully. */
   | 'killForStop'
   /** Lists all instances in every directory response. */
@@ -137,6 +141,8 @@
   | 'cutFromUpstreams'
   /** The upstreams of a service have little room, and fall over if they refuse too much. */
   | 'brittleService'
+  /** Two versions of an engine serve side by side, and callers leave streams and take them up elsewhere. */
+  | 'mixVersions'
   /** An upstream ends by itself and starts again. */
   | 'crashUpstream'
   /** Writes a new configuration version. */
@@ -179,6 +185,9 @@
   readonly served: number;
   readonly refused: number;
   readonly failed: number;
+  /** Number of streams that callers left and took up elsewhere, and of those that went on. */
+  readonly takenUp: number;
+  readonly wentOn: number;
   /** Number of injected faults by kind. */
   readonly faults: Readonly<Record<string, number>>;
   readonly violations: readonly Violation[];
