The product's own path: engines that start again with other software, in the fault matrix and a scenario

Looked for the cause of ORDER there: a stream is resumed only at the engine that began it, by the engine's own name for it, and never spliced once a token went out; one that has started again knows no such stream.

--- a/packages/callers/src/EngineDispatch/index.ts
+++ b/packages/callers/src/EngineDispatch/index.ts
@@ -168,13 +168,14 @@
         this.#recordProgress(engine, state, frame);
         yield frame;
       }
-    } catch (error) {
+    } catch (thrown) {
+      const error = toStreamError(thrown);
       const isRefused = error instanceof RouterError && error.kind === 'upstreamUnavailable';
       // Only if the first connection is refused is it certain that this engine runs nothing.
       if (!(isFirst && isRefused)) state.outcome.mayHaveRun = true;
       state.consecutiveFailures += 1;
       if (error instanceof RouterError && !signal.aborted) inFlight.failed(error);
-      if (signal.aborted || !isResumable(error, isFirst)) throw error;
+      if (signal.aborted || !isResumable(thrown, isFirst)) throw error;
       if (
         state.consecutiveFailures > maxConsecutiveFailures ||
         this.#shouldTryAnotherEngine(task, state)
@@ -226,6 +227,17 @@
   }
 }
 
+/**
+ * Guards against telling a caller that its request names something unknown: it is the engine that does not know the
+ * stream any more, since it has started again, maybe with other software.
+ */
+function toStreamError(thrown: unknown): unknown {
+  if (!(thrown instanceof RouterError) || thrown.kind !== 'notFound') return thrown;
+  return new RouterError('upstreamFailed', 'the engine no longer has the stream', {
+    cause: thrown,
+  });
+}
+
 /**
  * Whether the same engine may still have the stream. If the first connection was never established,
  * no stream was started; a later connection failure only means that the engine is unreachable for
--- a/packages/standins/src/StandinEngine/index.ts
+++ b/packages/standins/src/StandinEngine/index.ts
@@ -49,6 +49,8 @@
   /** When the engine accepted the request, in milliseconds of the monotonic clock. */
   readonly takenAtMs: number;
   readonly promptTokens: number;
+  /** Version of the engine's software; part of each token's text. */
+  readonly softwareVersion?: string;
   outputTokens: number;
   state: 'waiting' | 'running' | 'done' | 'cancelled';
   prefixHit: boolean;
@@ -88,6 +90,7 @@
   #cacheEvents: CacheEvent[] = [];
   #cacheSequence = 0;
   #startedAtMs: number;
+  #softwareVersion = 'v1';
   /** Factor by which prefill and token generation are slowed down. */
   slowFactor = 1;
   /** Number of requests that it refused since it was overloaded. */
@@ -128,8 +131,13 @@
     this.#overload = { untilMs: this.#options.clock.monotonicMs() + durationMs, backoffMs };
   }
 
-  /** Restarts under the same id; streams, cache, load reports and control state are lost. */
-  restart(): void {
+  /**
+   * Restarts under the same id; streams, cache, load reports and control state are lost.
+   *
+   * @param softwareVersion - the version of its software from now on; the same as before by default
+   */
+  restart(softwareVersion = this.#softwareVersion): void {
+    this.#softwareVersion = softwareVersion;
     for (const stream of this.#streams.values()) this.cancel(stream.request.requestId);
     this.#streams.clear();
     this.#prefixes.clear();
@@ -253,6 +261,7 @@
       content: request.messages.at(-1)?.content ?? '',
       takenAtMs: this.#options.clock.monotonicMs(),
       promptTokens: Math.ceil(bytes / 4),
+      softwareVersion: this.#softwareVersion,
       outputTokens: 0,
       state: 'waiting',
       prefixHit: false,
@@ -284,7 +293,7 @@
     while (isRunning() && record.outputTokens < stream.targetTokens) {
       await clock.sleep(this.#gapMs());
       if (!isRunning()) break;
-      stream.tokens.push(tokenText(record.requestId, record.outputTokens));
+      stream.tokens.push(tokenText(record.requestId, record.outputTokens, record.softwareVersion));
       record.outputTokens += 1;
       notify(stream);
     }
@@ -332,13 +341,15 @@
  *
  * @param requestId - the generation
  * @param sequence - index of the token in the generation
+ * @param softwareVersion - version of the software that generates it
  *
  * @example
  * tokenText(requestId, 0) === tokenText(requestId, 0);
  * //=> true
  */
-export function tokenText(requestId: RequestId, sequence: number): string {
-  return `w${hashText(`${requestId}${sequence}`) % 1000} `;
+export function tokenText(requestId: RequestId, sequence: number, softwareVersion = 'v1'): string {
+  const suffix = softwareVersion === 'v1' ? '' : softwareVersion;
+  return `w${hashText(`${requestId}${sequence}${suffix}`) % 1000} `;
 }
 
 function endFrame(stream: EngineStream): EngineFrame {
--- a/packages/standins/src/faults/checkRecords/index.ts
+++ b/packages/standins/src/faults/checkRecords/index.ts
@@ -104,7 +104,7 @@
 /** The text of a completed generation; a placeholder that no answer equals if it did not complete. */
 function completeText(record: EngineRecord): string {
   const tokens = Array.from({ length: record.outputTokens }, (_, sequence) =>
-    tokenText(record.requestId, sequence),
+    tokenText(record.requestId, sequence, record.softwareVersion),
   );
   return record.state === 'done' ? tokens.join('') : '(incomplete)';
 }
--- a/packages/standins/src/faults/stories/index.ts
+++ b/packages/standins/src/faults/stories/index.ts
@@ -11,6 +11,7 @@
 import { topUp } from './topUp/index.js';
 import { promotion } from './promotion/index.js';
 import { plannedStop } from './plannedStop/index.js';
+import { engineStartsAgain } from './engineStartsAgain/index.js';
 import { engineOrder } from './engineOrder/index.js';
 import { engineLeaving } from './engineLeaving/index.js';
 
@@ -34,6 +35,7 @@
   { name: 'promotion', run: promotion },
   { name: 'plannedStop', run: plannedStop },
   { name: 'engineLeaving', run: engineLeaving },
+  { name: 'engineStartsAgain', run: engineStartsAgain },
   { name: 'engineOrder', run: engineOrder, instances: 0 },
 ];
 
--- a/packages/standins/src/scenarios/runScenario/index.ts
+++ b/packages/standins/src/scenarios/runScenario/index.ts
@@ -160,6 +160,8 @@
     else if ('silence' in event) this.#silence(event.silence, event.to);
     else if ('leave' in event) this.#leave(event.leave);
     else if ('overload' in event) this.#overload(event.overload, event.for, event.backoff);
+    else if ('startAgain' in event)
+      this.#fleet.clients.engines.get(event.startAgain)?.restart(event.version);
     else if ('deadly' in event) this.#endUnder(event.deadly, event.down);
     else if ('topUp' in event) this.#backgroundTasks.push(this.#topUp(event));
     else this.#backgroundTasks.push(this.#promote(event));
--- a/packages/standins/src/scenarios/scenarioSchema/index.ts
+++ b/packages/standins/src/scenarios/scenarioSchema/index.ts
@@ -51,6 +51,8 @@
   z.strictObject({ ...at, leave: actor }),
   /** An engine refuses new requests, and asks each time to be sent nothing for the backoff. */
   z.strictObject({ ...at, overload: actor, for: duration, backoff: duration }),
+  /** An engine starts again under its id with another version of its software; its streams are lost. */
+  z.strictObject({ ...at, startAgain: actor, version: z.string() }),
   /** Services end under each call of requests whose key contains a text, and are down for a while each time. */
   z.strictObject({ ...at, deadly: z.string().min(1), down: duration }),
   /** An operator tops up the budget; the value is the id of the top-up. */
