--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -111,6 +111,11 @@
     return [...this.#byId.values()];
   }
 
+  /** Whether the store cannot be followed, so that records may be out of date. */
+  get isStoreUnavailable(): boolean {
+    return this.#isStoreUnavailable;
+  }
+
   /** Records that the store stopped responding. */
   markStoreUnavailable(): void {
     this.#isStoreUnavailable = true;
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -61,6 +61,8 @@
   onStatement: (received: ReceivedStatement, relayedFrom?: UpstreamId) => void;
   /** Whether upstreams of the service run several versions of their software. */
   isMixed: boolean;
+  /** Whether the upstream's record may be out of date, since the store cannot be followed. */
+  isRecordStale: boolean;
   /** Id of this instance if the target is a peer that is to relay the request. */
   relayedBy?: InstanceId;
   /**
@@ -70,8 +72,8 @@
   inactivityTimeoutMs: number | undefined;
 }
 
-/** A connection over which the upstream has told its run, and how often it had been opened then. */
-interface CheckedConnection {
+/** A connection that leads to a known run, and how often it had been opened when that was known. */
+interface ProvenConnection {
   readonly connection: UpstreamConnection;
   readonly openCount: number;
 }
@@ -97,7 +99,10 @@
   #inFlightRequest: InFlightRequest | undefined;
   #bodyHandling: BodyHandling | undefined;
   #abortReason: AbortReason | undefined;
-  #checkedConnection: CheckedConnection | undefined;
+  /** The connection, if it is known which run it leads to. */
+  #provenConnection: ProvenConnection | undefined;
+  /** Whether a new connection would have to be checked. */
+  #isNewConnectionDoubted = false;
   /** Whether the upstream may be another run than that of its record. */
   #isRunUnproven = false;
   #inactivityTimer: InactivityTimer | undefined;
@@ -156,34 +161,40 @@
 
   /** Finds out, where that is in doubt, whether the upstream is the run of its record. */
   async #checkRun(connection: UpstreamConnection): Promise<RunCheck | 'unproven' | undefined> {
-    const { call, upstream, codec, relayedBy, isMixed } = this.#options;
+    const { call, upstream, codec, relayedBy, isMixed, isRecordStale } = this.#options;
     if (call.route.kind !== 'stream' || relayedBy !== undefined) return undefined;
-    const { isOpen: isConnected } = connection;
-    const { isRunDoubted: isDoubted } = upstream;
-    const evidence = { isResumption: this.#isResumption, isConnected, isDoubted, isMixed };
-    if (!needsRunCheck(evidence)) return undefined;
+    const isDoubted = upstream.isRunDoubted || isRecordStale;
+    const evidence = { isResumption: this.#isResumption, isDoubted, isMixed };
+    this.#isNewConnectionDoubted = needsRunCheck({ ...evidence, isConnected: false });
+    const { isOpen: isConnected, openCount } = connection;
+    if (isConnected) this.#provenConnection = { connection, openCount };
+    if (!needsRunCheck({ ...evidence, isConnected })) return undefined;
     const check = await checkRun(connection.client, upstream.record.startedAtMs, codec);
     call.trace.add('runCheck', { upstreamId: upstream.id, check, isDoubted });
-    if (check === 'same') {
-      upstream.confirmRun();
-      this.#checkedConnection = { connection, openCount: connection.openCount };
-    }
+    this.#provenConnection = { connection, openCount: connection.openCount };
+    if (check === 'same') upstream.confirmRun();
     this.#isRunUnproven = check === 'notStated' && isDoubted;
     return this.#isRunUnproven ? 'unproven' : check;
   }
 
-  /** Guards against a connection that was opened anew after the check, maybe to another run. */
-  #assertSameConnection(): void {
-    const { connection, openCount } = this.#checkedConnection ?? {};
+  /**
+   * Guards against a connection that was opened anew after the check, maybe to another run: a stream does not go on
+   * there, and one that begins there has no known version.
+   */
+  #recheckConnection(): void {
+    const { connection, openCount } = this.#provenConnection ?? {};
     if (connection === undefined || connection.openCount === openCount) return;
-    throw new RouterError('upstreamFailed', 'the connection ended before the response');
+    if (!this.#isNewConnectionDoubted) return;
+    if (this.#isResumption)
+      throw new RouterError('upstreamFailed', 'the connection ended before the response');
+    this.#isRunUnproven = true;
   }
 
   override onHead(response: UpstreamResponseHead): void {
     const { call, codec, upstream } = this.#options;
     const { status, headers, isFramed } = response;
     const head = codec.readResponseHead(status, headers);
-    this.#assertSameConnection();
+    this.#recheckConnection();
     this.#recordReceived(false);
     this.#applyStatement(head, headers);
     if (this.#options.relayedBy !== undefined && rawHeaderValue(headers, relayRefusedHeader)) {
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -237,6 +237,7 @@
       fetchFrom,
       prefill,
       isMixed: upstreams.isMixed(call.service.name),
+      isRecordStale: upstreams.isStoreUnavailable,
       onStreamBegun: (run) => {
         recordStreamBegin(call, run, this.#dependencies);
       },
--- a/packages/forwarding/src/_lib/Relay/index.ts
+++ b/packages/forwarding/src/_lib/Relay/index.ts
@@ -87,6 +87,7 @@
       call: this.#call,
       upstream: peer,
       isMixed: false,
+      isRecordStale: false,
       relayedBy: relayPeers.instanceId,
       fetchFrom: undefined,
       prefill: undefined,
