--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -212,18 +212,29 @@
     return routes.service(name) ?? { name, maxConnections: 1, engine: undefined };
   }
 
-  async #serve(admitted: ForwardCall): Promise<void> {
-    const { reach, relayPeers, affinity, metrics } = this.#options;
-    let call = admitted;
-    if (!reach.isReached) {
-      // The peer debits the account.
-      const isRelayed =
-        relayPeers.canRelay(call) && (await new Relay(this.#dispatchDependencies, call).run());
-      if (isRelayed) return;
-      if (reach.reach.state === 'unreached')
-        throw new RouterError('upstreamsUnreached', 'no upstream is reached, by any peer asked');
-    }
-    call = await bindResumption(call, { affinity, metrics, routes: this.#options.routes() });
+  async #serve(call: ForwardCall): Promise<void> {
+    if (!this.#options.reach.isReached && (await this.#relay(call))) return;
+    const { affinity, metrics } = this.#options;
+    const options = { affinity, metrics, routes: this.#options.routes() };
+    await this.#dispatch(await bindResumption(call, options));
+  }
+
+  /**
+   * Sends a request through a peer, which finds out what began a stream and debits the account.
+   *
+   * @returns whether the response has been written; false if the request is to be sent from here
+   */
+  async #relay(call: ForwardCall): Promise<boolean> {
+    const { reach, relayPeers } = this.#options;
+    const canRelay = relayPeers.canRelay(call);
+    if (canRelay && (await new Relay(this.#dispatchDependencies, call).run())) return true;
+    if (reach.reach.state === 'unreached')
+      throw new RouterError('upstreamsUnreached', 'no upstream is reached, by any peer asked');
+    return false;
+  }
+
+  /** Sends a request to an upstream, with tokens reserved for it if its account has a limit. */
+  async #dispatch(call: ForwardCall): Promise<void> {
     const { tokens } = call.head;
     const { account } = call;
     if (tokens === undefined || account?.prepaidTokens === undefined) {
