ORDER: streams that go on prefer upstreams whose run is known

After lost connections several upstreams of a version may be in doubt at once; each that could not tell its run cost a stream one of its three unsent attempts. Those without a doubt come first now. A doubt that nothing settles lasts 3 s in place of 5, with the store in reach: a record of a new run comes within a second and the watch's delay. Checked: tests of streams, versions, relay.

--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -162,8 +162,15 @@
     const key = lastSharedPart(head.promptParts)?.id ?? String(random());
     const candidates = this.#filterSuitable(upstreams.candidates(service.name, key));
     const all = this.#usable;
-    const pick = this.#pickFrom(candidates);
-    return pick ?? (candidates.length < all.length ? this.#pickFrom(all) : undefined);
+    const pick = this.#pickProven(candidates);
+    return pick ?? (candidates.length < all.length ? this.#pickProven(all) : undefined);
+  }
+
+  /** For a stream that has begun, prefers upstreams of which it is known which run they are. */
+  #pickProven(candidates: readonly Upstream[]): UpstreamPick | undefined {
+    if (this.#call.progress.origin === undefined) return this.#pickFrom(candidates);
+    const proven = candidates.filter(({ isRunDoubted }) => !isRunDoubted);
+    return this.#pickFrom(proven) ?? this.#pickFrom(candidates);
   }
 
   /** The upstreams of the service that the request may be sent to. */
--- a/packages/forwarding/src/_lib/limits/index.ts
+++ b/packages/forwarding/src/_lib/limits/index.ts
@@ -38,7 +38,7 @@
  * How long an upstream that starts again takes at most until its record says so, while the store is available, in
  * milliseconds.
  */
-export const runDoubtMs = 5_000;
+export const runDoubtMs = 3_000;
 /** Number of consecutive failures after which an upstream is ejected. */
 export const failuresToEject = 2;
 /**
