--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -391,12 +391,12 @@
   #rebuildServiceIndex(): void {
     this.#isIndexStale = false;
     const lists = new Map<ServiceName, Upstream[]>();
-    const versions = new Map<ServiceName, string | undefined>();
+    const versions = new Map<ServiceName, Set<string | undefined>>();
     this.#mixed.clear();
     for (const upstream of this.#byId.values()) {
       const { service, softwareVersion } = upstream.record;
-      if (getOrSet(versions, service, softwareVersion) !== softwareVersion)
-        this.#mixed.add(service);
+      const ofService = getOrCreate(versions, service, () => new Set());
+      if (ofService.add(softwareVersion).size > 1) this.#mixed.add(service);
       if (upstream.isLeaving || this.#drained.has(upstream.record.failureDomain)) continue;
       const list = lists.get(upstream.record.service) ?? [];
       list.push(upstream);
@@ -429,9 +429,3 @@
   }
   return record.warmUpMs !== known.warmUpMs;
 }
-
-/** Returns the value of a key, which is set if it has none. */
-function getOrSet<Key, Value>(map: Map<Key, Value>, key: Key, value: Value): Value | undefined {
-  if (!map.has(key)) map.set(key, value);
-  return map.get(key);
-}
--- a/packages/forwarding/src/_lib/BodyCollector/index.ts
+++ b/packages/forwarding/src/_lib/BodyCollector/index.ts
@@ -9,9 +9,15 @@
  * collector.body.byteLength;
  */
 export class BodyCollector {
+  readonly #maxBytes: number;
   readonly #chunks: Buffer[] = [];
   #bytes = 0;
 
+  /** @param maxBytes - the size limit, in bytes */
+  constructor(maxBytes = maxBufferedBytes) {
+    this.#maxBytes = maxBytes;
+  }
+
   /** The body so far. */
   get body(): Buffer {
     const [first] = this.#chunks;
@@ -25,7 +31,7 @@
    */
   add(chunk: Buffer): void {
     this.#bytes += chunk.byteLength;
-    if (this.#bytes > maxBufferedBytes)
+    if (this.#bytes > this.#maxBytes)
       throw new RouterError('upstreamFailed', 'the response exceeds the size limit');
     this.#chunks.push(chunk);
   }
--- a/packages/forwarding/src/_lib/checkRun/index.ts
+++ b/packages/forwarding/src/_lib/checkRun/index.ts
@@ -1,5 +1,6 @@
 import type { Client } from 'undici';
 import type { ForwardCodec } from '../../ForwardCodec/index.js';
+import { BodyCollector } from '../BodyCollector/index.js';
 
 /** Whether an upstream is the run that its record names: `notStated` if it does not say. */
 export type RunCheck = 'same' | 'other' | 'notStated';
@@ -27,23 +28,13 @@
   try {
     const signal = AbortSignal.timeout(timeoutMs);
     const answer = await client.request({ method: 'GET', path: codec.runReportPath, signal });
-    const text = await readText(answer.body);
+    const collector = new BodyCollector(maxBytes);
+    for await (const chunk of answer.body as AsyncIterable<Buffer>) collector.add(chunk);
     if (answer.statusCode !== 200) return 'notStated';
-    const reported = codec.readRunStart(text);
+    const reported = codec.readRunStart(collector.body.toString('utf8'));
     if (reported === undefined || startedAtMs === undefined) return 'notStated';
     return reported === startedAtMs ? 'same' : 'other';
   } catch {
     return 'notStated';
   }
 }
-
-async function readText(body: AsyncIterable<Buffer>): Promise<string> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of body) {
-    bytes += chunk.byteLength;
-    if (bytes > maxBytes) throw new Error('the report is too large');
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks).toString('utf8');
-}
