Silent upstreams in the log: who else is silent, whether this process stood still, why no retry was taken

A stream that was cut showed silent and failed, the same whether one upstream, its service or this process had stood still. silent now names the upstream, how many of its service speak, how late the timer ran; noRepeatLeft its reason, runCheck why nothing was stated and after how long, failed the configuration in force. Counters retriesRefused and streamsCut. No decision changes.

--- a/packages/base/src/InactivityTimer/index.ts
+++ b/packages/base/src/InactivityTimer/index.ts
@@ -9,19 +9,19 @@
 export class InactivityTimer implements Disposable {
   readonly #clock: Clock;
   readonly #timeoutMs: number;
-  readonly #onInactive: () => void;
+  readonly #onInactive: (lateMs: number) => void;
   #lastActivityMs: number;
   #timer: Disposable;
 
   /**
    * @param clock - measures the time
    * @param timeoutMs - how long nothing may happen, in milliseconds
-   * @param onInactive - called once; not after disposal
+   * @param onInactive - called once, with how late the timer ran; not after disposal
    *
    * @example
    * using timer = new InactivityTimer(clock, 500, abort);
    */
-  constructor(clock: Clock, timeoutMs: number, onInactive: () => void) {
+  constructor(clock: Clock, timeoutMs: number, onInactive: (lateMs: number) => void) {
     this.#clock = clock;
     this.#timeoutMs = timeoutMs;
     this.#onInactive = onInactive;
@@ -39,9 +39,11 @@
   }
 
   #schedule(delayMs: number): Disposable {
+    const dueMs = this.#clock.monotonicMs() + delayMs;
     return this.#clock.schedule(delayMs, () => {
-      const remainingMs = this.#lastActivityMs + this.#timeoutMs - this.#clock.monotonicMs();
-      if (remainingMs <= 0) this.#onInactive();
+      const nowMs = this.#clock.monotonicMs();
+      const remainingMs = this.#lastActivityMs + this.#timeoutMs - nowMs;
+      if (remainingMs <= 0) this.#onInactive(nowMs - dueMs);
       else this.#timer = this.#schedule(remainingMs);
     });
   }
--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -298,7 +298,10 @@
   /** Sends an error response if no headers have been sent yet; otherwise closes the connection. */
   #respondWithError(response: ServerResponse, thrown: unknown, trace: RequestTrace): string {
     const error = toRouterError(thrown);
-    trace.add('failed', { kind: error.kind, ran: error.ran, why: error.message });
+    const versionNow = this.#options.routes()?.configuration.version;
+    trace.add('failed', { kind: error.kind, ran: error.ran, why: error.message, versionNow });
+    if (response.headersSent && !response.destroyed)
+      this.#options.metrics.count('streamsCut', error.kind);
     if (response.destroyed || error.kind === 'cancelled') {
       response.destroy();
     } else if (response.headersSent) {
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -106,6 +106,7 @@
   /** Whether the upstream may be another run than that of its record. */
   #isRunUnproven = false;
   #inactivityTimer: InactivityTimer | undefined;
+  #inactivityTimerLateMs = 0;
 
   constructor(options: AttemptOptions) {
     super();
@@ -161,7 +162,7 @@
 
   /** Finds out, where that is in doubt, whether the upstream is the run of its record. */
   async #checkRun(connection: UpstreamConnection): Promise<RunCheck | 'unproven' | undefined> {
-    const { call, upstream, codec, relayedBy, isMixed, isRecordStale } = this.#options;
+    const { call, clock, upstream, codec, relayedBy, isMixed, isRecordStale } = this.#options;
     if (call.route.kind !== 'stream' || relayedBy !== undefined) return undefined;
     const isDoubted = upstream.isRunDoubted || isRecordStale;
     const evidence = { isResumption: this.#isResumption, isDoubted, isMixed };
@@ -169,8 +170,10 @@
     const { isOpen: isConnected, openCount } = connection;
     if (isConnected) this.#provenConnection = { connection, openCount };
     if (!needsRunCheck({ ...evidence, isConnected })) return undefined;
-    const check = await checkRun(connection.client, upstream.record.startedAtMs, codec);
-    call.trace.add('runCheck', { upstreamId: upstream.id, check, isDoubted });
+    const startedMs = clock.monotonicMs();
+    const { check, why } = await checkRun(connection.client, upstream.record.startedAtMs, codec);
+    const tookMs = Math.round(clock.monotonicMs() - startedMs);
+    call.trace.add('runCheck', { upstreamId: upstream.id, check, why, tookMs, isDoubted });
     this.#provenConnection = { connection, openCount: connection.openCount };
     if (check === 'same') upstream.confirmRun();
     this.#isRunUnproven = check === 'notStated' && isDoubted;
@@ -327,14 +330,15 @@
   #restartInactivityTimer(): void {
     const { inactivityTimeoutMs, clock } = this.#options;
     if (inactivityTimeoutMs === undefined) return;
-    this.#inactivityTimer = new InactivityTimer(clock, inactivityTimeoutMs, () => {
+    this.#inactivityTimer = new InactivityTimer(clock, inactivityTimeoutMs, (lateMs) => {
+      this.#inactivityTimerLateMs = lateMs;
       this.#abort('silent');
     });
   }
 
   #classifyError(thrown: unknown): AttemptResult {
     const abortReason = this.#abortReason;
-    if (abortReason === 'silent') return { kind: abortReason };
+    if (abortReason === 'silent') return { kind: abortReason, lateMs: this.#inactivityTimerLateMs };
     if (abortReason !== undefined) return { kind: abortReason, wasSent: !wasNeverSent(thrown) };
     if (wasNeverSent(thrown)) return { kind: 'notSent', reason: toRouterError(thrown).message };
     const isConnectionLost = !(thrown instanceof RouterError);
--- a/packages/forwarding/src/_lib/AttemptResult/index.ts
+++ b/packages/forwarding/src/_lib/AttemptResult/index.ts
@@ -12,12 +12,19 @@
   | NotRunResult
   | BrokenResult
   /** Aborted by this instance in order to try another upstream, since no data arrived in time. */
-  | { readonly kind: 'silent' }
+  | SilentResult
   /** The deadline of the request passed; `wasSent`: the request may have reached the upstream. */
   | { readonly kind: 'deadline'; readonly wasSent: boolean }
   /** The caller disconnected; `wasSent` as for `deadline`. */
   | { readonly kind: 'callerGone'; readonly wasSent: boolean };
 
+/** Nothing arrived in time. */
+export interface SilentResult {
+  readonly kind: 'silent';
+  /** How late the timer of this instance ran that found it out: long if the instance itself stood still. */
+  readonly lateMs: number;
+}
+
 /** No byte was sent. */
 export interface NotSentResult {
   readonly kind: 'notSent';
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -10,7 +10,12 @@
   type Random,
   type UpstreamId,
 } from '@acaciacrank/base';
-import { mayContinueStream, type PrefillTimeModel, type RetryShare } from '@acaciacrank/routing';
+import {
+  measureSilence,
+  mayContinueStream,
+  type PrefillTimeModel,
+  type RetryShare,
+} from '@acaciacrank/routing';
 import type { ForwardCodec } from '../../ForwardCodec/index.js';
 import type { ReachMonitor } from '../../ReachMonitor/index.js';
 import type { RelayPeers } from '../../RelayPeers/index.js';
@@ -19,10 +24,10 @@
 import type { UpstreamTable } from '../../UpstreamTable/index.js';
 import { Attempt } from '../Attempt/index.js';
 import type { ReceivedStatement } from '../applyStatement/index.js';
-import type { AttemptResult, PlainResponse } from '../AttemptResult/index.js';
+import type { AttemptResult, PlainResponse, SilentResult } from '../AttemptResult/index.js';
 import { isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
 import type { PrefillTimeModels } from '../PrefillTimeModels/index.js';
-import { maxConnectAttempts, upstreamInactivityMs } from '../limits/index.js';
+import { maxConnectAttempts, silenceLimitMs, upstreamInactivityMs } from '../limits/index.js';
 import type { TraceStep } from '../RequestTrace/index.js';
 import type { PromptPartLocations } from '../PromptPartLocations/index.js';
 import { digestContent } from '../digestContent/index.js';
@@ -69,6 +74,9 @@
 /** Responses with this status or above are retried: the error may be specific to one upstream. */
 const firstServerError = 500;
 
+/** Why a request is sent to no further upstream: its route, no other upstream, or the retry budget. */
+type RetryRefusal = 'routeLimit' | 'noUpstream' | 'budget';
+
 /** Serves one admitted request. */
 export class Dispatch {
   readonly #dependencies: DispatchDependencies;
@@ -348,7 +356,7 @@
   /** Handles the result of an attempt; returns whether the caller's request is complete. */
   async #handleResult(upstream: Upstream, result: AttemptResult): Promise<boolean> {
     const call = this.#call;
-    call.trace.add(result.kind, describeResult(result));
+    call.trace.add(result.kind, this.#describeResult(upstream, result));
     this.#recordResult(upstream, result);
     switch (result.kind) {
       case 'streamed':
@@ -406,12 +414,18 @@
     if (this.#mustRelay) return this.#dependencies.retries.tryRetry(service.name);
     // What was lost with upstreams that ended does not count against the request, within bounds.
     const countedSends = progress.sendCount - Math.min(progress.endedCount, maxUncountedEnds);
-    if (countedSends >= route.maxUpstreams) return false;
+    if (countedSends >= route.maxUpstreams) return this.#refuseRetry('routeLimit');
     if (!this.#usable.some(({ id, hasRoom }) => hasRoom && !this.#attemptedIds.has(id)))
-      return false;
-    const isAllowed = this.#dependencies.retries.tryRetry(service.name);
-    this.#call.trace.add(isAllowed ? 'repeat' : 'noRepeatLeft');
-    return isAllowed;
+      return this.#refuseRetry('noUpstream');
+    if (!this.#dependencies.retries.tryRetry(service.name)) return this.#refuseRetry('budget');
+    this.#call.trace.add('repeat');
+    return true;
+  }
+
+  #refuseRetry(why: RetryRefusal): false {
+    this.#call.trace.add('noRepeatLeft', { why });
+    this.#dependencies.metrics.count('retriesRefused', why);
+    return false;
   }
 
   #createUnavailableError(): RouterError {
@@ -443,6 +457,30 @@
     return { retryAfterMs: Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, waitMs)) };
   }
 
+  #describeResult(upstream: Upstream, result: AttemptResult): TraceStep {
+    if (result.kind === 'answer') return { status: result.status, bytes: result.body.byteLength };
+    if (result.kind === 'streamed') return { longestGapMs: result.longestGapMs };
+    if (result.kind === 'notRun') return { status: result.status, backoffMs: result.backoffMs };
+    if (result.kind === 'notSent' || result.kind === 'broken') return { reason: result.reason };
+    if (result.kind === 'silent') return this.#describeSilence(upstream, result);
+    return {};
+  }
+
+  /** Describes for the log whether one upstream is silent, its service, or this process itself stood still. */
+  #describeSilence({ id: upstreamId, activity }: Upstream, { lateMs }: SilentResult): TraceStep {
+    const { sinceReceivedMs, longestWaitMs } = activity;
+    const { upstreams } = this.#dependencies;
+    const activities = upstreams.usable(this.#call.service.name).map((one) => one.activity);
+    return {
+      upstreamId,
+      sinceReceivedMs: Number.isFinite(sinceReceivedMs) ? Math.round(sinceReceivedMs) : undefined,
+      longestWaitMs: Math.round(longestWaitMs),
+      timerLateMs: Math.round(lateMs),
+      events: this.#call.progress.events,
+      ...measureSilence(activities, silenceLimitMs),
+    };
+  }
+
   /** Updates metrics and the upstream's health from the result of an attempt. */
   #recordResult(upstream: Upstream, result: AttemptResult): void {
     const { upstreams, metrics } = this.#dependencies;
@@ -472,11 +510,3 @@
   if (result.kind === 'deadline' || result.kind === 'callerGone') return result.wasSent;
   return result.kind !== 'notSent';
 }
-
-function describeResult(result: AttemptResult): TraceStep {
-  if (result.kind === 'answer') return { status: result.status, bytes: result.body.byteLength };
-  if (result.kind === 'streamed') return { longestGapMs: result.longestGapMs };
-  if (result.kind === 'notRun') return { status: result.status, backoffMs: result.backoffMs };
-  if (result.kind === 'notSent' || result.kind === 'broken') return { reason: result.reason };
-  return {};
-}
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -13,6 +13,7 @@
   WarmUp,
   type Availability,
   type EngineLoad,
+  type UpstreamActivity,
   type UpstreamReach,
   type UpstreamRun,
 } from '@acaciacrank/routing';
@@ -160,7 +161,7 @@
   #consecutiveFailures = 0;
   #ejectionMs = 0;
   #ejectedUntilMs = 0;
-  #lastReceivedMs = 0;
+  #lastReceivedMs = -Infinity;
   #runDoubtedUntilMs = -Infinity;
   /** The last probe of its address, and when it began. */
   #endProbe: { readonly hasEnded: Promise<boolean>; readonly atMs: number } | undefined;
@@ -337,6 +338,14 @@
     return this.#idle.length > 0 || this.#open.size < this.#connectionShare();
   }
 
+  /** When it was last heard of. */
+  get activity(): UpstreamActivity {
+    const nowMs = this.#clock.monotonicMs();
+    let oldestMs = nowMs;
+    for (const { lastReceivedMs } of this.inFlight) oldestMs = Math.min(oldestMs, lastReceivedMs);
+    return { sinceReceivedMs: nowMs - this.#lastReceivedMs, longestWaitMs: nowMs - oldestMs };
+  }
+
   /** Takes a connection from the pool, or creates one, for a single request. */
   acquireConnection(): UpstreamConnection {
     const idle = this.#idle.pop();
--- a/packages/forwarding/src/_lib/checkRun/index.ts
+++ b/packages/forwarding/src/_lib/checkRun/index.ts
@@ -5,6 +5,12 @@
 /** Whether an upstream is the run that its record names: `notStated` if it does not say. */
 export type RunCheck = 'same' | 'other' | 'notStated';
 
+/** The outcome of a check, and why an upstream did not say which run it is. */
+export interface RunCheckResult {
+  readonly check: RunCheck;
+  readonly why?: string | undefined;
+}
+
 /** Time limit for the answer, in milliseconds. */
 const timeoutMs = 300;
 /** Maximum size of the answer, in bytes. */
@@ -24,17 +30,22 @@
   client: Client,
   startedAtMs: number | undefined,
   codec: Pick<ForwardCodec, 'runReportPath' | 'readRunStart'>,
-): Promise<RunCheck> {
+): Promise<RunCheckResult> {
+  const signal = AbortSignal.timeout(timeoutMs);
   try {
-    const signal = AbortSignal.timeout(timeoutMs);
     const answer = await client.request({ method: 'GET', path: codec.runReportPath, signal });
     const collector = new BodyCollector(maxBytes);
     for await (const chunk of answer.body as AsyncIterable<Buffer>) collector.add(chunk);
-    if (answer.statusCode !== 200) return 'notStated';
+    if (answer.statusCode !== 200) return notStated(`status ${answer.statusCode}`);
     const reported = codec.readRunStart(collector.body.toString('utf8'));
-    if (reported === undefined || startedAtMs === undefined) return 'notStated';
-    return reported === startedAtMs ? 'same' : 'other';
-  } catch {
-    return 'notStated';
+    if (reported === undefined) return notStated('not in the answer');
+    if (startedAtMs === undefined) return notStated('not in the record');
+    return { check: reported === startedAtMs ? 'same' : 'other' };
+  } catch (thrown) {
+    return notStated(signal.aborted ? 'no answer in time' : (thrown as Error).message);
   }
 }
+
+function notStated(why: string): RunCheckResult {
+  return { check: 'notStated', why };
+}
--- a/packages/forwarding/src/_lib/limits/index.ts
+++ b/packages/forwarding/src/_lib/limits/index.ts
@@ -27,6 +27,8 @@
  * milliseconds.
  */
 export const upstreamInactivityMs = 1_000;
+/** From which time on an upstream without a sign of life counts as silent among others, in milliseconds. */
+export const silenceLimitMs = 500;
 /**
  * Duration of the first ejection of an upstream, in milliseconds; doubled for each further ejection
  * in a row.
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -41,4 +41,5 @@
 export * from './divideSlots/index.js';
 export * from './mayContinueStream/index.js';
 export * from './StreamOrigins/index.js';
+export * from './measureSilence/index.js';
 export * from './needsRunCheck/index.js';
