Hedged requests: when a request is sent to a second upstream beside a silent one

The decision alone, pure, for both request paths: kind, route, upstreams, and whether all of the service are silent at once. Nothing asks it yet.

--- a/packages/routing/src/RetryShare/index.ts
+++ b/packages/routing/src/RetryShare/index.ts
@@ -60,6 +60,11 @@
     return true;
   }
 
+  /** Gives back a retry that was taken and not sent. */
+  returnRetry(service: ServiceName): void {
+    this.#retries.get(service)?.pop();
+  }
+
   #pruneToWindow(times: Map<ServiceName, number[]>, service: ServiceName): number[] {
     const recentTimes = times.get(service) ?? [];
     times.set(service, recentTimes);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -21,6 +21,7 @@
 export * from './InFlightRequest/index.js';
 export * from './OutlierDetector/index.js';
 export * from './RetryShare/index.js';
+export * from './decideHedge/index.js';
 export * from './divideRate/index.js';
 export * from './RateShare/index.js';
 export * from './rankByKey/index.js';
