--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -28,6 +28,7 @@
 } from '../_lib/limits/index.js';
 import { PromptPartLocations } from '../_lib/PromptPartLocations/index.js';
 import { RequestTrace } from '../_lib/RequestTrace/index.js';
+import { SilenceProbes } from '../_lib/SilenceProbes/index.js';
 import type { ForwardCodec } from '../ForwardCodec/index.js';
 import type { ReachMonitor } from '../ReachMonitor/index.js';
 import type { RelayPeers } from '../RelayPeers/index.js';
@@ -102,6 +103,7 @@
     this.#dispatchDependencies = {
       ...options,
       promptPartLocations: new PromptPartLocations(),
+      silenceProbes: new SilenceProbes(),
       models,
     };
   }
--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -6,7 +6,14 @@
   type ServiceName,
   type UpstreamId,
 } from '@acaciacrank/base';
-import { HashRing, maxWarmUpMs, RunTimeEstimator, type UpstreamReach } from '@acaciacrank/routing';
+import {
+  HashRing,
+  maxWarmUpMs,
+  measureSilence,
+  RunTimeEstimator,
+  type ServiceSilence,
+  type UpstreamReach,
+} from '@acaciacrank/routing';
 import { maxCopyAgeMs } from '@acaciacrank/store';
 import { applyStatement, type ReceivedStatement } from '../_lib/applyStatement/index.js';
 import { Brittleness } from '../_lib/Brittleness/index.js';
@@ -14,7 +21,11 @@
 import { Upstream } from '../_lib/Upstream/index.js';
 import type { ChangeDetails, UpstreamChange } from '../_lib/UpstreamChange/index.js';
 import { UpstreamDepartures } from '../_lib/UpstreamDepartures/index.js';
-import { expiredRecordGraceMs, removedRecordGraceMs } from '../_lib/limits/index.js';
+import {
+  expiredRecordGraceMs,
+  removedRecordGraceMs,
+  silenceLimitMs,
+} from '../_lib/limits/index.js';
 import type { LimitChange, LimitSharing } from '../_lib/UpstreamLimit/index.js';
 import type { UpstreamRecord, WarmUpPolicy } from '../types.js';
 
@@ -101,6 +112,14 @@
     return this.#mixed.has(service);
   }
 
+  /** How many upstreams of a service are heard of, and how many are silent. */
+  silenceOf(service: ServiceName): ServiceSilence {
+    return measureSilence(
+      this.usable(service).map(({ activity }) => activity),
+      silenceLimitMs,
+    );
+  }
+
   /** Returns one upstream; undefined if it is not known. */
   get(id: UpstreamId): Upstream | undefined {
     return this.#byId.get(id);
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -66,9 +66,15 @@
   /** Id of this instance if the target is a peer that is to relay the request. */
   relayedBy?: InstanceId;
   /**
-   * Aborts the attempt after this long without data from the upstream, in milliseconds; undefined
-   * for no limit.
+   * Returns whether the request may still be sent, asked once the connection is known to lead to the right run;
+   * another attempt may have been sent since this one began. By default it may.
    */
+  mayBeSent?: () => boolean;
+  /** Called before anything of a stream is passed on to the caller; other attempts of the request end then. */
+  onProgress: () => void;
+  /** Called each time that nothing has come from the upstream for the timeout; the attempt goes on. */
+  onSilent: (lateMs: number) => void;
+  /** After how long without progress {@link onSilent} is called, in milliseconds; undefined for never. */
   inactivityTimeoutMs: number | undefined;
 }
 
@@ -79,9 +85,11 @@
 }
 
 const anotherRun = 'the upstream is another run than that of its record';
+/** How long an upstream may take to say which run it is until another one is asked, in milliseconds. */
+const runCheckPatienceMs = 300;
 
 /** Why this instance aborted an attempt. */
-type AbortReason = 'silent' | 'deadline' | 'callerGone';
+type AbortReason = 'superseded' | 'deadline' | 'callerGone';
 
 /** What becomes of a response's body. */
 type BodyHandling =
@@ -99,6 +107,7 @@
   #inFlightRequest: InFlightRequest | undefined;
   #bodyHandling: BodyHandling | undefined;
   #abortReason: AbortReason | undefined;
+  #hasEnded = false;
   /** The connection, if it is known which run it leads to. */
   #provenConnection: ProvenConnection | undefined;
   /** Whether a new connection would have to be checked. */
@@ -106,7 +115,11 @@
   /** Whether the upstream may be another run than that of its record. */
   #isRunUnproven = false;
   #inactivityTimer: InactivityTimer | undefined;
-  #inactivityTimerLateMs = 0;
+  readonly #runCheckAbort = new AbortController();
+  /** Whether nothing has come from the upstream for the timeout. */
+  #isSilent = false;
+  /** Whether the caller has not yet taken what the upstream sent last. */
+  #isCallerBehind = false;
 
   constructor(options: AttemptOptions) {
     super();
@@ -125,10 +138,9 @@
     const deadline = clock.schedule(remainingMs, () => {
       this.#abort('deadline');
     });
-    call.disconnect.onGone = () => {
+    using _disconnect = call.disconnect.onGone(() => {
       this.#abort('callerGone');
-    };
-    this.#restartInactivityTimer();
+    });
     let isReusable = false;
     try {
       const check = await this.#checkRun(connection);
@@ -136,7 +148,10 @@
       if (check === 'other') return { kind: 'notSent', reason: anotherRun, isOtherRun: true };
       if (check === 'unproven' && this.#isResumption)
         return { kind: 'notSent', reason: 'it is not known which run the upstream is' };
-      const exchange = new Exchange(connection.client, this.#createRequest(remainingMs), this);
+      if (this.#options.mayBeSent?.() === false)
+        return { kind: 'notSent', reason: 'another attempt was sent meanwhile' };
+      this.#startInactivityTimer(this.#options.inactivityTimeoutMs);
+      const exchange = new Exchange(connection.client, this.#createRequest(), this);
       this.#exchange = exchange;
       await exchange.run();
       if (connection.wasReset)
@@ -148,9 +163,9 @@
     } catch (thrown) {
       return this.#classifyError(thrown);
     } finally {
+      this.#hasEnded = true;
       deadline[Symbol.dispose]();
       this.#inactivityTimer?.[Symbol.dispose]();
-      call.disconnect.onGone = undefined;
       upstream.end(inFlightRequest);
       upstream.releaseConnection(connection, isReusable);
     }
@@ -171,12 +186,20 @@
     if (isConnected) this.#provenConnection = { connection, openCount };
     if (!needsRunCheck({ ...evidence, isConnected })) return undefined;
     const startedMs = clock.monotonicMs();
-    const { check, why } = await checkRun(connection.client, upstream.record.startedAtMs, codec);
+    this.#startInactivityTimer(runCheckPatienceMs);
+    const { check, why } = await checkRun(connection.client, upstream.record.startedAtMs, codec, {
+      signal: this.#runCheckAbort.signal,
+      // A stream that has begun goes on only where the run is known, so that there is no use in sending it unasked.
+      timeoutMs: this.#isResumption ? undefined : runCheckPatienceMs,
+    });
     const tookMs = Math.round(clock.monotonicMs() - startedMs);
     call.trace.add('runCheck', { upstreamId: upstream.id, check, why, tookMs, isDoubted });
     this.#provenConnection = { connection, openCount: connection.openCount };
     if (check === 'same') upstream.confirmRun();
-    this.#isRunUnproven = check === 'notStated' && isDoubted;
+    const isUnknown = check === 'notStated';
+    // The request would open another connection, maybe to another run.
+    const isLost = this.#isResumption && !connection.isOpen;
+    this.#isRunUnproven = isUnknown && (isDoubted || isLost);
     return this.#isRunUnproven ? 'unproven' : check;
   }
 
@@ -217,7 +240,10 @@
         this.#beginStream(headers);
       };
       const callerHeaders = () => responseHeaders(call, codec, headers, upstream.id);
-      const relay = new StreamRelay({ call, head: response, callerHeaders, onBegin });
+      const onEvents = () => {
+        this.#recordEvents();
+      };
+      const relay = new StreamRelay({ call, head: response, callerHeaders, onBegin, onEvents });
       this.#bodyHandling = { kind: 'relay', relay };
     } else {
       this.#collect((body) => ({ kind: 'answer', status, headers, body, isFramed }));
@@ -231,11 +257,25 @@
       handling.collector.add(chunk);
       return undefined;
     }
+    const isTaken = handling.relay.relay(chunk);
+    if (isTaken !== undefined) void this.#waitForCaller(isTaken);
+    return isTaken;
+  }
+
+  /** A caller that is behind keeps the upstream from sending, which says nothing of the upstream. */
+  async #waitForCaller(isTaken: Promise<void>): Promise<void> {
+    this.#isCallerBehind = true;
+    await isTaken;
+    this.#isCallerBehind = false;
+    this.#inactivityTimer?.recordActivity();
+  }
+
+  #recordEvents(): void {
     const inFlightRequest = this.#inFlightRequest;
     if (inFlightRequest !== undefined && !inFlightRequest.hasFirstEvent)
       this.#options.onFirstEvent(inFlightRequest);
     this.#recordReceived(true);
-    return handling.relay.relay(chunk);
+    this.#options.onProgress();
   }
 
   #beginStream(headers: RawHeaders): void {
@@ -274,19 +314,26 @@
     this.#bodyHandling = { kind: 'collect', collector: new BodyCollector(), result };
   }
 
-  /** Gives up waiting for the upstream, so that another one may be tried. */
-  giveUp(): void {
-    this.#abort('silent');
+  /** Whether the request has been sent, and the attempt has not ended. */
+  get isUnderWay(): boolean {
+    return this.#exchange !== undefined && !this.#hasEnded;
+  }
+
+  /** Ends the attempt, since another one has given something. */
+  supersede(): void {
+    this.#abort('superseded');
   }
 
   #abort(reason: AbortReason): void {
     this.#abortReason ??= reason;
+    this.#runCheckAbort.abort();
     this.#exchange?.abort();
   }
 
-  #createRequest(remainingMs: number) {
-    const { call, upstream, codec, fetchFrom, relayedBy } = this.#options;
+  #createRequest() {
+    const { call, clock, upstream, codec, fetchFrom, relayedBy } = this.#options;
     const { request } = call;
+    const remainingMs = call.deadlineMs - clock.monotonicMs();
     const common = {
       budgetMs: Math.max(1, Math.floor(remainingMs - responseMarginMs)),
       resumeAfter: call.progress.lastEventId ?? call.head.resumeAfter,
@@ -324,23 +371,29 @@
   #recordReceived(hasFirstEvent: boolean): void {
     if (this.#inFlightRequest !== undefined)
       this.#options.upstream.recordReceived(this.#inFlightRequest, hasFirstEvent);
+    this.#isSilent = false;
     this.#inactivityTimer?.recordActivity();
   }
 
-  #restartInactivityTimer(): void {
-    const { inactivityTimeoutMs, clock } = this.#options;
-    if (inactivityTimeoutMs === undefined) return;
-    this.#inactivityTimer = new InactivityTimer(clock, inactivityTimeoutMs, (lateMs) => {
-      this.#inactivityTimerLateMs = lateMs;
-      this.#abort('silent');
+  #startInactivityTimer(timeoutMs: number | undefined): void {
+    const { clock, inactivityTimeoutMs } = this.#options;
+    this.#inactivityTimer?.[Symbol.dispose]();
+    if (inactivityTimeoutMs === undefined || timeoutMs === undefined) return;
+    this.#inactivityTimer = new InactivityTimer(clock, timeoutMs, (lateMs) => {
+      this.#startInactivityTimer(timeoutMs);
+      if (this.#isCallerBehind || this.#abortReason !== undefined) return;
+      this.#isSilent = true;
+      this.#options.onSilent(lateMs);
     });
   }
 
   #classifyError(thrown: unknown): AttemptResult {
     const abortReason = this.#abortReason;
-    if (abortReason === 'silent') return { kind: abortReason, lateMs: this.#inactivityTimerLateMs };
-    if (abortReason !== undefined) return { kind: abortReason, wasSent: !wasNeverSent(thrown) };
-    if (wasNeverSent(thrown)) return { kind: 'notSent', reason: toRouterError(thrown).message };
+    const wasStarted = !wasNeverSent(thrown);
+    if (abortReason === 'superseded')
+      return { kind: abortReason, wasSent: wasStarted, wasSilent: this.#isSilent };
+    if (abortReason !== undefined) return { kind: abortReason, wasSent: wasStarted };
+    if (!wasStarted) return { kind: 'notSent', reason: toRouterError(thrown).message };
     const isConnectionLost = !(thrown instanceof RouterError);
     return { kind: 'broken', reason: toRouterError(thrown).message, isConnectionLost };
   }
--- a/packages/forwarding/src/_lib/AttemptResult/index.ts
+++ b/packages/forwarding/src/_lib/AttemptResult/index.ts
@@ -8,21 +8,24 @@
   | PlainResponse
   /** A stream that was relayed to its end. */
   | { readonly kind: 'streamed'; readonly longestGapMs: number }
+  /** A peer took the request, and its response has been passed on to the end. */
+  | { readonly kind: 'relayed' }
   | NotSentResult
   | NotRunResult
   | BrokenResult
-  /** Aborted by this instance in order to try another upstream, since no data arrived in time. */
-  | SilentResult
+  | SupersededResult
   /** The deadline of the request passed; `wasSent`: the request may have reached the upstream. */
   | { readonly kind: 'deadline'; readonly wasSent: boolean }
   /** The caller disconnected; `wasSent` as for `deadline`. */
   | { readonly kind: 'callerGone'; readonly wasSent: boolean };
 
-/** Nothing arrived in time. */
-export interface SilentResult {
-  readonly kind: 'silent';
-  /** How late the timer of this instance ran that found it out: long if the instance itself stood still. */
-  readonly lateMs: number;
+/** Aborted by this instance, since another attempt of the same request has given something. */
+export interface SupersededResult {
+  readonly kind: 'superseded';
+  /** Whether the request may have reached the upstream. */
+  readonly wasSent: boolean;
+  /** Whether nothing had come from the upstream for so long that another one was asked. */
+  readonly wasSilent: boolean;
 }
 
 /** No byte was sent. */
--- a/packages/forwarding/src/_lib/CallerDisconnect/index.ts
+++ b/packages/forwarding/src/_lib/CallerDisconnect/index.ts
@@ -3,13 +3,13 @@
 /** Tells whether, and when, a caller disconnects before its response is complete. */
 export class CallerDisconnect {
   #isGone = false;
-  #onGone: (() => void) | undefined;
+  readonly #callbacks = new Set<() => void>();
 
   constructor(response: ServerResponse) {
     response.once('close', () => {
       if (response.writableFinished) return;
       this.#isGone = true;
-      this.#onGone?.();
+      for (const callback of [...this.#callbacks]) callback();
     });
   }
 
@@ -18,8 +18,9 @@
     return this.#isGone;
   }
 
-  /** Sets the callback for the moment at which the caller disconnects; undefined for none. */
-  set onGone(callback: (() => void) | undefined) {
-    this.#onGone = callback;
+  /** Calls back once at the moment at which the caller disconnects, unless disposed of before. */
+  onGone(callback: () => void): Disposable {
+    this.#callbacks.add(callback);
+    return { [Symbol.dispose]: () => void this.#callbacks.delete(callback) };
   }
 }
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -11,8 +11,11 @@
   type UpstreamId,
 } from '@acaciacrank/base';
 import {
-  measureSilence,
+  decideHedge,
+  isSilent,
   mayContinueStream,
+  type HedgeDecision,
+  type HedgeRefusal,
   type PrefillTimeModel,
   type RetryShare,
 } from '@acaciacrank/routing';
@@ -22,10 +25,10 @@
 import type { StreamAffinity } from '../../StreamAffinity/index.js';
 import type { RequestQuarantine, SuspectAttempt } from '@acaciacrank/callers';
 import type { UpstreamTable } from '../../UpstreamTable/index.js';
-import { Attempt } from '../Attempt/index.js';
-import type { ReceivedStatement } from '../applyStatement/index.js';
-import type { AttemptResult, PlainResponse, SilentResult } from '../AttemptResult/index.js';
+import { Attempt, type AttemptOptions } from '../Attempt/index.js';
+import type { AttemptResult, PlainResponse } from '../AttemptResult/index.js';
 import { isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
+import { HedgedAttempts, type Contender, type EndedContender } from '../HedgedAttempts/index.js';
 import type { PrefillTimeModels } from '../PrefillTimeModels/index.js';
 import { maxConnectAttempts, silenceLimitMs, upstreamInactivityMs } from '../limits/index.js';
 import type { TraceStep } from '../RequestTrace/index.js';
@@ -33,6 +36,7 @@
 import { digestContent } from '../digestContent/index.js';
 import { recordStreamBegin } from '../recordStreamBegin/index.js';
 import { Relay } from '../Relay/index.js';
+import type { SilenceProbes } from '../SilenceProbes/index.js';
 import { createVersionGoneError } from '../versionErrors/index.js';
 import { responseHeaders, writePlainHead } from '../responseHeaders/index.js';
 import { lastSharedPart, pickUpstream, type UpstreamPick } from '../pickUpstream/index.js';
@@ -51,13 +55,14 @@
   readonly ownDomain: FailureDomainId;
   readonly promptPartLocations: PromptPartLocations;
   readonly models: PrefillTimeModels;
+  readonly silenceProbes: SilenceProbes;
   readonly random: Random;
   readonly metrics: Metrics;
 }
 
 /**
- * A plain request that may run twice is retried at another upstream after this many target
- * latencies without data.
+ * A plain request that may run twice is sent to a second upstream after this many target
+ * latencies without an answer.
  */
 const slowResponseFactor = 1.5;
 
@@ -77,6 +82,16 @@
 /** Why a request is sent to no further upstream: its route, no other upstream, or the retry budget. */
 type RetryRefusal = 'routeLimit' | 'noUpstream' | 'budget';
 
+/** The request at one upstream, or at peers that send it on. */
+interface DispatchContender extends Contender {
+  /** Undefined for peers. */
+  readonly upstream: Upstream | undefined;
+  /** Whether it counts against the upstreams that the route allows, and has not ended. */
+  readonly isUnderWay: boolean;
+}
+
+type DispatchEnd = EndedContender<DispatchContender>;
+
 /** Serves one admitted request. */
 export class Dispatch {
   readonly #dependencies: DispatchDependencies;
@@ -85,10 +100,20 @@
   #unsentAttempts = 0;
   #wasRelayed = false;
   #contentDigest: string | undefined;
+  /** The attempts that are under way beside each other. */
+  #attempts: HedgedAttempts<DispatchContender>;
+  #lastHedgeDecision: HedgeDecision | HedgeRefusal | undefined;
 
   constructor(dependencies: DispatchDependencies, call: ForwardCall) {
     this.#dependencies = dependencies;
     this.#call = call;
+    this.#attempts = this.#createAttempts();
+  }
+
+  #createAttempts(): HedgedAttempts<DispatchContender> {
+    return new HedgedAttempts((ended) => {
+      this.#recordEnd(ended);
+    });
   }
 
   /**
@@ -105,8 +130,7 @@
         suspect?.finish(false);
         throw this.#createUnavailableError();
       }
-      const result = await this.#attempt(pick, suspect);
-      if (await this.#handleResult(pick.upstream, result)) return;
+      if (await this.#handleEnd(await this.#attempt(pick, suspect))) return;
     }
   }
 
@@ -164,12 +188,13 @@
   }
 
   /** Chooses among the candidates, or among all upstreams if none of the candidates has room. */
-  #pick(): UpstreamPick | undefined {
+  #pick(isEligible: (upstream: Upstream) => boolean = () => true): UpstreamPick | undefined {
     const { upstreams, random } = this.#dependencies;
     const { head, service } = this.#call;
     const key = lastSharedPart(head.promptParts)?.id ?? String(random());
-    const candidates = this.#filterSuitable(upstreams.candidates(service.name, key));
-    const all = this.#usable;
+    const near = this.#filterSuitable(upstreams.candidates(service.name, key));
+    const candidates = near.filter(isEligible);
+    const all = this.#usable.filter(isEligible);
     const pick = this.#pickProven(candidates);
     return pick ?? (candidates.length < all.length ? this.#pickProven(all) : undefined);
   }
@@ -211,15 +236,54 @@
     });
   }
 
-  /** Sends the request once; the result for a suspect is reported also if the caller is gone. */
-  async #attempt(pick: UpstreamPick, suspect?: SuspectAttempt): Promise<AttemptResult> {
-    const { upstream } = pick;
+  /** Sends the request to one upstream, and to others beside it where that one is silent. */
+  async #attempt(pick: UpstreamPick, suspect?: SuspectAttempt): Promise<DispatchEnd> {
+    const attempts = this.#createAttempts();
+    this.#attempts = attempts;
+    attempts.add(this.#start(pick, suspect));
+    using _lost = this.#dependencies.reach.onLost(() => {
+      this.#relayBeside();
+    });
+    return await attempts.result();
+  }
+
+  #start(pick: UpstreamPick, suspect?: SuspectAttempt): DispatchContender {
+    const attempt: Attempt = this.#createAttempt(pick, {
+      mayBeSent: () => this.#sendsUnderWay < this.#maxSends,
+      onProgress: () => {
+        this.#attempts.recordProgress(contender);
+      },
+      onSilent: (lateMs) => {
+        this.#handleSilence(pick.upstream, lateMs);
+      },
+    });
+    const contender: DispatchContender = {
+      upstream: pick.upstream,
+      ended: this.#runAttempt(pick.upstream, attempt, suspect),
+      get isUnderWay() {
+        return attempt.isUnderWay;
+      },
+      supersede: () => {
+        attempt.supersede();
+      },
+    };
+    return contender;
+  }
+
+  /** Runs one attempt; the result for a suspect is reported also if the caller is gone. */
+  async #runAttempt(
+    upstream: Upstream,
+    attempt: Attempt,
+    suspect?: SuspectAttempt,
+  ): Promise<AttemptResult> {
+    const { quarantine } = this.#dependencies;
     if (suspect !== undefined) upstream.suspects.add(suspect);
     let wasAnswered = false;
     try {
-      const result = await this.#send(pick);
+      const result = await attempt.run();
+      if (wasSent(result)) this.#call.progress.sendCount += 1;
       wasAnswered = result.kind === 'answer' || result.kind === 'streamed';
-      if (wasAnswered) this.#dependencies.quarantine.recordAnswered(this.#content);
+      if (wasAnswered) quarantine.recordAnswered(this.#content);
       if (result.kind === 'broken' && result.isConnectionLost) await this.#checkEnd(upstream);
       return result;
     } finally {
@@ -228,7 +292,10 @@
     }
   }
 
-  async #send(pick: UpstreamPick): Promise<AttemptResult> {
+  #createAttempt(
+    pick: UpstreamPick,
+    callbacks: Pick<AttemptOptions, 'mayBeSent' | 'onProgress' | 'onSilent'>,
+  ): Attempt {
     const { upstream, fetchFrom, prefill } = pick;
     const { clock, codec, retries, upstreams } = this.#dependencies;
     const call = this.#call;
@@ -237,14 +304,8 @@
     call.trace.add('sent', this.#describeSend(pick));
     this.#countAgainstStatements(upstream);
     if (upstream.statements.backoff.recordSend()) upstreams.reportBackoffEnded(upstream);
-    const inactivityTimeoutMs = this.#inactivityTimeoutMs();
-    const onFirstEvent = (inFlightRequest: InFlightRequest) => {
-      this.#observePrefill(inFlightRequest);
-    };
-    const onStatement = (received: ReceivedStatement) => {
-      upstreams.applyStatement(upstream, received);
-    };
-    const attempt = new Attempt({
+    return new Attempt({
+      ...callbacks,
       clock,
       codec,
       call,
@@ -256,22 +317,91 @@
       onStreamBegun: (run) => {
         recordStreamBegin(call, run, this.#dependencies);
       },
-      onFirstEvent,
-      onStatement,
-      inactivityTimeoutMs,
+      onFirstEvent: (inFlightRequest) => {
+        this.#observePrefill(inFlightRequest);
+      },
+      onStatement: (received) => {
+        upstreams.applyStatement(upstream, received);
+      },
+      inactivityTimeoutMs: this.#inactivityTimeoutMs,
+    });
+  }
+
+  /** Number of upstreams that the request was sent to, those included at which it is under way. */
+  get #sendsUnderWay(): number {
+    const { progress } = this.#call;
+    // What was lost with upstreams that ended does not count against the request, within bounds.
+    const countedSends = progress.sendCount - Math.min(progress.endedCount, maxUncountedEnds);
+    return countedSends + [...this.#attempts.running].filter((one) => one.isUnderWay).length;
+  }
+
+  get #maxSends(): number {
+    return this.#call.route.maxUpstreams;
+  }
+
+  /** Sends the request to a second upstream, or through a peer, beside the one that is silent, if that is allowed. */
+  #handleSilence(silent: Upstream, lateMs: number): void {
+    if (this.#mustRelay) {
+      this.#relayBeside();
+      return;
+    }
+    const { upstreams, silenceProbes, retries } = this.#dependencies;
+    const { name: service } = this.#call.service;
+    const isEligible = (upstream: Upstream) => this.#mayHedgeAt(upstream);
+    const decision = decideHedge({
+      isRepeatable: isRepeatable(this.#call),
+      isSuspect: this.#isSuspect,
+      sends: this.#sendsUnderWay,
+      maxSends: this.#maxSends,
+      hasCandidate: this.#usable.some(isEligible),
+      silence: upstreams.silenceOf(service),
+      probes: silenceProbes.countOf(service),
+    });
+    const isAllowed = decision === 'hedge' || decision === 'probe';
+    const hasRetry = isAllowed && retries.tryRetry(service);
+    this.#reportSilence(silent, isAllowed && !hasRetry ? 'budget' : decision, lateMs);
+    const pick = hasRetry ? this.#pick(isEligible) : undefined;
+    if (pick === undefined) return;
+    const contender = this.#start(pick);
+    this.#attempts.add(contender);
+    const probe = decision === 'probe' ? silenceProbes.begin(service) : undefined;
+    void contender.ended.then((result) => {
+      probe?.[Symbol.dispose]();
+      if (!wasSent(result)) retries.returnRetry(service);
     });
-    using _lost = this.#giveUpIfLost(attempt, inactivityTimeoutMs);
-    const result = await attempt.run();
-    if (wasSent(result)) call.progress.sendCount += 1;
-    return result;
   }
 
-  /** Does not wait for an upstream that is not reached any more, if another may be tried. */
-  #giveUpIfLost(attempt: Attempt, inactivityTimeoutMs: number | undefined): Disposable {
-    const { reach } = this.#dependencies;
-    return reach.onLost(() => {
-      if (inactivityTimeoutMs !== undefined) attempt.giveUp();
+  #mayHedgeAt({ id, hasRoom, activity }: Upstream): boolean {
+    return hasRoom && !this.#attemptedIds.has(id) && !isSilent(activity, silenceLimitMs);
+  }
+
+  /** Lets a peer send the request on beside attempts from which nothing comes, since no upstream is reached. */
+  #relayBeside(): void {
+    const { retries } = this.#dependencies;
+    const { service } = this.#call;
+    if (!this.#mustRelay || !isRepeatable(this.#call) || !retries.tryRetry(service.name)) return;
+    this.#wasRelayed = true;
+    const relay = new Relay(this.#dependencies, this.#call, {
+      onProgress: () => {
+        this.#attempts.recordProgress(contender);
+      },
     });
+    const contender: DispatchContender = {
+      upstream: undefined,
+      isUnderWay: false,
+      ended: relay.run().then(
+        (isServed) =>
+          isServed ? { kind: 'relayed' } : { kind: 'notSent', reason: 'no peer took the request' },
+        (thrown: unknown) => {
+          const reason = toRouterError(thrown).message;
+          return { kind: 'broken', reason, isConnectionLost: false };
+        },
+      ),
+      supersede: () => {
+        relay.supersede();
+      },
+    };
+    this.#attempts.add(contender);
   }
 
   /** Counts a request that is sent although the upstream asked for none. */
@@ -321,14 +451,10 @@
     return this.#dependencies.models.get(this.#call.service.name);
   }
 
-  /**
-   * Returns how long to wait for data from an upstream; undefined if no other upstream may be
-   * tried.
-   */
-  #inactivityTimeoutMs(): number | undefined {
-    const { route, progress } = this.#call;
-    const isLast = progress.sendCount + 1 >= route.maxUpstreams;
-    if (isLast || !isRepeatable(this.#call)) return undefined;
+  /** How long to wait for an upstream until another one may be asked; undefined if none may. */
+  get #inactivityTimeoutMs(): number | undefined {
+    const { route } = this.#call;
+    if (!isRepeatable(this.#call)) return undefined;
     if (route.kind === 'stream') return Math.max(upstreamInactivityMs, 2 * route.targetLatencyMs);
     return slowResponseFactor * route.targetLatencyMs;
   }
@@ -353,22 +479,30 @@
     return (this.#contentDigest ??= digestContent(this.#call));
   }
 
-  /** Handles the result of an attempt; returns whether the caller's request is complete. */
-  async #handleResult(upstream: Upstream, result: AttemptResult): Promise<boolean> {
+  /** Records the end of one attempt, whether or not others go on. */
+  #recordEnd({ contender, result }: DispatchEnd): void {
+    const { progress, trace } = this.#call;
+    const { upstream } = contender;
+    trace.add(result.kind, { upstreamId: upstream?.id, ...describeResult(result) });
+    progress.mayHaveRun ||= mayHaveRun(result);
+    if (upstream !== undefined) this.#recordResult(upstream, result);
+  }
+
+  /** Handles the result of the attempts; returns whether the caller's request is complete. */
+  async #handleEnd({ contender, result }: DispatchEnd): Promise<boolean> {
     const call = this.#call;
-    call.trace.add(result.kind, this.#describeResult(upstream, result));
-    this.#recordResult(upstream, result);
     switch (result.kind) {
       case 'streamed':
         await call.writer.end();
         return true;
+      case 'relayed':
+        return true;
       case 'answer':
-        call.progress.mayHaveRun = true;
         if (result.status >= firstServerError && this.#tryTakeRetry()) return false;
         // A stream that has begun cannot end with another response.
         if (call.response.headersSent)
           throw new RouterError('upstreamFailed', 'the upstream did not resume the stream');
-        this.#writeResponseHead(result, upstream.id);
+        this.#writeResponseHead(result, contender.upstream?.id);
         await call.writer.end(result.body);
         return true;
       case 'notSent':
@@ -379,27 +513,22 @@
         if (this.#tryTakeRetry()) return false;
         throw this.#createUnavailableError();
       case 'broken':
-      case 'silent':
-        call.progress.mayHaveRun = true;
+      case 'superseded':
         if (isRepeatable(call) && this.#tryTakeRetry()) return false;
         throw new RouterError(
           isRepeatable(call) ? 'upstreamFailed' : 'outcomeUnknown',
-          result.kind === 'broken'
-            ? result.reason
-            : 'the upstream sent no data within the time limit',
+          result.kind === 'broken' ? result.reason : 'all attempts were aborted',
         );
       case 'deadline':
-        call.progress.mayHaveRun ||= result.wasSent;
         throw new RouterError('deadlineExceeded', 'the deadline of the request has passed', {
           ran: call.progress.sendCount > 0 ? 'unknown' : 'notRun',
         });
       case 'callerGone':
-        call.progress.mayHaveRun ||= result.wasSent;
         throw new RouterError('cancelled', 'the caller disconnected');
     }
   }
 
-  #writeResponseHead(result: PlainResponse, upstreamId: UpstreamId): void {
+  #writeResponseHead(result: PlainResponse, upstreamId: UpstreamId | undefined): void {
     const { codec } = this.#dependencies;
     const callerHeaders = responseHeaders(this.#call, codec, result.headers, upstreamId);
     writePlainHead(this.#call, result, callerHeaders);
@@ -410,11 +539,9 @@
    * upstreams, and takes one retry from the service's retry budget.
    */
   #tryTakeRetry(): boolean {
-    const { route, progress, service } = this.#call;
+    const { service } = this.#call;
     if (this.#mustRelay) return this.#dependencies.retries.tryRetry(service.name);
-    // What was lost with upstreams that ended does not count against the request, within bounds.
-    const countedSends = progress.sendCount - Math.min(progress.endedCount, maxUncountedEnds);
-    if (countedSends >= route.maxUpstreams) return this.#refuseRetry('routeLimit');
+    if (this.#sendsUnderWay >= this.#maxSends) return this.#refuseRetry('routeLimit');
     if (!this.#usable.some(({ id, hasRoom }) => hasRoom && !this.#attemptedIds.has(id)))
       return this.#refuseRetry('noUpstream');
     if (!this.#dependencies.retries.tryRetry(service.name)) return this.#refuseRetry('budget');
@@ -457,28 +584,30 @@
     return { retryAfterMs: Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, waitMs)) };
   }
 
-  #describeResult(upstream: Upstream, result: AttemptResult): TraceStep {
-    if (result.kind === 'answer') return { status: result.status, bytes: result.body.byteLength };
-    if (result.kind === 'streamed') return { longestGapMs: result.longestGapMs };
-    if (result.kind === 'notRun') return { status: result.status, backoffMs: result.backoffMs };
-    if (result.kind === 'notSent' || result.kind === 'broken') return { reason: result.reason };
-    if (result.kind === 'silent') return this.#describeSilence(upstream, result);
-    return {};
-  }
-
-  /** Describes for the log whether one upstream is silent, its service, or this process itself stood still. */
-  #describeSilence({ id: upstreamId, activity }: Upstream, { lateMs }: SilentResult): TraceStep {
+  /**
+   * Reports whether one upstream is silent, its service, or this process itself stood still, and what is done; the
+   * log line of the request shows it once for each decision.
+   */
+  #reportSilence(
+    { id: upstreamId, activity }: Upstream,
+    decision: HedgeDecision | HedgeRefusal,
+    lateMs: number,
+  ): void {
+    const { upstreams, metrics } = this.#dependencies;
+    const { service, progress, trace } = this.#call;
+    metrics.count('hedges', decision);
+    if (this.#lastHedgeDecision === decision) return;
+    this.#lastHedgeDecision = decision;
     const { sinceReceivedMs, longestWaitMs } = activity;
-    const { upstreams } = this.#dependencies;
-    const activities = upstreams.usable(this.#call.service.name).map((one) => one.activity);
-    return {
+    trace.add('silent', {
       upstreamId,
+      decision,
       sinceReceivedMs: Number.isFinite(sinceReceivedMs) ? Math.round(sinceReceivedMs) : undefined,
       longestWaitMs: Math.round(longestWaitMs),
       timerLateMs: Math.round(lateMs),
-      events: this.#call.progress.events,
-      ...measureSilence(activities, silenceLimitMs),
-    };
+      events: progress.events,
+      ...upstreams.silenceOf(service.name),
+    });
   }
 
   /** Updates metrics and the upstream's health from the result of an attempt. */
@@ -491,7 +620,8 @@
     if (result.kind === 'notSent' && result.isOtherRun) upstreams.removeMismatched(upstream);
     // While no upstream is reached, failures show nothing of the upstream.
     if (!this.#dependencies.reach.isReached) return;
-    const isFault = result.kind === 'broken' || result.kind === 'silent';
+    const isOutrun = result.kind === 'superseded' && result.wasSilent;
+    const isFault = result.kind === 'broken' || isOutrun;
     if (result.kind === 'notSent') upstream.eject();
     if (result.kind === 'notSent' || (isFault && upstream.recordFailure()))
       upstreams.reportEjected(upstream);
@@ -507,6 +637,21 @@
 
 /** Whether the request may have reached the upstream. */
 function wasSent(result: AttemptResult): boolean {
-  if (result.kind === 'deadline' || result.kind === 'callerGone') return result.wasSent;
+  if ('wasSent' in result) return result.wasSent;
   return result.kind !== 'notSent';
 }
+
+/** Whether an upstream may have run the request, as far as the result of one attempt tells. */
+function mayHaveRun(result: AttemptResult): boolean {
+  if (result.kind === 'answer' || result.kind === 'broken') return true;
+  return 'wasSent' in result && result.wasSent;
+}
+
+function describeResult(result: AttemptResult): TraceStep {
+  if (result.kind === 'answer') return { status: result.status, bytes: result.body.byteLength };
+  if (result.kind === 'streamed') return { longestGapMs: result.longestGapMs };
+  if (result.kind === 'notRun') return { status: result.status, backoffMs: result.backoffMs };
+  if (result.kind === 'notSent' || result.kind === 'broken') return { reason: result.reason };
+  if (result.kind === 'superseded') return { wasSilent: result.wasSilent };
+  return {};
+}
--- a/packages/forwarding/src/_lib/Relay/index.ts
+++ b/packages/forwarding/src/_lib/Relay/index.ts
@@ -17,6 +17,7 @@
 import type { ReceivedStatement } from '../applyStatement/index.js';
 import type { AttemptResult } from '../AttemptResult/index.js';
 import { isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
+import { HedgedAttempts, type Contender, type EndedContender } from '../HedgedAttempts/index.js';
 import { recordStreamBegin } from '../recordStreamBegin/index.js';
 import { writePlainHead } from '../responseHeaders/index.js';
 import type { Upstream } from '../Upstream/index.js';
@@ -34,9 +35,20 @@
 
 /** Number of peers that are asked for one request at most. */
 const maxPeers = 3;
-/** A peer that sends nothing for this long, and some target latencies, is given up if the request is repeatable. */
+/** Where a peer sends nothing for this long, and some target latencies, another one is asked if the request is repeatable. */
 const peerInactivity = { baseMs: 500, targetLatencies: 3 } as const;
 
+/** Options of {@link Relay}. */
+export interface RelayOptions {
+  /** Called before anything that a peer gives is passed on to the caller; by default nothing is. */
+  onProgress?: () => void;
+}
+
+/** The request at one peer. */
+interface PeerContender extends Contender {
+  readonly peer: Upstream;
+}
+
 /**
  * Relays one request. The peer authenticates it, debits the account, chooses the upstream and heeds what that
  * states, as for a request of its own callers; it relays no request that was relayed to it.
@@ -44,12 +56,20 @@
 export class Relay {
   readonly #dependencies: RelayDependencies;
   readonly #call: ForwardCall;
+  readonly #onProgress: () => void;
   readonly #asked = new Set<InstanceId>();
+  #attempts: HedgedAttempts<PeerContender> | undefined;
   #hasSent = false;
+  #isSuperseded = false;
 
-  constructor(dependencies: RelayDependencies, call: ForwardCall) {
+  constructor(
+    dependencies: RelayDependencies,
+    call: ForwardCall,
+    { onProgress = () => undefined }: RelayOptions = {},
+  ) {
     this.#dependencies = dependencies;
     this.#call = call;
+    this.#onProgress = onProgress;
   }
 
   /**
@@ -59,20 +79,62 @@
    * @throws RouterError that states why there is no response and whether the request may have run
    */
   async run(): Promise<boolean> {
-    const { progress } = this.#call;
-    progress.eventsBeforeRelay ??= progress.events;
-    while (this.#asked.size < maxPeers) {
-      const peer = this.#dependencies.relayPeers.choose(this.#asked);
-      if (peer === undefined) break;
-      const result = await this.#attempt(peer);
-      if (await this.#handleResult(peer, result)) return true;
+    for (;;) {
+      const first = this.#startNext();
+      if (first === undefined) break;
+      const attempts = new HedgedAttempts<PeerContender>((ended) => {
+        this.#recordEnd(ended);
+      });
+      this.#attempts = attempts;
+      attempts.add(first);
+      const { result } = await attempts.result();
+      if (this.#isSuperseded) return false;
+      if (await this.#handleResult(result)) return true;
     }
     if (this.#hasSent) throw new RouterError('upstreamFailed', 'no other peer took the request');
-    progress.eventsBeforeRelay = undefined;
     return false;
   }
 
-  async #attempt(peer: Upstream): Promise<AttemptResult> {
+  /** Ends the relay, since the request is answered otherwise. */
+  supersede(): void {
+    this.#isSuperseded = true;
+    this.#attempts?.supersedeAll();
+  }
+
+  /** Sends the request to another peer; undefined if there is none left. */
+  #startNext(): PeerContender | undefined {
+    if (this.#isSuperseded || this.#asked.size >= maxPeers) return undefined;
+    const peer = this.#dependencies.relayPeers.choose(this.#asked);
+    if (peer === undefined) return undefined;
+    const attempt: Attempt = this.#createAttempt(peer, () => {
+      this.#recordProgress(contender);
+    });
+    const contender: PeerContender = {
+      peer,
+      ended: attempt.run(),
+      supersede: () => {
+        attempt.supersede();
+      },
+    };
+    return contender;
+  }
+
+  /** Asks another peer beside the silent one, if that is allowed. */
+  #hedge(): void {
+    if (this.#asked.size >= maxPeers || !this.#tryTakeRetry()) return;
+    const next = this.#startNext();
+    if (next !== undefined) this.#attempts?.add(next);
+  }
+
+  /** The peer debits the events that it sends. */
+  #recordProgress(contender: PeerContender): void {
+    const { progress } = this.#call;
+    this.#attempts?.recordProgress(contender);
+    this.#onProgress();
+    progress.eventsBeforeRelay ??= progress.events;
+  }
+
+  #createAttempt(peer: Upstream, onProgress: () => void): Attempt {
     const { clock, codec, relayPeers } = this.#dependencies;
     const { route, trace } = this.#call;
     this.#asked.add(instanceIdOf(peer));
@@ -81,7 +143,7 @@
     const inactivityTimeoutMs = isRepeatable(this.#call)
       ? baseMs + targetLatencies * route.targetLatencyMs
       : undefined;
-    const attempt = new Attempt({
+    return new Attempt({
       clock,
       codec,
       call: this.#call,
@@ -91,6 +153,10 @@
       relayedBy: relayPeers.instanceId,
       fetchFrom: undefined,
       prefill: undefined,
+      onProgress,
+      onSilent: () => {
+        this.#hedge();
+      },
       onStreamBegun: (run) => {
         recordStreamBegin(this.#call, run, this.#dependencies);
       },
@@ -100,37 +166,47 @@
       },
       inactivityTimeoutMs,
     });
-    return await attempt.run();
   }
 
-  /** Handles the result of an attempt; returns whether the caller's request is complete. */
-  async #handleResult(peer: Upstream, result: AttemptResult): Promise<boolean> {
-    const { relayPeers, metrics, codec } = this.#dependencies;
-    const { trace, writer, progress, response } = this.#call;
-    trace.add(result.kind, 'reason' in result ? { reason: result.reason } : {});
+  /** Records the end of one attempt, whether or not others go on. */
+  #recordEnd({ contender: { peer }, result }: EndedContender<PeerContender>): void {
+    const { relayPeers, metrics } = this.#dependencies;
+    const { trace, progress } = this.#call;
+    trace.add(result.kind, { peer: peer.id, ...('reason' in result && { reason: result.reason }) });
     metrics.count('relayed', result.kind);
+    const isOutrun = result.kind === 'superseded' && result.wasSilent;
+    if (result.kind === 'broken' || (result.kind === 'superseded' && result.wasSent)) {
+      progress.mayHaveRun = true;
+      this.#hasSent = true;
+    }
+    if (result.kind === 'notRun') relayPeers.passOver(instanceIdOf(peer), 'refused');
+    if (result.kind === 'notSent' || result.kind === 'broken' || isOutrun)
+      relayPeers.passOver(instanceIdOf(peer), 'unreachable');
+  }
+
+  /** Handles the result of the attempts; returns whether the caller's request is complete. */
+  async #handleResult(result: AttemptResult): Promise<boolean> {
+    const { codec } = this.#dependencies;
+    const { writer, progress, response } = this.#call;
     switch (result.kind) {
       case 'streamed':
         await writer.end();
         return true;
+      case 'relayed':
+        return true;
       case 'answer':
         // A stream that has begun cannot end with another response.
         if (response.headersSent)
           throw new RouterError('upstreamFailed', 'the peer did not resume the stream');
+        this.#onProgress();
         writePlainHead(this.#call, result, codec.callerHeaders(result.headers));
         await writer.end(result.body);
         return true;
       case 'notSent':
-        relayPeers.passOver(instanceIdOf(peer), 'unreachable');
-        return false;
       case 'notRun':
-        relayPeers.passOver(instanceIdOf(peer), 'refused');
         return false;
       case 'broken':
-      case 'silent':
-        progress.mayHaveRun = true;
-        this.#hasSent = true;
-        relayPeers.passOver(instanceIdOf(peer), 'unreachable');
+      case 'superseded':
         if (this.#tryTakeRetry()) return false;
         throw new RouterError(
           isRepeatable(this.#call) ? 'upstreamFailed' : 'outcomeUnknown',
--- a/packages/forwarding/src/_lib/StreamRelay/index.ts
+++ b/packages/forwarding/src/_lib/StreamRelay/index.ts
@@ -16,6 +16,8 @@
   callerHeaders: () => string[];
   /** Called before the first events of this part of the stream are passed on. */
   onBegin: () => void;
+  /** Called each time that events are complete, before they are passed on. */
+  onEvents: () => void;
 }
 
 /** Relays complete events as they arrive; an incomplete one waits for its rest. */
@@ -38,6 +40,7 @@
     const events = this.#buffer.push(chunk);
     if (events === undefined) return undefined;
     const { progress, writer } = this.#options.call;
+    this.#options.onEvents();
     if (!this.#hasBegun) this.#options.onBegin();
     this.#hasBegun = true;
     for (const id of events.ids) {
--- a/packages/forwarding/src/_lib/checkRun/index.ts
+++ b/packages/forwarding/src/_lib/checkRun/index.ts
@@ -11,8 +11,14 @@
   readonly why?: string | undefined;
 }
 
-/** Time limit for the answer, in milliseconds. */
-const timeoutMs = 300;
+/** Options of {@link checkRun}. */
+export interface CheckRunOptions {
+  /** Ends the check. */
+  readonly signal: AbortSignal;
+  /** Time limit for the answer, in milliseconds; undefined for none. */
+  readonly timeoutMs: number | undefined;
+}
+
 /** Maximum size of the answer, in bytes. */
 const maxBytes = 65_536;
 
@@ -22,16 +28,21 @@
  * @param client - the connection, without any other request in progress
  * @param startedAtMs - the start of the run that the record names
  * @param codec - how the deployment's upstreams are asked
+ * @param options - for how long
  *
  * @example
- * await checkRun(connection.client, record.startedAtMs, codec);
+ * await checkRun(connection.client, record.startedAtMs, codec, { signal, timeoutMs: 300 });
  */
 export async function checkRun(
   client: Client,
   startedAtMs: number | undefined,
   codec: Pick<ForwardCodec, 'runReportPath' | 'readRunStart'>,
+  { signal: abortSignal, timeoutMs }: CheckRunOptions,
 ): Promise<RunCheckResult> {
-  const signal = AbortSignal.timeout(timeoutMs);
+  const signal =
+    timeoutMs === undefined
+      ? abortSignal
+      : AbortSignal.any([abortSignal, AbortSignal.timeout(timeoutMs)]);
   try {
     const answer = await client.request({ method: 'GET', path: codec.runReportPath, signal });
     const collector = new BodyCollector(maxBytes);
--- a/packages/forwarding/src/_lib/responseHeaders/index.ts
+++ b/packages/forwarding/src/_lib/responseHeaders/index.ts
@@ -10,11 +10,11 @@
   call: Pick<ForwardCall, 'relayedBy' | 'progress'>,
   codec: ForwardCodec,
   upstreamHeaders: RawHeaders,
-  upstreamId: UpstreamId,
+  upstreamId: UpstreamId | undefined,
 ): string[] {
   const headers = codec.callerHeaders(upstreamHeaders);
   if (call.relayedBy === undefined) return headers;
-  headers.push(relayUpstreamHeader, upstreamId);
+  if (upstreamId !== undefined) headers.push(relayUpstreamHeader, upstreamId);
   const { origin } = call.progress;
   if (origin !== undefined) headers.push(relayOriginHeader, formatOrigin(origin));
   return headers;
--- a/packages/routing/src/decideHedge/index.ts
+++ b/packages/routing/src/decideHedge/index.ts
@@ -4,6 +4,8 @@
 export interface HedgeEvidence {
   /** Whether the request may run twice. */
   readonly isRepeatable: boolean;
+  /** Whether upstreams have ended under it. */
+  readonly isSuspect: boolean;
   /** Number of upstreams that it was sent to, and how many there may be. */
   readonly sends: number;
   readonly maxSends: number;
@@ -11,7 +13,7 @@
   readonly hasCandidate: boolean;
   /** How many upstreams of the service are heard of. */
   readonly silence: ServiceSilence;
-  /** Number of hedged requests under way that were sent while no upstream of the service was heard of. */
+  /** Number of hedged requests under way that were sent while most upstreams of the service were silent. */
   readonly probes: number;
 }
 
@@ -19,44 +21,50 @@
 export type HedgeRefusal =
   /** It may not run twice. */
   | 'notRepeatable'
+  /** It may end the upstreams that it is sent to. */
+  | 'suspect'
   /** Its route allows no further upstream. */
   | 'routeLimit'
   /** No other upstream could take it that is not silent as well. */
   | 'noUpstream'
-  /** All of the service are silent, which says nothing of one of them. */
+  /** Most of the service are silent, which says nothing of one of them. */
   | 'serviceSilent'
   /** The retry budget is used up. */
   | 'budget';
 
-/** `probe`: no upstream of the service is heard of, and this is the one request that finds out about another. */
+/** `probe`: most upstreams of the service are silent, and this is one of a few requests sent to the others. */
 export type HedgeDecision = 'hedge' | 'probe' | Exclude<HedgeRefusal, 'budget'>;
 
-/** Number of silent upstreams from which the cause is sought in all of them, if none is heard of. */
-const minSilentForAll = 2;
-/** Number of requests that are hedged at the same time while all upstreams of a service are silent. */
-const maxProbes = 1;
+/** Number of silent upstreams from which the cause is sought in what they share, if they are most of the service. */
+const minSilent = 2;
+/** Number of silent upstreams for each one that is heard of from which they are most of the service (panic threshold). */
+const panicRatio = 2;
+/** Number of requests that are hedged at the same time then, for each upstream that is heard of; one if none is. */
+const maxProbesPerSpeaking = 4;
 
 /**
  * Decides whether a request is sent to a second upstream while the first is silent (a hedged request). The first one
  * is kept: whichever gives something first goes on, and the other is aborted.
  *
- * A silence of all upstreams at once, as in a pause of their machines or of the network, says nothing of any one of
- * them. Second requests would add load just when all of them go on, so a single one finds out about the others.
+ * A silence of most upstreams at once, as in a pause of their machines or of the network, says nothing of any one of
+ * them. Second requests would overload the few others, so only some find out whether these can do it.
  *
  * @example
  * decideHedge({ ...evidence, silence: { speaking: 0, silent: 12 }, probes: 1 });
  * //=> 'serviceSilent'
  */
 export function decideHedge(evidence: HedgeEvidence): HedgeDecision {
-  const { isRepeatable, sends, maxSends, hasCandidate, silence, probes } = evidence;
+  const { isRepeatable, isSuspect, sends, maxSends, hasCandidate, silence, probes } = evidence;
   if (!isRepeatable) return 'notRepeatable';
+  if (isSuspect) return 'suspect';
   if (sends >= maxSends) return 'routeLimit';
   if (!hasCandidate) return 'noUpstream';
   if (!isServiceSilent(silence)) return 'hedge';
+  const maxProbes = Math.max(1, maxProbesPerSpeaking * silence.speaking);
   return probes < maxProbes ? 'probe' : 'serviceSilent';
 }
 
-/** Whether all upstreams of a service are silent, as far as is known. */
+/** Whether most upstreams of a service are silent, as far as is known. */
 export function isServiceSilent({ speaking, silent }: ServiceSilence): boolean {
-  return speaking === 0 && silent >= minSilentForAll;
+  return silent >= minSilent && silent > panicRatio * speaking;
 }
--- a/packages/routing/src/measureSilence/index.ts
+++ b/packages/routing/src/measureSilence/index.ts
@@ -29,9 +29,14 @@
 ): ServiceSilence {
   let speaking = 0;
   let silent = 0;
-  for (const { sinceReceivedMs, longestWaitMs } of upstreams) {
-    if (sinceReceivedMs < limitMs) speaking += 1;
-    else if (longestWaitMs >= limitMs) silent += 1;
+  for (const activity of upstreams) {
+    if (activity.sinceReceivedMs < limitMs) speaking += 1;
+    else if (isSilent(activity, limitMs)) silent += 1;
   }
   return { speaking, silent };
 }
+
+/** Whether requests wait at an upstream and nothing comes from it. */
+export function isSilent({ sinceReceivedMs, longestWaitMs }: UpstreamActivity, limitMs: number) {
+  return sinceReceivedMs >= limitMs && longestWaitMs >= limitMs;
+}
