--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -1,19 +1,9 @@
 /**
  * Sends a request to one upstream after another until it succeeds or no retry is possible.
  */
-import {
-  RouterError,
-  toRouterError,
-  type Clock,
-  type FailureDomainId,
-  type Metrics,
-  type Random,
-  type UpstreamId,
-} from '@acaciacrank/base';
+import { RouterError, toRouterError, type Metrics, type UpstreamId } from '@acaciacrank/base';
 import {
   decideHedge,
-  isSilent,
-  mayContinueStream,
   type HedgeDecision,
   type HedgeRefusal,
   type PrefillTimeModel,
@@ -24,39 +14,32 @@
 import type { RelayPeers } from '../../RelayPeers/index.js';
 import type { StreamAffinity } from '../../StreamAffinity/index.js';
 import type { RequestQuarantine, SuspectAttempt } from '@acaciacrank/callers';
-import type { UpstreamTable } from '../../UpstreamTable/index.js';
 import { Attempt, type AttemptOptions } from '../Attempt/index.js';
 import type { AttemptResult, PlainResponse } from '../AttemptResult/index.js';
 import { isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
 import { HedgedAttempts, type Contender, type EndedContender } from '../HedgedAttempts/index.js';
-import type { PrefillTimeModels } from '../PrefillTimeModels/index.js';
-import { maxConnectAttempts, silenceLimitMs, upstreamInactivityMs } from '../limits/index.js';
+import { maxConnectAttempts, upstreamInactivityMs } from '../limits/index.js';
 import type { TraceStep } from '../RequestTrace/index.js';
-import type { PromptPartLocations } from '../PromptPartLocations/index.js';
+import { createUnavailableError } from '../createUnavailableError/index.js';
+import { describeResult, describeSend, describeSilence } from '../describeAttempt/index.js';
 import { digestContent } from '../digestContent/index.js';
 import { recordStreamBegin } from '../recordStreamBegin/index.js';
 import { Relay } from '../Relay/index.js';
 import type { SilenceProbes } from '../SilenceProbes/index.js';
-import { createVersionGoneError } from '../versionErrors/index.js';
 import { responseHeaders, writePlainHead } from '../responseHeaders/index.js';
-import { lastSharedPart, pickUpstream, type UpstreamPick } from '../pickUpstream/index.js';
+import type { UpstreamPick } from '../pickUpstream/index.js';
+import { UpstreamChooser, type UpstreamChooserDependencies } from '../UpstreamChooser/index.js';
 import type { InFlightRequest, Upstream } from '../Upstream/index.js';
 
 /** Dependencies shared by all dispatches of an instance. */
-export interface DispatchDependencies {
-  readonly clock: Clock;
+export interface DispatchDependencies extends UpstreamChooserDependencies {
   readonly codec: ForwardCodec;
-  readonly upstreams: UpstreamTable;
   readonly retries: RetryShare;
   readonly quarantine: RequestQuarantine;
   readonly reach: ReachMonitor;
   readonly relayPeers: RelayPeers;
   readonly affinity: StreamAffinity;
-  readonly ownDomain: FailureDomainId;
-  readonly promptPartLocations: PromptPartLocations;
-  readonly models: PrefillTimeModels;
   readonly silenceProbes: SilenceProbes;
-  readonly random: Random;
   readonly metrics: Metrics;
 }
 
@@ -66,13 +49,6 @@
  */
 const slowResponseFactor = 1.5;
 
-/**
- * Bounds of the retry delay sent to a caller when upstreams are at their limits, in milliseconds.
- * The upper bound is low because another instance may have capacity sooner than this one.
- */
-const minRetryAfterMs = 100;
-const maxRetryAfterMs = 1_000;
-
 /** Attempts at upstreams that ended which do not count against the limit of the route. */
 const maxUncountedEnds = 2;
 
@@ -96,7 +72,7 @@
 export class Dispatch {
   readonly #dependencies: DispatchDependencies;
   readonly #call: ForwardCall;
-  readonly #attemptedIds = new Set<UpstreamId>();
+  readonly #chooser: UpstreamChooser;
   #unsentAttempts = 0;
   #wasRelayed = false;
   #contentDigest: string | undefined;
@@ -107,6 +83,7 @@
   constructor(dependencies: DispatchDependencies, call: ForwardCall) {
     this.#dependencies = dependencies;
     this.#call = call;
+    this.#chooser = new UpstreamChooser(dependencies, call);
     this.#attempts = this.#createAttempts();
   }
 
@@ -123,9 +100,10 @@
    */
   async run(): Promise<void> {
     for (;;) {
-      if (this.#attemptedIds.size > 0 && this.#mustRelay && (await this.#relay())) return;
+      if (this.#chooser.hasAttempted && this.#mustRelay && (await this.#relay())) return;
       const suspect = this.#isSuspect ? await this.#admitSuspect() : undefined;
-      const pick = suspect === undefined ? this.#pick() : this.#pickGranted(suspect);
+      const pick =
+        suspect === undefined ? this.#chooser.pick() : this.#chooser.pickOnly(suspect.upstreamId);
       if (pick === undefined) {
         suspect?.finish(false);
         throw this.#createUnavailableError();
@@ -158,7 +136,7 @@
     const { quarantine } = this.#dependencies;
     const { deadlineMs, progress, service } = this.#call;
     const request = { digest: this.#content, service: service.name };
-    const candidates = () => this.#rankApart();
+    const candidates = () => this.#chooser.rankApart();
     const admitting = quarantine.admit({ ...request, candidates, deadlineMs });
     const suspect = await admitting.catch((thrown: unknown) => {
       const { kind, message, ran } = toRouterError(thrown);
@@ -170,72 +148,6 @@
     return suspect;
   }
 
-  /**
-   * The upstreams for a request that may end them, those with the fewest requests first, so that the least is lost
-   * with one; what ran beside such a request parts from it.
-   */
-  #rankApart(): readonly UpstreamId[] {
-    const nowMs = this.#dependencies.clock.monotonicMs();
-    return this.#usable
-      .filter(({ id, hasRoom }) => hasRoom && !this.#attemptedIds.has(id))
-      .sort((a, b) => costApart(a, nowMs) - costApart(b, nowMs))
-      .map(({ id }) => id);
-  }
-
-  #pickGranted({ upstreamId }: SuspectAttempt): UpstreamPick | undefined {
-    const upstream = this.#dependencies.upstreams.get(upstreamId);
-    return upstream && this.#pickFrom([upstream]);
-  }
-
-  /** Chooses among the candidates, or among all upstreams if none of the candidates has room. */
-  #pick(isEligible: (upstream: Upstream) => boolean = () => true): UpstreamPick | undefined {
-    const { upstreams, random } = this.#dependencies;
-    const { head, service } = this.#call;
-    const key = lastSharedPart(head.promptParts)?.id ?? String(random());
-    const near = this.#filterSuitable(upstreams.candidates(service.name, key));
-    const candidates = near.filter(isEligible);
-    const all = this.#usable.filter(isEligible);
-    const pick = this.#pickProven(candidates);
-    return pick ?? (candidates.length < all.length ? this.#pickProven(all) : undefined);
-  }
-
-  /** For a stream that has begun, prefers upstreams of which it is known which run they are. */
-  #pickProven(candidates: readonly Upstream[]): UpstreamPick | undefined {
-    if (this.#call.progress.origin === undefined) return this.#pickFrom(candidates);
-    const proven = candidates.filter(({ isRunDoubted }) => !isRunDoubted);
-    return this.#pickFrom(proven) ?? this.#pickFrom(candidates);
-  }
-
-  /** The upstreams of the service that the request may be sent to. */
-  get #usable(): readonly Upstream[] {
-    const { upstreams } = this.#dependencies;
-    return this.#filterSuitable(upstreams.usable(this.#call.service.name));
-  }
-
-  /** Leaves out what may not go on with the stream. */
-  #filterSuitable(upstreams: readonly Upstream[]): readonly Upstream[] {
-    const { origin } = this.#call.progress;
-    if (origin === undefined) return upstreams;
-    return upstreams.filter(({ run }) => mayContinueStream(origin, run));
-  }
-
-  #pickFrom(candidates: readonly Upstream[]): UpstreamPick | undefined {
-    const { ownDomain, promptPartLocations, clock, random } = this.#dependencies;
-    const { head, service } = this.#call;
-    return pickUpstream({
-      candidates,
-      attemptedIds: this.#attemptedIds,
-      promptParts: head.promptParts,
-      promptTokens: head.tokens?.promptTokens ?? 0,
-      engine: service.engine,
-      model: this.#model,
-      ownDomain,
-      promptPartLocations,
-      nowMs: clock.monotonicMs(),
-      random,
-    });
-  }
-
   /** Sends the request to one upstream, and to others beside it where that one is silent. */
   async #attempt(pick: UpstreamPick, suspect?: SuspectAttempt): Promise<DispatchEnd> {
     const attempts = this.#createAttempts();
@@ -299,9 +211,9 @@
     const { upstream, fetchFrom, prefill } = pick;
     const { clock, codec, retries, upstreams } = this.#dependencies;
     const call = this.#call;
-    if (this.#attemptedIds.size === 0) retries.recordRequest(call.service.name);
-    this.#attemptedIds.add(upstream.id);
-    call.trace.add('sent', this.#describeSend(pick));
+    if (!this.#chooser.hasAttempted) retries.recordRequest(call.service.name);
+    this.#chooser.recordAttempt(upstream);
+    call.trace.add('sent', describeSend(pick, this.#chooser.usable.length));
     this.#countAgainstStatements(upstream);
     if (upstream.statements.backoff.recordSend()) upstreams.reportBackoffEnded(upstream);
     return new Attempt({
@@ -347,20 +259,21 @@
     }
     const { upstreams, silenceProbes, retries } = this.#dependencies;
     const { name: service } = this.#call.service;
-    const isEligible = (upstream: Upstream) => this.#mayHedgeAt(upstream);
+    const silence = upstreams.silenceOf(service);
     const decision = decideHedge({
       isRepeatable: isRepeatable(this.#call),
       isSuspect: this.#isSuspect,
       sends: this.#sendsUnderWay,
       maxSends: this.#maxSends,
-      hasCandidate: this.#usable.some(isEligible),
-      silence: upstreams.silenceOf(service),
+      hasCandidate: this.#chooser.hasHedge,
+      silence,
       probes: silenceProbes.countOf(service),
     });
     const isAllowed = decision === 'hedge' || decision === 'probe';
     const hasRetry = isAllowed && retries.tryRetry(service);
-    this.#reportSilence(silent, isAllowed && !hasRetry ? 'budget' : decision, lateMs);
-    const pick = hasRetry ? this.#pick(isEligible) : undefined;
+    const details = describeSilence(silent, silence, lateMs);
+    this.#reportSilence(isAllowed && !hasRetry ? 'budget' : decision, details);
+    const pick = hasRetry ? this.#chooser.pickHedge() : undefined;
     if (pick === undefined) return;
     const contender = this.#start(pick);
     this.#attempts.add(contender);
@@ -371,10 +284,6 @@
     });
   }
 
-  #mayHedgeAt({ id, hasRoom, activity }: Upstream): boolean {
-    return hasRoom && !this.#attemptedIds.has(id) && !isSilent(activity, silenceLimitMs);
-  }
-
   /** Lets a peer send the request on beside attempts from which nothing comes, since no upstream is reached. */
   #relayBeside(): void {
     const { retries } = this.#dependencies;
@@ -411,31 +320,6 @@
     if (statements.backoff.remainingMs > 0) metrics.count('sentAgainstStatement', 'backoff');
   }
 
-  /** Describes the choice of an upstream for the log. */
-  #describeSend({ upstream, fetchFrom, prefill, why }: UpstreamPick): TraceStep {
-    const { requestsPerSecond } = upstream.limit;
-    const { reportAgeMs, statements } = upstream;
-    const { leavingForMs, backoff } = statements;
-    return {
-      upstreamId: upstream.id,
-      softwareVersion: upstream.record.softwareVersion,
-      startedAtMs: upstream.record.startedAtMs,
-      why,
-      fetchFrom,
-      backlogMs: Math.round(upstream.backlogMs),
-      slotWaitMs: Math.round(upstream.slotWaitMs) || undefined,
-      readMs: prefill && Math.round(prefill.expectedMs),
-      ownInFlight: upstream.inFlight.size,
-      reportedRunning: upstream.reportedLoad?.running,
-      reportAgeMs: reportAgeMs && Math.round(reportAgeMs),
-      limitPerS: requestsPerSecond === Infinity ? undefined : requestsPerSecond,
-      warmUpMs: Math.round(upstream.warmUp.remainingMs) || undefined,
-      backoffMs: Math.round(backoff.remainingMs) || undefined,
-      leavingForMs: leavingForMs && Math.round(leavingForMs),
-      outOf: this.#usable.length,
-    };
-  }
-
   /**
    * Adds a sample to the engine model if, as far as this instance can tell, nothing was queued
    * ahead of the prompt.
@@ -542,8 +426,7 @@
     const { service } = this.#call;
     if (this.#mustRelay) return this.#dependencies.retries.tryRetry(service.name);
     if (this.#sendsUnderWay >= this.#maxSends) return this.#refuseRetry('routeLimit');
-    if (!this.#usable.some(({ id, hasRoom }) => hasRoom && !this.#attemptedIds.has(id)))
-      return this.#refuseRetry('noUpstream');
+    if (!this.#chooser.hasNext) return this.#refuseRetry('noUpstream');
     if (!this.#dependencies.retries.tryRetry(service.name)) return this.#refuseRetry('budget');
     this.#call.trace.add('repeat');
     return true;
@@ -556,58 +439,16 @@
   }
 
   #createUnavailableError(): RouterError {
-    const { progress, service } = this.#call;
-    const reason = `no upstream of ${service.name} could take the request`;
-    if (progress.mayHaveRun) return new RouterError('upstreamFailed', reason);
-    if (progress.origin !== undefined && this.#usable.length === 0) {
-      return createVersionGoneError(progress.origin);
-    }
-    return new RouterError('upstreamUnavailable', reason, this.#retryDelay());
-  }
-
-  /** Returns a retry delay if an upstream will have room, otherwise an empty object. */
-  #retryDelay(): { retryAfterMs?: number } {
-    const { metrics } = this.#dependencies;
-    const limited = this.#usable
-      .map(({ availability }) => availability)
-      .filter(({ bound }) => bound !== undefined);
-    if (limited.length === 0) return {};
-    metrics.count('refusedAtLimit');
-    const { bound, waitMs } = limited.reduce((soonest, other) =>
-      other.waitMs < soonest.waitMs ? other : soonest,
-    );
-    this.#call.trace.add('atLimit', {
-      upstreams: limited.length,
-      bound,
-      waitMs: Math.round(waitMs),
-    });
-    return { retryAfterMs: Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, waitMs)) };
+    return createUnavailableError(this.#call, this.#chooser.usable, this.#dependencies.metrics);
   }
 
-  /**
-   * Reports whether one upstream is silent, its service, or this process itself stood still, and what is done; the
-   * log line of the request shows it once for each decision.
-   */
-  #reportSilence(
-    { id: upstreamId, activity }: Upstream,
-    decision: HedgeDecision | HedgeRefusal,
-    lateMs: number,
-  ): void {
-    const { upstreams, metrics } = this.#dependencies;
-    const { service, progress, trace } = this.#call;
-    metrics.count('hedges', decision);
+  /** Reports a silence and what is done about it; the log line of the request shows it once for each decision. */
+  #reportSilence(decision: HedgeDecision | HedgeRefusal, silent: TraceStep): void {
+    const { progress, trace } = this.#call;
+    this.#dependencies.metrics.count('hedges', decision);
     if (this.#lastHedgeDecision === decision) return;
     this.#lastHedgeDecision = decision;
-    const { sinceReceivedMs, longestWaitMs } = activity;
-    trace.add('silent', {
-      upstreamId,
-      decision,
-      sinceReceivedMs: Number.isFinite(sinceReceivedMs) ? Math.round(sinceReceivedMs) : undefined,
-      longestWaitMs: Math.round(longestWaitMs),
-      timerLateMs: Math.round(lateMs),
-      events: progress.events,
-      ...upstreams.silenceOf(service.name),
-    });
+    trace.add('silent', { decision, events: progress.events, ...silent });
   }
 
   /** Updates metrics and the upstream's health from the result of an attempt. */
@@ -628,13 +469,6 @@
   }
 }
 
-/** Orders upstreams for a suspect: those in use first, and among these by their requests. */
-function costApart(upstream: Upstream, nowMs: number): number {
-  const requests = upstream.inFlight.size + (upstream.reportedLoad?.running ?? 0);
-  const ejectedCost = upstream.isEjected(nowMs) ? 1_000_000 : 0;
-  return ejectedCost + requests;
-}
-
 /** Whether the request may have reached the upstream. */
 function wasSent(result: AttemptResult): boolean {
   if ('wasSent' in result) return result.wasSent;
@@ -646,12 +480,3 @@
   if (result.kind === 'answer' || result.kind === 'broken') return true;
   return 'wasSent' in result && result.wasSent;
 }
-
-function describeResult(result: AttemptResult): TraceStep {
-  if (result.kind === 'answer') return { status: result.status, bytes: result.body.byteLength };
-  if (result.kind === 'streamed') return { longestGapMs: result.longestGapMs };
-  if (result.kind === 'notRun') return { status: result.status, backoffMs: result.backoffMs };
-  if (result.kind === 'notSent' || result.kind === 'broken') return { reason: result.reason };
-  if (result.kind === 'superseded') return { wasSilent: result.wasSilent };
-  return {};
-}
