--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -115,7 +115,7 @@
   /** Whether the upstream may be another run than that of its record. */
   #isRunUnproven = false;
   #inactivityTimer: InactivityTimer | undefined;
-  readonly #runCheckAbort = new AbortController();
+  #runCheckAbort: AbortController | undefined;
   /** Whether nothing has come from the upstream for the timeout. */
   #isSilent = false;
   /** Whether the caller has not yet taken what the upstream sent last. */
@@ -187,6 +187,7 @@
     if (!needsRunCheck({ ...evidence, isConnected })) return undefined;
     const startedMs = clock.monotonicMs();
     this.#startInactivityTimer(runCheckPatienceMs);
+    this.#runCheckAbort = new AbortController();
     const { check, why } = await checkRun(connection.client, upstream.record.startedAtMs, codec, {
       signal: this.#runCheckAbort.signal,
       // A stream that has begun goes on only where the run is known, so that there is no use in sending it unasked.
@@ -326,7 +327,7 @@
 
   #abort(reason: AbortReason): void {
     this.#abortReason ??= reason;
-    this.#runCheckAbort.abort();
+    this.#runCheckAbort?.abort();
     this.#exchange?.abort();
   }
 
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -77,20 +77,15 @@
   #wasRelayed = false;
   #contentDigest: string | undefined;
   /** The attempts that are under way beside each other. */
-  #attempts: HedgedAttempts<DispatchContender>;
+  readonly #attempts = new HedgedAttempts<DispatchContender>((ended) => {
+    this.#recordEnd(ended);
+  });
   #lastHedgeDecision: HedgeDecision | HedgeRefusal | undefined;
 
   constructor(dependencies: DispatchDependencies, call: ForwardCall) {
     this.#dependencies = dependencies;
     this.#call = call;
     this.#chooser = new UpstreamChooser(dependencies, call);
-    this.#attempts = this.#createAttempts();
-  }
-
-  #createAttempts(): HedgedAttempts<DispatchContender> {
-    return new HedgedAttempts((ended) => {
-      this.#recordEnd(ended);
-    });
   }
 
   /**
@@ -150,13 +145,11 @@
 
   /** Sends the request to one upstream, and to others beside it where that one is silent. */
   async #attempt(pick: UpstreamPick, suspect?: SuspectAttempt): Promise<DispatchEnd> {
-    const attempts = this.#createAttempts();
-    this.#attempts = attempts;
-    attempts.add(this.#start(pick, suspect));
+    this.#attempts.add(this.#start(pick, suspect));
     using _lost = this.#dependencies.reach.onLost(() => {
       this.#relayBeside();
     });
-    return await attempts.result();
+    return await this.#attempts.result();
   }
 
   #start(pick: UpstreamPick, suspect?: SuspectAttempt): DispatchContender {
--- a/packages/forwarding/src/_lib/HedgedAttempts/index.ts
+++ b/packages/forwarding/src/_lib/HedgedAttempts/index.ts
@@ -67,7 +67,10 @@
     for (const contender of this.#running) contender.supersede();
   }
 
-  /** Returns the contender that went on to the end, or if none did the failure that says most, once all have ended. */
+  /**
+   * Returns the contender that went on to the end, or if none did the failure that says most, once all have ended;
+   * contenders can be added again then.
+   */
   async result(): Promise<EndedContender<Kind>> {
     let best: EndedContender<Kind> | undefined;
     do {
--- a/packages/forwarding/src/_lib/Relay/index.ts
+++ b/packages/forwarding/src/_lib/Relay/index.ts
@@ -58,7 +58,9 @@
   readonly #call: ForwardCall;
   readonly #onProgress: () => void;
   readonly #asked = new Set<InstanceId>();
-  #attempts: HedgedAttempts<PeerContender> | undefined;
+  readonly #attempts = new HedgedAttempts<PeerContender>((ended) => {
+    this.#recordEnd(ended);
+  });
   #hasSent = false;
   #isSuperseded = false;
 
@@ -82,12 +84,8 @@
     for (;;) {
       const first = this.#startNext();
       if (first === undefined) break;
-      const attempts = new HedgedAttempts<PeerContender>((ended) => {
-        this.#recordEnd(ended);
-      });
-      this.#attempts = attempts;
-      attempts.add(first);
-      const { result } = await attempts.result();
+      this.#attempts.add(first);
+      const { result } = await this.#attempts.result();
       if (this.#isSuperseded) return false;
       if (await this.#handleResult(result)) return true;
     }
@@ -98,7 +96,7 @@
   /** Ends the relay, since the request is answered otherwise. */
   supersede(): void {
     this.#isSuperseded = true;
-    this.#attempts?.supersedeAll();
+    this.#attempts.supersedeAll();
   }
 
   /** Sends the request to another peer; undefined if there is none left. */
@@ -123,13 +121,13 @@
   #hedge(): void {
     if (this.#asked.size >= maxPeers || !this.#tryTakeRetry()) return;
     const next = this.#startNext();
-    if (next !== undefined) this.#attempts?.add(next);
+    if (next !== undefined) this.#attempts.add(next);
   }
 
   /** The peer debits the events that it sends. */
   #recordProgress(contender: PeerContender): void {
     const { progress } = this.#call;
-    this.#attempts?.recordProgress(contender);
+    this.#attempts.recordProgress(contender);
     this.#onProgress();
     progress.eventsBeforeRelay ??= progress.events;
   }
