ORDER: callers that name no attempt go on where one version has served all along

What callers saw: a stream that broke with its instance and is taken up without Resumes is refused (503), although its service has had one version only. Change: VersionHistory proves it from records seen without interruption for as long as a stream of the route lasts and 5 s, the ones that are gone included, and the route led nowhere else meanwhile.

--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -216,8 +216,7 @@
 
   async #serve(call: ForwardCall): Promise<void> {
     if (!this.#options.reach.isReached && (await this.#relay(call))) return;
-    const { affinity, metrics } = this.#options;
-    const options = { affinity, metrics, routes: this.#options.routes() };
+    const options = { ...this.#options, routes: this.#options.routes() };
     await this.#dispatch(await bindResumption(call, options));
   }
 
--- a/packages/forwarding/src/RouteTable/index.ts
+++ b/packages/forwarding/src/RouteTable/index.ts
@@ -1,5 +1,11 @@
 import type { AccountId, ServiceName } from '@acaciacrank/base';
-import type { ForwardAccount, ForwardConfiguration, Route, ServiceTraits } from '../types.js';
+import type {
+  ForwardAccount,
+  ForwardConfiguration,
+  Route,
+  RouteTarget,
+  ServiceTraits,
+} from '../types.js';
 
 /** One version of the configuration, indexed for lookups by request. */
 export class RouteTable {
@@ -7,14 +13,22 @@
   readonly #byHost = new Map<string, Map<string, Route>>();
   readonly #byKey = new Map<string, ForwardAccount>();
   readonly #services = new Map<ServiceName, ServiceTraits>();
+  /** When each route began to lead where it does. */
+  readonly #ledSinceMs = new Map<Route, number>();
 
-  constructor(configuration: ForwardConfiguration) {
+  /**
+   * @param configuration - the configuration
+   * @param nowMs - when it comes into force, on the monotonic clock
+   * @param previous - the table that it replaces
+   */
+  constructor(configuration: ForwardConfiguration, nowMs = 0, previous?: RouteTable) {
     this.configuration = configuration;
     for (const route of configuration.routes) {
       const host = route.host.toLowerCase();
       const routes = this.#byHost.get(host) ?? new Map<string, Route>();
       routes.set(route.pathPrefix, route);
       this.#byHost.set(host, routes);
+      this.#ledSinceMs.set(route, previous?.ledSinceMs(route) ?? nowMs);
     }
     for (const account of configuration.accounts ?? []) {
       for (const key of account.keys) this.#byKey.set(key, account);
@@ -48,6 +62,18 @@
     return undefined;
   }
 
+  /**
+   * Returns since when a route leads where it does, on the monotonic clock.
+   *
+   * @param route - a route of this table, or one that may replace it
+   * @returns undefined if it led elsewhere, or there was none
+   */
+  ledSinceMs({ host, pathPrefix, targets }: Route): number | undefined {
+    const own = this.#byHost.get(host.toLowerCase())?.get(pathPrefix);
+    if (own === undefined || !leadsToSame(own.targets, targets)) return undefined;
+    return this.#ledSinceMs.get(own);
+  }
+
   /** Returns the account that an API key belongs to; undefined if there is none. */
   accountForKey(key: string): ForwardAccount | undefined {
     return this.#byKey.get(key);
@@ -67,3 +93,9 @@
     return limits;
   }
 }
+
+function leadsToSame(one: readonly RouteTarget[], other: readonly RouteTarget[]): boolean {
+  return (
+    one.length === other.length && one.every(({ service }, at) => service === other[at]?.service)
+  );
+}
--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -13,6 +13,7 @@
   RunTimeEstimator,
   type ServiceSilence,
   type UpstreamReach,
+  VersionHistory,
 } from '@acaciacrank/routing';
 import { maxCopyAgeMs } from '@acaciacrank/store';
 import { applyStatement, type ReceivedStatement } from '../_lib/applyStatement/index.js';
@@ -84,6 +85,7 @@
   /** Number of instances that share connections, and when it was determined. */
   #instanceCount = { value: 1, atMs: -Infinity };
   readonly #departures: UpstreamDepartures;
+  readonly #versions: VersionHistory;
   #isStoreUnavailable = false;
   /** When the store last became available again, on the monotonic clock. */
   #storeAvailableSinceMs = -Infinity;
@@ -91,6 +93,7 @@
   constructor(options: UpstreamTableOptions) {
     this.#options = options;
     this.#departures = new UpstreamDepartures(options.clock);
+    this.#versions = new VersionHistory(options.clock);
   }
 
   /** Upstreams of a service that accept new requests. */
@@ -120,6 +123,19 @@
     );
   }
 
+  /**
+   * Returns the one software version that a service has had, its upstreams that have left included.
+   *
+   * @param service - the service
+   * @param durationMs - for how long, in milliseconds
+   * @returns undefined if there was another, or it is not known
+   */
+  soleVersion(service: ServiceName, durationMs: number): string | undefined {
+    const ofService = [...this.#byId.values()].filter(({ record }) => record.service === service);
+    const current = ofService.map(({ record }) => record.softwareVersion);
+    return this.#versions.soleVersion(service, current, durationMs);
+  }
+
   /** Returns one upstream; undefined if it is not known. */
   get(id: UpstreamId): Upstream | undefined {
     return this.#byId.get(id);
@@ -138,11 +154,13 @@
   /** Records that the store stopped responding. */
   markStoreUnavailable(): void {
     this.#isStoreUnavailable = true;
+    this.#versions.recordIncomplete();
   }
 
   /** Records that the store responds again, and starts the grace period of expired records. */
   markStoreAvailable(): void {
     this.#isStoreUnavailable = false;
+    if (this.#hasList) this.#versions.recordComplete();
     this.#storeAvailableSinceMs = this.#options.clock.monotonicMs();
     for (const id of [...this.#expired.keys()]) this.#startGracePeriod(id);
   }
@@ -153,6 +171,7 @@
    * the others stay out of use until a record of their next run appears.
    */
   markStoreRestored(): void {
+    this.#versions.recordIncomplete();
     this.#departures.markStoreRestored();
     this.#options.clock.schedule(maxCopyAgeMs, () => {
       for (const record of this.#departures.refused) this.put(record);
@@ -167,6 +186,7 @@
     const changes = records.map((record) => this.#apply(record));
     if (changes.includes(true)) this.#isIndexStale = true;
     this.#hasList = true;
+    if (!this.#isStoreUnavailable) this.#versions.recordComplete();
   }
 
   /**
@@ -305,6 +325,7 @@
     const wasLeaving = known.isLeaving;
     const previousDomain = known.record.failureDomain;
     if (isNewerRecord(known.record, record)) this.#applyWarmUp(known, record);
+    if (known.record.softwareVersion !== record.softwareVersion) this.#recordVersionGone(known);
     known.record = record;
     // A copy from before an upstream left does not bring it back.
     const staysLeaving = this.#departures.wasStoreRestored && known.isLeavingByRecord;
@@ -394,7 +415,12 @@
     this.#isIndexStale = true;
   }
 
+  #recordVersionGone({ record }: Upstream): void {
+    this.#versions.recordGone(record.service, record.softwareVersion);
+  }
+
   #closeUpstream(upstream: Upstream): void {
+    this.#recordVersionGone(upstream);
     upstream.isLeavingByRecord = true;
     this.#byId.delete(upstream.id);
     upstream[Symbol.asyncDispose]().catch(() => {
--- a/packages/forwarding/src/_lib/ActiveConfiguration/index.ts
+++ b/packages/forwarding/src/_lib/ActiveConfiguration/index.ts
@@ -105,12 +105,13 @@
 
   /** Applies a configuration, unless the one in force is the same or newer; returns whether it did. */
   #apply(stored: StoredObject): boolean {
-    const { codec, onApplied, log, metrics } = this.#options;
+    const { clock, codec, onApplied, log, metrics } = this.#options;
     try {
       const configuration = codec.readConfiguration(stored);
-      const currentVersion = this.routes.value?.configuration.version;
+      const current = this.routes.value;
+      const currentVersion = current?.configuration.version;
       if (currentVersion !== undefined && configuration.version <= currentVersion) return false;
-      const table = new RouteTable(configuration);
+      const table = new RouteTable(configuration, clock.monotonicMs(), current);
       this.#stored = stored;
       this.routes.set(table);
       onApplied(table);
--- a/packages/forwarding/src/_lib/bindResumption/index.ts
+++ b/packages/forwarding/src/_lib/bindResumption/index.ts
@@ -1,10 +1,11 @@
 /**
  * Binds a request that takes a stream up to the software version that began it.
  */
-import type { Metrics } from '@acaciacrank/base';
+import type { Clock, Metrics, UpstreamId } from '@acaciacrank/base';
 import type { UpstreamRun } from '@acaciacrank/routing';
 import type { RouteTable } from '../../RouteTable/index.js';
 import type { StreamAffinity } from '../../StreamAffinity/index.js';
+import type { UpstreamTable } from '../../UpstreamTable/index.js';
 import type { ForwardCall } from '../ForwardCall/index.js';
 import { parseOrigin, relayOriginHeader } from '../relayProtocol/index.js';
 import { streamKeyOf } from '../streamKeyOf/index.js';
@@ -12,17 +13,27 @@
 
 /** Options of {@link bindResumption}. */
 export interface BindResumptionOptions {
+  readonly clock: Clock;
   readonly affinity: StreamAffinity;
+  readonly upstreams: Pick<UpstreamTable, 'soleVersion'>;
   readonly metrics: Metrics;
   readonly routes: RouteTable | undefined;
 }
 
-/** The run that began a stream, and how this instance knows it: its own record, a peer's, or the relaying peer. */
+/**
+ * The run that began a stream, and how this instance knows it: its own record, a peer's, the relaying peer, or since
+ * the service has had one version only.
+ */
 interface FoundOrigin {
   readonly run: UpstreamRun;
-  readonly source: 'own' | 'peer' | 'relay';
+  readonly source: 'own' | 'peer' | 'relay' | 'soleVersion';
 }
 
+/** Names no upstream. */
+const unknownUpstream = '' as UpstreamId;
+/** How much later than it began a stream may be taken up, beyond the timeout of its route, in milliseconds. */
+const takeUpSlackMs = 5_000;
+
 /**
  * Finds out what began the stream that a request takes up, so that only the same version goes on with it.
  *
@@ -34,10 +45,11 @@
  */
 export async function bindResumption(
   call: ForwardCall,
-  { affinity, metrics, routes }: BindResumptionOptions,
+  options: BindResumptionOptions,
 ): Promise<ForwardCall> {
+  const { affinity, metrics, routes } = options;
   if (!isResumption(call)) return call;
-  const found = await findOrigin(call, affinity);
+  const found = (await findOrigin(call, affinity)) ?? findSoleOrigin(call, options);
   metrics.count('resumptions', found?.source ?? 'unknown');
   const softwareVersion = found?.run.softwareVersion;
   call.trace.add('resumption', { knownFrom: found?.source, softwareVersion });
@@ -66,3 +78,21 @@
   if (head.resumedAttempt === undefined) return undefined;
   return affinity.find(streamKeyOf(account?.accountId, head.resumedAttempt));
 }
+
+/** For a caller that names no attempt: the one version that has served the route for as long as a stream lasts. */
+function findSoleOrigin(
+  { head, route }: ForwardCall,
+  { clock, upstreams, routes }: BindResumptionOptions,
+): FoundOrigin | undefined {
+  const [target, ...others] = route.targets;
+  if (head.resumedAttempt !== undefined || target === undefined || others.length > 0)
+    return undefined;
+  const durationMs = route.timeoutMs + takeUpSlackMs;
+  const ledSinceMs = routes?.ledSinceMs(route) ?? Infinity;
+  if (clock.monotonicMs() - ledSinceMs < durationMs) return undefined;
+  const { service } = target;
+  const softwareVersion = upstreams.soleVersion(service, durationMs);
+  if (softwareVersion === undefined) return undefined;
+  const run = { service, upstreamId: unknownUpstream, startedAtMs: undefined, softwareVersion };
+  return { run, source: 'soleVersion' };
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -27,6 +27,7 @@
 export * from './rankByKey/index.js';
 export * from './HashRing/index.js';
 export * from './chooseWarmUpHolders/index.js';
+export * from './VersionHistory/index.js';
 export * from './WarmUp/index.js';
 export * from './PrefillTimeModel/index.js';
 export * from './PeerBacklogEstimator/index.js';
