A silence of what may run once only is reported in its log line too

The count of silent upstreams is kept for 50 ms, so that many slow requests do not look through all upstreams of a large service each.

--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -54,6 +54,8 @@
 
 /** How long the number of instances that share connections is cached, in milliseconds. */
 const instanceCountTtlMs = 250;
+/** How long the number of silent upstreams is cached, in milliseconds. */
+const silenceTtlMs = 50;
 
 /**
  * The usable upstreams, from their records in the store.
@@ -82,6 +84,8 @@
    * Upstreams whose records disappeared, with the timer of their grace period once it has started.
    */
   readonly #expired = new Map<UpstreamId, Disposable | undefined>();
+  /** How many upstreams of a service were silent, and when that was determined. */
+  readonly #silences = new Map<ServiceName, { silence: ServiceSilence; atMs: number }>();
   /** Number of instances that share connections, and when it was determined. */
   #instanceCount = { value: 1, atMs: -Infinity };
   readonly #departures: UpstreamDepartures;
@@ -117,10 +121,13 @@
 
   /** How many upstreams of a service are heard of, and how many are silent. */
   silenceOf(service: ServiceName): ServiceSilence {
-    return measureSilence(
-      this.usable(service).map(({ activity }) => activity),
-      silenceLimitMs,
-    );
+    const nowMs = this.#options.clock.monotonicMs();
+    const known = this.#silences.get(service);
+    if (known !== undefined && nowMs - known.atMs < silenceTtlMs) return known.silence;
+    const activities = this.usable(service).map(({ activity }) => activity);
+    const silence = measureSilence(activities, silenceLimitMs);
+    this.#silences.set(service, { silence, atMs: nowMs });
+    return silence;
   }
 
   /**
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -258,7 +258,7 @@
       isSuspect: this.#isSuspect,
       sends: this.#sendsUnderWay,
       maxSends: this.#maxSends,
-      hasCandidate: this.#chooser.hasHedge,
+      hasCandidate: () => this.#chooser.hasHedge,
       silence,
       probes: silenceProbes.countOf(service),
     });
@@ -328,10 +328,9 @@
     return this.#dependencies.models.get(this.#call.service.name);
   }
 
-  /** How long to wait for an upstream until another one may be asked; undefined if none may. */
-  get #inactivityTimeoutMs(): number | undefined {
+  /** How long to wait for an upstream until its silence is reported, and another one is asked if that is allowed. */
+  get #inactivityTimeoutMs(): number {
     const { route } = this.#call;
-    if (!isRepeatable(this.#call)) return undefined;
     if (route.kind === 'stream') return Math.max(upstreamInactivityMs, 2 * route.targetLatencyMs);
     return slowResponseFactor * route.targetLatencyMs;
   }
--- a/packages/routing/src/decideHedge/index.ts
+++ b/packages/routing/src/decideHedge/index.ts
@@ -9,8 +9,8 @@
   /** Number of upstreams that it was sent to, and how many there may be. */
   readonly sends: number;
   readonly maxSends: number;
-  /** Whether another upstream that is not silent itself could take it. */
-  readonly hasCandidate: boolean;
+  /** Returns whether another upstream that is not silent itself could take it. */
+  readonly hasCandidate: () => boolean;
   /** How many upstreams of the service are heard of. */
   readonly silence: ServiceSilence;
   /** Number of hedged requests under way that were sent while most upstreams of the service were silent. */
@@ -58,7 +58,7 @@
   if (!isRepeatable) return 'notRepeatable';
   if (isSuspect) return 'suspect';
   if (sends >= maxSends) return 'routeLimit';
-  if (!hasCandidate) return 'noUpstream';
+  if (!hasCandidate()) return 'noUpstream';
   if (!isServiceSilent(silence)) return 'hedge';
   const maxProbes = Math.max(1, maxProbesPerSpeaking * silence.speaking);
   return probes < maxProbes ? 'probe' : 'serviceSilent';
--- a/packages/routing/src/decideHedge/test.ts
+++ b/packages/routing/src/decideHedge/test.ts
@@ -6,7 +6,7 @@
   isSuspect: false,
   sends: 1,
   maxSends: 2,
-  hasCandidate: true,
+  hasCandidate: () => true,
   silence: { speaking: 3, silent: 1 },
   probes: 0,
 };
@@ -40,5 +40,5 @@
   t.is(decideHedge({ ...evidence, isRepeatable: false }), 'notRepeatable');
   t.is(decideHedge({ ...evidence, isSuspect: true }), 'suspect');
   t.is(decideHedge({ ...evidence, sends: 2 }), 'routeLimit');
-  t.is(decideHedge({ ...evidence, hasCandidate: false }), 'noUpstream');
+  t.is(decideHedge({ ...evidence, hasCandidate: () => false }), 'noUpstream');
 });
