Hedged requests: a replacement that is of no use ends nothing, and is replaced at once

Change: what brings no event ends no stream that has begun; sequence is checked before anything is aborted; whoever fails is replaced at once; an answer that reports a failure counts before the deadline and after one more silence; a probe's place is free at its first event, and who waits is called; retries are objects, counted from when they are sent; the answer to a run check is a sign of life; events that come through a peer are counted, rather than those before. HedgePermits holds what was in Dispatch.

--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -194,7 +194,7 @@
         sendCount: 0,
         endedCount: 0,
         events: 0,
-        eventsBeforeRelay: undefined,
+        peerEvents: 0,
         lastEventId: undefined,
         origin: undefined,
       },
@@ -386,7 +386,7 @@
  */
 function countUsedTokens({ progress, service }: ForwardCall, tokens: TokenDemand): number {
   if (progress.sendCount === 0) return 0;
-  const events = progress.eventsBeforeRelay ?? progress.events;
+  const events = progress.events - progress.peerEvents;
   if (events === 0 && !progress.mayHaveRun) return 0;
   const perEvent = service.engine?.tokensPerEvent ?? 1;
   return tokens.promptTokens + Math.min(tokens.maxOutputTokens, events * perEvent);
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -149,7 +149,8 @@
       if (check === 'unproven' && this.#isResumption)
         return { kind: 'notSent', reason: 'it is not known which run the upstream is' };
       if (this.#options.mayBeSent?.() === false)
-        return { kind: 'notSent', reason: 'another attempt was sent meanwhile' };
+        return { kind: 'superseded', wasSent: false, wasSilent: false };
+      if (check !== undefined) upstream.recordSent(inFlightRequest);
       this.#startInactivityTimer(this.#options.inactivityTimeoutMs);
       const exchange = new Exchange(connection.client, this.#createRequest(), this);
       this.#exchange = exchange;
@@ -197,6 +198,7 @@
     call.trace.add('runCheck', { upstreamId: upstream.id, check, why, tookMs, isDoubted });
     this.#provenConnection = { connection, openCount: connection.openCount };
     if (check === 'same') upstream.confirmRun();
+    if (check !== 'notStated') this.#recordContact();
     const isUnknown = check === 'notStated';
     // The request would open another connection, maybe to another run.
     const isLost = this.#isResumption && !connection.isOpen;
@@ -244,7 +246,9 @@
       const onEvents = () => {
         this.#recordEvents();
       };
-      const relay = new StreamRelay({ call, head: response, callerHeaders, onBegin, onEvents });
+      const isRelayed = this.#options.relayedBy !== undefined;
+      const callbacks = { callerHeaders, onBegin, onEvents };
+      const relay = new StreamRelay({ call, head: response, isRelayed, ...callbacks });
       this.#bodyHandling = { kind: 'relay', relay };
     } else {
       this.#collect((body) => ({ kind: 'answer', status, headers, body, isFramed }));
@@ -303,7 +307,11 @@
       return { kind: 'broken', reason: 'the response has no head', isConnectionLost: false };
     if (handling.kind === 'collect') return handling.result(handling.collector.body);
     return handling.relay.finish()
-      ? { kind: 'streamed', longestGapMs: Math.round(longestGapMs) }
+      ? {
+          kind: 'streamed',
+          longestGapMs: Math.round(longestGapMs),
+          isEmpty: handling.relay.isEmpty,
+        }
       : {
           kind: 'broken',
           reason: 'the stream ended in the middle of an event',
@@ -315,6 +323,11 @@
     this.#bodyHandling = { kind: 'collect', collector: new BodyCollector(), result };
   }
 
+  /** Whether nothing has come from the upstream for the timeout. */
+  get isSilent(): boolean {
+    return this.#isSilent && !this.#hasEnded;
+  }
+
   /** Whether the request has been sent, and the attempt has not ended. */
   get isUnderWay(): boolean {
     return this.#exchange !== undefined && !this.#hasEnded;
@@ -376,6 +389,12 @@
     this.#inactivityTimer?.recordActivity();
   }
 
+  /** The answer to a run check is a sign of life. */
+  #recordContact(): void {
+    this.#isSilent = false;
+    this.#options.upstream.recordContact();
+  }
+
   #startInactivityTimer(timeoutMs: number | undefined): void {
     const { clock, inactivityTimeoutMs } = this.#options;
     this.#inactivityTimer?.[Symbol.dispose]();
@@ -392,7 +411,7 @@
     const abortReason = this.#abortReason;
     const wasStarted = !wasNeverSent(thrown);
     if (abortReason === 'superseded')
-      return { kind: abortReason, wasSent: wasStarted, wasSilent: this.#isSilent };
+      return { kind: abortReason, wasSent: wasStarted, wasSilent: wasStarted && this.#isSilent };
     if (abortReason !== undefined) return { kind: abortReason, wasSent: wasStarted };
     if (!wasStarted) return { kind: 'notSent', reason: toRouterError(thrown).message };
     const isConnectionLost = !(thrown instanceof RouterError);
--- a/packages/forwarding/src/_lib/AttemptResult/index.ts
+++ b/packages/forwarding/src/_lib/AttemptResult/index.ts
@@ -6,8 +6,7 @@
 /** How an attempt ended. */
 export type AttemptResult =
   | PlainResponse
-  /** A stream that was relayed to its end. */
-  | { readonly kind: 'streamed'; readonly longestGapMs: number }
+  | StreamedResult
   /** A peer took the request, and its response has been passed on to the end. */
   | { readonly kind: 'relayed' }
   | NotSentResult
@@ -19,6 +18,14 @@
   /** The caller disconnected; `wasSent` as for `deadline`. */
   | { readonly kind: 'callerGone'; readonly wasSent: boolean };
 
+/** A stream that was relayed to its end. */
+export interface StreamedResult {
+  readonly kind: 'streamed';
+  readonly longestGapMs: number;
+  /** Whether this attempt has brought no event. */
+  readonly isEmpty: boolean;
+}
+
 /** Aborted by this instance, since another attempt of the same request has given something. */
 export interface SupersededResult {
   readonly kind: 'superseded';
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -1,14 +1,8 @@
 /**
  * Sends a request to one upstream after another until it succeeds or no retry is possible.
  */
-import { RouterError, toRouterError, type Metrics, type UpstreamId } from '@acaciacrank/base';
-import {
-  decideHedge,
-  type HedgeDecision,
-  type HedgeRefusal,
-  type PrefillTimeModel,
-  type RetryShare,
-} from '@acaciacrank/routing';
+import { RouterError, toRouterError, type UpstreamId } from '@acaciacrank/base';
+import type { PrefillTimeModel } from '@acaciacrank/routing';
 import type { ForwardCodec } from '../../ForwardCodec/index.js';
 import type { ReachMonitor } from '../../ReachMonitor/index.js';
 import type { RelayPeers } from '../../RelayPeers/index.js';
@@ -17,30 +11,31 @@
 import { Attempt, type AttemptOptions } from '../Attempt/index.js';
 import type { AttemptResult, PlainResponse } from '../AttemptResult/index.js';
 import { isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
+import {
+  HedgePermits,
+  type HedgePermit,
+  type HedgePermitsDependencies,
+} from '../HedgePermits/index.js';
 import { HedgedAttempts, type Contender, type EndedContender } from '../HedgedAttempts/index.js';
 import { maxConnectAttempts, upstreamInactivityMs } from '../limits/index.js';
-import type { TraceStep } from '../RequestTrace/index.js';
 import { createUnavailableError } from '../createUnavailableError/index.js';
-import { describeResult, describeSend, describeSilence } from '../describeAttempt/index.js';
+import { describeResult, describeSend } from '../describeAttempt/index.js';
 import { digestContent } from '../digestContent/index.js';
 import { recordStreamBegin } from '../recordStreamBegin/index.js';
 import { Relay } from '../Relay/index.js';
-import type { SilenceProbes } from '../SilenceProbes/index.js';
 import { responseHeaders, writePlainHead } from '../responseHeaders/index.js';
 import type { UpstreamPick } from '../pickUpstream/index.js';
 import { UpstreamChooser, type UpstreamChooserDependencies } from '../UpstreamChooser/index.js';
 import type { InFlightRequest, Upstream } from '../Upstream/index.js';
 
 /** Dependencies shared by all dispatches of an instance. */
-export interface DispatchDependencies extends UpstreamChooserDependencies {
+export interface DispatchDependencies
+  extends UpstreamChooserDependencies, HedgePermitsDependencies {
   readonly codec: ForwardCodec;
-  readonly retries: RetryShare;
   readonly quarantine: RequestQuarantine;
   readonly reach: ReachMonitor;
   readonly relayPeers: RelayPeers;
   readonly affinity: StreamAffinity;
-  readonly silenceProbes: SilenceProbes;
-  readonly metrics: Metrics;
 }
 
 /**
@@ -64,6 +59,8 @@
   readonly upstream: Upstream | undefined;
   /** Whether it counts against the upstreams that the route allows, and has not ended. */
   readonly isUnderWay: boolean;
+  /** Whether nothing has come from it for a while. */
+  readonly isSilent: boolean;
 }
 
 type DispatchEnd = EndedContender<DispatchContender>;
@@ -77,15 +74,19 @@
   #wasRelayed = false;
   #contentDigest: string | undefined;
   /** The attempts that are under way beside each other. */
-  readonly #attempts = new HedgedAttempts<DispatchContender>((ended) => {
-    this.#recordEnd(ended);
+  readonly #attempts = new HedgedAttempts<DispatchContender>({
+    onEnded: (ended) => {
+      this.#handleContenderEnd(ended);
+    },
+    hasBegun: () => this.#call.progress.events > 0,
   });
-  #lastHedgeDecision: HedgeDecision | HedgeRefusal | undefined;
+  readonly #permits: HedgePermits;
 
   constructor(dependencies: DispatchDependencies, call: ForwardCall) {
     this.#dependencies = dependencies;
     this.#call = call;
     this.#chooser = new UpstreamChooser(dependencies, call);
+    this.#permits = new HedgePermits(dependencies, call, this.#chooser);
   }
 
   /**
@@ -94,6 +95,7 @@
    * @throws RouterError that states why there is no response and whether the request may have run
    */
   async run(): Promise<void> {
+    using _permits = this.#permits;
     for (;;) {
       if (this.#chooser.hasAttempted && this.#mustRelay && (await this.#relay())) return;
       const suspect = this.#isSuspect ? await this.#admitSuspect() : undefined;
@@ -145,29 +147,45 @@
 
   /** Sends the request to one upstream, and to others beside it where that one is silent. */
   async #attempt(pick: UpstreamPick, suspect?: SuspectAttempt): Promise<DispatchEnd> {
-    this.#attempts.add(this.#start(pick, suspect));
+    this.#attempts.add(this.#start(pick, { suspect }));
     using _lost = this.#dependencies.reach.onLost(() => {
       this.#relayBeside();
     });
     return await this.#attempts.result();
   }
 
-  #start(pick: UpstreamPick, suspect?: SuspectAttempt): DispatchContender {
+  #start(
+    pick: UpstreamPick,
+    { suspect, permit }: { suspect?: SuspectAttempt | undefined; permit?: HedgePermit } = {},
+  ): DispatchContender {
     const attempt: Attempt = this.#createAttempt(pick, {
-      mayBeSent: () => this.#sendsUnderWay < this.#maxSends,
+      mayBeSent: () => {
+        const mayBeSent = this.#sendsUnderWay < this.#call.route.maxUpstreams;
+        if (mayBeSent) permit?.recordSent();
+        return mayBeSent;
+      },
       onProgress: () => {
+        permit?.recordProgress();
         this.#attempts.recordProgress(contender);
       },
       onSilent: (lateMs) => {
         this.#handleSilence(pick.upstream, lateMs);
+        // What another one has answered is not held back for one that stays silent.
+        if (this.#attempts.hasHeld) this.#attempts.supersedeAll();
       },
     });
     const contender: DispatchContender = {
       upstream: pick.upstream,
-      ended: this.#runAttempt(pick.upstream, attempt, suspect),
+      ended: this.#runAttempt(pick.upstream, attempt, suspect).then((result) => {
+        permit?.end(wasSent(result));
+        return result;
+      }),
       get isUnderWay() {
         return attempt.isUnderWay;
       },
+      get isSilent() {
+        return attempt.isSilent;
+      },
       supersede: () => {
         attempt.supersede();
       },
@@ -189,7 +207,11 @@
       if (wasSent(result)) this.#call.progress.sendCount += 1;
       wasAnswered = result.kind === 'answer' || result.kind === 'streamed';
       if (wasAnswered) quarantine.recordAnswered(this.#content);
-      if (result.kind === 'broken' && result.isConnectionLost) await this.#checkEnd(upstream);
+      if (result.kind === 'broken' && result.isConnectionLost) {
+        const checking = this.#checkEnd(upstream);
+        // An answer of another attempt does not wait for it.
+        if (this.#attempts.running.size < 2) await checking;
+      }
       return result;
     } finally {
       if (suspect !== undefined) upstream.suspects.delete(suspect);
@@ -240,48 +262,36 @@
     return countedSends + [...this.#attempts.running].filter((one) => one.isUnderWay).length;
   }
 
-  get #maxSends(): number {
-    return this.#call.route.maxUpstreams;
-  }
-
-  /** Sends the request to a second upstream, or through a peer, beside the one that is silent, if that is allowed. */
-  #handleSilence(silent: Upstream, lateMs: number): void {
+  /** Sends the request to a further upstream, or through a peer, beside the silent one, if that is allowed. */
+  #handleSilence(upstream: Upstream, lateMs: number): void {
     if (this.#mustRelay) {
       this.#relayBeside();
       return;
     }
-    const { upstreams, silenceProbes, retries } = this.#dependencies;
-    const { name: service } = this.#call.service;
-    const silence = upstreams.silenceOf(service);
-    const decision = decideHedge({
-      isRepeatable: isRepeatable(this.#call),
-      isSuspect: this.#isSuspect,
+    const { suspects } = this.#dependencies.quarantine;
+    const permit = this.#permits.request({
+      upstream,
+      lateMs,
       sends: this.#sendsUnderWay,
-      maxSends: this.#maxSends,
-      hasCandidate: () => this.#chooser.hasHedge,
-      silence,
-      probes: silenceProbes.countOf(service),
-    });
-    const isAllowed = decision === 'hedge' || decision === 'probe';
-    const hasRetry = isAllowed && retries.tryRetry(service);
-    const details = describeSilence(silent, silence, lateMs);
-    this.#reportSilence(isAllowed && !hasRetry ? 'budget' : decision, details);
-    const pick = hasRetry ? this.#chooser.pickHedge() : undefined;
-    if (pick === undefined) return;
-    const contender = this.#start(pick);
-    this.#attempts.add(contender);
-    const probe = decision === 'probe' ? silenceProbes.begin(service) : undefined;
-    void contender.ended.then((result) => {
-      probe?.[Symbol.dispose]();
-      if (!wasSent(result)) retries.returnRetry(service);
+      endCount: suspects.isEmpty ? 0 : suspects.ends(this.#content).length,
+      onRoom: () => {
+        this.#hedgeAgain();
+      },
     });
+    if (permit !== undefined) this.#attempts.add(this.#start(permit.pick, { permit }));
+  }
+
+  /** Asks once more for a further upstream, if one at which the request is under way is still silent. */
+  #hedgeAgain(): void {
+    const silent = [...this.#attempts.running].find(({ isSilent }) => isSilent);
+    if (silent?.upstream !== undefined) this.#handleSilence(silent.upstream, 0);
   }
 
   /** Lets a peer send the request on beside attempts from which nothing comes, since no upstream is reached. */
   #relayBeside(): void {
-    const { retries } = this.#dependencies;
-    const { service } = this.#call;
-    if (!this.#mustRelay || !isRepeatable(this.#call) || !retries.tryRetry(service.name)) return;
+    if (!this.#mustRelay || !isRepeatable(this.#call) || this.#attempts.running.size === 0) return;
+    const retry = this.#dependencies.retries.takeRetry(this.#call.service.name);
+    if (retry === undefined) return;
     this.#wasRelayed = true;
     const relay = new Relay(this.#dependencies, this.#call, {
       onProgress: () => {
@@ -291,14 +301,12 @@
     const contender: DispatchContender = {
       upstream: undefined,
       isUnderWay: false,
-      ended: relay.run().then(
-        (isServed) =>
-          isServed ? { kind: 'relayed' } : { kind: 'notSent', reason: 'no peer took the request' },
-        (thrown: unknown) => {
-          const reason = toRouterError(thrown).message;
-          return { kind: 'broken', reason, isConnectionLost: false };
-        },
-      ),
+      isSilent: false,
+      ended: relay.run().then((isServed) => {
+        if (isServed) return { kind: 'relayed' };
+        retry.giveBack();
+        return { kind: 'notSent', reason: 'no peer took the request' };
+      }),
       supersede: () => {
         relay.supersede();
       },
@@ -355,7 +363,12 @@
     return (this.#contentDigest ??= digestContent(this.#call));
   }
 
-  /** Records the end of one attempt, whether or not others go on. */
+  /** Handles the end of one attempt, whether or not others go on; what fails is replaced at once beside a silent one. */
+  #handleContenderEnd(ended: DispatchEnd): void {
+    this.#recordEnd(ended);
+    if (ended.result.kind !== 'superseded') this.#hedgeAgain();
+  }
+
   #recordEnd({ contender, result }: DispatchEnd): void {
     const { progress, trace } = this.#call;
     const { upstream } = contender;
@@ -397,7 +410,7 @@
         );
       case 'deadline':
         throw new RouterError('deadlineExceeded', 'the deadline of the request has passed', {
-          ran: call.progress.sendCount > 0 ? 'unknown' : 'notRun',
+          ran: call.progress.sendCount > 0 || call.progress.mayHaveRun ? 'unknown' : 'notRun',
         });
       case 'callerGone':
         throw new RouterError('cancelled', 'the caller disconnected');
@@ -417,7 +430,8 @@
   #tryTakeRetry(): boolean {
     const { service } = this.#call;
     if (this.#mustRelay) return this.#dependencies.retries.tryRetry(service.name);
-    if (this.#sendsUnderWay >= this.#maxSends) return this.#refuseRetry('routeLimit');
+    if (this.#sendsUnderWay >= this.#call.route.maxUpstreams)
+      return this.#refuseRetry('routeLimit');
     if (!this.#chooser.hasNext) return this.#refuseRetry('noUpstream');
     if (!this.#dependencies.retries.tryRetry(service.name)) return this.#refuseRetry('budget');
     this.#call.trace.add('repeat');
@@ -434,15 +448,6 @@
     return createUnavailableError(this.#call, this.#chooser.usable, this.#dependencies.metrics);
   }
 
-  /** Reports a silence and what is done about it; the log line of the request shows it once for each decision. */
-  #reportSilence(decision: HedgeDecision | HedgeRefusal, silent: TraceStep): void {
-    const { progress, trace } = this.#call;
-    this.#dependencies.metrics.count('hedges', decision);
-    if (this.#lastHedgeDecision === decision) return;
-    this.#lastHedgeDecision = decision;
-    trace.add('silent', { decision, events: progress.events, ...silent });
-  }
-
   /** Updates metrics and the upstream's health from the result of an attempt. */
   #recordResult(upstream: Upstream, result: AttemptResult): void {
     const { upstreams, metrics } = this.#dependencies;
--- a/packages/forwarding/src/_lib/ForwardCall/index.ts
+++ b/packages/forwarding/src/_lib/ForwardCall/index.ts
@@ -40,8 +40,8 @@
   endedCount: number;
   /** Number of events relayed to the caller, including events whose write failed. */
   events: number;
-  /** Number of these that came before a peer took over; it debits the rest. Undefined if none did. */
-  eventsBeforeRelay: number | undefined;
+  /** Number of these that came through a peer, which debits them. */
+  peerEvents: number;
   /** The id of the last event relayed to the caller. */
   lastEventId: string | undefined;
   /** The run of an upstream that sent the first event; undefined before that. */
--- a/packages/forwarding/src/_lib/HedgedAttempts/index.ts
+++ b/packages/forwarding/src/_lib/HedgedAttempts/index.ts
@@ -1,11 +1,11 @@
 /**
  * Attempts of one request that run beside each other (a hedged request) until one of them has given something.
  */
+import { toRouterError } from '@acaciacrank/base';
 import type { AttemptResult } from '../AttemptResult/index.js';
 
 /** An attempt that may run beside others of the same request. */
 export interface Contender {
-  /** Its result; never rejects. */
   readonly ended: Promise<AttemptResult>;
   /** Aborts it, since another one has given something. */
   supersede(): void;
@@ -17,9 +17,30 @@
   readonly result: AttemptResult;
 }
 
+/** Options of {@link HedgedAttempts}. */
+export interface HedgedAttemptsOptions<Kind extends Contender> {
+  /** Called with the result of each contender, in order, before {@link HedgedAttempts.result} resolves. */
+  readonly onEnded: (ended: EndedContender<Kind>) => void;
+  /** Whether events of a stream have been passed on, so that nothing but further events is of use. */
+  readonly hasBegun: () => boolean;
+}
+
 /** Responses with this status or above may be specific to one upstream. */
 const firstServerError = 500;
 
+/** How much a result says of the request; what has a higher rank is preferred. */
+const ranks = {
+  superseded: 0,
+  notSent: 1,
+  notRun: 2,
+  broken: 3,
+  deadline: 4,
+  /** Something that counts if no other contender brings anything. */
+  held: 5,
+  callerGone: 6,
+  final: 7,
+} as const;
+
 /**
  * Keeps what lives until its replacement has given something.
  *
@@ -27,19 +48,19 @@
  * that may be refused, fail or be silent as well.
  *
  * @example
- * const attempts = new HedgedAttempts(recordEnd);
+ * const attempts = new HedgedAttempts({ onEnded, hasBegun });
  * attempts.add(first);
  * const { result } = await attempts.result();
  */
 export class HedgedAttempts<Kind extends Contender> {
   readonly #running = new Set<Kind>();
   readonly #ended: EndedContender<Kind>[] = [];
-  readonly #onEnded: (ended: EndedContender<Kind>) => void;
+  readonly #options: HedgedAttemptsOptions<Kind>;
+  #best: EndedContender<Kind> | undefined;
   #wake: () => void = () => undefined;
 
-  /** @param onEnded - called with the result of each contender, in order, before {@link result} resolves */
-  constructor(onEnded: (ended: EndedContender<Kind>) => void) {
-    this.#onEnded = onEnded;
+  constructor(options: HedgedAttemptsOptions<Kind>) {
+    this.#options = options;
   }
 
   /** The contenders that have not ended. */
@@ -47,12 +68,21 @@
     return this.#running;
   }
 
+  /** Whether one has ended with something that counts if no other brings anything. */
+  get hasHeld(): boolean {
+    return this.#best !== undefined && this.#rankOf(this.#best.result) === ranks.held;
+  }
+
   /** Adds a contender that has begun. */
   add(contender: Kind): void {
     this.#running.add(contender);
-    void contender.ended.then((result) => {
+    const end = (result: AttemptResult) => {
       this.#ended.push({ contender, result });
       this.#wake();
+    };
+    contender.ended.then(end, (thrown: unknown) => {
+      const reason = toRouterError(thrown).message;
+      end({ kind: 'broken', reason, isConnectionLost: false });
     });
   }
 
@@ -72,13 +102,14 @@
    * contenders can be added again then.
    */
   async result(): Promise<EndedContender<Kind>> {
-    let best: EndedContender<Kind> | undefined;
-    do {
+    this.#best = undefined;
+    for (;;) {
       const ended = await this.#next();
-      best = best === undefined ? ended : preferOf(best, ended);
-      if (isFinal(ended.result)) this.supersedeAll();
-    } while (this.#running.size > 0);
-    return best;
+      this.#best = this.#best === undefined ? ended : this.#preferOf(this.#best, ended);
+      if (this.#endsAll(ended.result)) this.supersedeAll();
+      this.#options.onEnded(ended);
+      if (this.#running.size === 0) return this.#best;
+    }
   }
 
   async #next(): Promise<EndedContender<Kind>> {
@@ -91,38 +122,31 @@
         continue;
       }
       this.#running.delete(ended.contender);
-      this.#onEnded(ended);
       return ended;
     }
   }
-}
 
-function preferOf<Kind extends Contender>(
-  one: EndedContender<Kind>,
-  other: EndedContender<Kind>,
-): EndedContender<Kind> {
-  return rankOf(other.result) >= rankOf(one.result) ? other : one;
-}
+  #preferOf(one: EndedContender<Kind>, other: EndedContender<Kind>): EndedContender<Kind> {
+    return this.#rankOf(other.result) >= this.#rankOf(one.result) ? other : one;
+  }
 
-function isFinal(result: AttemptResult): boolean {
-  return rankOf(result) === ranks.final;
-}
+  #endsAll(result: AttemptResult): boolean {
+    const rank = this.#rankOf(result);
+    return rank === ranks.final || rank === ranks.deadline || rank === ranks.callerGone;
+  }
 
-/** How much a result says of the request. */
-const ranks = { superseded: 0, failure: 1, answer: 2, final: 3 } as const;
-
-function rankOf(result: AttemptResult): number {
-  switch (result.kind) {
-    case 'superseded':
-      return ranks.superseded;
-    case 'answer':
-      return result.status < firstServerError ? ranks.final : ranks.answer;
-    case 'streamed':
-    case 'relayed':
-    case 'deadline':
-    case 'callerGone':
-      return ranks.final;
-    default:
-      return ranks.failure;
+  #rankOf(result: AttemptResult): number {
+    const hasBegun = this.#options.hasBegun();
+    switch (result.kind) {
+      case 'answer':
+        if (hasBegun) return ranks.broken;
+        return result.status < firstServerError ? ranks.final : ranks.held;
+      case 'streamed':
+        return hasBegun && result.isEmpty ? ranks.held : ranks.final;
+      case 'relayed':
+        return ranks.final;
+      default:
+        return ranks[result.kind];
+    }
   }
 }
--- a/packages/forwarding/src/_lib/HedgedAttempts/test.ts
+++ b/packages/forwarding/src/_lib/HedgedAttempts/test.ts
@@ -21,7 +21,7 @@
   }
 }
 
-const streamed: AttemptResult = { kind: 'streamed', longestGapMs: 10 };
+const streamed: AttemptResult = { kind: 'streamed', longestGapMs: 10, isEmpty: false };
 const broken: AttemptResult = { kind: 'broken', reason: 'reset', isConnectionLost: true };
 const failed: AttemptResult = {
   kind: 'answer',
@@ -31,10 +31,13 @@
   isFramed: true,
 };
 
-function start() {
+function start(hasBegun = false) {
   const ends: string[] = [];
-  const attempts = new HedgedAttempts<FakeAttempt>(({ contender, result }) => {
-    ends.push(`${contender.name} ${result.kind}`);
+  const attempts = new HedgedAttempts<FakeAttempt>({
+    onEnded: ({ contender, result }) => {
+      ends.push(`${contender.name} ${result.kind}`);
+    },
+    hasBegun: () => hasBegun,
   });
   const first = new FakeAttempt('first');
   const second = new FakeAttempt('second');
@@ -83,3 +86,33 @@
   t.true(second.wasSuperseded);
   t.is(ends.length, 2);
 });
+
+// Guards against a request that is sent once more without a retry, since an attempt that was not sent ended last.
+test('of failures, one that may have run counts rather than one that was not sent', async (t) => {
+  const { attempts, first, second } = start();
+  first.end(broken);
+  await Promise.resolve();
+  second.end({ kind: 'notSent', reason: 'no connection' });
+  t.is((await attempts.result()).result.kind, 'broken');
+});
+
+// Guards against a stream that is ended for an answer or an empty stream, of which nothing can be passed on.
+test('once a stream has begun, what brings no event ends no other attempt', async (t) => {
+  const refused: AttemptResult = { ...failed, status: 404 };
+  for (const useless of [refused, { ...streamed, isEmpty: true }]) {
+    const { attempts, first, second } = start(true);
+    second.end(useless);
+    await Promise.resolve();
+    t.false(first.wasSuperseded);
+    first.end(streamed);
+    t.is((await attempts.result()).contender, first);
+  }
+});
+
+// Guards against an answer that is replaced by the failure to wait for another one.
+test('an answer that is held counts rather than a deadline that has passed', async (t) => {
+  const { attempts, first, second } = start();
+  second.end(failed);
+  first.end({ kind: 'deadline', wasSent: true });
+  t.is((await attempts.result()).contender, second);
+});
--- a/packages/forwarding/src/_lib/Relay/index.ts
+++ b/packages/forwarding/src/_lib/Relay/index.ts
@@ -8,6 +8,7 @@
   type Metrics,
   type UpstreamId,
 } from '@acaciacrank/base';
+import { rawHeaderValue } from '@acaciacrank/callers';
 import type { RetryShare } from '@acaciacrank/routing';
 import type { ForwardCodec } from '../../ForwardCodec/index.js';
 import type { RelayPeers } from '../../RelayPeers/index.js';
@@ -15,9 +16,10 @@
 import type { UpstreamTable } from '../../UpstreamTable/index.js';
 import { Attempt } from '../Attempt/index.js';
 import type { ReceivedStatement } from '../applyStatement/index.js';
-import type { AttemptResult } from '../AttemptResult/index.js';
+import type { AttemptResult, PlainResponse } from '../AttemptResult/index.js';
 import { isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
 import { HedgedAttempts, type Contender, type EndedContender } from '../HedgedAttempts/index.js';
+import { relayUpstreamHeader } from '../relayProtocol/index.js';
 import { recordStreamBegin } from '../recordStreamBegin/index.js';
 import { writePlainHead } from '../responseHeaders/index.js';
 import type { Upstream } from '../Upstream/index.js';
@@ -33,6 +35,8 @@
   readonly metrics: Metrics;
 }
 
+/** Responses with this status or above report a failure. */
+const firstServerError = 500;
 /** Number of peers that are asked for one request at most. */
 const maxPeers = 3;
 /** Where a peer sends nothing for this long, and some target latencies, another one is asked if the request is repeatable. */
@@ -40,7 +44,10 @@
 
 /** Options of {@link Relay}. */
 export interface RelayOptions {
-  /** Called before anything that a peer gives is passed on to the caller; by default nothing is. */
+  /**
+   * Called before anything that a peer gives is passed on to the caller. If it is there, the relay runs beside attempts
+   * of this instance, and only an upstream's own answer counts against them.
+   */
   onProgress?: () => void;
 }
 
@@ -56,10 +63,13 @@
 export class Relay {
   readonly #dependencies: RelayDependencies;
   readonly #call: ForwardCall;
-  readonly #onProgress: () => void;
+  readonly #onProgress: (() => void) | undefined;
   readonly #asked = new Set<InstanceId>();
-  readonly #attempts = new HedgedAttempts<PeerContender>((ended) => {
-    this.#recordEnd(ended);
+  readonly #attempts = new HedgedAttempts<PeerContender>({
+    onEnded: (ended) => {
+      this.#recordEnd(ended);
+    },
+    hasBegun: () => this.#call.progress.events > 0,
   });
   #hasSent = false;
   #isSuperseded = false;
@@ -67,7 +77,7 @@
   constructor(
     dependencies: RelayDependencies,
     call: ForwardCall,
-    { onProgress = () => undefined }: RelayOptions = {},
+    { onProgress }: RelayOptions = {},
   ) {
     this.#dependencies = dependencies;
     this.#call = call;
@@ -119,17 +129,17 @@
 
   /** Asks another peer beside the silent one, if that is allowed. */
   #hedge(): void {
-    if (this.#asked.size >= maxPeers || !this.#tryTakeRetry()) return;
+    if (this.#asked.size >= maxPeers || !isRepeatable(this.#call)) return;
+    const retry = this.#dependencies.retries.takeRetry(this.#call.service.name);
+    if (retry === undefined) return;
     const next = this.#startNext();
-    if (next !== undefined) this.#attempts.add(next);
+    if (next === undefined) retry.giveBack();
+    else this.#attempts.add(next);
   }
 
-  /** The peer debits the events that it sends. */
   #recordProgress(contender: PeerContender): void {
-    const { progress } = this.#call;
     this.#attempts.recordProgress(contender);
-    this.#onProgress();
-    progress.eventsBeforeRelay ??= progress.events;
+    this.#onProgress?.();
   }
 
   #createAttempt(peer: Upstream, onProgress: () => void): Attempt {
@@ -196,7 +206,9 @@
         // A stream that has begun cannot end with another response.
         if (response.headersSent)
           throw new RouterError('upstreamFailed', 'the peer did not resume the stream');
-        this.#onProgress();
+        if (this.#onProgress !== undefined && !isUpstreamAnswer(result))
+          throw new RouterError('upstreamFailed', `the peer answered ${result.status}`);
+        this.#onProgress?.();
         writePlainHead(this.#call, result, codec.callerHeaders(result.headers));
         await writer.end(result.body);
         return true;
@@ -244,3 +256,8 @@
 function instanceIdOf(peer: Upstream): InstanceId {
   return peer.id as string as InstanceId;
 }
+
+/** Whether an upstream has served the request, rather than it or the peer having failed or refused. */
+function isUpstreamAnswer({ status, headers }: PlainResponse): boolean {
+  return status < firstServerError && rawHeaderValue(headers, relayUpstreamHeader) !== undefined;
+}
--- a/packages/forwarding/src/_lib/StreamRelay/index.ts
+++ b/packages/forwarding/src/_lib/StreamRelay/index.ts
@@ -14,6 +14,8 @@
   head: UpstreamResponseHead;
   /** Creates the headers of the response to the caller. */
   callerHeaders: () => string[];
+  /** Whether a peer relays the stream, which debits the events. */
+  isRelayed: boolean;
   /** Called before the first events of this part of the stream are passed on. */
   onBegin: () => void;
   /** Called each time that events are complete, before they are passed on. */
@@ -40,20 +42,22 @@
     const events = this.#buffer.push(chunk);
     if (events === undefined) return undefined;
     const { progress, writer } = this.#options.call;
+    const lastEventId = checkSequence(progress.lastEventId, events.ids);
     this.#options.onEvents();
     if (!this.#hasBegun) this.#options.onBegin();
     this.#hasBegun = true;
-    for (const id of events.ids) {
-      if (!isNextEvent(progress.lastEventId, id)) {
-        throw new RouterError('upstreamFailed', 'an event is missing or duplicated');
-      }
-      progress.lastEventId = id ?? progress.lastEventId;
-      progress.events += 1;
-    }
+    progress.lastEventId = lastEventId;
+    progress.events += events.ids.length;
+    if (this.#options.isRelayed) progress.peerEvents += events.ids.length;
     this.#ensureHead();
     return writer.writeNow(events.bytes);
   }
 
+  /** Whether it has relayed no event. */
+  get isEmpty(): boolean {
+    return !this.#hasBegun;
+  }
+
   /** Ends the stream; returns whether its last event is complete. */
   finish(): boolean {
     if (this.#buffer.hasPartialEvent) return false;
@@ -83,6 +87,25 @@
   response.useChunkedEncodingByDefault = false;
 }
 
+/**
+ * Checks that events follow each other, and the last one before them.
+ *
+ * @returns the id of the last one
+ * @throws RouterError `upstreamFailed` if one is missing or duplicated
+ */
+function checkSequence(
+  last: string | undefined,
+  ids: readonly (string | undefined)[],
+): string | undefined {
+  let lastEventId = last;
+  for (const id of ids) {
+    if (!isNextEvent(lastEventId, id))
+      throw new RouterError('upstreamFailed', 'an event is missing or duplicated');
+    lastEventId = id ?? lastEventId;
+  }
+  return lastEventId;
+}
+
 /** Whether an event may follow another one: numeric ids must be consecutive. */
 function isNextEvent(last: string | undefined, next: string | undefined): boolean {
   if (last === undefined || next === undefined) return true;
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -45,7 +45,8 @@
 
 /** A request in progress at an upstream. */
 export interface InFlightRequest {
-  readonly sentMs: number;
+  /** When it was sent, or before that when it was assigned to the upstream. */
+  sentMs: number;
   /** When the first data of the response arrived; undefined before. */
   startedMs: number | undefined;
   /** When the upstream last sent data for the request; initially when the request was sent. */
@@ -413,6 +414,19 @@
     return inFlightRequest;
   }
 
+  /** Records that a request is sent only now, since the upstream was asked for its run before. */
+  recordSent(inFlightRequest: InFlightRequest): void {
+    const nowMs = this.#clock.monotonicMs();
+    inFlightRequest.sentMs = nowMs;
+    inFlightRequest.lastReceivedMs = nowMs;
+  }
+
+  /** Records a sign of life that belongs to no request. */
+  recordContact(): void {
+    this.#lastReceivedMs = this.#clock.monotonicMs();
+    this.#reach?.recordReceived();
+  }
+
   /** Records that data for a request arrived; the first event ends its prefill. */
   recordReceived(inFlightRequest: InFlightRequest, hasFirstEvent: boolean): void {
     const nowMs = this.#clock.monotonicMs();
--- a/packages/forwarding/src/_lib/UpstreamChooser/index.ts
+++ b/packages/forwarding/src/_lib/UpstreamChooser/index.ts
@@ -50,7 +50,8 @@
 
   /** Whether there is an upstream for an attempt beside one that is silent. */
   get hasHedge(): boolean {
-    return this.usable.some((upstream) => this.#isHedge(upstream));
+    const isHedge = (upstream: Upstream) => this.#isHedge(upstream);
+    return this.#near.some(isHedge) || this.usable.some(isHedge);
   }
 
   /** Records that the request is about to be sent to an upstream. */
@@ -105,7 +106,7 @@
   }
 
   #isHedge(upstream: Upstream): boolean {
-    return this.#isOpen(upstream) && !isSilent(upstream.activity, silenceLimitMs);
+    return !isSilent(upstream.activity, silenceLimitMs) && this.#isOpen(upstream);
   }
 
   /** For a stream that has begun, prefers upstreams of which it is known which run they are. */
--- a/packages/routing/src/RetryShare/index.ts
+++ b/packages/routing/src/RetryShare/index.ts
@@ -13,6 +13,14 @@
   instanceCount: () => number;
 }
 
+/** A retry that was taken from the share. */
+export interface TakenRetry {
+  /** Gives it back, since it was not sent. */
+  readonly giveBack: () => void;
+  /** Records that it is sent now. */
+  readonly recordSent: () => void;
+}
+
 /**
  * Fraction of the allowance that is used. The rest is a safety margin: another instance may count one
  * instance too few, and a restarted process does not know its earlier retries.
@@ -51,18 +59,33 @@
    * if (!share.tryRetry(service)) return failure;
    */
   tryRetry(service: ServiceName): boolean {
+    return this.takeRetry(service) !== undefined;
+  }
+
+  /**
+   * Takes one retry that may turn out not to be sent, or to be sent later.
+   *
+   * @param service - the service to be called again
+   * @returns undefined if no retry is allowed
+   */
+  takeRetry(service: ServiceName): TakenRetry | undefined {
     const { clock, retriesPerRequest, additionalRetries, instanceCount } = this.#options;
     const requests = this.#pruneToWindow(this.#requests, service).length;
     const retries = this.#pruneToWindow(this.#retries, service);
     const allowance = retriesPerRequest * requests + additionalRetries / instanceCount();
-    if (retries.length + 1 > allowance * usableFraction) return false;
-    retries.push(clock.monotonicMs());
-    return true;
-  }
-
-  /** Gives back a retry that was taken and not sent. */
-  returnRetry(service: ServiceName): void {
-    this.#retries.get(service)?.pop();
+    if (retries.length + 1 > allowance * usableFraction) return undefined;
+    let takenMs = clock.monotonicMs();
+    retries.push(takenMs);
+    const giveBack = () => {
+      const at = retries.lastIndexOf(takenMs);
+      if (at >= 0) retries.splice(at, 1);
+    };
+    const recordSent = () => {
+      giveBack();
+      takenMs = clock.monotonicMs();
+      retries.push(takenMs);
+    };
+    return { giveBack, recordSent };
   }
 
   #pruneToWindow(times: Map<ServiceName, number[]>, service: ServiceName): number[] {
--- a/packages/routing/src/RetryShare/test.ts
+++ b/packages/routing/src/RetryShare/test.ts
@@ -36,3 +36,44 @@
   }
   t.true(retries.length > 100);
 });
+
+function createShare() {
+  const clock = new ManualClock();
+  const share = new RetryShare({
+    clock,
+    retriesPerRequest: 0,
+    additionalRetries: 2,
+    windowMs,
+    instanceCount: () => 1,
+  });
+  return { clock, share };
+}
+
+// Guards against a retry that was sent and is forgotten, since an older one that was not sent is given back.
+test('giving back an old retry does not make room for more than the window allows', async (t) => {
+  const { clock, share } = createShare();
+  const old = share.takeRetry(service);
+  await clock.advance(windowMs + 1);
+  // The first one has left the window; this one is sent.
+  t.true(share.tryRetry(service));
+  old?.giveBack();
+  t.false(share.tryRetry(service));
+});
+
+test('a retry that is given back can be taken again', (t) => {
+  const { share } = createShare();
+  const retry = share.takeRetry(service);
+  t.false(share.tryRetry(service));
+  retry?.giveBack();
+  t.true(share.tryRetry(service));
+});
+
+// Guards against retries that wait for long and are sent together with those of the next window.
+test('a retry counts from when it is sent', async (t) => {
+  const { clock, share } = createShare();
+  const retry = share.takeRetry(service);
+  await clock.advance(windowMs - 1);
+  retry?.recordSent();
+  await clock.advance(2);
+  t.false(share.tryRetry(service));
+});
--- a/packages/routing/src/decideHedge/index.ts
+++ b/packages/routing/src/decideHedge/index.ts
@@ -1,18 +1,19 @@
+import { endsToIsolate } from '../SuspectRequests/index.js';
 import type { ServiceSilence } from '../measureSilence/index.js';
 
 /** What is known when a request has waited for its upstream in vain. */
 export interface HedgeEvidence {
   /** Whether the request may run twice. */
   readonly isRepeatable: boolean;
-  /** Whether upstreams have ended under it. */
-  readonly isSuspect: boolean;
+  /** Number of upstreams that have ended under it. */
+  readonly endCount: number;
   /** Number of upstreams that it was sent to, and how many there may be. */
   readonly sends: number;
   readonly maxSends: number;
   /** Returns whether another upstream that is not silent itself could take it. */
   readonly hasCandidate: () => boolean;
-  /** How many upstreams of the service are heard of. */
-  readonly silence: ServiceSilence;
+  /** Returns how many upstreams of the service are heard of. */
+  readonly silence: () => ServiceSilence;
   /** Number of hedged requests under way that were sent while most upstreams of the service were silent. */
   readonly probes: number;
 }
@@ -21,7 +22,7 @@
 export type HedgeRefusal =
   /** It may not run twice. */
   | 'notRepeatable'
-  /** It may end the upstreams that it is sent to. */
+  /** Upstreams have ended under it, so that it is sent to one at a time. */
   | 'suspect'
   /** Its route allows no further upstream. */
   | 'routeLimit'
@@ -50,18 +51,20 @@
  * them. Second requests would overload the few others, so only some find out whether these can do it.
  *
  * @example
- * decideHedge({ ...evidence, silence: { speaking: 0, silent: 12 }, probes: 1 });
+ * decideHedge({ ...evidence, silence: () => ({ speaking: 0, silent: 12 }), probes: 1 });
  * //=> 'serviceSilent'
  */
 export function decideHedge(evidence: HedgeEvidence): HedgeDecision {
-  const { isRepeatable, isSuspect, sends, maxSends, hasCandidate, silence, probes } = evidence;
+  const { isRepeatable, endCount, sends, maxSends, hasCandidate, silence, probes } = evidence;
   if (!isRepeatable) return 'notRepeatable';
-  if (isSuspect) return 'suspect';
+  if (endCount >= endsToIsolate) return 'suspect';
   if (sends >= maxSends) return 'routeLimit';
+  const known = silence();
+  const isPanic = isServiceSilent(known);
+  const maxProbes = Math.max(1, maxProbesPerSpeaking * known.speaking);
+  if (isPanic && probes >= maxProbes) return 'serviceSilent';
   if (!hasCandidate()) return 'noUpstream';
-  if (!isServiceSilent(silence)) return 'hedge';
-  const maxProbes = Math.max(1, maxProbesPerSpeaking * silence.speaking);
-  return probes < maxProbes ? 'probe' : 'serviceSilent';
+  return isPanic ? 'probe' : 'hedge';
 }
 
 /** Whether most upstreams of a service are silent, as far as is known. */
