A pause of this process is no silence of its upstreams

What callers saw: streams cut, or sent to a second engine, at an instance that stood still for 1.5 s (SIGSTOP, a paused machine, a blocked event loop) while its engines went on. Cause: after a pause timers run before sockets are read, and the pause itself counts as time without data, so that every upstream with a request seems silent. Change: Clock#activeMs measures the time in which this process ran, from ticks that come late after a pause (PauseMeter, pure); Clock#scheduleActive waits by it, and a timer that runs late lets sockets be read first. A process that is always busy goes on at 100 ms for each tick, so that waits end. InactivityTimer uses both; all clocks have them.

--- a/packages/base/src/InactivityTimer/index.ts
+++ b/packages/base/src/InactivityTimer/index.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '../Clock/index.js';
 
 /**
- * Calls back once nothing has happened for a while.
+ * Calls back once nothing has happened for a while in which this process ran; a pause of it does not count.
  *
  * Activity only notes the time, which is much cheaper than a new timer for each of many events: the timer
  * runs out at most once per timeout and is then set for the time that is left.
@@ -11,12 +11,13 @@
   readonly #timeoutMs: number;
   readonly #onInactive: (lateMs: number) => void;
   #lastActivityMs: number;
+  readonly #pausedBeforeMs: number;
   #timer: Disposable;
 
   /**
    * @param clock - measures the time
    * @param timeoutMs - how long nothing may happen, in milliseconds
-   * @param onInactive - called once, with how late the timer ran; not after disposal
+   * @param onInactive - called once, with how late that is for pauses of this process; not after disposal
    *
    * @example
    * using timer = new InactivityTimer(clock, 500, abort);
@@ -25,13 +26,14 @@
     this.#clock = clock;
     this.#timeoutMs = timeoutMs;
     this.#onInactive = onInactive;
-    this.#lastActivityMs = clock.monotonicMs();
+    this.#lastActivityMs = clock.activeMs();
+    this.#pausedBeforeMs = this.#pausedMs;
     this.#timer = this.#schedule(timeoutMs);
   }
 
   /** Notes that something happened. */
   recordActivity(): void {
-    this.#lastActivityMs = this.#clock.monotonicMs();
+    this.#lastActivityMs = this.#clock.activeMs();
   }
 
   [Symbol.dispose](): void {
@@ -39,12 +41,15 @@
   }
 
   #schedule(delayMs: number): Disposable {
-    const dueMs = this.#clock.monotonicMs() + delayMs;
-    return this.#clock.schedule(delayMs, () => {
-      const nowMs = this.#clock.monotonicMs();
-      const remainingMs = this.#lastActivityMs + this.#timeoutMs - nowMs;
-      if (remainingMs <= 0) this.#onInactive(nowMs - dueMs);
-      else this.#timer = this.#schedule(remainingMs);
+    return this.#clock.scheduleActive(delayMs, () => {
+      const remainingMs = this.#lastActivityMs + this.#timeoutMs - this.#clock.activeMs();
+      if (remainingMs > 0) this.#timer = this.#schedule(remainingMs);
+      else this.#onInactive(this.#pausedMs - this.#pausedBeforeMs);
     });
   }
+
+  /** How long this process has stood still in all. */
+  get #pausedMs(): number {
+    return this.#clock.monotonicMs() - this.#clock.activeMs();
+  }
 }
--- a/packages/base/src/ManualClock/index.ts
+++ b/packages/base/src/ManualClock/index.ts
@@ -23,6 +23,7 @@
  */
 export class ManualClock extends Clock {
   #elapsedMs = 0;
+  #pausedMs = 0;
   #wallOffsetMs: number;
   #lastSequence = 0;
   #timersRun = 0;
@@ -41,6 +42,10 @@
     return this.#elapsedMs;
   }
 
+  override activeMs(): number {
+    return this.#elapsedMs - this.#pausedMs;
+  }
+
   /** Number of timers that have not run yet. */
   get pendingTimers(): number {
     return this.#timers.length;
@@ -67,6 +72,12 @@
     this.#wallOffsetMs += offsetMs;
   }
 
+  /** Lets time pass while the process stands still: timers that are due meanwhile run afterwards, late. */
+  pause(durationMs: number): void {
+    this.#elapsedMs += durationMs;
+    this.#pausedMs += durationMs;
+  }
+
   /**
    * Advances time, running each timer at its due time and letting promises settle in between.
    *
--- a/packages/base/src/ManualClock/test.ts
+++ b/packages/base/src/ManualClock/test.ts
@@ -28,3 +28,14 @@
   await done;
   t.is(clock.pendingTimers, 0);
 });
+
+test('a timer that is due in a pause runs after it, a wait for others once it has run its time', async (t) => {
+  const clock = new ManualClock();
+  const order: string[] = [];
+  clock.schedule(50, () => order.push(`timer at ${clock.monotonicMs()}`));
+  clock.scheduleActive(50, () => order.push(`wait at ${clock.monotonicMs()}`));
+  await clock.advance(10);
+  clock.pause(100);
+  await clock.advance(100);
+  t.deepEqual(order, ['timer at 110', 'wait at 150']);
+});
--- /dev/null
+++ b/packages/base/src/PauseMeter/test.ts
@@ -0,0 +1,38 @@
+import test from 'ava';
+import { PauseMeter, pauseTickMs } from './index.js';
+
+/** Ticks in time until the given moment. */
+function tickUntil(meter: PauseMeter, fromMs: number, untilMs: number): void {
+  for (let nowMs = fromMs; nowMs <= untilMs; nowMs += pauseTickMs) meter.tick(nowMs);
+}
+
+test('time goes on while ticks come in time', (t) => {
+  const meter = new PauseMeter(0);
+  tickUntil(meter, 50, 1_000);
+  t.is(meter.activeMs(1_030), 1_030);
+});
+
+// Guards against a pause that counts for whoever reads the time before the late tick.
+test('a pause is left out before and after the late tick', (t) => {
+  const meter = new PauseMeter(0);
+  tickUntil(meter, 50, 1_000);
+  t.is(meter.activeMs(2_500), 1_000);
+  meter.tick(2_500);
+  t.is(meter.activeMs(2_500), 1_000);
+  tickUntil(meter, 2_550, 3_000);
+  t.is(meter.activeMs(3_000), 1_500);
+});
+
+test('the time that was read never goes back', (t) => {
+  const meter = new PauseMeter(0);
+  meter.tick(50);
+  t.is(meter.activeMs(140), 140);
+  t.is(meter.activeMs(1_500), 140);
+});
+
+// Guards against waits without end in a process that is always busy.
+test('time goes on while every tick is late', (t) => {
+  const meter = new PauseMeter(0);
+  for (let nowMs = 200; nowMs <= 4_000; nowMs += 200) meter.tick(nowMs);
+  t.is(meter.activeMs(4_000), 1_900);
+});
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -5,6 +5,7 @@
 export * from './constants/index.js';
 export * from './parseId/index.js';
 export * from './Clock/index.js';
+export * from './PauseMeter/index.js';
 export * from './SystemClock/index.js';
 export * from './ManualClock/index.js';
 export * from './InactivityTimer/index.js';
