A pause of this process shows nothing of connections, probes and the reach of upstreams

What callers saw: after a pause of an instance (stopped, blocked), requests refused or relayed, upstreams left out. Cause: connections, probes and reports of a run that others had accepted or sent meanwhile were given up by timers that run before sockets are read; the time of the pause counted as time in which nothing came (UpstreamReach, Upstream). Change: all of them wait by Clock#scheduleActive and measure by Clock#activeMs; blockEventLoop makes such a pause in tests.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -8,6 +8,7 @@
 export * from './PauseMeter/index.js';
 export * from './SystemClock/index.js';
 export * from './ManualClock/index.js';
+export * from './blockEventLoop/index.js';
 export * from './InactivityTimer/index.js';
 export * from './DisposableStore/index.js';
 export * from './errorKinds/index.js';
--- a/packages/forwarding/src/ReachMonitor/index.ts
+++ b/packages/forwarding/src/ReachMonitor/index.ts
@@ -78,12 +78,12 @@
 
   /** Returns whether any of a few random upstreams accepts a connection. */
   async #probeSome(): Promise<boolean> {
-    const { addresses, random } = this.#options;
+    const { addresses, random, clock } = this.#options;
     const candidates = [...addresses()];
     const accepting: Promise<void>[] = [];
     while (accepting.length < probes.count && candidates.length > 0) {
       const [address = ''] = candidates.splice(Math.floor(random() * candidates.length), 1);
-      accepting.push(probeUntilAccepted(address));
+      accepting.push(probeUntilAccepted(clock, address));
     }
     return Promise.any(accepting).then(
       () => true,
@@ -106,7 +106,7 @@
   }
 }
 
-async function probeUntilAccepted(address: string): Promise<void> {
-  const outcome = await probeAddress(address, probes.timeoutMs);
+async function probeUntilAccepted(clock: Clock, address: string): Promise<void> {
+  const outcome = await probeAddress(clock, address, probes.timeoutMs);
   if (outcome !== 'accepted') throw new Error(`${address} is not reached: ${outcome}`);
 }
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -188,6 +188,7 @@
     const startedMs = clock.monotonicMs();
     this.#startInactivityTimer(runCheckPatienceMs);
     const { check, why } = await checkRun(connection.client, upstream.record.startedAtMs, codec, {
+      clock,
       signal: this.#runCheckAbort.signal,
       // A stream that has begun goes on only where the run is known, so that there is no use in sending it unasked.
       timeoutMs: this.#isResumption ? undefined : runCheckPatienceMs,
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -48,8 +48,11 @@
   readonly sentMs: number;
   /** When the first data of the response arrived; undefined before. */
   startedMs: number | undefined;
-  /** When the upstream last sent data for the request; initially when the request was sent. */
-  lastReceivedMs: number;
+  /**
+   * When the upstream last sent data for the request, initially when the request was sent, by the time in which this
+   * process ran.
+   */
+  lastReceivedActiveMs: number;
   readonly prefill: PrefillEstimate | undefined;
   /**
    * Prefill work that this instance had already queued there when the request was sent, in
@@ -161,7 +164,7 @@
   #consecutiveFailures = 0;
   #ejectionMs = 0;
   #ejectedUntilMs = 0;
-  #lastReceivedMs = -Infinity;
+  #lastReceivedActiveMs = -Infinity;
   #runDoubtedUntilMs = -Infinity;
   /** The last probe of its address, and when it began. */
   #endProbe: { readonly hasEnded: Promise<boolean>; readonly atMs: number } | undefined;
@@ -287,7 +290,7 @@
 
   /** Whether it should get requests only if no other upstream is available. */
   isEjected(nowMs: number): boolean {
-    return nowMs < this.#ejectedUntilMs || this.#isUnresponsive(nowMs);
+    return nowMs < this.#ejectedUntilMs || this.#isUnresponsive();
   }
 
   /** Whether it runs a request that should run alone, since several upstreams have ended under it. */
@@ -340,17 +343,18 @@
 
   /** When it was last heard of. */
   get activity(): UpstreamActivity {
-    const nowMs = this.#clock.monotonicMs();
+    const nowMs = this.#clock.activeMs();
     let oldestMs = nowMs;
-    for (const { lastReceivedMs } of this.inFlight) oldestMs = Math.min(oldestMs, lastReceivedMs);
-    return { sinceReceivedMs: nowMs - this.#lastReceivedMs, longestWaitMs: nowMs - oldestMs };
+    for (const { lastReceivedActiveMs } of this.inFlight)
+      oldestMs = Math.min(oldestMs, lastReceivedActiveMs);
+    return { sinceReceivedMs: nowMs - this.#lastReceivedActiveMs, longestWaitMs: nowMs - oldestMs };
   }
 
   /** Takes a connection from the pool, or creates one, for a single request. */
   acquireConnection(): UpstreamConnection {
     const idle = this.#idle.pop();
     if (idle !== undefined) return idle;
-    const connection = new UpstreamConnection(this.address, {
+    const connection = new UpstreamConnection(this.#clock, this.address, {
       onConnect: (isConnected) => {
         if (isConnected) this.#reach?.recordConnected();
         else this.#reach?.recordConnectFailed(this.id);
@@ -395,7 +399,7 @@
     const inFlightRequest: InFlightRequest = {
       sentMs: nowMs,
       startedMs: undefined,
-      lastReceivedMs: nowMs,
+      lastReceivedActiveMs: this.#clock.activeMs(),
       prefill,
       queuedAheadMs: this.#prefillingMs,
       hasFirstEvent: false,
@@ -416,6 +420,7 @@
   /** Records that data for a request arrived; the first event ends its prefill. */
   recordReceived(inFlightRequest: InFlightRequest, hasFirstEvent: boolean): void {
     const nowMs = this.#clock.monotonicMs();
+    const activeMs = this.#clock.activeMs();
     if (hasFirstEvent && isPrefilling(inFlightRequest)) {
       this.#peerBacklog.observe(prefillDelayMs(inFlightRequest, nowMs), nowMs);
       this.#endPrefill(inFlightRequest);
@@ -423,12 +428,12 @@
     if (inFlightRequest.hasFirstEvent)
       inFlightRequest.longestGapMs = Math.max(
         inFlightRequest.longestGapMs,
-        nowMs - inFlightRequest.lastReceivedMs,
+        activeMs - inFlightRequest.lastReceivedActiveMs,
       );
     inFlightRequest.startedMs ??= nowMs;
     inFlightRequest.hasFirstEvent ||= hasFirstEvent;
-    inFlightRequest.lastReceivedMs = nowMs;
-    this.#lastReceivedMs = nowMs;
+    inFlightRequest.lastReceivedActiveMs = activeMs;
+    this.#lastReceivedActiveMs = activeMs;
     this.#reach?.recordReceived();
   }
 
@@ -484,7 +489,7 @@
   confirmEnd(): Promise<boolean> {
     const nowMs = this.#clock.monotonicMs();
     if (this.#endProbe === undefined || nowMs - this.#endProbe.atMs >= endProbeTtlMs) {
-      const probe = probeAddress(this.address, endProbeTimeoutMs);
+      const probe = probeAddress(this.#clock, this.address, endProbeTimeoutMs);
       this.#endProbe = { hasEnded: probe.then((outcome) => outcome === 'refused'), atMs: nowMs };
     }
     return this.#endProbe.hasEnded;
@@ -508,10 +513,8 @@
    * Guards against an upstream that stops responding without closing its connections: requests keep
    * waiting while nothing at all arrives from it.
    */
-  #isUnresponsive(nowMs: number): boolean {
-    if (nowMs - this.#lastReceivedMs < upstreamInactivityMs) return false;
-    for (const inFlightRequest of this.inFlight)
-      if (nowMs - inFlightRequest.lastReceivedMs >= upstreamInactivityMs) return true;
-    return false;
+  #isUnresponsive(): boolean {
+    const { sinceReceivedMs, longestWaitMs } = this.activity;
+    return sinceReceivedMs >= upstreamInactivityMs && longestWaitMs >= upstreamInactivityMs;
   }
 }
--- a/packages/forwarding/src/_lib/Upstream/test.ts
+++ b/packages/forwarding/src/_lib/Upstream/test.ts
@@ -53,3 +53,15 @@
   await clock.advance(3_000);
   t.true(upstream.backlogMs < 10);
 });
+
+// Guards against an instance that stood still, and leaves all of its upstreams out for it.
+test('time in which the process stood still makes no upstream unresponsive', async (t) => {
+  const { clock, upstream } = create();
+  upstream.begin(undefined);
+  await clock.advance(600);
+  clock.pause(1_500);
+  t.false(upstream.isEjected(clock.monotonicMs()));
+  t.is(upstream.activity.longestWaitMs, 600);
+  await clock.advance(400);
+  t.true(upstream.isEjected(clock.monotonicMs()));
+});
--- a/packages/forwarding/src/_lib/UpstreamConnection/index.ts
+++ b/packages/forwarding/src/_lib/UpstreamConnection/index.ts
@@ -1,6 +1,7 @@
 /**
  * One connection to an upstream, used by one request at a time.
  */
+import type { Clock } from '@acaciacrank/base';
 import { connect, type Socket } from 'node:net';
 import { Client } from 'undici';
 import { connectTimeoutMs, keepAliveTimeoutMs, maxKeepAliveTimeoutMs } from '../limits/index.js';
@@ -28,6 +29,7 @@
  */
 export class UpstreamConnection {
   readonly client: Client;
+  readonly #clock: Clock;
   readonly #address: string;
   readonly #listener: ConnectionListener;
   #wasReset = false;
@@ -35,10 +37,12 @@
   #openCount = 0;
 
   /**
+   * @param clock - measures the time to connect
    * @param address - `IP:PORT` of the upstream
    * @param listener - gets news of it
    */
-  constructor(address: string, listener: ConnectionListener = {}) {
+  constructor(clock: Clock, address: string, listener: ConnectionListener = {}) {
+    this.#clock = clock;
     this.#address = address;
     this.#listener = listener;
     this.client = new Client(`http://${address}`, {
@@ -94,11 +98,11 @@
     const [host = '', port = ''] = this.#address.split(':');
     return new Promise((resolve, reject) => {
       const socket = connect({ host, port: Number(port), noDelay: true, keepAlive: true });
-      const timer = setTimeout(() => {
+      const timer = this.#clock.scheduleActive(connectTimeoutMs, () => {
         socket.destroy(new ConnectTimeoutError(this.#address));
-      }, connectTimeoutMs);
+      });
       socket.once('connect', () => {
-        clearTimeout(timer);
+        timer[Symbol.dispose]();
         this.#socket = socket;
         this.#openCount += 1;
         this.#listener.onConnect?.(true);
@@ -108,7 +112,7 @@
         this.#listener.onClosedByPeer?.();
       });
       socket.once('error', (error: NodeJS.ErrnoException) => {
-        clearTimeout(timer);
+        timer[Symbol.dispose]();
         // Errors raised by undici itself, including the one for an orderly close, have no
         // `syscall`.
         if (error.syscall !== undefined) this.#wasReset = true;
--- a/packages/forwarding/src/_lib/checkRun/index.ts
+++ b/packages/forwarding/src/_lib/checkRun/index.ts
@@ -1,3 +1,4 @@
+import type { Clock } from '@acaciacrank/base';
 import type { Client } from 'undici';
 import type { ForwardCodec } from '../../ForwardCodec/index.js';
 import { BodyCollector } from '../BodyCollector/index.js';
@@ -13,6 +14,7 @@
 
 /** Options of {@link checkRun}. */
 export interface CheckRunOptions {
+  readonly clock: Clock;
   /** Ends the check. */
   readonly signal: AbortSignal;
   /** Time limit for the answer, in milliseconds; undefined for none. */
@@ -31,18 +33,22 @@
  * @param options - for how long
  *
  * @example
- * await checkRun(connection.client, record.startedAtMs, codec, { signal, timeoutMs: 300 });
+ * await checkRun(connection.client, record.startedAtMs, codec, { clock, signal, timeoutMs: 300 });
  */
 export async function checkRun(
   client: Client,
   startedAtMs: number | undefined,
   codec: Pick<ForwardCodec, 'runReportPath' | 'readRunStart'>,
-  { signal: abortSignal, timeoutMs }: CheckRunOptions,
+  { clock, signal: abortSignal, timeoutMs }: CheckRunOptions,
 ): Promise<RunCheckResult> {
-  const signal =
+  const timeout = new AbortController();
+  using _timer =
     timeoutMs === undefined
-      ? abortSignal
-      : AbortSignal.any([abortSignal, AbortSignal.timeout(timeoutMs)]);
+      ? undefined
+      : clock.scheduleActive(timeoutMs, () => {
+          timeout.abort();
+        });
+  const signal = AbortSignal.any([abortSignal, timeout.signal]);
   try {
     const answer = await client.request({ method: 'GET', path: codec.runReportPath, signal });
     const collector = new BodyCollector(maxBytes);
--- a/packages/forwarding/src/_lib/probeAddress/index.ts
+++ b/packages/forwarding/src/_lib/probeAddress/index.ts
@@ -1,3 +1,4 @@
+import type { Clock } from '@acaciacrank/base';
 import { connect } from 'node:net';
 
 /** What became of an attempt to connect: `silent` if nothing came back in time. */
@@ -12,35 +13,48 @@
  * Guards against a process that is just ending: its connections are reset before its listening socket is closed,
  * which may still take a connection. One that is closed at once is therefore tried again.
  *
+ * @param clock - measures the time; a pause of this process does not count
  * @param address - `IP:PORT`
  * @param timeoutMs - how long to wait for a connection, in milliseconds
  *
  * @example
- * await probeAddress('127.0.0.1:9', 300);
+ * await probeAddress(clock, '127.0.0.1:9', 300);
  * //=> 'refused'
  */
-export async function probeAddress(address: string, timeoutMs: number): Promise<ProbeOutcome> {
-  const outcome = await openConnection(address, timeoutMs);
+export async function probeAddress(
+  clock: Clock,
+  address: string,
+  timeoutMs: number,
+): Promise<ProbeOutcome> {
+  const outcome = await openConnection(clock, address, timeoutMs);
   if (outcome !== 'closed') return outcome;
-  const next = await openConnection(address, timeoutMs);
+  const next = await openConnection(clock, address, timeoutMs);
   return next === 'closed' ? 'accepted' : next;
 }
 
-function openConnection(address: string, timeoutMs: number): Promise<ProbeOutcome | 'closed'> {
+function openConnection(
+  clock: Clock,
+  address: string,
+  timeoutMs: number,
+): Promise<ProbeOutcome | 'closed'> {
   const [host = '', port = ''] = address.split(':');
   return new Promise((resolve) => {
     const socket = connect({ host, port: Number(port) });
     let isConnected = false;
     const finish = (outcome: ProbeOutcome | 'closed') => {
-      clearTimeout(timer);
+      timer[Symbol.dispose]();
       socket.destroy();
       resolve(outcome);
     };
-    let timer = setTimeout(finish, timeoutMs, 'silent');
+    let timer = clock.scheduleActive(timeoutMs, () => {
+      finish('silent');
+    });
     socket.once('connect', () => {
       isConnected = true;
-      clearTimeout(timer);
-      timer = setTimeout(finish, settleMs, 'accepted');
+      timer[Symbol.dispose]();
+      timer = clock.scheduleActive(settleMs, () => {
+        finish('accepted');
+      });
     });
     socket.once('error', () => {
       finish(isConnected ? 'closed' : 'refused');
--- a/packages/routing/src/UpstreamReach/index.ts
+++ b/packages/routing/src/UpstreamReach/index.ts
@@ -28,7 +28,10 @@
  */
 export class UpstreamReach {
   readonly #clock: Clock;
-  /** Upstreams with requests that were sent since anything was received, and when the first one was. */
+  /**
+   * Upstreams with requests that were sent since anything was received, and when the first one was, by the time in
+   * which this process ran: after a pause of its own, timers run before what was received is read.
+   */
   readonly #waiting = new Map<UpstreamId, number>();
   /** Upstreams to which no connection came about since any did. */
   readonly #unconnected = new Set<UpstreamId>();
@@ -44,17 +47,21 @@
     if (this.#isUnreached) return 'unreached';
     const nowMs = this.#clock.monotonicMs();
     if (nowMs < this.#calmUntilMs) return 'reached';
-    return this.#unconnected.size >= minFailing || this.#isSilent(nowMs) ? 'inDoubt' : 'reached';
+    return this.#unconnected.size >= minFailing || this.isSilent ? 'inDoubt' : 'reached';
   }
 
   /** Whether requests were sent to several upstreams, and nothing comes from any. */
   get isSilent(): boolean {
-    return this.#isSilent(this.#clock.monotonicMs());
+    const [oldestMs] = this.#waiting.values();
+    if (oldestMs === undefined) return false;
+    const waitedMs = this.#clock.activeMs() - oldestMs;
+    if (this.#waiting.size >= minFailing) return waitedMs >= silenceMs.several;
+    return waitedMs >= silenceMs.single;
   }
 
   /** Records that a request was sent. */
   recordSent(upstreamId: UpstreamId): void {
-    if (!this.#waiting.has(upstreamId)) this.#waiting.set(upstreamId, this.#clock.monotonicMs());
+    if (!this.#waiting.has(upstreamId)) this.#waiting.set(upstreamId, this.#clock.activeMs());
   }
 
   /** Records that anything was received from an upstream. */
@@ -94,12 +101,4 @@
     this.#waiting.clear();
     this.#unconnected.clear();
   }
-
-  #isSilent(nowMs: number): boolean {
-    const [oldestMs] = this.#waiting.values();
-    if (oldestMs === undefined) return false;
-    const waitedMs = nowMs - oldestMs;
-    if (this.#waiting.size >= minFailing) return waitedMs >= silenceMs.several;
-    return waitedMs >= silenceMs.single;
-  }
 }
--- a/packages/routing/src/UpstreamReach/test.ts
+++ b/packages/routing/src/UpstreamReach/test.ts
@@ -64,3 +64,17 @@
   t.true(reach.recordProbes(true));
   t.is(reach.state, 'reached');
 });
+
+// Guards against an instance that stood still, and takes the time of its pause for silence of all upstreams.
+test('time in which the process stood still is no silence', async (t) => {
+  const { reach, clock } = createReach();
+  reach.recordSent(one);
+  reach.recordSent(two);
+  await clock.advance(100);
+  clock.pause(1_500);
+  t.is(reach.state, 'reached');
+  await clock.advance(199);
+  t.is(reach.state, 'reached');
+  await clock.advance(1);
+  t.is(reach.state, 'inDoubt');
+});
