A pause of this process stalls no stream and times out no call

What callers saw: the product's path aborts the connection of a living stream after a pause of its own process, and calls to the store, services and peers end as timed out although their answers wait in the sockets. Cause: watchProgress and withTimeout count the time of the pause, and their timers run before sockets are read. Change: both wait by Clock#scheduleActive. The last steps of a shutdown, bounded by the platform, say that pauses count.

--- a/packages/base/src/withTimeout/index.ts
+++ b/packages/base/src/withTimeout/index.ts
@@ -15,6 +15,11 @@
    * default, so that progress does not extend the time.
    */
   maxTotalMs?: number;
+  /**
+   * Whether a pause of this process counts, as for a deadline that others set; false by default, since what came
+   * meanwhile has not been read yet.
+   */
+  countsPauses?: boolean;
 }
 
 /**
@@ -42,7 +47,9 @@
   options: WithTimeoutOptions,
 ): Promise<Value> {
   const controller = new AbortController();
-  const deadlineMs = clock.monotonicMs() + (options.maxTotalMs ?? timeoutMs);
+  const { countsPauses = false, maxTotalMs = timeoutMs } = options;
+  const nowMs = () => (countsPauses ? clock.monotonicMs() : clock.activeMs());
+  const deadlineMs = nowMs() + maxTotalMs;
   const onOuterAbort = () => {
     controller.abort();
   };
@@ -56,7 +63,10 @@
     };
     restartTimer = () => {
       timer?.[Symbol.dispose]();
-      timer = clock.schedule(Math.min(timeoutMs, deadlineMs - clock.monotonicMs()), onTimeout);
+      const delayMs = Math.min(timeoutMs, deadlineMs - nowMs());
+      timer = countsPauses
+        ? clock.schedule(delayMs, onTimeout)
+        : clock.scheduleActive(delayMs, onTimeout);
     };
     restartTimer();
   });
--- a/packages/base/src/withTimeout/test.ts
+++ b/packages/base/src/withTimeout/test.ts
@@ -50,3 +50,13 @@
   await rejected;
   t.is(clock.pendingTimers, 0);
 });
+
+// Guards against giving up work whose result came while this process stood still.
+test('a pause of this process does not count', async (t) => {
+  const clock = new ManualClock();
+  const options = { kind: 'storeUnavailable', what: 'reading' } as const;
+  const work = withTimeout(clock, 100, () => clock.sleep(190).then(() => 'read'), options);
+  await clock.advance(50);
+  clock.pause(100);
+  t.is(await clock.runUntil(work), 'read');
+});
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -382,7 +382,8 @@
     const { clock, log } = this.#options;
     const remainingMs = Math.max(0, endMs - clock.monotonicMs());
     try {
-      await withTimeout(clock, remainingMs, work, { kind: 'deadlineExceeded', what });
+      const options = { kind: 'deadlineExceeded', what, countsPauses: true } as const;
+      await withTimeout(clock, remainingMs, work, options);
     } catch (thrown) {
       log.warn({ error: toRouterError(thrown).message }, 'a planned stop was cut short');
     }
--- a/packages/upstreams/src/watchProgress/index.ts
+++ b/packages/upstreams/src/watchProgress/index.ts
@@ -45,7 +45,7 @@
 }
 
 /**
- * Bounds each wait by the stall timeout. One timer serves many waits, as there are thousands of
+ * Bounds each wait by the stall timeout; a pause of this process does not count. One timer serves many waits, as there are thousands of
  * tokens.
  */
 class StallTimer implements Disposable {
@@ -66,7 +66,7 @@
   async wait<Value>(work: () => Promise<Value>): Promise<Value> {
     const { signal, clock, limitMs } = this.#options;
     if (signal.aborted) throw reasonOf(signal);
-    this.#dueMs = clock.monotonicMs() + limitMs();
+    this.#dueMs = clock.activeMs() + limitMs();
     if (this.#timerDueMs > this.#dueMs) this.#arm();
     try {
       return await new Promise<Value>((resolve, reject) => {
@@ -87,8 +87,8 @@
   #arm(): void {
     this.#timer?.[Symbol.dispose]();
     this.#timerDueMs = this.#dueMs;
-    const delayMs = this.#dueMs - this.#options.clock.monotonicMs();
-    this.#timer = this.#options.clock.schedule(delayMs, () => {
+    const delayMs = this.#dueMs - this.#options.clock.activeMs();
+    this.#timer = this.#options.clock.scheduleActive(delayMs, () => {
       this.#handleTimer();
     });
   }
@@ -96,7 +96,7 @@
   #handleTimer(): void {
     this.#timerDueMs = Infinity;
     if (this.#dueMs === Infinity) return;
-    if (this.#dueMs > this.#options.clock.monotonicMs()) this.#arm();
+    if (this.#dueMs > this.#options.clock.activeMs()) this.#arm();
     else this.#reject?.(new RouterError('upstreamFailed', 'the connection fell silent'));
   }
 }
--- a/packages/upstreams/src/watchProgress/test.ts
+++ b/packages/upstreams/src/watchProgress/test.ts
@@ -63,3 +63,18 @@
   const error = await t.throwsAsync(items, { message: 'too late' });
   t.like(error, { kind: 'deadlineExceeded' });
 });
+
+// Guards against a process that stood still, and takes its own pause for a stalled connection.
+test('a pause of this process is no stall', async (t) => {
+  const clock = new ManualClock();
+  const { signal } = new AbortController();
+  async function* slow() {
+    yield 1;
+    await clock.sleep(2_010);
+    yield 2;
+  }
+  const items = collect(watchProgress(slow, { clock, limitMs, signal }));
+  await clock.advance(500);
+  clock.pause(1_500);
+  t.deepEqual(await clock.runUntil(items), [1, 2]);
+});
