A pause of this process closes no link and shows no peer unreachable

What callers saw: after a pause of an instance, links to its peers closed, and with them the prepaid tokens and changes of the store under way over them; peers suspected that had acknowledged. Cause: the silence of a link, the wait for a reply and for an acknowledgement counted the time of the pause, and their timers run before sockets are read. Change: FrameSocket, FleetRpc and Membership wait by Clock#scheduleActive.

--- a/packages/fleet/src/FleetRpc/index.ts
+++ b/packages/fleet/src/FleetRpc/index.ts
@@ -121,7 +121,7 @@
     this.#lastAskId += 1;
     const askId = this.#lastAskId;
     return new Promise((resolve) => {
-      const timer = this.#options.clock.schedule(timeoutMs, () => {
+      const timer = this.#options.clock.scheduleActive(timeoutMs, () => {
         this.#pendingRequests.delete(askId);
         resolve(undefined);
       });
--- a/packages/fleet/src/Membership/index.ts
+++ b/packages/fleet/src/Membership/index.ts
@@ -259,7 +259,7 @@
         this.#pendingAcks.delete(sequence);
         resolve(isReached);
       };
-      const timer = clock.schedule(ackMs, () => {
+      const timer = clock.scheduleActive(ackMs, () => {
         finish(false);
       });
       const acknowledge = () => {
--- a/packages/fleet/src/WsFleetLinks/test.ts
+++ b/packages/fleet/src/WsFleetLinks/test.ts
@@ -216,3 +216,19 @@
   await waitUntil(() => second.versions.length > 0);
   t.deepEqual(second.versions, [2]);
 });
+
+// Guards against an instance that stood still, and closes its links before it has read what came over them.
+test('a connection is kept when this process stood still', async (t) => {
+  await using owned = new DisposableStore();
+  const clock = new ManualClock();
+  const [first, second] = [
+    await openEndpoint(owned, clock, a),
+    await openEndpoint(owned, clock, b),
+  ];
+  setPeersOfBoth(first, second);
+  first.links.send(b, configurationChanged(1));
+  await waitUntil(() => second.versions.length === 1);
+  clock.pause(5_000);
+  await clock.advance(100);
+  t.is(first.metrics.counter('linksSilent') + second.metrics.counter('linksSilent'), 0);
+});
--- a/packages/fleet/src/_lib/FrameSocket/index.ts
+++ b/packages/fleet/src/_lib/FrameSocket/index.ts
@@ -8,7 +8,10 @@
    * Interval between two checks of the connection, which send a ping when needed, in milliseconds.
    */
   pingMs: number;
-  /** A connection on which nothing is received for this long is terminated, in milliseconds. */
+  /**
+   * A connection on which nothing is received for this long is terminated, in milliseconds; a pause of this process
+   * does not count.
+   */
   silenceMs: number;
   /**
    * A connection on which no frame is sent or received for this long is closed, in milliseconds.
@@ -39,7 +42,7 @@
   constructor(socket: WebSocket, options: FrameSocketOptions) {
     this.#socket = socket;
     this.#options = options;
-    this.#lastReceivedAtMs = options.clock.monotonicMs();
+    this.#lastReceivedAtMs = options.clock.activeMs();
     this.#lastFrameAtMs = this.#lastReceivedAtMs;
     socket.on('message', (data) => {
       this.#markReceived();
@@ -72,7 +75,7 @@
   }
 
   send(frame: Uint8Array): void {
-    this.#lastFrameAtMs = this.#options.clock.monotonicMs();
+    this.#lastFrameAtMs = this.#options.clock.activeMs();
     this.#socket.send(frame, () => undefined);
   }
 
@@ -100,7 +103,7 @@
   }
 
   #markReceived(): void {
-    this.#lastReceivedAtMs = this.#options.clock.monotonicMs();
+    this.#lastReceivedAtMs = this.#options.clock.activeMs();
   }
 
   #onClose(): void {
@@ -111,9 +114,9 @@
 
   #scheduleCheck(): Disposable {
     const { clock, pingMs } = this.#options;
-    return clock.schedule(pingMs, () => {
+    return clock.scheduleActive(pingMs, () => {
       if (this.#isClosed) return;
-      this.#checkActivity(clock.monotonicMs());
+      this.#checkActivity(clock.activeMs());
       if (!this.#isClosed) this.#checkTimer = this.#scheduleCheck();
     });
   }
