--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -190,6 +190,7 @@
     this.#startInactivityTimer(runCheckPatienceMs);
     this.#runCheckAbort = new AbortController();
     const { check, why } = await checkRun(connection.client, upstream.record.startedAtMs, codec, {
+      clock,
       signal: this.#runCheckAbort.signal,
       // A stream that has begun goes on only where the run is known, so that there is no use in sending it unasked.
       timeoutMs: this.#isResumption ? undefined : runCheckPatienceMs,
