Soak: upstreams that pause and go on, and a check that no instance ends an answer of a sound upstream

Change: fault pauseUpstreams (all or a share of the engines, at times the plain service, 0.5 to 2.5 s), planned apart from the other faults, often beside a changed configuration, a stop and a pause of an instance; invariant soundAnswer, from what callers and upstreams observe; one stream in five lasts 1.6 s, and streams have 6 s.

--- a/packages/soak/src/_lib/FakeUpstream/index.ts
+++ b/packages/soak/src/_lib/FakeUpstream/index.ts
@@ -5,6 +5,7 @@
 import { requestKinds } from '../buildSoakConfiguration/index.js';
 import { closeServer, listenOnLoopback } from '../listenOnLoopback/index.js';
 import type { Observations } from '../Observations/index.js';
+import { ProcessPause } from '../ProcessPause/index.js';
 
 /** Options of {@link FakeUpstream}. */
 export interface FakeUpstreamOptions {
@@ -19,8 +20,10 @@
   readonly onEnd: (upstream: FakeUpstream) => void;
 }
 
-/** Delay of a plain response, and of each event of a stream. */
-const delaysMs = { plain: 15, event: 20, brittle: 200 } as const;
+/** Delay of a plain response, and of each event of a stream and of a long stream. */
+const delaysMs = { plain: 15, event: 20, longEvent: 200, brittle: 200 } as const;
+/** Ids of the requests whose streams are long: one in five of the calls. */
+const longStreamIds = /^call-\d*[05]$/;
 /** Requests a second that one slot of a brittle upstream runs. */
 export const brittleRunsPerSlot = 1_000 / delaysMs.brittle;
 const eventsPerStream = 8;
@@ -45,6 +48,8 @@
   isBrittlenessHidden = false;
   /** Whether its refusals omit the backoff. */
   isBackoffHidden = false;
+  /** Its pauses, in which it sends nothing; that it reads nothing is up to its proxy. */
+  readonly pause = new ProcessPause();
   readonly #options: FakeUpstreamOptions;
   readonly #server: Server;
   /** Ids of the requests that it is running. */
@@ -100,6 +105,7 @@
       return;
     }
     observations.noteArrival(service, id, this.drainingSinceMs);
+    observations.soundAnswers.noteArrival(ownId, id);
     observations.limits.noteArrival(ownId);
     observations.statements.noteArrival(ownId, id, this.drainingSinceMs !== undefined);
     if (this.backoffMs !== undefined) {
@@ -124,6 +130,7 @@
     if (kind?.isStream === true) await this.#stream(id, request, response);
     else {
       await sleep(delaysMs.plain);
+      await this.pause.whenResumed();
       if (!response.destroyed) {
         response.writeHead(200, this.#buildHeaders(id)).end(`${id} ${service} whole`);
       }
@@ -205,8 +212,10 @@
     response.writeHead(200, { ...this.#buildHeaders(id), 'content-type': 'text/event-stream' });
     const lastEventId = Number(request.headers['last-event-id'] ?? 0);
     const { softwareVersion } = this.run;
+    const delayMs = longStreamIds.test(id) ? delaysMs.longEvent : delaysMs.event;
     for (let event = lastEventId + 1; event <= eventsPerStream; event += 1) {
-      await sleep(delaysMs.event);
+      await sleep(delayMs);
+      await this.pause.whenResumed();
       if (response.destroyed) return;
       response.write(
         `id: ${event}\ndata: ${id} ${event} of ${eventsPerStream} ${softwareVersion}\n\n`,
--- a/packages/soak/src/_lib/FaultInjector/index.ts
+++ b/packages/soak/src/_lib/FaultInjector/index.ts
@@ -5,6 +5,7 @@
 import { brittleRunsPerSlot, type FakeUpstream } from '../FakeUpstream/index.js';
 import { stopLimitMs } from '../InstanceProcess/index.js';
 import type { Observations } from '../Observations/index.js';
+import { pauseUpstreams } from '../pauseUpstreams/index.js';
 import type { SoakEnvironment } from '../SoakEnvironment/index.js';
 
 /** Rate limits that the fault `limitUpstream` chooses from, in requests per second. */
@@ -63,6 +64,7 @@
       case 'kill':
         observations.noteDisturbance(0);
         observations.statements.noteInstanceDisturbance(index, restartMs);
+        observations.soundAnswers.noteInstanceEnd(index, restartMs);
         process.signal('SIGKILL');
         return;
       case 'pause':
@@ -75,10 +77,13 @@
         observations.noteDisturbance(fault.durationMs);
         observations.statements.noteInstanceDisturbance(index, fault.durationMs + restartMs);
         observations.directoryCheck.notePowerOff(index);
+        observations.soundAnswers.noteInstanceEnd(index, fault.durationMs + restartMs);
         process.powerOff(fault.durationMs);
         return;
       case 'stop':
         observations.noteStop(index, stopLimitMs);
+        observations.soundAnswers.noteStop(index, stopLimitMs + restartMs);
+        observations.soundAnswers.noteInstanceEnd(index, restartMs, stopLimitMs);
         observations.statements.noteInstanceDisturbance(index, stopLimitMs + restartMs);
         if (injectedDefect === 'killForStop') process.signal('SIGKILL');
         else process.stop();
@@ -102,19 +107,21 @@
         return;
       case 'resetUpstream':
         observations.noteDisturbance(0);
-        this.#noteUpstreamDisturbance(upstream.server, 0);
+        this.#noteUpstreamFault(upstream.server, 0);
         upstream.proxy.reset();
         return;
       case 'silenceUpstream':
         observations.noteDisturbance(0);
-        this.#noteUpstreamDisturbance(upstream.server, 0);
+        this.#noteUpstreamFault(upstream.server, 0);
         upstream.proxy.silenceConnections();
         return;
       case 'delayUpstream':
       case 'cutUpstreamOneWay': {
         const { proxy: upstreamProxy, server } = upstream;
-        this.#noteUpstreamDisturbance(server, fault.durationMs);
-        const mode = fault.kind === 'delayUpstream' ? 'delay' : 'dropBack';
+        const isDelay = fault.kind === 'delayUpstream';
+        if (isDelay) observations.noteUpstreamDisturbance(server.id, fault.durationMs);
+        else this.#noteUpstreamFault(server, fault.durationMs);
+        const mode = isDelay ? 'delay' : 'dropBack';
         this.#applyFor(
           fault.durationMs,
           () => upstreamProxy.setMode(mode),
@@ -122,6 +129,9 @@
         );
         return;
       }
+      case 'pauseUpstreams':
+        pauseUpstreams(this.#options, fault);
+        return;
       case 'leaveUpstream':
         await environment.leave(upstream);
         return;
@@ -168,7 +178,7 @@
     observations.noteDisturbance(durationMs);
     observations.reach.noteCut(cut, durationMs, instances.length);
     for (const index of cut) instances[index]?.upstreamCut.begin({ form, ports });
-    for (const { server } of upstreams) this.#noteUpstreamDisturbance(server, durationMs);
+    for (const { server } of upstreams) this.#noteUpstreamFault(server, durationMs);
     setTimeout(() => {
       for (const index of cut) instances[index]?.upstreamCut.end();
     }, durationMs);
@@ -212,11 +222,11 @@
     });
   }
 
-  /** Records for the checks of single upstreams that responses of one may be lost. */
-  #noteUpstreamDisturbance({ id }: FakeUpstream, durationMs: number): void {
+  /** Records that connections of an upstream, or what is sent on them, are lost for a while. */
+  #noteUpstreamFault({ id }: FakeUpstream, durationMs: number): void {
     const { observations } = this.#options;
-    observations.limits.noteDisturbance(id, durationMs);
-    observations.statements.noteUpstreamDisturbance(id, durationMs);
+    observations.noteUpstreamDisturbance(id, durationMs);
+    observations.soundAnswers.noteUpstreamFault(id, durationMs);
   }
 
   /** The store is away, then comes back from a copy; its other users write again what is theirs. */
--- a/packages/soak/src/_lib/FaultProxy/index.ts
+++ b/packages/soak/src/_lib/FaultProxy/index.ts
@@ -25,6 +25,8 @@
   /** All open sockets, including those of silenced connections whose other socket is closed. */
   readonly #sockets = new Set<Socket>();
   #mode: ProxyMode = 'pass';
+  /** Number of calls of {@link hold} that have not been released. */
+  #holds = 0;
   #port = 0;
   #isDisposed = false;
 
@@ -62,6 +64,19 @@
     this.#mode = mode;
   }
 
+  /** Keeps all connections open, new ones included, and reads and writes nothing until it is released as often. */
+  hold(): void {
+    this.#holds += 1;
+    for (const socket of this.#sockets) socket.pause();
+  }
+
+  /** Goes on after {@link hold}; what was sent meanwhile is forwarded. */
+  release(): void {
+    this.#holds -= 1;
+    if (this.#holds > 0) return;
+    for (const socket of this.#sockets) socket.resume();
+  }
+
   /** Closes all open connections with a TCP reset. */
   reset(): void {
     for (const { clientSocket, targetSocket } of this.#connections) {
@@ -102,6 +117,7 @@
   #relay(connection: ProxiedConnection, from: Socket, to: Socket, dropMode: ProxyMode): void {
     from.setNoDelay(true);
     this.#sockets.add(from);
+    if (this.#holds > 0) from.pause();
     from.on('data', (bytes) => {
       if (connection.isSilenced || this.#mode === dropMode) return;
       if (this.#mode !== 'delay') to.write(bytes);
--- a/packages/soak/src/_lib/LoadGenerator/index.ts
+++ b/packages/soak/src/_lib/LoadGenerator/index.ts
@@ -6,7 +6,8 @@
   accounts,
   host,
   requestKinds,
-  timeoutMs,
+  streamTimeoutMs,
+  timeoutOf,
   type RequestKind,
 } from '../buildSoakConfiguration/index.js';
 
@@ -100,7 +101,7 @@
       host,
       'x-request-id': id,
       authorization: `Bearer ${account.key}`,
-      'x-time-budget': String(timeoutMs),
+      'x-time-budget': String(timeoutOf(kind.path)),
       ...(kind.isStream ? buildStreamHeaders(random) : {}),
     };
     const sentAtMs = now();
@@ -123,6 +124,7 @@
       instance,
       sentAtMs,
       endedAtMs: now(),
+      status: response.status,
       ...result,
     });
   }
@@ -152,7 +154,7 @@
       const outgoing = request(options, (incoming) => {
         readResponse(incoming, resolve);
       });
-      outgoing.setTimeout(2 * timeoutMs, () => outgoing.destroy());
+      outgoing.setTimeout(2 * streamTimeoutMs, () => outgoing.destroy());
       outgoing.on('error', () => {
         resolve(failedResponse);
       });
--- a/packages/soak/src/_lib/Observations/index.ts
+++ b/packages/soak/src/_lib/Observations/index.ts
@@ -6,6 +6,7 @@
 import { BrittleCheck } from '../BrittleCheck/index.js';
 import { ReachCheck } from '../ReachCheck/index.js';
 import { VersionCheck } from '../VersionCheck/index.js';
+import { SoundAnswerCheck } from '../SoundAnswerCheck/index.js';
 import { StatementCheck } from '../StatementCheck/index.js';
 import { DirectoryCheck } from '../DirectoryCheck/index.js';
 
@@ -25,6 +26,8 @@
   readonly sentAtMs: number;
   readonly endedAtMs: number;
   readonly outcome: CallOutcome;
+  /** HTTP status; 0 if the connection failed before the response. */
+  readonly status: number;
   /** Service that sent the response; empty if the response does not show it. */
   readonly service: string;
   /** What was wrong with a successful response; empty if nothing was. */
@@ -70,11 +73,12 @@
   readonly reach: ReachCheck;
   readonly brittle: BrittleCheck;
   readonly versions: VersionCheck;
+  readonly soundAnswers: SoundAnswerCheck;
   readonly #now: () => number;
   readonly #runs = new Map<string, UpstreamRuns>();
   readonly #refusedAtMs = new Map<string, number>();
   readonly #configurations: { readonly version: number; readonly acknowledgedAtMs: number }[] = [];
-  readonly #disturbances: TimeSpan[] = [];
+  readonly #disturbances: (TimeSpan & { readonly isUpstreamPause: boolean })[] = [];
   readonly #stops: (TimeSpan & { readonly instance: number })[] = [];
   readonly #arrivals: {
     readonly service: string;
@@ -97,12 +101,22 @@
     this.brittle = new BrittleCheck({ now, onViolation });
     const isUndisturbed = (fromMs: number, toMs: number) => this.#isUndisturbed(fromMs, toMs);
     this.versions = new VersionCheck({ onViolation, isUndisturbed });
+    const isUndisturbedButForPauses = (fromMs: number, toMs: number) =>
+      this.#isUndisturbed(fromMs, toMs, true) && this.#countRestricted(fromMs, toMs) === 0;
+    this.soundAnswers = new SoundAnswerCheck({ now, onViolation, isUndisturbedButForPauses });
   }
 
   /** Records a fault. Invariants with a time limit are not checked during it and for `stableWindowMs` after it. */
-  noteDisturbance(durationMs: number): void {
-    const nowMs = this.#now();
-    this.#disturbances.push({ fromMs: nowMs, toMs: nowMs + durationMs + bounds.stableWindowMs });
+  noteDisturbance(durationMs: number, isUpstreamPause = false): void {
+    const fromMs = this.#now();
+    const toMs = fromMs + durationMs + bounds.stableWindowMs;
+    this.#disturbances.push({ fromMs, toMs, isUpstreamPause });
+  }
+
+  /** Records for the checks of single upstreams that responses of one may be late or lost. */
+  noteUpstreamDisturbance(upstream: string, durationMs: number): void {
+    this.limits.noteDisturbance(upstream, durationMs);
+    this.statements.noteUpstreamDisturbance(upstream, durationMs);
   }
 
   /** Records that the graceful shutdown of an instance was requested. */
@@ -135,6 +149,7 @@
     const runs = this.#runs.get(id) ?? { count: 0, account, promptTokens };
     runs.count += 1;
     this.#runs.set(id, runs);
+    this.soundAnswers.noteRun(id);
     if (runs.count > 1 && !isRepeatable)
       this.#addViolation('atMostOnce', `${id} ran ${runs.count} times`);
     if (this.#refusedAtMs.has(id))
@@ -145,6 +160,7 @@
   /** Records how a request ended for its caller. */
   noteCallEnd(call: ObservedCall): void {
     this.calls.push(call);
+    this.soundAnswers.noteCallEnd(call);
     this.statements.noteCallEnd(call.id, call.outcome === 'served');
     this.#eventsByAccount.set(
       call.account,
@@ -261,9 +277,12 @@
     }
   }
 
-  /** Whether no disturbance overlaps a time span. */
-  #isUndisturbed(fromMs: number, toMs: number): boolean {
-    return !this.#disturbances.some((span) => span.fromMs <= toMs && span.toMs >= fromMs);
+  /** Whether no disturbance overlaps a time span, or none but pauses of upstreams. */
+  #isUndisturbed(fromMs: number, toMs: number, arePausesAllowed = false): boolean {
+    return !this.#disturbances.some(
+      (span) =>
+        span.fromMs <= toMs && span.toMs >= fromMs && !(arePausesAllowed && span.isUpstreamPause),
+    );
   }
 
   /** @param invariant - the violated invariant; the report names it in the field `promise` */
--- a/packages/soak/src/_lib/SoakEnvironment/index.ts
+++ b/packages/soak/src/_lib/SoakEnvironment/index.ts
@@ -179,7 +179,7 @@
     if (server.drainingSinceMs !== undefined) return;
     const index = this.upstreams.indexOf(upstream);
     if (index >= 0) this.upstreams.splice(index, 1);
-    const { injectedDefect } = this.#options;
+    const { injectedDefect, observations } = this.#options;
     server.drainingSinceMs = this.#options.now();
     server.isLeavingHidden = injectedDefect === 'hideLeaving' || injectedDefect === 'holdLeaving';
     if (server.isLeavingHidden) return;
@@ -192,6 +192,7 @@
       this.#removeUpstreamRecord(key);
       proxy.reset();
       proxy.setMode('refuse');
+      observations.soundAnswers.noteUpstreamFault(server.id, Infinity);
     }, drainMs);
   }
 
@@ -215,6 +216,7 @@
     setTimeout(() => {
       if (restarted === undefined || !this.upstreams.includes(restarted)) return;
       restarted.server.startAgain(version);
+      this.#options.observations.soundAnswers.noteUpstreamFault(restarted.server.id, recordDelayMs);
       setTimeout(() => {
         if (this.upstreams.includes(restarted)) this.#writeUpstreamRecord(restarted, 'ready');
       }, recordDelayMs);
@@ -246,8 +248,8 @@
   endUpstream(ended: FakeUpstream): void {
     const { observations } = this.#options;
     observations.noteDisturbance(upstreamRestartMs);
-    observations.limits.noteDisturbance(ended.id, upstreamRestartMs);
-    observations.statements.noteUpstreamDisturbance(ended.id, upstreamRestartMs);
+    observations.noteUpstreamDisturbance(ended.id, upstreamRestartMs);
+    observations.soundAnswers.noteUpstreamFault(ended.id, upstreamRestartMs);
     const proxy = this.upstreams.find(({ server }) => server === ended)?.proxy;
     proxy?.goDown();
     setTimeout(() => {
--- a/packages/soak/src/_lib/buildSoakConfiguration/index.ts
+++ b/packages/soak/src/_lib/buildSoakConfiguration/index.ts
@@ -27,19 +27,30 @@
   readonly method: 'GET' | 'POST';
   readonly isRepeatable: boolean;
   readonly isStream: boolean;
+  /** The service of its route; undefined if it changes. */
+  readonly service: string | undefined;
 }
 
 /** All kinds of requests; each has its own route. */
 export const requestKinds: readonly RequestKind[] = [
-  { path: '/read/', method: 'GET', isRepeatable: true, isStream: false },
-  { path: '/pay/', method: 'POST', isRepeatable: false, isStream: false },
-  { path: '/moved/', method: 'GET', isRepeatable: true, isStream: false },
-  { path: '/chat/', method: 'POST', isRepeatable: true, isStream: true },
-  { path: '/plan/', method: 'POST', isRepeatable: false, isStream: true },
+  { path: '/read/', method: 'GET', isRepeatable: true, isStream: false, service: 'app' },
+  { path: '/pay/', method: 'POST', isRepeatable: false, isStream: false, service: 'app' },
+  { path: '/moved/', method: 'GET', isRepeatable: true, isStream: false, service: undefined },
+  { path: '/chat/', method: 'POST', isRepeatable: true, isStream: true, service: 'lm' },
+  { path: '/plan/', method: 'POST', isRepeatable: false, isStream: true, service: 'lm' },
 ];
 
-/** Timeout of every route, which is also the time budget that callers send. */
+/** Timeout of the routes with plain responses, which is also the time budget that callers send. */
 export const timeoutMs = 3_000;
+/** The same for streams, so that the longest of them are whole in time also if their upstreams pause. */
+export const streamTimeoutMs = 6_000;
+
+/** Returns the timeout of a kind of request, in milliseconds. */
+export function timeoutOf(path: string): number {
+  return requestKinds.find((kind) => kind.path === path)?.isStream === true
+    ? streamTimeoutMs
+    : timeoutMs;
+}
 
 /** Returns the service of the route `/moved/` in a version; it changes with every version. */
 export function movedRouteService(version: number): string {
@@ -54,7 +65,13 @@
  */
 export function buildSoakConfiguration(version: number, prepaidFactor = 1): unknown {
   const common = { host, timeoutMs, targetLatencyMs: 400, priority: 0, maxAttempts: 2 };
-  const stream = { ...common, kind: 'streaming', service: 'lm', gapTargetMs: 300 };
+  const stream = {
+    ...common,
+    timeoutMs: streamTimeoutMs,
+    kind: 'streaming',
+    service: 'lm',
+    gapTargetMs: 300,
+  };
   const engine = { slots: 16, kvTokens: 100_000, stride: tokensPerEvent };
   return {
     version,
--- a/packages/soak/src/runSoak/index.ts
+++ b/packages/soak/src/runSoak/index.ts
@@ -14,6 +14,7 @@
   planRestores,
   planVersionMixes,
 } from '../_lib/planFaults/index.js';
+import { planPauses } from '../_lib/planPauses/index.js';
 import { SoakEnvironment } from '../_lib/SoakEnvironment/index.js';
 import type { PlannedFault, SoakOptions, SoakReport } from '../types.js';
 
@@ -108,7 +109,8 @@
     const restores = hasRestores === true ? planRestores(createRandom(seed + 1), durationMs) : [];
     const deadly = planDeadlyRequests(createRandom(seed + 3), durationMs);
     const mixes = planVersionMixes(createRandom(seed + 4), durationMs);
-    return [...faults, ...overloads, ...deadly, ...mixes, ...restores].sort(
+    const pauses = planPauses(createRandom(seed + 5), durationMs);
+    return [...faults, ...overloads, ...deadly, ...mixes, ...pauses, ...restores].sort(
       (a, b) => a.atMs - b.atMs,
     );
   }
--- a/packages/soak/src/runSoak/test.ts
+++ b/packages/soak/src/runSoak/test.ts
@@ -154,6 +154,23 @@
   t.deepEqual(report.violations, []);
 });
 
+// Guards against answers of sound upstreams that an instance ends because nothing came from these for a second, and
+// against 502 for requests that arrive meanwhile; beside a changed configuration, a stop and a pause of an instance.
+test.serial('streams of upstreams that pause and go on are whole', async (t) => {
+  const pause = { kind: 'pauseUpstreams', durationMs: 1_300 } as const;
+  const faults = [
+    { kind: 'changeConfiguration', atMs: 1_900, durationMs: 0, target: 0 },
+    { ...pause, atMs: 2_000, target: 0 },
+    { kind: 'stop', atMs: 2_300, durationMs: 8_500, target: 0 },
+    { kind: 'pause', atMs: 2_600, durationMs: 1_500, target: 1 },
+    { ...pause, atMs: 6_000, durationMs: 2_200, target: 2 },
+  ] as const;
+  const changes = { faults, instances: 3, durationMs: 9_500, requestsPerSecond: 120 };
+  const report = await runSoak(optionsFor('paused', changes));
+  t.deepEqual(report.violations, []);
+  t.is(report.faults['pauseUpstreams'], 2);
+});
+
 // Guards against streams that go on at another version than the one that began them, at other instances too.
 test.serial('streams stay at the software version that began them', async (t) => {
   const mix = { kind: 'mixVersions', durationMs: 8_000, target: 0 } as const;
@@ -227,6 +244,7 @@
     { ...singleFault('brittleService', 7_000), requestsPerSecond: 300 },
   ],
   ['hideVersion', 'softwareVersion', singleFault('mixVersions', 5_000)],
+  ['cutPaused', 'soundAnswer', { ...singleFault('pauseUpstreams', 1_300), durationMs: 4_000 }],
   ['killForStop', 'plannedStop', singleFault('stop')],
   ['nameGone', 'goneInstance', { ...singleFault('powerOff', 9_000), durationMs: 10_500 }],
   ['hideLive', 'liveInstance', { faults: [] }],
--- a/packages/soak/src/types.ts
+++ b/packages/soak/src/types.ts
@@ -33,6 +33,8 @@
   | 'unreachedUpstreams'
   /** Upstreams that fall over when they refuse too much rarely do, and are used. */
   | 'brittleUpstream'
+  /** No request at a sound upstream, paused ones included, is ended by an instance before its deadline. */
+  | 'soundAnswer'
   /** No stream has events of two software versions, over all tries of its caller, and nearly all taken up go on. */
   | 'softwareVersion'
   /** A graceful shutdown cuts off no request. */
@@ -85,6 +87,8 @@
   | 'hideBrittle'
   /** States the same version in the records of all upstreams. */
   | 'hideVersion'
+  /** Resets the connections of paused upstreams, as if the instances had given them up. */
+  | 'cutPaused'
   /** Kills the process instead of stopping it gracefully. */
   | 'killForStop'
   /** Lists all instances in every directory response. */
@@ -145,6 +149,8 @@
   | 'mixVersions'
   /** An upstream ends by itself and starts again. */
   | 'crashUpstream'
+  /** Pauses some or all upstreams of a service: they stay connected, send and read nothing, then go on. */
+  | 'pauseUpstreams'
   /** Writes a new configuration version. */
   | 'changeConfiguration';
 
