Soak: a directory is blamed for leaving out an instance only if that is still ready in the next polls

Trace: instance 1 stood still from 30.34 to 30.79 s, instance 0 answered that it is ready and was asked to stop at 30.54, and instance 1, which had been told, left it out at 30.80. Both answers were true; the check took them for simultaneous. Change: an omission is reported when the next polls, 0.3 s later, find the instance ready without a break.

--- a/packages/soak/src/_lib/DirectoryCheck/index.ts
+++ b/packages/soak/src/_lib/DirectoryCheck/index.ts
@@ -22,11 +22,21 @@
 /** Time for which two instances must have been ready before the directory of one has to list the other. */
 const minReadyMs = bounds.stableWindowMs;
 
+/** A ready instance that a directory left out. */
+interface Omission {
+  readonly polledInstance: number;
+  readonly omitted: number;
+  /** Since when the omitted instance had been ready. */
+  readonly readySinceMs: number;
+}
+
 /** Checks that directories list the ready instances and none that lost power. */
 export class DirectoryCheck {
   readonly #options: DirectoryCheckOptions;
   readonly #readySinceMs = new Map<number, number>();
   readonly #poweredOffSinceMs = new Map<number, number>();
+  /** Omissions of the last polls, which the next ones confirm. */
+  #omissions: Omission[] = [];
 
   constructor(options: DirectoryCheckOptions) {
     this.#options = options;
@@ -40,6 +50,7 @@
   /** Records and checks the results of polling all instances once. */
   addPolls(polls: readonly InstancePoll[]): void {
     for (const { instance, isReady } of polls) this.#noteReadiness(instance, isReady);
+    this.#confirmOmissions();
     for (const { instance, named } of polls) {
       if (named === undefined) continue;
       this.#checkPoweredOff(instance, named);
@@ -67,15 +78,26 @@
 
   #checkReady(polledInstance: number, named: readonly number[]): void {
     if (!this.#isReadyLongEnough(polledInstance)) return;
-    for (const ready of this.#readySinceMs.keys()) {
+    for (const [ready, readySinceMs] of this.#readySinceMs) {
       // An instance may omit itself: it does so while it is short of tokens.
       if (ready === polledInstance || named.includes(ready) || !this.#isReadyLongEnough(ready))
         continue;
-      this.#options.onViolation(
-        'liveInstance',
-        `instance ${polledInstance} does not list instance ${ready}, which is ready`,
-      );
+      this.#omissions.push({ polledInstance, omitted: ready, readySinceMs });
+    }
+  }
+
+  /**
+   * Guards against a directory that is blamed for leaving out an instance which began to stop between its own answer
+   * and that of the directory, as when the directory's instance stood still meanwhile (seed 9907, 0.4 minutes): only
+   * an instance that is still ready in the next polls was ready when it was left out.
+   */
+  #confirmOmissions(): void {
+    for (const { polledInstance, omitted, readySinceMs } of this.#omissions) {
+      if (this.#readySinceMs.get(omitted) !== readySinceMs) continue;
+      const what = `instance ${polledInstance} does not list instance ${omitted}, which is ready`;
+      this.#options.onViolation('liveInstance', what);
     }
+    this.#omissions = [];
   }
 
   #isReadyLongEnough(instance: number): boolean {
