Fault matrix: upstreams that pause for 3 s and go on

Change: fault upstreamsPause at every step: nothing is read from or written to upstreams, then all goes on and what was sent arrives, given up or not. Invariant pauseEndsNothing: while that is all that happens, no request ends for its upstream; whole answers and single bills are checked as before. A mutation that ends requests after a second of silence is found.

--- a/packages/standins/src/StandinEngine/index.ts
+++ b/packages/standins/src/StandinEngine/index.ts
@@ -97,6 +97,8 @@
   refusedForOverload = 0;
   #overload = { untilMs: -Infinity, backoffMs: 0 };
   failureMode: EngineFailureMode = 'none';
+  /** Number of times that it has started again. */
+  restarts = 0;
 
   constructor(options: StandinEngineOptions) {
     this.#options = {
@@ -137,6 +139,7 @@
    * @param softwareVersion - the version of its software from now on; the same as before by default
    */
   restart(softwareVersion = this.#softwareVersion): void {
+    this.restarts += 1;
     this.#softwareVersion = softwareVersion;
     for (const stream of this.#streams.values()) this.cancel(stream.request.requestId);
     this.#streams.clear();
--- a/packages/standins/src/faults/FaultInjector/index.ts
+++ b/packages/standins/src/faults/FaultInjector/index.ts
@@ -1,5 +1,6 @@
 import { RouterError, type ManualClock } from '@acaciacrank/base';
 import type { FaultKind, PlannedFault, Step } from '../types.js';
+import { UpstreamPause, type PausedPeer } from '../_lib/UpstreamPause/index.js';
 
 /** Delay of a slow call, in milliseconds. */
 const slowCallMs = 4_000;
@@ -10,6 +11,9 @@
 /** Duration of a process pause, in milliseconds; longer than the validity of a grant or a lease. */
 const pauseMs = 200_000;
 
+/** Duration of a pause of all upstreams, after which they go on, in milliseconds. */
+const upstreamPauseMs = 3_000;
+
 /** One intercepted call, and how it fails. */
 export interface InterceptedCall<Value> {
   readonly actor: string;
@@ -44,11 +48,13 @@
   readonly #silenceEpochs = new Map<string, number>();
   readonly #responsesToLose = new Map<string, number>();
   #storeDownUntilMs = -1;
+  readonly #upstreams: UpstreamPause;
   #isCounting = false;
 
   constructor(clock: ManualClock, plan: readonly PlannedFault[]) {
     this.#clock = clock;
     this.#plan = plan;
+    this.#upstreams = new UpstreamPause(clock);
   }
 
   /** Whether any actor has been paused so far. */
@@ -61,6 +67,11 @@
     this.#isCounting = true;
   }
 
+  /** Whether all planned faults are pauses of upstreams, so that no request may fail. */
+  get hasOnlyUpstreamPauses(): boolean {
+    return this.#plan.length > 0 && this.#plan.every(({ fault }) => fault === 'upstreamsPause');
+  }
+
   /** Whether an actor has crashed. */
   hasCrashed(actor: string): boolean {
     return this.#crashed.has(actor);
@@ -115,6 +126,11 @@
     this.#storeDownUntilMs = this.#clock.monotonicMs() + durationMs;
   }
 
+  /** Pauses all upstreams of a kind, or all: their connections stay open, and what is sent arrives afterwards. */
+  pauseUpstreams(durationMs: number, peer: PausedPeer = 'all'): void {
+    this.#upstreams.begin(durationMs, peer);
+  }
+
   /** Loses the responses of an actor's next store writes; the writes themselves take effect. */
   loseWriteResponses(actor: string, count: number): void {
     this.#responsesToLose.set(actor, count);
@@ -150,7 +166,7 @@
     if (this.#isUnreachable(intercepted)) throw await this.#unreachableError();
     const openedInEpoch =
       intercepted.openedInEpoch ?? this.silenceEpoch(intercepted.actor, intercepted.call);
-    const value = await intercepted.effect();
+    const value = await this.#upstreams.call(intercepted);
     if (openedInEpoch < this.silenceEpoch(intercepted.actor, intercepted.call))
       return this.#failAfterTimeout(intercepted);
     if (fault === 'crashAfter') this.crash(intercepted.actor);
@@ -177,6 +193,7 @@
     if (fault === 'crashBefore') this.crash(actor);
     if (fault === 'pause') this.pause(actor, pauseMs);
     if (fault === 'storeDown') this.startStoreOutage(outageMs);
+    if (fault === 'upstreamsPause') this.pauseUpstreams(upstreamPauseMs);
     if (fault === 'partition') this.cutOff(actor, outageMs);
   }
 
--- a/packages/standins/src/faults/checkRecords/index.ts
+++ b/packages/standins/src/faults/checkRecords/index.ts
@@ -32,6 +32,7 @@
     ...context.attempts.flatMap((attempt) => answerViolations(attempt, engineRecords)),
     ...answeredBillViolations(context, engineRecords),
     ...runViolations(runs),
+    ...pauseViolations(context),
     ...context.attempts.flatMap((attempt) => {
       const untilMs = nextAttemptMs(context, attempt);
       return notRunViolations(attempt, untilMs, engineRecords, runs);
@@ -109,6 +110,29 @@
   return record.state === 'done' ? tokens.join('') : '(incomplete)';
 }
 
+/** Errors by which an instance gives up a request for what its upstream does or does not do. */
+const upstreamErrors: ReadonlySet<string> = new Set([
+  'upstreamFailed',
+  'upstreamUnavailable',
+  'outcomeUnknown',
+  'deadlineExceeded',
+]);
+
+/**
+ * While upstreams do nothing but pause and go on, no request ends for what its upstream does not do meanwhile. An engine
+ * that starts again has lost what it ran.
+ */
+function pauseViolations(context: StoryContext): Violation[] {
+  const engines = [...context.fleet.clients.engines.values()];
+  const haveRestarted = engines.some(({ restarts }) => restarts > 0);
+  if (!context.injector.hasOnlyUpstreamPauses || haveRestarted) return [];
+  return context.attempts
+    .filter(({ error }) => error !== undefined && upstreamErrors.has(error.kind))
+    .map(({ key, instanceId, error }) =>
+      violation('pauseEndsNothing', `${key} at ${instanceId}: ${error?.kind}: ${error?.message}`),
+    );
+}
+
 function runViolations(runs: readonly ServiceRun[]): Violation[] {
   const bodies = runs.filter(({ method }) => method === 'POST').map(({ body }) => body);
   return bodies
--- a/packages/standins/src/faults/mutations/index.ts
+++ b/packages/standins/src/faults/mutations/index.ts
@@ -26,6 +26,7 @@
   type ServiceResponse,
   type ServiceRequest,
 } from '@acaciacrank/upstreams';
+import { endAfterSilence } from '../_lib/endAfterSilence/index.js';
 import type { FaultKind, InvariantName } from '../types.js';
 
 /** One deliberate defect. */
@@ -456,6 +457,14 @@
       instance.drain = () => Promise.resolve({ cutOffRequests: 0 });
     },
   },
+  {
+    invariant: 'pauseEndsNothing',
+    what: 'a request is given up after a second without anything from its upstream',
+    story: 'modelRequest',
+    fault: 'upstreamsPause',
+    mutate: unchanged,
+    mutateAfterStart: endAfterSilence,
+  },
   {
     invariant: 'everyCallEnds',
     what: 'the store never answers a write of a page and no deadline passes',
--- a/packages/standins/src/faults/types.ts
+++ b/packages/standins/src/faults/types.ts
@@ -20,6 +20,7 @@
   'pause',
   'storeDown',
   'partition',
+  'upstreamsPause',
 ] as const;
 
 /** One kind of fault. */
@@ -45,6 +46,7 @@
   'billIsWhole',
   'billBeforeFinalFrame',
   'wholeAnswer',
+  'pauseEndsNothing',
   'runsAtMostOnce',
   'notRunIsTrue',
   'versionNeverFalls',
