--- a/packages/standins/src/scenarios/runScenario/index.ts
+++ b/packages/standins/src/scenarios/runScenario/index.ts
@@ -158,6 +158,7 @@
     else if ('storeDown' in event) injector.startStoreOutage(event.storeDown);
     else if ('loseAnswers' in event) injector.loseWriteResponses(event.loseAnswers, event.count);
     else if ('silence' in event) this.#silence(event.silence, event.to);
+    else if ('pauseUpstreams' in event) injector.pauseUpstreams(event.for, event.pauseUpstreams);
     else if ('leave' in event) this.#leave(event.leave);
     else if ('overload' in event) this.#overload(event.overload, event.for, event.backoff);
     else if ('startAgain' in event)
