--- a/packages/standins/src/faults/checkRecords/index.ts
+++ b/packages/standins/src/faults/checkRecords/index.ts
@@ -79,7 +79,9 @@
   const keys = [...answered].filter((key) => !hungUp.has(key));
   return keys.flatMap((key) => {
     const bill = context.bills.get(`${budget.budgetId}/${key}`);
-    const record = engineRecords.find(({ requestId }) => requestId === bill?.requestId);
+    const records = engineRecords.filter(({ requestId }) => requestId === bill?.requestId);
+    // Engines to which it was sent before and that were given up cancel it when they go on.
+    const record = records.find(({ state }) => state === 'done') ?? records[0];
     const tokens = (record?.promptTokens ?? 0) + (record?.outputTokens ?? 0);
     if (bill?.tokens === tokens) return [];
     return [violation('billIsWhole', `${key}: billed ${bill?.tokens ?? 0}, generated ${tokens}`)];
