Bytes without end are told from an answer by what they complete, and their upstream is ejected at once

What callers saw: requests that may not be repeated waited for their deadline (504) under a status line, empty lines, interim responses, a head at one byte a second, a chunk size or extension, a trickle of 200 bytes each 50 ms without end; interim responses cost 91 MiB, chunks of one byte up to 1.2 GiB of one request. Cause: the HTTP client bounds the fields of a head only, and has no bound of what lies between; whatever came was received until the deadline. An upstream was ejected after two failures. Change: ResponseProgress (routing) counts what is read against what it completes: 64 KiB of head with its interim responses, 32 of these, 1.5 s of bytes that arrive for a head, framing of 64 KiB and twice the body, a trickle (32 reads of less than 512 bytes on average over 2 s or 5 target latencies, without a whole event or a stated length). It decides only when bytes arrive, intervals count 1 s at most: no upstream is ended for its silence. Such a response is broken (502, outcomeUnknown for what may not be repeated), its upstream ejected at once, also where a hedged request outran a trickle. Empty lines on an idle connection close it after 1 KiB. Weighed for slow bodies of requests that may not be repeated: a bound on their time would hit large bodies over slow links, so the size of the reads decides: links deliver whole packets, and a stated length has an end. A service that itself writes tiny parts for 2 s without a length is ended; it can state one.

--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -10,10 +10,10 @@
   type UpstreamId,
 } from '@acaciacrank/base';
 import { rawHeaderValue } from '@acaciacrank/callers';
-import { needsRunCheck, type UpstreamRun } from '@acaciacrank/routing';
+import { needsRunCheck, ResponseProgress, type UpstreamRun } from '@acaciacrank/routing';
 import type { ForwardCodec, RawHeaders } from '../../ForwardCodec/index.js';
 import type { ReceivedStatement } from '../applyStatement/index.js';
-import type { AttemptResult } from '../AttemptResult/index.js';
+import type { AttemptResult, SupersededResult } from '../AttemptResult/index.js';
 import { checkRun, type RunCheck } from '../checkRun/index.js';
 import { BodyCollector } from '../BodyCollector/index.js';
 import {
@@ -26,6 +26,7 @@
 import type { ForwardCall } from '../ForwardCall/index.js';
 import type { ResponseHead } from '../../types.js';
 import { responseMarginMs } from '../limits/index.js';
+import { NoAnswerError, noAnswerReasonOf } from '../NoAnswerError/index.js';
 import {
   formatOrigin,
   parseOrigin,
@@ -120,10 +121,12 @@
   #isSilent = false;
   /** Whether the caller has not yet taken what the upstream sent last. */
   #isCallerBehind = false;
+  readonly #responseProgress: ResponseProgress;
 
   constructor(options: AttemptOptions) {
     super();
     this.#options = options;
+    this.#responseProgress = new ResponseProgress(options.call.route);
   }
 
   /** Sends the request, then relays or buffers the response. Never throws. */
@@ -153,6 +156,9 @@
       this.#startInactivityTimer(this.#options.inactivityTimeoutMs);
       const exchange = new Exchange(connection.client, this.#createRequest(), this);
       this.#exchange = exchange;
+      using _watch = connection.watch((bytes) => {
+        this.#recordRead(bytes);
+      });
       await exchange.run();
       if (connection.wasReset)
         return this.#classifyError(new Error('the connection was reset during the response'));
@@ -216,9 +222,22 @@
     this.#isRunUnproven = true;
   }
 
+  /** Guards against bytes without end that are no answer, before a head, in a body or between its chunks. */
+  #recordRead(bytes: number): void {
+    const reason = this.#responseProgress.recordRead(bytes, this.#options.clock.monotonicMs());
+    if (reason !== undefined) this.#exchange?.fail(new NoAnswerError(reason));
+  }
+
+  override onInterim(): void {
+    const reason = this.#responseProgress.recordInterim();
+    if (reason !== undefined) throw new NoAnswerError(reason);
+  }
+
   override onHead(response: UpstreamResponseHead): void {
     const { call, codec, upstream } = this.#options;
     const { status, headers, isFramed } = response;
+    const isBounded = call.route.kind !== 'stream' && hasLength(headers);
+    this.#responseProgress.recordHead({ isBounded });
     const head = codec.readResponseHead(status, headers);
     this.#recheckConnection();
     this.#recordReceived(false);
@@ -251,6 +270,7 @@
   }
 
   override onData(chunk: Buffer): Promise<void> | undefined {
+    this.#responseProgress.recordPayload(chunk.byteLength);
     const handling = this.#bodyHandling;
     if (handling === undefined) return undefined;
     if (handling.kind === 'collect') {
@@ -274,6 +294,7 @@
     const inFlightRequest = this.#inFlightRequest;
     if (inFlightRequest !== undefined && !inFlightRequest.hasFirstEvent)
       this.#options.onFirstEvent(inFlightRequest);
+    this.#responseProgress.recordEvent();
     this.#recordReceived(true);
     this.#options.onProgress();
   }
@@ -390,13 +411,23 @@
   #classifyError(thrown: unknown): AttemptResult {
     const abortReason = this.#abortReason;
     const wasStarted = !wasNeverSent(thrown);
-    if (abortReason === 'superseded')
-      return { kind: abortReason, wasSent: wasStarted, wasSilent: this.#isSilent };
+    if (abortReason === 'superseded') return this.#createSuperseded(wasStarted);
     if (abortReason !== undefined) return { kind: abortReason, wasSent: wasStarted };
     if (!wasStarted) return { kind: 'notSent', reason: toRouterError(thrown).message };
-    const isConnectionLost = !(thrown instanceof RouterError);
-    return { kind: 'broken', reason: toRouterError(thrown).message, isConnectionLost };
+    const noAnswer = noAnswerReasonOf(thrown);
+    const isConnectionLost = !(thrown instanceof RouterError) && noAnswer === undefined;
+    return { kind: 'broken', reason: toRouterError(thrown).message, isConnectionLost, noAnswer };
   }
+
+  #createSuperseded(wasSent: boolean): SupersededResult {
+    const wasSilent = this.#isSilent;
+    const noAnswer = wasSilent && this.#responseProgress.isTrickling ? 'trickle' : undefined;
+    return { kind: 'superseded', wasSent, wasSilent, noAnswer };
+  }
+}
+
+function hasLength(headers: RawHeaders): boolean {
+  return rawHeaderValue(headers, 'content-length') !== undefined;
 }
 
 function notRunByPeer(status: number): AttemptResult {
--- a/packages/forwarding/src/_lib/AttemptResult/index.ts
+++ b/packages/forwarding/src/_lib/AttemptResult/index.ts
@@ -2,6 +2,7 @@
  * How one request at one upstream can end.
  */
 import type { RawHeaders } from '../../ForwardCodec/index.js';
+import type { NoAnswerReason } from '../NoAnswerError/index.js';
 
 /** How an attempt ended. */
 export type AttemptResult =
@@ -26,6 +27,8 @@
   readonly wasSent: boolean;
   /** Whether nothing had come from the upstream for so long that another one was asked. */
   readonly wasSilent: boolean;
+  /** Why what the upstream sent is no answer, if it is none. */
+  readonly noAnswer?: NoAnswerReason | undefined;
 }
 
 /** No byte was sent. */
@@ -42,6 +45,8 @@
   readonly reason: string;
   /** Whether the connection was lost, rather than the response being invalid. */
   readonly isConnectionLost: boolean;
+  /** Why what the upstream sent is no answer, if it is none. */
+  readonly noAnswer?: NoAnswerReason | undefined;
 }
 
 /** The upstream states that it did not run the request. */
@@ -61,3 +66,8 @@
   readonly body: Buffer;
   readonly isFramed: boolean;
 }
+
+/** Why what an upstream sent is no answer; undefined if it is one, or if nothing shows that it is none. */
+export function noAnswerOf(result: AttemptResult): NoAnswerReason | undefined {
+  return 'noAnswer' in result ? result.noAnswer : undefined;
+}
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -26,7 +26,7 @@
 import type { RequestQuarantine, SuspectAttempt } from '@acaciacrank/callers';
 import type { UpstreamTable } from '../../UpstreamTable/index.js';
 import { Attempt, type AttemptOptions } from '../Attempt/index.js';
-import type { AttemptResult, PlainResponse } from '../AttemptResult/index.js';
+import { noAnswerOf, type AttemptResult, type PlainResponse } from '../AttemptResult/index.js';
 import { isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
 import { HedgedAttempts, type Contender, type EndedContender } from '../HedgedAttempts/index.js';
 import type { PrefillTimeModels } from '../PrefillTimeModels/index.js';
@@ -622,9 +622,11 @@
     if (!this.#dependencies.reach.isReached) return;
     const isOutrun = result.kind === 'superseded' && result.wasSilent;
     const isFault = result.kind === 'broken' || isOutrun;
-    if (result.kind === 'notSent') upstream.eject();
-    if (result.kind === 'notSent' || (isFault && upstream.recordFailure()))
-      upstreams.reportEjected(upstream);
+    const noAnswer = noAnswerOf(result);
+    if (noAnswer !== undefined) metrics.count('noAnswers', noAnswer);
+    const isEjectedAtOnce = result.kind === 'notSent' || noAnswer !== undefined;
+    if (isEjectedAtOnce) upstream.eject();
+    if (isEjectedAtOnce || (isFault && upstream.recordFailure())) upstreams.reportEjected(upstream);
   }
 }
 
@@ -651,7 +653,9 @@
   if (result.kind === 'answer') return { status: result.status, bytes: result.body.byteLength };
   if (result.kind === 'streamed') return { longestGapMs: result.longestGapMs };
   if (result.kind === 'notRun') return { status: result.status, backoffMs: result.backoffMs };
-  if (result.kind === 'notSent' || result.kind === 'broken') return { reason: result.reason };
-  if (result.kind === 'superseded') return { wasSilent: result.wasSilent };
+  if (result.kind === 'notSent') return { reason: result.reason };
+  if (result.kind === 'broken') return { reason: result.reason, noAnswer: result.noAnswer };
+  if (result.kind === 'superseded')
+    return { wasSilent: result.wasSilent, noAnswer: result.noAnswer };
   return {};
 }
--- a/packages/forwarding/src/_lib/Exchange/index.ts
+++ b/packages/forwarding/src/_lib/Exchange/index.ts
@@ -29,6 +29,11 @@
   /** Called once, before any data. */
   abstract onHead(head: UpstreamResponseHead): void;
 
+  /** Called for each interim response (status 1xx) before the head. */
+  onInterim(): void {
+    // Most receivers have no use for them.
+  }
+
   /**
    * Called for each part of the body.
    *
@@ -113,13 +118,24 @@
     this.#fail(new AbortedError(wasStarted));
   }
 
+  /** Ends the request with an error, since what comes is not to be received any more. */
+  fail(error: Error): void {
+    this.#fail(error);
+  }
+
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.#controller = controller;
     if (this.#isEnded) controller.abort(new AbortedError(false));
   }
 
   onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
-    if (this.#isEnded || status < firstFinalStatus) return;
+    if (this.#isEnded) return;
+    if (status < firstFinalStatus) {
+      this.#guard(() => {
+        this.#receiver.onInterim();
+      });
+      return;
+    }
     const headers = toText(controller.rawHeaders);
     this.#guard(() => {
       this.#receiver.onHead({ status, headers, isFramed: isFramed(headers) });
--- a/packages/forwarding/src/_lib/UpstreamConnection/index.ts
+++ b/packages/forwarding/src/_lib/UpstreamConnection/index.ts
@@ -5,6 +5,9 @@
 import { Client } from 'undici';
 import { connectTimeoutMs, keepAliveTimeoutMs, maxKeepAliveTimeoutMs } from '../limits/index.js';
 
+/** Maximum number of bytes on a connection while no request is in progress. */
+const maxIdleBytes = 1_024;
+
 /** Gets news of a connection. */
 export interface ConnectionListener {
   /** Called when it came about, or did not. */
@@ -33,6 +36,11 @@
   #wasReset = false;
   #socket: Socket | undefined;
   #openCount = 0;
+  /** Number of bytes of the open connection that have been parsed. */
+  #parsedBytes = 0;
+  /** Number of bytes that came while no request was in progress. */
+  #idleBytes = 0;
+  #onRead: ((bytes: number) => void) | undefined;
 
   /**
    * @param address - `IP:PORT` of the upstream
@@ -81,6 +89,22 @@
     return this.#openCount;
   }
 
+  /**
+   * Reports bytes of the response to a request, those of its framing included, once they have been parsed.
+   *
+   * @param onRead - called for each read, with the number of bytes
+   * @returns ends the reports
+   */
+  watch(onRead: (bytes: number) => void): Disposable {
+    this.#onRead = onRead;
+    this.#idleBytes = 0;
+    return {
+      [Symbol.dispose]: () => {
+        this.#onRead = undefined;
+      },
+    };
+  }
+
   /** Closes the connection immediately. */
   destroy(): void {
     this.client.destroy().catch(() => {
@@ -101,6 +125,13 @@
         clearTimeout(timer);
         this.#socket = socket;
         this.#openCount += 1;
+        this.#parsedBytes = 0;
+        // The parser of the HTTP client listens first, so that it has taken what is counted.
+        setImmediate(() => {
+          socket.on('readable', () => {
+            this.#countRead(socket);
+          });
+        });
         this.#listener.onConnect?.(true);
         resolve(socket);
       });
@@ -118,4 +149,17 @@
       });
     });
   }
+
+  /** Guards against bytes without end after a response, which the parser skips if they are empty lines. */
+  #countRead(socket: Socket): void {
+    const parsedBytes = socket.bytesRead - socket.readableLength;
+    const bytes = parsedBytes - this.#parsedBytes;
+    this.#parsedBytes = parsedBytes;
+    if (this.#onRead !== undefined) {
+      this.#onRead(bytes);
+      return;
+    }
+    this.#idleBytes += bytes;
+    if (this.#idleBytes > maxIdleBytes) socket.destroy();
+  }
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -44,3 +44,4 @@
 export * from './StreamOrigins/index.js';
 export * from './measureSilence/index.js';
 export * from './needsRunCheck/index.js';
+export * from './ResponseProgress/index.js';
