--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -9,7 +9,7 @@
 import type { StreamAffinity } from '../../StreamAffinity/index.js';
 import type { RequestQuarantine, SuspectAttempt } from '@acaciacrank/callers';
 import { Attempt, type AttemptOptions } from '../Attempt/index.js';
-import type { AttemptResult, PlainResponse } from '../AttemptResult/index.js';
+import { noAnswerOf, type AttemptResult, type PlainResponse } from '../AttemptResult/index.js';
 import { isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
 import {
   HedgePermits,
@@ -460,9 +460,11 @@
     if (!this.#dependencies.reach.isReached) return;
     const isOutrun = result.kind === 'superseded' && result.wasSilent;
     const isFault = result.kind === 'broken' || isOutrun;
-    if (result.kind === 'notSent') upstream.eject();
-    if (result.kind === 'notSent' || (isFault && upstream.recordFailure()))
-      upstreams.reportEjected(upstream);
+    const noAnswer = noAnswerOf(result);
+    if (noAnswer !== undefined) metrics.count('noAnswers', noAnswer);
+    const isEjectedAtOnce = result.kind === 'notSent' || noAnswer !== undefined;
+    if (isEjectedAtOnce) upstream.eject();
+    if (isEjectedAtOnce || (isFault && upstream.recordFailure())) upstreams.reportEjected(upstream);
   }
 }
 
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -420,14 +420,13 @@
 
   /** Records that a request is sent only now, since the upstream was asked for its run before. */
   recordSent(inFlightRequest: InFlightRequest): void {
-    const nowMs = this.#clock.monotonicMs();
-    inFlightRequest.sentMs = nowMs;
-    inFlightRequest.lastReceivedMs = nowMs;
+    inFlightRequest.sentMs = this.#clock.monotonicMs();
+    inFlightRequest.lastReceivedActiveMs = this.#clock.activeMs();
   }
 
   /** Records a sign of life that belongs to no request. */
   recordContact(): void {
-    this.#lastReceivedMs = this.#clock.monotonicMs();
+    this.#lastReceivedActiveMs = this.#clock.activeMs();
     this.#reach?.recordReceived();
   }
 
--- a/packages/forwarding/src/_lib/describeAttempt/index.ts
+++ b/packages/forwarding/src/_lib/describeAttempt/index.ts
@@ -67,10 +67,11 @@
     case 'notRun':
       return { status: result.status, backoffMs: result.backoffMs };
     case 'notSent':
-    case 'broken':
       return { reason: result.reason };
+    case 'broken':
+      return { reason: result.reason, noAnswer: result.noAnswer };
     case 'superseded':
-      return { wasSilent: result.wasSilent };
+      return { wasSilent: result.wasSilent, noAnswer: result.noAnswer };
     default:
       return {};
   }
