--- a/packages/routing/src/OutlierDetector/index.ts
+++ b/packages/routing/src/OutlierDetector/index.ts
@@ -1,4 +1,5 @@
 import { millisecondsInSecond, type Random } from '@acaciacrank/base';
+import { isServiceSilent } from '../decideHedge/index.js';
 import type { UpstreamHealth } from '../UpstreamHealth/index.js';
 import type { Upstream } from '../types.js';
 
@@ -24,6 +25,14 @@
   maxEjectionMs?: number;
 }
 
+/** What the other upstreams of a service show. */
+interface PeerEvidence {
+  /** Undefined if too few upstreams have had enough first tokens. */
+  readonly medianSlowness: number | undefined;
+  /** Whether most upstreams are silent at once, which says nothing of any one of them. */
+  readonly isSilenceOfMost: boolean;
+}
+
 /** Minimum number of first tokens for an upstream to be considered slow. */
 const minFirstTokens = 6;
 /** Minimum number of peers with enough first tokens for their median to be used. */
@@ -44,7 +53,8 @@
  * without ever answering and one that fails fast both report hardly any load, so a choice by load would
  * send them more and more. They are detected by this instance's own requests: consecutive failures, or
  * requests without a first token while no other request there makes progress. At most a fixed fraction is
- * ejected, since the rest must carry the load: if all upstreams fail at once, the cause lies elsewhere.
+ * ejected, since the rest must carry the load: if all upstreams fail at once, the cause lies elsewhere. While most
+ * upstreams are silent at once, silence is held against none of them.
  */
 export class OutlierDetector {
   readonly #options: Required<OutlierDetectorOptions>;
@@ -68,14 +78,15 @@
    * Updates the health state of all upstreams of one service.
    *
    * @param upstreams - the live upstreams
-   * @param nowMs - current time of the monotonic clock
+   * @param nowMs - the time in which this process ran
    * @returns the upstreams whose state has changed
    *
    * @example
-   * for (const upstream of detector.evaluate(upstreams, clock.monotonicMs())) pool.update(upstream);
+   * for (const upstream of detector.evaluate(upstreams, clock.activeMs())) pool.update(upstream);
    */
   evaluate(upstreams: readonly Upstream[], nowMs: number): Upstream[] {
     const medianSlowness = this.#medianSlowness(upstreams);
+    const isSilenceOfMost = this.#isSilenceOfMost(upstreams, nowMs);
     const changed: Upstream[] = [];
     let notHealthy = upstreams.filter(({ health }) => health.state !== 'healthy').length;
     let probing = upstreams.filter(({ health }) => health.state === 'probing').length;
@@ -85,8 +96,9 @@
       const { health } = upstream;
       const previousState = health.state;
       if (previousState === 'healthy' && notHealthy < maxNotHealthy)
-        this.#evaluateHealthy(health, medianSlowness, nowMs);
-      if (previousState === 'probing') this.#evaluateProbing(health, medianSlowness, nowMs);
+        this.#evaluateHealthy(health, { medianSlowness, isSilenceOfMost }, nowMs);
+      if (previousState === 'probing')
+        this.#evaluateProbing(health, { medianSlowness, isSilenceOfMost }, nowMs);
       if (previousState === 'ejected' && nowMs >= health.ejectedUntilMs && probing < maxProbing) {
         health.reset();
         health.state = 'probing';
@@ -100,22 +112,14 @@
     return changed;
   }
 
-  #evaluateHealthy(
-    health: UpstreamHealth,
-    medianSlowness: number | undefined,
-    nowMs: number,
-  ): void {
+  #evaluateHealthy(health: UpstreamHealth, peers: PeerEvidence, nowMs: number): void {
     if (nowMs - health.healthySinceMs > ejectionBackoffResetMs) health.ejections = 0;
-    const reason = this.#findEjectionReason(health, medianSlowness, minFirstTokens, nowMs);
+    const reason = this.#findEjectionReason(health, peers, minFirstTokens, nowMs);
     if (reason !== undefined) this.#eject(health, reason, nowMs);
   }
 
-  #evaluateProbing(
-    health: UpstreamHealth,
-    medianSlowness: number | undefined,
-    nowMs: number,
-  ): void {
-    const reason = this.#findEjectionReason(health, medianSlowness, firstTokensToRecover, nowMs);
+  #evaluateProbing(health: UpstreamHealth, peers: PeerEvidence, nowMs: number): void {
+    const reason = this.#findEjectionReason(health, peers, firstTokensToRecover, nowMs);
     if (reason !== undefined) {
       this.#eject(health, reason, nowMs);
       return;
@@ -127,14 +131,14 @@
 
   #findEjectionReason(
     health: UpstreamHealth,
-    medianSlowness: number | undefined,
+    { medianSlowness, isSilenceOfMost }: PeerEvidence,
     requiredFirstTokens: number,
     nowMs: number,
   ): UpstreamHealth['reason'] {
     const isProbing = health.state === 'probing';
     const maxFailures = isProbing ? 1 : this.#options.maxConsecutiveFailures;
     if (health.consecutiveFailures >= maxFailures) return 'failing';
-    if (this.#isSilent(health, isProbing, nowMs)) return 'silent';
+    if (!isSilenceOfMost && this.#isSilent(health, isProbing, nowMs)) return 'silent';
     if (medianSlowness === undefined || health.successes < requiredFirstTokens) return undefined;
     const isSlow = health.slowness > medianSlowness * this.#options.slowFactor;
     return isSlow ? 'slow' : undefined;
@@ -157,6 +161,20 @@
     return overdueRequests >= (isProbing ? 1 : 2);
   }
 
+  /** Whether more upstreams are silent than have made progress since the silence began. */
+  #isSilenceOfMost(upstreams: readonly Upstream[], nowMs: number): boolean {
+    const healthy = upstreams
+      .map(({ health }) => health)
+      .filter(({ state }) => state === 'healthy');
+    const silent = healthy.filter((health) => this.#isSilent(health, false, nowMs));
+    const waiting = silent.flatMap(({ unansweredRequests }) => [...unansweredRequests]);
+    const sinceMs = Math.min(...waiting.map(({ startedMs }) => startedMs));
+    const speaking = healthy.filter(
+      (health) => !silent.includes(health) && health.lastProgressMs >= sinceMs,
+    );
+    return isServiceSilent({ speaking: speaking.length, silent: silent.length });
+  }
+
   #eject(health: UpstreamHealth, reason: UpstreamHealth['reason'], nowMs: number): void {
     const { baseEjectionMs, maxEjectionMs, random } = this.#options;
     const durationMs = Math.min(maxEjectionMs, baseEjectionMs * 2 ** health.ejections);
