The product's streams: what lives is kept until its replacement has given something

What callers saw: a stream whose engine paused for 15 s ended with 'fell silent', minutes before its deadline; a stream whose connection lived ended since the connection that replaced it was silent; a request whose engines all paused before the first token failed. Cause: watchProgress aborted a silent connection before its resume had given anything, and after three silences in a row the answer was ended; an engine without a first token was cancelled before another one was had. Change: hedgeReads (in place of watchProgress) resumes beside the silent connection and goes on with whichever gives a token first; silence alone ends nothing. Before the first token another engine is asked beside the silent one (HedgedAttempts, decideHedge, the retry budget), at half of the time to the first-token deadline as before; the one that is too late is cancelled and counted as failing. UpstreamRegistry measures silence by the time in which the process ran. HedgedAttempts and SilenceProbes move to packages/routing, for both request paths.

--- a/packages/callers/src/EngineDispatch/index.ts
+++ b/packages/callers/src/EngineDispatch/index.ts
@@ -1,13 +1,26 @@
 import { RouterError, type ClassName, type RequestId, type ServiceName } from '@acaciacrank/base';
-import type { Upstream, InFlightRequest } from '@acaciacrank/routing';
+import {
+  HedgedAttempts,
+  SilenceProbes,
+  type EndedContender,
+  type InFlightRequest,
+  type Upstream,
+} from '@acaciacrank/routing';
 import {
   checkFrames,
-  watchProgress,
+  hedgeReads,
   type EngineClient,
   type EngineFrame,
   type EngineUsage,
   type GenerateRequest,
 } from '@acaciacrank/upstreams';
+import {
+  EngineAttempt,
+  rankOfStart,
+  SupersededError,
+  type EngineStart,
+} from '../_lib/EngineAttempt/index.js';
+import { HedgeSchedule } from '../_lib/HedgeSchedule/index.js';
 import { toPossiblyRunError } from '../_lib/toPossiblyRunError/index.js';
 import type { RequestQuarantine } from '../RequestQuarantine/index.js';
 import { SuspectTracker } from '../_lib/SuspectTracker/index.js';
@@ -51,6 +64,9 @@
  */
 const minFirstTokenTimeoutMs = 250;
 
+/** Counted against an engine that was silent until another one had answered. */
+const outrun = new RouterError('upstreamFailed', 'another engine has answered first');
+
 /** The state of one stream. */
 interface StreamState {
   readonly outcome: DispatchOutcome;
@@ -63,11 +79,12 @@
 }
 
 /**
- * Gets one complete stream from an engine. Resumes the stream if it breaks off or stalls, and tries
- * another engine only as long as no token has been forwarded.
+ * Gets one complete stream from an engine. Resumes the stream if it breaks off, and beside itself if it stalls; tries
+ * another engine only as long as no token has been forwarded, beside the first one if that is silent.
  */
 export class EngineDispatch {
   readonly #options: EngineDispatchOptions;
+  readonly #probes = new SilenceProbes();
 
   constructor(options: EngineDispatchOptions) {
     this.#options = options;
@@ -90,16 +107,22 @@
     for (;;) {
       const upstream = await tracker.next(picker);
       if (upstream === undefined) break;
+      const open = (next: Upstream) =>
+        new EngineAttempt(next, (superseded) =>
+          this.#streamFrom(next, task, outcome, AbortSignal.any([signal, superseded])),
+        );
+      const { contender, result } = await this.#begin(open, upstream, task, picker, (failed) =>
+        this.#recordFailure(failed, tracker, outcome),
+      );
       try {
-        yield* this.#streamFrom(upstream, task, outcome, signal);
+        if (result.kind !== 'begun') throw errorOf(result);
+        yield* contender.frames(result.first);
         tracker.recordAnswered();
         return;
       } catch (error) {
         if (!(error instanceof RouterError)) throw error;
         lastError = error;
-        this.#options.metrics.count('upstreamFailures', upstream.id);
-        if (outcome.mayHaveRun) await tracker.recordFailure(upstream);
-        else tracker.recordNotRun();
+        if (result.kind === 'begun') await this.#recordFailure(contender, tracker, outcome);
         // Answers are never spliced: once a token has been forwarded, only the same stream may
         // continue.
         if (outcome.forwardedTokens > 0 || signal.aborted) break;
@@ -110,6 +133,61 @@
     throw outcome.mayHaveRun ? toPossiblyRunError(error) : error;
   }
 
+  /**
+   * Sends the request to an engine, and to others beside it while nothing comes. Returns the one that gave its first
+   * frame first, or a failure once all have failed.
+   */
+  async #begin(
+    open: (upstream: Upstream) => EngineAttempt,
+    upstream: Upstream,
+    task: GenerationTask,
+    picker: UpstreamPicker,
+    recordFailure: (failed: EngineAttempt) => Promise<void>,
+  ): Promise<EndedContender<EngineAttempt, EngineStart>> {
+    const { quarantine } = this.#options;
+    const failures: Promise<void>[] = [];
+    const attempts = new HedgedAttempts<EngineAttempt, EngineStart>({
+      onEnded: ({ contender, result }) => {
+        if (result.kind === 'failed') failures.push(recordFailure(contender));
+      },
+      rankOf: rankOfStart,
+    });
+    attempts.add(open(upstream));
+    using _hedges = new HedgeSchedule({
+      ...this.#options,
+      probes: this.#probes,
+      picker,
+      service: task.service,
+      isRepeatable: true,
+      isSuspect: () => !quarantine.suspects.isEmpty && quarantine.isSuspect(task.digest),
+      waitMs: () => this.#hedgeWaitMs(task),
+      start: (next) => {
+        const attempt = open(next);
+        attempts.add(attempt);
+        return attempt.ended;
+      },
+    });
+    const ended = await attempts.result();
+    if (ended.result.kind !== 'begun') await Promise.all(failures);
+    return ended;
+  }
+
+  async #recordFailure(
+    { upstream }: EngineAttempt,
+    tracker: SuspectTracker,
+    { mayHaveRun }: DispatchOutcome,
+  ): Promise<void> {
+    this.#options.metrics.count('upstreamFailures', upstream.id);
+    if (mayHaveRun) await tracker.recordFailure(upstream);
+    else tracker.recordNotRun();
+  }
+
+  /** Half of the time to the first-token deadline, so that another engine can still answer in time. */
+  #hedgeWaitMs({ firstTokenDueMs }: GenerationTask): number | undefined {
+    const remainingMs = firstTokenDueMs - this.#options.clock.monotonicMs();
+    return remainingMs <= 0 ? undefined : Math.max(minFirstTokenTimeoutMs, remainingMs / 2);
+  }
+
   async *#streamFrom(
     upstream: Upstream,
     task: GenerationTask,
@@ -137,6 +215,7 @@
       while (!state.isEnded) yield* this.#streamConnection(engine, task, state, inFlight, signal);
     } finally {
       // A generation without a reader must not keep occupying a slot at the engine.
+      if (signal.reason instanceof SupersededError) inFlight.failed(outrun);
       if (!state.isEnded) task.onCancelled(cancelAndReadUsage(engine, task.request.requestId));
     }
   }
@@ -155,14 +234,23 @@
     const { clock, metrics, random } = this.#options;
     const { request } = task;
     const isFirst = state.consecutiveFailures === 0 && state.nextSequence === 0;
-    const open = (connection: AbortSignal) =>
-      isFirst
-        ? engine.generate(request, connection)
-        : engine.resume(request.requestId, state.nextSequence, connection);
-    const limitMs = () => this.#progressTimeoutMs(engine, task, state);
+    const { requestId } = request;
+    const check = (frames: AsyncIterable<EngineFrame>) =>
+      checkFrames(frames, requestId, state.nextSequence);
+    const resume = (connection: AbortSignal) =>
+      check(engine.resume(requestId, state.nextSequence, connection));
+    const frames = hedgeReads({
+      clock,
+      open: isFirst ? (connection) => check(engine.generate(request, connection)) : resume,
+      reopen: resume,
+      limitMs: (resumedInVain) => this.#silenceLimitMs(engine, task, state, resumedInVain),
+      onSilent: () => {
+        metrics.count('resumes');
+      },
+      signal,
+    });
     try {
-      const frames = watchProgress(open, { clock, limitMs, signal });
-      for await (const frame of checkFrames(frames, request.requestId, state.nextSequence)) {
+      for await (const frame of frames) {
         assertWithinMaxTokens(task, frame);
         inFlight.progress();
         this.#recordProgress(engine, state, frame);
@@ -213,12 +301,17 @@
   }
 
   /**
-   * Doubles with each consecutive failure, so that an engine that has merely become slow is not
-   * resumed over and over. Until the first token is overdue, half of the remaining time is kept for
-   * another attempt.
+   * After how long without a token another connection is opened. Doubles with each connection in vain, so that an
+   * engine that has merely become slow is not resumed over and over. Until the first token is overdue, half of the
+   * remaining time is kept for another attempt.
    */
-  #progressTimeoutMs(engine: EngineClient, task: GenerationTask, state: StreamState): number {
-    const factor = 2 ** state.consecutiveFailures;
+  #silenceLimitMs(
+    engine: EngineClient,
+    task: GenerationTask,
+    state: StreamState,
+    resumedInVain: number,
+  ): number {
+    const factor = 2 ** (state.consecutiveFailures + resumedInVain);
     if (state.nextSequence > 0) return engine.tokenGapTimeout.limitMs() * factor;
     const learnedTimeoutMs = engine.firstTokenTimeout.limitMs() * factor;
     const remainingMs = task.firstTokenDueMs - this.#options.clock.monotonicMs();
@@ -227,6 +320,10 @@
   }
 }
 
+function errorOf(start: Exclude<EngineStart, { kind: 'begun' }>): unknown {
+  return start.kind === 'failed' ? start.error : outrun;
+}
+
 /**
  * Guards against telling a caller that its request names something unknown: it is the engine that does not know the
  * stream any more, since it has started again, maybe with other software.
--- a/packages/callers/src/_lib/UpstreamPicker/index.ts
+++ b/packages/callers/src/_lib/UpstreamPicker/index.ts
@@ -30,7 +30,7 @@
 }
 
 /** Maximum number of upstreams tried for one request. */
-const maxUpstreamsTried = 3;
+export const maxUpstreamsTried = 3;
 
 /** Picks upstreams for one request, each at most once. */
 export class UpstreamPicker {
@@ -55,13 +55,15 @@
    * Every upstream after the first takes a retry from the retry budget of the one that failed, and
    * none is tried once the request is overdue.
    *
+   * @param isEligible - whether an upstream may be picked; by default each may
    * @returns undefined if there is no upstream or no retry left
    */
-  next(): Upstream | undefined {
+  next(isEligible: (id: UpstreamId) => boolean = () => true): Upstream | undefined {
     const { registry, selector, random, retries } = this.#options;
     const { service, className, prefixHash } = this.#criteria;
     if (this.#tried.size >= maxUpstreamsTried) return undefined;
-    const candidates = registry.candidates(service, this.#tried);
+    const all = registry.candidates(service, this.#tried);
+    const candidates = all.filter(({ id }) => isEligible(id));
     const upstream = selector.choose(candidates, { random, prefixHash });
     if (upstream === undefined || !this.#isAttemptAllowed()) return undefined;
     this.#lastTried = upstream;
--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -13,7 +13,7 @@
 } from '@acaciacrank/base';
 import { ByteBudget, CallerWriter, readBody, writeError } from '@acaciacrank/callers';
 import type { PrepaidAccounts, ReserveOutcome } from '@acaciacrank/ledger';
-import type { RetryShare } from '@acaciacrank/routing';
+import { SilenceProbes, type RetryShare } from '@acaciacrank/routing';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Relay } from '../_lib/Relay/index.js';
 import { relayedByHeader, relayRefusedHeader } from '../_lib/relayProtocol/index.js';
@@ -28,7 +28,6 @@
 } from '../_lib/limits/index.js';
 import { PromptPartLocations } from '../_lib/PromptPartLocations/index.js';
 import { RequestTrace } from '../_lib/RequestTrace/index.js';
-import { SilenceProbes } from '../_lib/SilenceProbes/index.js';
 import type { ForwardCodec } from '../ForwardCodec/index.js';
 import type { ReachMonitor } from '../ReachMonitor/index.js';
 import type { RelayPeers } from '../RelayPeers/index.js';
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -18,6 +18,7 @@
   type HedgeRefusal,
   type PrefillTimeModel,
   type RetryShare,
+  type SilenceProbes,
 } from '@acaciacrank/routing';
 import type { ForwardCodec } from '../../ForwardCodec/index.js';
 import type { ReachMonitor } from '../../ReachMonitor/index.js';
@@ -36,7 +37,6 @@
 import { digestContent } from '../digestContent/index.js';
 import { recordStreamBegin } from '../recordStreamBegin/index.js';
 import { Relay } from '../Relay/index.js';
-import type { SilenceProbes } from '../SilenceProbes/index.js';
 import { createVersionGoneError } from '../versionErrors/index.js';
 import { responseHeaders, writePlainHead } from '../responseHeaders/index.js';
 import { lastSharedPart, pickUpstream, type UpstreamPick } from '../pickUpstream/index.js';
--- a/packages/routing/src/UpstreamHealth/index.ts
+++ b/packages/routing/src/UpstreamHealth/index.ts
@@ -1,3 +1,5 @@
+import type { UpstreamActivity } from '../measureSilence/index.js';
+
 /** A request that has not received a first token yet. */
 export interface UnansweredRequest {
   readonly startedMs: number;
@@ -18,11 +20,11 @@
   state: 'healthy' | 'probing' | 'ejected' = 'healthy';
   /** Reason for the last ejection. */
   reason: 'failing' | 'silent' | 'slow' | undefined;
-  /** Time at which an ejected upstream may be probed, by the monotonic clock. */
+  /** Time at which an ejected upstream may be probed, by the time in which this process ran. */
   ejectedUntilMs = 0;
   /** Number of ejections without a long healthy period between them; determines the backoff. */
   ejections = 0;
-  /** Time at which it became healthy after its last ejection, by the monotonic clock. */
+  /** Time at which it became healthy after its last ejection, by the time in which this process ran. */
   healthySinceMs = -Infinity;
   readonly #unanswered = new Set<UnansweredRequest>();
   #consecutiveFailures = 0;
@@ -45,7 +47,7 @@
     return this.#slowness;
   }
 
-  /** Time of the last progress of any request, by the monotonic clock. */
+  /** Time of the last progress of any request, by the time in which this process ran. */
   get lastProgressMs(): number {
     return this.#lastProgressMs;
   }
@@ -55,6 +57,13 @@
     return this.#unanswered;
   }
 
+  /** When it was last heard of, and how long the request that waits longest has had no first token. */
+  activityAt(nowMs: number): UpstreamActivity {
+    let oldestMs = nowMs;
+    for (const { startedMs } of this.#unanswered) oldestMs = Math.min(oldestMs, startedMs);
+    return { sinceReceivedMs: nowMs - this.#lastProgressMs, longestWaitMs: nowMs - oldestMs };
+  }
+
   begin(request: UnansweredRequest): void {
     this.#unanswered.add(request);
   }
--- a/packages/routing/src/UpstreamRegistry/index.ts
+++ b/packages/routing/src/UpstreamRegistry/index.ts
@@ -19,6 +19,7 @@
 import { chooseSubset, type ChooseSubsetOptions } from '../chooseSubset/index.js';
 import type { ConcurrencyLimit } from '../ConcurrencyLimit/index.js';
 import { OverloadBackoff } from '../OverloadBackoff/index.js';
+import type { UpstreamActivity } from '../measureSilence/index.js';
 import { OutlierDetector, type OutlierDetectorOptions } from '../OutlierDetector/index.js';
 import { UpstreamHealth } from '../UpstreamHealth/index.js';
 import { InFlightRequest } from '../InFlightRequest/index.js';
@@ -126,6 +127,13 @@
     return [...this.#entries.values()].map(({ upstream }) => upstream);
   }
 
+  /** Returns when each live upstream of a service was last heard of. */
+  activities(service: ServiceName): ReadonlyMap<UpstreamId, UpstreamActivity> {
+    const live = this.#pools.get(service)?.live ?? [];
+    const nowMs = this.#options.clock.activeMs();
+    return new Map(live.map(({ id, health }) => [id, health.activityAt(nowMs)]));
+  }
+
   /** Returns the limit for this instance's in-flight requests at all upstreams of a service combined. */
   slots(service: ServiceName): number {
     return this.#pools.get(service)?.slots ?? 0;
@@ -298,7 +306,7 @@
   }
 
   #checkHealth(pool: ServicePool): void {
-    for (const upstream of this.#detector.evaluate(pool.live, this.#options.clock.monotonicMs())) {
+    for (const upstream of this.#detector.evaluate(pool.live, this.#options.clock.activeMs())) {
       if (upstream.health.state === 'healthy') upstream.limit.reset();
       pool.update(upstream);
     }
--- a/packages/routing/src/_lib/RegistryRequest/index.ts
+++ b/packages/routing/src/_lib/RegistryRequest/index.ts
@@ -35,7 +35,7 @@
     this.#priority = priority;
     this.#context = context;
     this.#request = {
-      startedMs: context.clock.monotonicMs(),
+      startedMs: context.clock.activeMs(),
       averageFirstTokenMs: context.pool.averageFirstTokenMs(priority),
     };
     const { upstream } = entry;
@@ -48,7 +48,7 @@
 
   override progress(): void {
     const { health } = this.#entry.upstream;
-    const nowMs = this.#context.clock.monotonicMs();
+    const nowMs = this.#context.clock.activeMs();
     health.recordProgress(nowMs);
     if (this.#hasProgressed) return;
     this.#hasProgressed = true;
@@ -77,7 +77,7 @@
     upstream.inFlightRequests -= 1;
     upstream.health.end(this.#request);
     this.#context.pool.recordRequestDuration(
-      this.#context.clock.monotonicMs() - this.#request.startedMs,
+      this.#context.clock.activeMs() - this.#request.startedMs,
     );
     this.#recordChange(-1);
     this.#context.ended();
--- a/packages/standins/src/failures/streams/test.ts
+++ b/packages/standins/src/failures/streams/test.ts
@@ -8,7 +8,7 @@
   type LocalFleet,
   type LocalInstance,
 } from '../../createLocalFleet/index.js';
-import { tokenText, type EngineRecord } from '../../StandinEngine/index.js';
+import { tokenText, type EngineRecord, type StandinEngine } from '../../StandinEngine/index.js';
 
 const document = `environment: test
 classes:
@@ -162,6 +162,42 @@
   t.is(first.instance.metrics.counter('resumes'), 1);
 });
 
+// Guards against a stream that is ended for the silence of its engine, long before its deadline.
+test('a stream whose engine pauses for 40 s goes on afterwards', async (t) => {
+  const fixture = await createFixture(noFaults, 1);
+  await using fleet = fixture.fleet;
+  const [first] = fleet.instances as [LocalInstance];
+  await fleet.clock.runUntil(receive(first, chatCall('teaches the gaps')));
+  const [engine] = [...fleet.clients.engines.values()] as [StandinEngine];
+  const received = receive(first, chatCall('k1'));
+  await fleet.clock.advance(400);
+  // The next token comes after 2,000 times the usual gap of 20 ms.
+  engine.slowFactor = 2_000;
+  await fleet.clock.advance(1_000);
+  engine.slowFactor = 1;
+  const { frames, error } = await fleet.clock.runUntil(received);
+  t.is(error, undefined);
+  t.true(isComplete({ frames }));
+  t.is(recordsOf(fleet).length, 2);
+});
+
+// Guards against a connection that lives and is closed before another one has given anything.
+test('a stream goes on over its connection if those that were to replace it stay silent', async (t) => {
+  const plan: FaultPlan = ({ kind }) =>
+    kind === 'resume' ? { kind: 'silent', afterTokens: 0 } : undefined;
+  const fixture = await createFixture(plan, 1);
+  await using fleet = fixture.fleet;
+  const [first] = fleet.instances as [LocalInstance];
+  await fleet.clock.runUntil(receive(first, chatCall('teaches the gaps')));
+  const [engine] = [...fleet.clients.engines.values()] as [StandinEngine];
+  const received = receive(first, chatCall('k1'));
+  await fleet.clock.advance(400);
+  engine.slowFactor = 200;
+  await fleet.clock.advance(1_000);
+  engine.slowFactor = 1;
+  t.true(isComplete(await fleet.clock.runUntil(received)));
+});
+
 // Guards against a request that fails because its engine accepts the prompt and never responds, on any
 // connection. No token was passed on, so another engine may respond within the deadline of the class.
 test('a request moves to another engine if its engine accepts it and never responds', async (t) => {
@@ -181,6 +217,27 @@
   await assertNoTokensReserved(t, fixture);
 });
 
+// Guards against a request that is ended since all engines are silent at once, long before its deadline: no engine
+// may be given up for another one that has given nothing.
+test('a request whose engines all pause before the first token waits for them', async (t) => {
+  const fixture = await createFixture(noFaults, 3);
+  await using fleet = fixture.fleet;
+  const [first] = fleet.instances as [LocalInstance];
+  const engines = [...fleet.clients.engines.values()];
+  // Reading the prompt takes 4.5 s instead of 250 ms; another engine that begins after 2 s is not done in time.
+  for (const engine of engines) engine.slowFactor = 18;
+  const call = { ...chatCall('k1', 'shift', 'x'.repeat(4_000)), maxTokens: 5 };
+  const received = receive(first, call);
+  await fleet.clock.advance(4_000);
+  for (const engine of engines) engine.slowFactor = 1;
+  const { frames, error } = await fleet.clock.runUntil(received);
+  t.is(error, undefined);
+  t.true(isComplete({ frames }));
+  t.true(recordsOf(fleet).length <= 3, `sent to ${recordsOf(fleet).length} engines`);
+  t.is((await readStatus(fixture)).bills, 1);
+  await assertNoTokensReserved(t, fixture);
+});
+
 // Guards against a stream that mixes two generations: an engine is lost for good after some tokens, and
 // its request is run again on another engine. The caller must get an error at once instead.
 test('a stream that broke off after a token is never continued by another engine', async (t) => {
--- a/packages/upstreams/src/index.ts
+++ b/packages/upstreams/src/index.ts
@@ -9,7 +9,7 @@
 export * from './checkFrames/index.js';
 export * from './readBackoffMs/index.js';
 export * from './AdaptiveTimeout/index.js';
-export * from './watchProgress/index.js';
+export * from './hedgeReads/index.js';
 export * from './StoreLease/index.js';
 export * from './WeightLoadRateLimiter/index.js';
 export * from './planOrders/index.js';
