The product's calls: a repeatable call is hedged instead of aborted

What callers saw: a repeatable call failed while all upstreams of its service paused for 3 s, 2 s before its deadline; calls that came meanwhile were refused once the retry budget was used up. Cause: each upstream was given up after the time-out learnt from it, before another one had answered. Change: the call is sent to another upstream beside the silent one (HedgedAttempts, decideHedge, the retry budget); the first answer other than 503 goes on, and the rest are aborted and counted as failing. It ends at its deadline only. A call that may not run twice is never hedged.

--- a/packages/callers/src/EngineDispatch/index.ts
+++ b/packages/callers/src/EngineDispatch/index.ts
@@ -153,7 +153,7 @@
       rankOf: rankOfStart,
     });
     attempts.add(open(upstream));
-    using _hedges = new HedgeSchedule({
+    const hedges = new HedgeSchedule({
       ...this.#options,
       probes: this.#probes,
       picker,
@@ -168,6 +168,7 @@
       },
     });
     const ended = await attempts.result();
+    hedges[Symbol.dispose]();
     if (ended.result.kind !== 'begun') await Promise.all(failures);
     return ended;
   }
--- a/packages/callers/src/ServiceDispatch/index.ts
+++ b/packages/callers/src/ServiceDispatch/index.ts
@@ -1,12 +1,8 @@
-import {
-  millisecondsInHour,
-  RouterError,
-  withTimeout,
-  type ClassName,
-  type ServiceName,
-} from '@acaciacrank/base';
-import type { Upstream } from '@acaciacrank/routing';
+import { RouterError, type ClassName, type ServiceName } from '@acaciacrank/base';
+import { HedgedAttempts, resultRanks, SilenceProbes, type Upstream } from '@acaciacrank/routing';
 import { readBackoffMs, type ServiceResponse, type ServiceRequest } from '@acaciacrank/upstreams';
+import { HedgeSchedule } from '../_lib/HedgeSchedule/index.js';
+import { rankOfResult, ServiceAttempt, type ServiceResult } from '../_lib/ServiceAttempt/index.js';
 import { toPossiblyRunError } from '../_lib/toPossiblyRunError/index.js';
 import { UpstreamPicker, type UpstreamPickerOptions } from '../_lib/UpstreamPicker/index.js';
 import type { RequestQuarantine } from '../RequestQuarantine/index.js';
@@ -35,20 +31,34 @@
 
 /** Base of the jittered exponential backoff before a retry, in milliseconds. */
 const retryBackoffMs = 50;
-/** Minimum time that an upstream gets to respond, however near the due time, in milliseconds. */
+/** Minimum time that an upstream gets to respond until another one is asked, in milliseconds. */
 const minAnswerTimeoutMs = 250;
-/** Status of a service that is temporarily unavailable; the call may have run nevertheless. */
-const unavailableStatus = 503;
+/** Counted against an upstream that was silent until another one had answered. */
+const outrun = new RouterError('upstreamFailed', 'another upstream has answered first');
 
-/** The result of one attempt at one upstream. */
-type Attempt = { readonly answer: ServiceResponse } | { readonly error: RouterError };
+/** What is known about the call across all upstreams tried. */
+interface CallOutcome {
+  /** Whether an upstream may have run it; if so, no error reports it as `notRun`. */
+  mayHaveRun: boolean;
+}
+
+/** A call with what follows it across all upstreams tried. */
+interface CallUnderWay {
+  readonly task: ServiceCallTask;
+  readonly picker: UpstreamPicker;
+  readonly tracker: SuspectTracker;
+  readonly outcome: CallOutcome;
+  readonly signal: AbortSignal;
+}
 
 /**
  * Makes one call at one upstream, and retries at another only where that is safe: if no byte of the
- * call reached the first, or if the call is idempotent. Either uses the retry budget.
+ * call reached the first, or if the call is idempotent. An idempotent call is also sent to another one beside an
+ * upstream that does not answer. Each uses the retry budget.
  */
 export class ServiceDispatch {
   readonly #options: ServiceDispatchOptions;
+  readonly #probes = new SilenceProbes();
 
   constructor(options: ServiceDispatchOptions) {
     this.#options = options;
@@ -66,27 +76,22 @@
     const picker = new UpstreamPicker(this.#options, { ...task, dueMs: task.answerDueMs });
     const { digest, service, answerDueMs: dueMs } = task;
     const tracker = new SuspectTracker({ ...this.#options, request: { digest, service }, dueMs });
-    let mayHaveRun = false;
-    let lastAttempt: Attempt | undefined;
+    const outcome: CallOutcome = { mayHaveRun: false };
+    let last: ServiceResult | undefined;
     for (;;) {
       const upstream = await tracker.next(picker);
       if (upstream === undefined) break;
-      if (lastAttempt !== undefined) await this.#backOff(picker.triedUpstreams, signal);
-      lastAttempt = await this.#attempt(upstream, task, signal);
-      await recordAttempt(tracker, upstream, lastAttempt);
-      if ('answer' in lastAttempt) {
-        if (lastAttempt.answer.status !== unavailableStatus) return lastAttempt.answer;
-        mayHaveRun = true;
-      } else {
-        mayHaveRun ||= lastAttempt.error.ran !== 'notRun';
-      }
-      if (signal.aborted || (mayHaveRun && !task.isRepeatable)) break;
+      if (last !== undefined) await this.#backOff(picker.triedUpstreams, signal);
+      last = await this.#attempt(upstream, { task, picker, tracker, outcome, signal });
+      if (rankOfResult(last) === resultRanks.final) break;
+      if (signal.aborted || (outcome.mayHaveRun && !task.isRepeatable)) break;
     }
-    if (lastAttempt !== undefined && 'answer' in lastAttempt) return lastAttempt.answer;
+    if (last?.kind === 'answer') return last.answer;
     const error =
-      lastAttempt?.error ??
-      new RouterError('upstreamUnavailable', `no live upstream of ${task.service}`);
-    throw mayHaveRun ? toPossiblyRunError(error) : error;
+      last?.kind === 'failed'
+        ? last.error
+        : new RouterError('upstreamUnavailable', `no live upstream of ${task.service}`);
+    throw outcome.mayHaveRun ? toPossiblyRunError(error) : error;
   }
 
   #backOff(triedUpstreams: number, signal: AbortSignal): Promise<void> {
@@ -94,13 +99,57 @@
     return clock.sleep(retryBackoffMs * 2 ** (triedUpstreams - 1) * random(), signal);
   }
 
-  async #attempt(upstream: Upstream, task: ServiceCallTask, signal: AbortSignal): Promise<Attempt> {
+  /**
+   * Sends the call to an upstream, and to others beside it while no answer comes, if it may run twice. Returns the
+   * first answer, or the failure that says most once all have failed.
+   */
+  async #attempt(upstream: Upstream, call: CallUnderWay): Promise<ServiceResult> {
+    const { task, picker, tracker, outcome, signal } = call;
+    const { quarantine } = this.#options;
+    const records: Promise<void>[] = [];
+    const attempts = new HedgedAttempts<ServiceAttempt, ServiceResult>({
+      onEnded: ({ contender, result }) => {
+        outcome.mayHaveRun ||= mayHaveRun(result);
+        records.push(recordResult(tracker, contender.upstream, result));
+      },
+      rankOf: rankOfResult,
+    });
+    const start = (next: Upstream) => {
+      const attempt = new ServiceAttempt(next, (superseded) =>
+        this.#tryOne(next, task, signal, superseded),
+      );
+      attempts.add(attempt);
+      return attempt.ended;
+    };
+    void start(upstream);
+    const hedges = new HedgeSchedule({
+      ...this.#options,
+      probes: this.#probes,
+      picker,
+      service: task.service,
+      isRepeatable: task.isRepeatable,
+      isSuspect: () => !quarantine.suspects.isEmpty && quarantine.isSuspect(task.digest),
+      waitMs: () => this.#hedgeWaitMs(upstream, task),
+      start,
+    });
+    const { result } = await attempts.result();
+    hedges[Symbol.dispose]();
+    if (rankOfResult(result) !== resultRanks.final) await Promise.all(records);
+    return result;
+  }
+
+  async #tryOne(
+    upstream: Upstream,
+    task: ServiceCallTask,
+    signal: AbortSignal,
+    superseded: AbortSignal,
+  ): Promise<ServiceResult> {
     try {
-      return { answer: await this.#callOne(upstream, task, signal) };
+      return { kind: 'answer', answer: await this.#callOne(upstream, task, signal, superseded) };
     } catch (error) {
       if (!(error instanceof RouterError)) throw error;
       this.#options.metrics.count('upstreamFailures', upstream.id);
-      return { error };
+      return { kind: 'failed', error };
     }
   }
 
@@ -108,6 +157,7 @@
     upstream: Upstream,
     task: ServiceCallTask,
     signal: AbortSignal,
+    superseded: AbortSignal,
   ): Promise<ServiceResponse> {
     const { clock, registry } = this.#options;
     const { plain } = upstream;
@@ -121,50 +171,48 @@
       throw new RouterError('storeUnavailable', message, { ran: 'notRun' });
     }
     using inFlight = registry.begin(upstream);
-    const startedMs = clock.monotonicMs();
-    const send = (timeoutSignal: AbortSignal) =>
-      untilAborted(plain.call(task.request, timeoutSignal), signal).catch((error: unknown) => {
-        throw signal.aborted ? toPossiblyRunError(abortReason(signal)) : error;
-      });
-    const what = `${task.request.method} ${task.request.path}`;
-    const answer = await withTimeout(clock, this.#timeoutMs(upstream, task), send, {
-      kind: 'outcomeUnknown',
-      what,
-      signal,
-    }).catch((error: unknown) => {
-      if (error instanceof RouterError && !signal.aborted) inFlight.failed(error);
-      throw error;
-    });
+    const startedMs = clock.activeMs();
+    const ended = AbortSignal.any([signal, superseded]);
+    const answer = await untilAborted(plain.call(task.request, ended), ended).catch(
+      (error: unknown) => {
+        if (signal.aborted) throw toPossiblyRunError(abortReason(signal));
+        if (error instanceof RouterError) inFlight.failed(superseded.aborted ? outrun : error);
+        throw error;
+      },
+    );
     inFlight.progress();
     const backoffMs = readBackoffMs(answer.status, answer.headers);
     if (backoffMs !== undefined) inFlight.backOff(backoffMs);
-    plain.responseTimeout.observe(clock.monotonicMs() - startedMs);
+    plain.responseTimeout.observe(clock.activeMs() - startedMs);
     return answer;
   }
 
   /**
-   * An idempotent call gives up on an unresponsive upstream early, while there is time for another.
-   * Any other call waits until its total deadline, since it cannot be retried: the signal ends it
-   * long before the hour that is returned here.
+   * After how long without an answer an idempotent call is sent to another upstream, while there is time for that;
+   * undefined for any other call, and once the answer is overdue.
    */
-  #timeoutMs(upstream: Upstream, task: ServiceCallTask): number {
-    if (!task.isRepeatable || upstream.plain === undefined) return millisecondsInHour;
-    const learnedTimeoutMs = upstream.plain.responseTimeout.limitMs();
+  #hedgeWaitMs({ plain }: Upstream, task: ServiceCallTask): number | undefined {
     const remainingMs = task.answerDueMs - this.#options.clock.monotonicMs();
-    if (remainingMs <= 0) return learnedTimeoutMs;
-    return Math.min(learnedTimeoutMs, Math.max(minAnswerTimeoutMs, remainingMs / 2));
+    if (!task.isRepeatable || plain === undefined || remainingMs <= 0) return undefined;
+    return Math.min(plain.responseTimeout.limitMs(), Math.max(minAnswerTimeoutMs, remainingMs / 2));
   }
 }
 
 /** A connection that broke may have broken since the upstream has ended. */
-async function recordAttempt(
+async function recordResult(
   tracker: SuspectTracker,
   upstream: Upstream,
-  attempt: Attempt,
+  result: ServiceResult,
 ): Promise<void> {
-  if ('answer' in attempt) tracker.recordAnswered();
-  else if (attempt.error.kind === 'outcomeUnknown') await tracker.recordFailure(upstream);
-  else tracker.recordNotRun();
+  if (result.kind === 'answer') tracker.recordAnswered();
+  else if (result.kind === 'failed' && result.error.kind === 'outcomeUnknown')
+    await tracker.recordFailure(upstream);
+  else if (result.kind === 'failed') tracker.recordNotRun();
+}
+
+/** Whether the upstream may have run the call. */
+function mayHaveRun(result: ServiceResult): boolean {
+  return result.kind === 'failed' ? result.error.ran !== 'notRun' : true;
 }
 
 function notSent(error: RouterError): RouterError {
--- a/packages/standins/src/failures/services/test.ts
+++ b/packages/standins/src/failures/services/test.ts
@@ -240,6 +240,37 @@
   t.deepEqual(await readBudgetTotals(t, fixture), { bills: 1, settledTokens: 5 });
 });
 
+// Guards against a read that is ended since all services are silent at once, long before its deadline: none may be
+// given up for another one that has given nothing.
+test('a repeatable call whose services all pause waits for them', async (t) => {
+  const fixture = await createFixture(() => undefined, 3);
+  await using fleet = fixture.fleet;
+  const [first] = fleet.instances as [LocalInstance];
+  for (const service of fleet.clients.services.values()) service.slowFactor = 300;
+  const response = await fleet.clock.runUntil(
+    callService(first, serviceCall('g1', { method: 'GET' })),
+  );
+  t.is(response.status, 200);
+  t.true(countRuns(fixture) <= 3, `sent to ${countRuns(fixture)} services`);
+  t.deepEqual(await readBudgetTotals(t, fixture), { bills: 1, settledTokens: 5 });
+});
+
+// Guards against new calls that are refused since earlier ones waited in vain while all services paused.
+test('calls that come while all services pause are served', async (t) => {
+  const fixture = await createFixture(() => undefined, 3);
+  await using fleet = fixture.fleet;
+  const [first] = fleet.instances as [LocalInstance];
+  for (const service of fleet.clients.services.values()) service.slowFactor = 300;
+  const calls: Promise<ServiceResponse>[] = [];
+  for (let index = 0; index < 30; index += 1) {
+    calls.push(callService(first, serviceCall(`g${index}`, { method: 'GET' })));
+    await fleet.clock.advance(50);
+  }
+  const responses = await fleet.clock.runUntil(Promise.all(calls));
+  t.true(responses.every(({ status }) => status === 200));
+  t.true(countRuns(fixture) <= 36, `${countRuns(fixture)} runs of 30 calls`);
+});
+
 test("a service's own refusal is passed on unchanged when every service refuses", async (t) => {
   const fixture = await createFixture(() => 'busy');
   await using fleet = fixture.fleet;
