--- a/packages/forwarding/src/_lib/HedgePermits/index.ts
+++ b/packages/forwarding/src/_lib/HedgePermits/index.ts
@@ -7,12 +7,12 @@
   type HedgeDecision,
   type HedgeRefusal,
   type RetryShare,
+  type SilenceProbes,
 } from '@acaciacrank/routing';
 import type { UpstreamTable } from '../../UpstreamTable/index.js';
 import { describeSilence } from '../describeAttempt/index.js';
 import { isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
 import type { UpstreamPick } from '../pickUpstream/index.js';
-import type { SilenceProbes } from '../SilenceProbes/index.js';
 import type { Upstream } from '../Upstream/index.js';
 import type { UpstreamChooser } from '../UpstreamChooser/index.js';
 
