--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -194,7 +194,7 @@
         sendCount: 0,
         endedCount: 0,
         events: 0,
-        eventsBeforeRelay: undefined,
+        peerEvents: 0,
         lastEventId: undefined,
         origin: undefined,
       },
@@ -216,8 +216,7 @@
 
   async #serve(call: ForwardCall): Promise<void> {
     if (!this.#options.reach.isReached && (await this.#relay(call))) return;
-    const { affinity, metrics } = this.#options;
-    const options = { affinity, metrics, routes: this.#options.routes() };
+    const options = { ...this.#options, routes: this.#options.routes() };
     await this.#dispatch(await bindResumption(call, options));
   }
 
@@ -387,7 +386,7 @@
  */
 function countUsedTokens({ progress, service }: ForwardCall, tokens: TokenDemand): number {
   if (progress.sendCount === 0) return 0;
-  const events = progress.eventsBeforeRelay ?? progress.events;
+  const events = progress.events - progress.peerEvents;
   if (events === 0 && !progress.mayHaveRun) return 0;
   const perEvent = service.engine?.tokensPerEvent ?? 1;
   return tokens.promptTokens + Math.min(tokens.maxOutputTokens, events * perEvent);
--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -13,6 +13,7 @@
   RunTimeEstimator,
   type ServiceSilence,
   type UpstreamReach,
+  VersionHistory,
 } from '@acaciacrank/routing';
 import { maxCopyAgeMs } from '@acaciacrank/store';
 import { applyStatement, type ReceivedStatement } from '../_lib/applyStatement/index.js';
@@ -53,6 +54,8 @@
 
 /** How long the number of instances that share connections is cached, in milliseconds. */
 const instanceCountTtlMs = 250;
+/** How long the number of silent upstreams is cached, in milliseconds. */
+const silenceTtlMs = 50;
 
 /**
  * The usable upstreams, from their records in the store.
@@ -81,9 +84,12 @@
    * Upstreams whose records disappeared, with the timer of their grace period once it has started.
    */
   readonly #expired = new Map<UpstreamId, Disposable | undefined>();
+  /** How many upstreams of a service were silent, and when that was determined. */
+  readonly #silences = new Map<ServiceName, { silence: ServiceSilence; atMs: number }>();
   /** Number of instances that share connections, and when it was determined. */
   #instanceCount = { value: 1, atMs: -Infinity };
   readonly #departures: UpstreamDepartures;
+  readonly #versions: VersionHistory;
   #isStoreUnavailable = false;
   /** When the store last became available again, on the monotonic clock. */
   #storeAvailableSinceMs = -Infinity;
@@ -91,6 +97,7 @@
   constructor(options: UpstreamTableOptions) {
     this.#options = options;
     this.#departures = new UpstreamDepartures(options.clock);
+    this.#versions = new VersionHistory(options.clock);
   }
 
   /** Upstreams of a service that accept new requests. */
@@ -114,10 +121,26 @@
 
   /** How many upstreams of a service are heard of, and how many are silent. */
   silenceOf(service: ServiceName): ServiceSilence {
-    return measureSilence(
-      this.usable(service).map(({ activity }) => activity),
-      silenceLimitMs,
-    );
+    const nowMs = this.#options.clock.monotonicMs();
+    const known = this.#silences.get(service);
+    if (known !== undefined && nowMs - known.atMs < silenceTtlMs) return known.silence;
+    const activities = this.usable(service).map(({ activity }) => activity);
+    const silence = measureSilence(activities, silenceLimitMs);
+    this.#silences.set(service, { silence, atMs: nowMs });
+    return silence;
+  }
+
+  /**
+   * Returns the one software version that a service has had, its upstreams that have left included.
+   *
+   * @param service - the service
+   * @param durationMs - for how long, in milliseconds
+   * @returns undefined if there was another, or it is not known
+   */
+  soleVersion(service: ServiceName, durationMs: number): string | undefined {
+    const ofService = [...this.#byId.values()].filter(({ record }) => record.service === service);
+    const current = ofService.map(({ record }) => record.softwareVersion);
+    return this.#versions.soleVersion(service, current, durationMs);
   }
 
   /** Returns one upstream; undefined if it is not known. */
@@ -138,11 +161,13 @@
   /** Records that the store stopped responding. */
   markStoreUnavailable(): void {
     this.#isStoreUnavailable = true;
+    this.#versions.recordIncomplete();
   }
 
   /** Records that the store responds again, and starts the grace period of expired records. */
   markStoreAvailable(): void {
     this.#isStoreUnavailable = false;
+    if (this.#hasList) this.#versions.recordComplete();
     this.#storeAvailableSinceMs = this.#options.clock.monotonicMs();
     for (const id of [...this.#expired.keys()]) this.#startGracePeriod(id);
   }
@@ -153,6 +178,7 @@
    * the others stay out of use until a record of their next run appears.
    */
   markStoreRestored(): void {
+    this.#versions.recordIncomplete();
     this.#departures.markStoreRestored();
     this.#options.clock.schedule(maxCopyAgeMs, () => {
       for (const record of this.#departures.refused) this.put(record);
@@ -167,6 +193,7 @@
     const changes = records.map((record) => this.#apply(record));
     if (changes.includes(true)) this.#isIndexStale = true;
     this.#hasList = true;
+    if (!this.#isStoreUnavailable) this.#versions.recordComplete();
   }
 
   /**
@@ -305,6 +332,7 @@
     const wasLeaving = known.isLeaving;
     const previousDomain = known.record.failureDomain;
     if (isNewerRecord(known.record, record)) this.#applyWarmUp(known, record);
+    if (known.record.softwareVersion !== record.softwareVersion) this.#recordVersionGone(known);
     known.record = record;
     // A copy from before an upstream left does not bring it back.
     const staysLeaving = this.#departures.wasStoreRestored && known.isLeavingByRecord;
@@ -394,7 +422,12 @@
     this.#isIndexStale = true;
   }
 
+  #recordVersionGone({ record }: Upstream): void {
+    this.#versions.recordGone(record.service, record.softwareVersion);
+  }
+
   #closeUpstream(upstream: Upstream): void {
+    this.#recordVersionGone(upstream);
     upstream.isLeavingByRecord = true;
     this.#byId.delete(upstream.id);
     upstream[Symbol.asyncDispose]().catch(() => {
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -10,10 +10,10 @@
   type UpstreamId,
 } from '@acaciacrank/base';
 import { rawHeaderValue } from '@acaciacrank/callers';
-import { needsRunCheck, type UpstreamRun } from '@acaciacrank/routing';
+import { needsRunCheck, ResponseProgress, type UpstreamRun } from '@acaciacrank/routing';
 import type { ForwardCodec, RawHeaders } from '../../ForwardCodec/index.js';
 import type { ReceivedStatement } from '../applyStatement/index.js';
-import type { AttemptResult } from '../AttemptResult/index.js';
+import type { AttemptResult, SupersededResult } from '../AttemptResult/index.js';
 import { checkRun, type RunCheck } from '../checkRun/index.js';
 import { BodyCollector } from '../BodyCollector/index.js';
 import {
@@ -26,6 +26,7 @@
 import type { ForwardCall } from '../ForwardCall/index.js';
 import type { ResponseHead } from '../../types.js';
 import { responseMarginMs } from '../limits/index.js';
+import { NoAnswerError, noAnswerReasonOf } from '../NoAnswerError/index.js';
 import {
   formatOrigin,
   parseOrigin,
@@ -115,15 +116,17 @@
   /** Whether the upstream may be another run than that of its record. */
   #isRunUnproven = false;
   #inactivityTimer: InactivityTimer | undefined;
-  readonly #runCheckAbort = new AbortController();
+  #runCheckAbort: AbortController | undefined;
   /** Whether nothing has come from the upstream for the timeout. */
   #isSilent = false;
   /** Whether the caller has not yet taken what the upstream sent last. */
   #isCallerBehind = false;
+  readonly #responseProgress: ResponseProgress;
 
   constructor(options: AttemptOptions) {
     super();
     this.#options = options;
+    this.#responseProgress = new ResponseProgress(options.call.route);
   }
 
   /** Sends the request, then relays or buffers the response. Never throws. */
@@ -149,10 +152,14 @@
       if (check === 'unproven' && this.#isResumption)
         return { kind: 'notSent', reason: 'it is not known which run the upstream is' };
       if (this.#options.mayBeSent?.() === false)
-        return { kind: 'notSent', reason: 'another attempt was sent meanwhile' };
+        return { kind: 'superseded', wasSent: false, wasSilent: false };
+      if (check !== undefined) upstream.recordSent(inFlightRequest);
       this.#startInactivityTimer(this.#options.inactivityTimeoutMs);
       const exchange = new Exchange(connection.client, this.#createRequest(), this);
       this.#exchange = exchange;
+      using _watch = connection.watch((bytes) => {
+        this.#recordRead(bytes);
+      });
       await exchange.run();
       if (connection.wasReset)
         return this.#classifyError(new Error('the connection was reset during the response'));
@@ -187,7 +194,9 @@
     if (!needsRunCheck({ ...evidence, isConnected })) return undefined;
     const startedMs = clock.monotonicMs();
     this.#startInactivityTimer(runCheckPatienceMs);
+    this.#runCheckAbort = new AbortController();
     const { check, why } = await checkRun(connection.client, upstream.record.startedAtMs, codec, {
+      clock,
       signal: this.#runCheckAbort.signal,
       // A stream that has begun goes on only where the run is known, so that there is no use in sending it unasked.
       timeoutMs: this.#isResumption ? undefined : runCheckPatienceMs,
@@ -196,6 +205,7 @@
     call.trace.add('runCheck', { upstreamId: upstream.id, check, why, tookMs, isDoubted });
     this.#provenConnection = { connection, openCount: connection.openCount };
     if (check === 'same') upstream.confirmRun();
+    if (check !== 'notStated') this.#recordContact();
     const isUnknown = check === 'notStated';
     // The request would open another connection, maybe to another run.
     const isLost = this.#isResumption && !connection.isOpen;
@@ -216,9 +226,22 @@
     this.#isRunUnproven = true;
   }
 
+  /** Guards against bytes without end that are no answer, before a head, in a body or between its chunks. */
+  #recordRead(bytes: number): void {
+    const reason = this.#responseProgress.recordRead(bytes, this.#options.clock.monotonicMs());
+    if (reason !== undefined) this.#exchange?.fail(new NoAnswerError(reason));
+  }
+
+  override onInterim(): void {
+    const reason = this.#responseProgress.recordInterim();
+    if (reason !== undefined) throw new NoAnswerError(reason);
+  }
+
   override onHead(response: UpstreamResponseHead): void {
     const { call, codec, upstream } = this.#options;
     const { status, headers, isFramed } = response;
+    const isBounded = call.route.kind !== 'stream' && hasLength(headers);
+    this.#responseProgress.recordHead({ isBounded });
     const head = codec.readResponseHead(status, headers);
     this.#recheckConnection();
     this.#recordReceived(false);
@@ -243,7 +266,9 @@
       const onEvents = () => {
         this.#recordEvents();
       };
-      const relay = new StreamRelay({ call, head: response, callerHeaders, onBegin, onEvents });
+      const isRelayed = this.#options.relayedBy !== undefined;
+      const callbacks = { callerHeaders, onBegin, onEvents };
+      const relay = new StreamRelay({ call, head: response, isRelayed, ...callbacks });
       this.#bodyHandling = { kind: 'relay', relay };
     } else {
       this.#collect((body) => ({ kind: 'answer', status, headers, body, isFramed }));
@@ -251,6 +276,7 @@
   }
 
   override onData(chunk: Buffer): Promise<void> | undefined {
+    this.#responseProgress.recordPayload(chunk.byteLength);
     const handling = this.#bodyHandling;
     if (handling === undefined) return undefined;
     if (handling.kind === 'collect') {
@@ -274,6 +300,7 @@
     const inFlightRequest = this.#inFlightRequest;
     if (inFlightRequest !== undefined && !inFlightRequest.hasFirstEvent)
       this.#options.onFirstEvent(inFlightRequest);
+    this.#responseProgress.recordEvent();
     this.#recordReceived(true);
     this.#options.onProgress();
   }
@@ -302,7 +329,11 @@
       return { kind: 'broken', reason: 'the response has no head', isConnectionLost: false };
     if (handling.kind === 'collect') return handling.result(handling.collector.body);
     return handling.relay.finish()
-      ? { kind: 'streamed', longestGapMs: Math.round(longestGapMs) }
+      ? {
+          kind: 'streamed',
+          longestGapMs: Math.round(longestGapMs),
+          isEmpty: handling.relay.isEmpty,
+        }
       : {
           kind: 'broken',
           reason: 'the stream ended in the middle of an event',
@@ -314,6 +345,11 @@
     this.#bodyHandling = { kind: 'collect', collector: new BodyCollector(), result };
   }
 
+  /** Whether nothing has come from the upstream for the timeout. */
+  get isSilent(): boolean {
+    return this.#isSilent && !this.#hasEnded;
+  }
+
   /** Whether the request has been sent, and the attempt has not ended. */
   get isUnderWay(): boolean {
     return this.#exchange !== undefined && !this.#hasEnded;
@@ -326,7 +362,7 @@
 
   #abort(reason: AbortReason): void {
     this.#abortReason ??= reason;
-    this.#runCheckAbort.abort();
+    this.#runCheckAbort?.abort();
     this.#exchange?.abort();
   }
 
@@ -375,6 +411,12 @@
     this.#inactivityTimer?.recordActivity();
   }
 
+  /** The answer to a run check is a sign of life. */
+  #recordContact(): void {
+    this.#isSilent = false;
+    this.#options.upstream.recordContact();
+  }
+
   #startInactivityTimer(timeoutMs: number | undefined): void {
     const { clock, inactivityTimeoutMs } = this.#options;
     this.#inactivityTimer?.[Symbol.dispose]();
@@ -390,13 +432,23 @@
   #classifyError(thrown: unknown): AttemptResult {
     const abortReason = this.#abortReason;
     const wasStarted = !wasNeverSent(thrown);
-    if (abortReason === 'superseded')
-      return { kind: abortReason, wasSent: wasStarted, wasSilent: this.#isSilent };
+    if (abortReason === 'superseded') return this.#createSuperseded(wasStarted);
     if (abortReason !== undefined) return { kind: abortReason, wasSent: wasStarted };
     if (!wasStarted) return { kind: 'notSent', reason: toRouterError(thrown).message };
-    const isConnectionLost = !(thrown instanceof RouterError);
-    return { kind: 'broken', reason: toRouterError(thrown).message, isConnectionLost };
+    const noAnswer = noAnswerReasonOf(thrown);
+    const isConnectionLost = !(thrown instanceof RouterError) && noAnswer === undefined;
+    return { kind: 'broken', reason: toRouterError(thrown).message, isConnectionLost, noAnswer };
   }
+
+  #createSuperseded(wasSent: boolean): SupersededResult {
+    const wasSilent = wasSent && this.#isSilent;
+    const noAnswer = wasSilent && this.#responseProgress.isTrickling ? 'trickle' : undefined;
+    return { kind: 'superseded', wasSent, wasSilent, noAnswer };
+  }
+}
+
+function hasLength(headers: RawHeaders): boolean {
+  return rawHeaderValue(headers, 'content-length') !== undefined;
 }
 
 function notRunByPeer(status: number): AttemptResult {
--- a/packages/forwarding/src/_lib/AttemptResult/index.ts
+++ b/packages/forwarding/src/_lib/AttemptResult/index.ts
@@ -2,12 +2,12 @@
  * How one request at one upstream can end.
  */
 import type { RawHeaders } from '../../ForwardCodec/index.js';
+import type { NoAnswerReason } from '../NoAnswerError/index.js';
 
 /** How an attempt ended. */
 export type AttemptResult =
   | PlainResponse
-  /** A stream that was relayed to its end. */
-  | { readonly kind: 'streamed'; readonly longestGapMs: number }
+  | StreamedResult
   /** A peer took the request, and its response has been passed on to the end. */
   | { readonly kind: 'relayed' }
   | NotSentResult
@@ -19,6 +19,14 @@
   /** The caller disconnected; `wasSent` as for `deadline`. */
   | { readonly kind: 'callerGone'; readonly wasSent: boolean };
 
+/** A stream that was relayed to its end. */
+export interface StreamedResult {
+  readonly kind: 'streamed';
+  readonly longestGapMs: number;
+  /** Whether this attempt has brought no event. */
+  readonly isEmpty: boolean;
+}
+
 /** Aborted by this instance, since another attempt of the same request has given something. */
 export interface SupersededResult {
   readonly kind: 'superseded';
@@ -26,6 +34,8 @@
   readonly wasSent: boolean;
   /** Whether nothing had come from the upstream for so long that another one was asked. */
   readonly wasSilent: boolean;
+  /** Why what the upstream sent is no answer, if it is none. */
+  readonly noAnswer?: NoAnswerReason | undefined;
 }
 
 /** No byte was sent. */
@@ -42,6 +52,8 @@
   readonly reason: string;
   /** Whether the connection was lost, rather than the response being invalid. */
   readonly isConnectionLost: boolean;
+  /** Why what the upstream sent is no answer, if it is none. */
+  readonly noAnswer?: NoAnswerReason | undefined;
 }
 
 /** The upstream states that it did not run the request. */
@@ -61,3 +73,8 @@
   readonly body: Buffer;
   readonly isFramed: boolean;
 }
+
+/** Why what an upstream sent is no answer; undefined if it is one, or if nothing shows that it is none. */
+export function noAnswerOf(result: AttemptResult): NoAnswerReason | undefined {
+  return 'noAnswer' in result ? result.noAnswer : undefined;
+}
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -1,63 +1,41 @@
 /**
  * Sends a request to one upstream after another until it succeeds or no retry is possible.
  */
-import {
-  RouterError,
-  toRouterError,
-  type Clock,
-  type FailureDomainId,
-  type Metrics,
-  type Random,
-  type UpstreamId,
-} from '@acaciacrank/base';
-import {
-  decideHedge,
-  isSilent,
-  mayContinueStream,
-  type HedgeDecision,
-  type HedgeRefusal,
-  type PrefillTimeModel,
-  type RetryShare,
-} from '@acaciacrank/routing';
+import { RouterError, toRouterError, type UpstreamId } from '@acaciacrank/base';
+import type { PrefillTimeModel } from '@acaciacrank/routing';
 import type { ForwardCodec } from '../../ForwardCodec/index.js';
 import type { ReachMonitor } from '../../ReachMonitor/index.js';
 import type { RelayPeers } from '../../RelayPeers/index.js';
 import type { StreamAffinity } from '../../StreamAffinity/index.js';
 import type { RequestQuarantine, SuspectAttempt } from '@acaciacrank/callers';
-import type { UpstreamTable } from '../../UpstreamTable/index.js';
 import { Attempt, type AttemptOptions } from '../Attempt/index.js';
-import type { AttemptResult, PlainResponse } from '../AttemptResult/index.js';
+import { noAnswerOf, type AttemptResult, type PlainResponse } from '../AttemptResult/index.js';
 import { isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
+import {
+  HedgePermits,
+  type HedgePermit,
+  type HedgePermitsDependencies,
+} from '../HedgePermits/index.js';
 import { HedgedAttempts, type Contender, type EndedContender } from '../HedgedAttempts/index.js';
-import type { PrefillTimeModels } from '../PrefillTimeModels/index.js';
-import { maxConnectAttempts, silenceLimitMs, upstreamInactivityMs } from '../limits/index.js';
-import type { TraceStep } from '../RequestTrace/index.js';
-import type { PromptPartLocations } from '../PromptPartLocations/index.js';
+import { maxConnectAttempts, upstreamInactivityMs } from '../limits/index.js';
+import { createUnavailableError } from '../createUnavailableError/index.js';
+import { describeResult, describeSend } from '../describeAttempt/index.js';
 import { digestContent } from '../digestContent/index.js';
 import { recordStreamBegin } from '../recordStreamBegin/index.js';
 import { Relay } from '../Relay/index.js';
-import type { SilenceProbes } from '../SilenceProbes/index.js';
-import { createVersionGoneError } from '../versionErrors/index.js';
 import { responseHeaders, writePlainHead } from '../responseHeaders/index.js';
-import { lastSharedPart, pickUpstream, type UpstreamPick } from '../pickUpstream/index.js';
+import type { UpstreamPick } from '../pickUpstream/index.js';
+import { UpstreamChooser, type UpstreamChooserDependencies } from '../UpstreamChooser/index.js';
 import type { InFlightRequest, Upstream } from '../Upstream/index.js';
 
 /** Dependencies shared by all dispatches of an instance. */
-export interface DispatchDependencies {
-  readonly clock: Clock;
+export interface DispatchDependencies
+  extends UpstreamChooserDependencies, HedgePermitsDependencies {
   readonly codec: ForwardCodec;
-  readonly upstreams: UpstreamTable;
-  readonly retries: RetryShare;
   readonly quarantine: RequestQuarantine;
   readonly reach: ReachMonitor;
   readonly relayPeers: RelayPeers;
   readonly affinity: StreamAffinity;
-  readonly ownDomain: FailureDomainId;
-  readonly promptPartLocations: PromptPartLocations;
-  readonly models: PrefillTimeModels;
-  readonly silenceProbes: SilenceProbes;
-  readonly random: Random;
-  readonly metrics: Metrics;
 }
 
 /**
@@ -66,13 +44,6 @@
  */
 const slowResponseFactor = 1.5;
 
-/**
- * Bounds of the retry delay sent to a caller when upstreams are at their limits, in milliseconds.
- * The upper bound is low because another instance may have capacity sooner than this one.
- */
-const minRetryAfterMs = 100;
-const maxRetryAfterMs = 1_000;
-
 /** Attempts at upstreams that ended which do not count against the limit of the route. */
 const maxUncountedEnds = 2;
 
@@ -88,6 +59,8 @@
   readonly upstream: Upstream | undefined;
   /** Whether it counts against the upstreams that the route allows, and has not ended. */
   readonly isUnderWay: boolean;
+  /** Whether nothing has come from it for a while. */
+  readonly isSilent: boolean;
 }
 
 type DispatchEnd = EndedContender<DispatchContender>;
@@ -96,24 +69,24 @@
 export class Dispatch {
   readonly #dependencies: DispatchDependencies;
   readonly #call: ForwardCall;
-  readonly #attemptedIds = new Set<UpstreamId>();
+  readonly #chooser: UpstreamChooser;
   #unsentAttempts = 0;
   #wasRelayed = false;
   #contentDigest: string | undefined;
   /** The attempts that are under way beside each other. */
-  #attempts: HedgedAttempts<DispatchContender>;
-  #lastHedgeDecision: HedgeDecision | HedgeRefusal | undefined;
+  readonly #attempts = new HedgedAttempts<DispatchContender>({
+    onEnded: (ended) => {
+      this.#handleContenderEnd(ended);
+    },
+    hasBegun: () => this.#call.progress.events > 0,
+  });
+  readonly #permits: HedgePermits;
 
   constructor(dependencies: DispatchDependencies, call: ForwardCall) {
     this.#dependencies = dependencies;
     this.#call = call;
-    this.#attempts = this.#createAttempts();
-  }
-
-  #createAttempts(): HedgedAttempts<DispatchContender> {
-    return new HedgedAttempts((ended) => {
-      this.#recordEnd(ended);
-    });
+    this.#chooser = new UpstreamChooser(dependencies, call);
+    this.#permits = new HedgePermits(dependencies, call, this.#chooser);
   }
 
   /**
@@ -122,10 +95,12 @@
    * @throws RouterError that states why there is no response and whether the request may have run
    */
   async run(): Promise<void> {
+    using _permits = this.#permits;
     for (;;) {
-      if (this.#attemptedIds.size > 0 && this.#mustRelay && (await this.#relay())) return;
+      if (this.#chooser.hasAttempted && this.#mustRelay && (await this.#relay())) return;
       const suspect = this.#isSuspect ? await this.#admitSuspect() : undefined;
-      const pick = suspect === undefined ? this.#pick() : this.#pickGranted(suspect);
+      const pick =
+        suspect === undefined ? this.#chooser.pick() : this.#chooser.pickOnly(suspect.upstreamId);
       if (pick === undefined) {
         suspect?.finish(false);
         throw this.#createUnavailableError();
@@ -158,7 +133,7 @@
     const { quarantine } = this.#dependencies;
     const { deadlineMs, progress, service } = this.#call;
     const request = { digest: this.#content, service: service.name };
-    const candidates = () => this.#rankApart();
+    const candidates = () => this.#chooser.rankApart();
     const admitting = quarantine.admit({ ...request, candidates, deadlineMs });
     const suspect = await admitting.catch((thrown: unknown) => {
       const { kind, message, ran } = toRouterError(thrown);
@@ -170,99 +145,47 @@
     return suspect;
   }
 
-  /**
-   * The upstreams for a request that may end them, those with the fewest requests first, so that the least is lost
-   * with one; what ran beside such a request parts from it.
-   */
-  #rankApart(): readonly UpstreamId[] {
-    const nowMs = this.#dependencies.clock.monotonicMs();
-    return this.#usable
-      .filter(({ id, hasRoom }) => hasRoom && !this.#attemptedIds.has(id))
-      .sort((a, b) => costApart(a, nowMs) - costApart(b, nowMs))
-      .map(({ id }) => id);
-  }
-
-  #pickGranted({ upstreamId }: SuspectAttempt): UpstreamPick | undefined {
-    const upstream = this.#dependencies.upstreams.get(upstreamId);
-    return upstream && this.#pickFrom([upstream]);
-  }
-
-  /** Chooses among the candidates, or among all upstreams if none of the candidates has room. */
-  #pick(isEligible: (upstream: Upstream) => boolean = () => true): UpstreamPick | undefined {
-    const { upstreams, random } = this.#dependencies;
-    const { head, service } = this.#call;
-    const key = lastSharedPart(head.promptParts)?.id ?? String(random());
-    const near = this.#filterSuitable(upstreams.candidates(service.name, key));
-    const candidates = near.filter(isEligible);
-    const all = this.#usable.filter(isEligible);
-    const pick = this.#pickProven(candidates);
-    return pick ?? (candidates.length < all.length ? this.#pickProven(all) : undefined);
-  }
-
-  /** For a stream that has begun, prefers upstreams of which it is known which run they are. */
-  #pickProven(candidates: readonly Upstream[]): UpstreamPick | undefined {
-    if (this.#call.progress.origin === undefined) return this.#pickFrom(candidates);
-    const proven = candidates.filter(({ isRunDoubted }) => !isRunDoubted);
-    return this.#pickFrom(proven) ?? this.#pickFrom(candidates);
-  }
-
-  /** The upstreams of the service that the request may be sent to. */
-  get #usable(): readonly Upstream[] {
-    const { upstreams } = this.#dependencies;
-    return this.#filterSuitable(upstreams.usable(this.#call.service.name));
-  }
-
-  /** Leaves out what may not go on with the stream. */
-  #filterSuitable(upstreams: readonly Upstream[]): readonly Upstream[] {
-    const { origin } = this.#call.progress;
-    if (origin === undefined) return upstreams;
-    return upstreams.filter(({ run }) => mayContinueStream(origin, run));
-  }
-
-  #pickFrom(candidates: readonly Upstream[]): UpstreamPick | undefined {
-    const { ownDomain, promptPartLocations, clock, random } = this.#dependencies;
-    const { head, service } = this.#call;
-    return pickUpstream({
-      candidates,
-      attemptedIds: this.#attemptedIds,
-      promptParts: head.promptParts,
-      promptTokens: head.tokens?.promptTokens ?? 0,
-      engine: service.engine,
-      model: this.#model,
-      ownDomain,
-      promptPartLocations,
-      nowMs: clock.monotonicMs(),
-      random,
-    });
-  }
-
   /** Sends the request to one upstream, and to others beside it where that one is silent. */
   async #attempt(pick: UpstreamPick, suspect?: SuspectAttempt): Promise<DispatchEnd> {
-    const attempts = this.#createAttempts();
-    this.#attempts = attempts;
-    attempts.add(this.#start(pick, suspect));
+    this.#attempts.add(this.#start(pick, { suspect }));
     using _lost = this.#dependencies.reach.onLost(() => {
       this.#relayBeside();
     });
-    return await attempts.result();
+    return await this.#attempts.result();
   }
 
-  #start(pick: UpstreamPick, suspect?: SuspectAttempt): DispatchContender {
+  #start(
+    pick: UpstreamPick,
+    { suspect, permit }: { suspect?: SuspectAttempt | undefined; permit?: HedgePermit } = {},
+  ): DispatchContender {
     const attempt: Attempt = this.#createAttempt(pick, {
-      mayBeSent: () => this.#sendsUnderWay < this.#maxSends,
+      mayBeSent: () => {
+        const mayBeSent = this.#sendsUnderWay < this.#call.route.maxUpstreams;
+        if (mayBeSent) permit?.recordSent();
+        return mayBeSent;
+      },
       onProgress: () => {
+        permit?.recordProgress();
         this.#attempts.recordProgress(contender);
       },
       onSilent: (lateMs) => {
         this.#handleSilence(pick.upstream, lateMs);
+        // What another one has answered is not held back for one that stays silent.
+        if (this.#attempts.hasHeld) this.#attempts.supersedeAll();
       },
     });
     const contender: DispatchContender = {
       upstream: pick.upstream,
-      ended: this.#runAttempt(pick.upstream, attempt, suspect),
+      ended: this.#runAttempt(pick.upstream, attempt, suspect).then((result) => {
+        permit?.end(wasSent(result));
+        return result;
+      }),
       get isUnderWay() {
         return attempt.isUnderWay;
       },
+      get isSilent() {
+        return attempt.isSilent;
+      },
       supersede: () => {
         attempt.supersede();
       },
@@ -284,7 +207,11 @@
       if (wasSent(result)) this.#call.progress.sendCount += 1;
       wasAnswered = result.kind === 'answer' || result.kind === 'streamed';
       if (wasAnswered) quarantine.recordAnswered(this.#content);
-      if (result.kind === 'broken' && result.isConnectionLost) await this.#checkEnd(upstream);
+      if (result.kind === 'broken' && result.isConnectionLost) {
+        const checking = this.#checkEnd(upstream);
+        // An answer of another attempt does not wait for it.
+        if (this.#attempts.running.size < 2) await checking;
+      }
       return result;
     } finally {
       if (suspect !== undefined) upstream.suspects.delete(suspect);
@@ -299,9 +226,9 @@
     const { upstream, fetchFrom, prefill } = pick;
     const { clock, codec, retries, upstreams } = this.#dependencies;
     const call = this.#call;
-    if (this.#attemptedIds.size === 0) retries.recordRequest(call.service.name);
-    this.#attemptedIds.add(upstream.id);
-    call.trace.add('sent', this.#describeSend(pick));
+    if (!this.#chooser.hasAttempted) retries.recordRequest(call.service.name);
+    this.#chooser.recordAttempt(upstream);
+    call.trace.add('sent', describeSend(pick, this.#chooser.usable.length));
     this.#countAgainstStatements(upstream);
     if (upstream.statements.backoff.recordSend()) upstreams.reportBackoffEnded(upstream);
     return new Attempt({
@@ -335,51 +262,36 @@
     return countedSends + [...this.#attempts.running].filter((one) => one.isUnderWay).length;
   }
 
-  get #maxSends(): number {
-    return this.#call.route.maxUpstreams;
-  }
-
-  /** Sends the request to a second upstream, or through a peer, beside the one that is silent, if that is allowed. */
-  #handleSilence(silent: Upstream, lateMs: number): void {
+  /** Sends the request to a further upstream, or through a peer, beside the silent one, if that is allowed. */
+  #handleSilence(upstream: Upstream, lateMs: number): void {
     if (this.#mustRelay) {
       this.#relayBeside();
       return;
     }
-    const { upstreams, silenceProbes, retries } = this.#dependencies;
-    const { name: service } = this.#call.service;
-    const isEligible = (upstream: Upstream) => this.#mayHedgeAt(upstream);
-    const decision = decideHedge({
-      isRepeatable: isRepeatable(this.#call),
-      isSuspect: this.#isSuspect,
+    const { suspects } = this.#dependencies.quarantine;
+    const permit = this.#permits.request({
+      upstream,
+      lateMs,
       sends: this.#sendsUnderWay,
-      maxSends: this.#maxSends,
-      hasCandidate: this.#usable.some(isEligible),
-      silence: upstreams.silenceOf(service),
-      probes: silenceProbes.countOf(service),
-    });
-    const isAllowed = decision === 'hedge' || decision === 'probe';
-    const hasRetry = isAllowed && retries.tryRetry(service);
-    this.#reportSilence(silent, isAllowed && !hasRetry ? 'budget' : decision, lateMs);
-    const pick = hasRetry ? this.#pick(isEligible) : undefined;
-    if (pick === undefined) return;
-    const contender = this.#start(pick);
-    this.#attempts.add(contender);
-    const probe = decision === 'probe' ? silenceProbes.begin(service) : undefined;
-    void contender.ended.then((result) => {
-      probe?.[Symbol.dispose]();
-      if (!wasSent(result)) retries.returnRetry(service);
+      endCount: suspects.isEmpty ? 0 : suspects.ends(this.#content).length,
+      onRoom: () => {
+        this.#hedgeAgain();
+      },
     });
+    if (permit !== undefined) this.#attempts.add(this.#start(permit.pick, { permit }));
   }
 
-  #mayHedgeAt({ id, hasRoom, activity }: Upstream): boolean {
-    return hasRoom && !this.#attemptedIds.has(id) && !isSilent(activity, silenceLimitMs);
+  /** Asks once more for a further upstream, if one at which the request is under way is still silent. */
+  #hedgeAgain(): void {
+    const silent = [...this.#attempts.running].find(({ isSilent }) => isSilent);
+    if (silent?.upstream !== undefined) this.#handleSilence(silent.upstream, 0);
   }
 
   /** Lets a peer send the request on beside attempts from which nothing comes, since no upstream is reached. */
   #relayBeside(): void {
-    const { retries } = this.#dependencies;
-    const { service } = this.#call;
-    if (!this.#mustRelay || !isRepeatable(this.#call) || !retries.tryRetry(service.name)) return;
+    if (!this.#mustRelay || !isRepeatable(this.#call) || this.#attempts.running.size === 0) return;
+    const retry = this.#dependencies.retries.takeRetry(this.#call.service.name);
+    if (retry === undefined) return;
     this.#wasRelayed = true;
     const relay = new Relay(this.#dependencies, this.#call, {
       onProgress: () => {
@@ -389,14 +301,12 @@
     const contender: DispatchContender = {
       upstream: undefined,
       isUnderWay: false,
-      ended: relay.run().then(
-        (isServed) =>
-          isServed ? { kind: 'relayed' } : { kind: 'notSent', reason: 'no peer took the request' },
-        (thrown: unknown) => {
-          const reason = toRouterError(thrown).message;
-          return { kind: 'broken', reason, isConnectionLost: false };
-        },
-      ),
+      isSilent: false,
+      ended: relay.run().then((isServed) => {
+        if (isServed) return { kind: 'relayed' };
+        retry.giveBack();
+        return { kind: 'notSent', reason: 'no peer took the request' };
+      }),
       supersede: () => {
         relay.supersede();
       },
@@ -411,31 +321,6 @@
     if (statements.backoff.remainingMs > 0) metrics.count('sentAgainstStatement', 'backoff');
   }
 
-  /** Describes the choice of an upstream for the log. */
-  #describeSend({ upstream, fetchFrom, prefill, why }: UpstreamPick): TraceStep {
-    const { requestsPerSecond } = upstream.limit;
-    const { reportAgeMs, statements } = upstream;
-    const { leavingForMs, backoff } = statements;
-    return {
-      upstreamId: upstream.id,
-      softwareVersion: upstream.record.softwareVersion,
-      startedAtMs: upstream.record.startedAtMs,
-      why,
-      fetchFrom,
-      backlogMs: Math.round(upstream.backlogMs),
-      slotWaitMs: Math.round(upstream.slotWaitMs) || undefined,
-      readMs: prefill && Math.round(prefill.expectedMs),
-      ownInFlight: upstream.inFlight.size,
-      reportedRunning: upstream.reportedLoad?.running,
-      reportAgeMs: reportAgeMs && Math.round(reportAgeMs),
-      limitPerS: requestsPerSecond === Infinity ? undefined : requestsPerSecond,
-      warmUpMs: Math.round(upstream.warmUp.remainingMs) || undefined,
-      backoffMs: Math.round(backoff.remainingMs) || undefined,
-      leavingForMs: leavingForMs && Math.round(leavingForMs),
-      outOf: this.#usable.length,
-    };
-  }
-
   /**
    * Adds a sample to the engine model if, as far as this instance can tell, nothing was queued
    * ahead of the prompt.
@@ -451,10 +336,9 @@
     return this.#dependencies.models.get(this.#call.service.name);
   }
 
-  /** How long to wait for an upstream until another one may be asked; undefined if none may. */
-  get #inactivityTimeoutMs(): number | undefined {
+  /** How long to wait for an upstream until its silence is reported, and another one is asked if that is allowed. */
+  get #inactivityTimeoutMs(): number {
     const { route } = this.#call;
-    if (!isRepeatable(this.#call)) return undefined;
     if (route.kind === 'stream') return Math.max(upstreamInactivityMs, 2 * route.targetLatencyMs);
     return slowResponseFactor * route.targetLatencyMs;
   }
@@ -479,7 +363,12 @@
     return (this.#contentDigest ??= digestContent(this.#call));
   }
 
-  /** Records the end of one attempt, whether or not others go on. */
+  /** Handles the end of one attempt, whether or not others go on; what fails is replaced at once beside a silent one. */
+  #handleContenderEnd(ended: DispatchEnd): void {
+    this.#recordEnd(ended);
+    if (ended.result.kind !== 'superseded') this.#hedgeAgain();
+  }
+
   #recordEnd({ contender, result }: DispatchEnd): void {
     const { progress, trace } = this.#call;
     const { upstream } = contender;
@@ -521,7 +410,7 @@
         );
       case 'deadline':
         throw new RouterError('deadlineExceeded', 'the deadline of the request has passed', {
-          ran: call.progress.sendCount > 0 ? 'unknown' : 'notRun',
+          ran: call.progress.sendCount > 0 || call.progress.mayHaveRun ? 'unknown' : 'notRun',
         });
       case 'callerGone':
         throw new RouterError('cancelled', 'the caller disconnected');
@@ -541,9 +430,9 @@
   #tryTakeRetry(): boolean {
     const { service } = this.#call;
     if (this.#mustRelay) return this.#dependencies.retries.tryRetry(service.name);
-    if (this.#sendsUnderWay >= this.#maxSends) return this.#refuseRetry('routeLimit');
-    if (!this.#usable.some(({ id, hasRoom }) => hasRoom && !this.#attemptedIds.has(id)))
-      return this.#refuseRetry('noUpstream');
+    if (this.#sendsUnderWay >= this.#call.route.maxUpstreams)
+      return this.#refuseRetry('routeLimit');
+    if (!this.#chooser.hasNext) return this.#refuseRetry('noUpstream');
     if (!this.#dependencies.retries.tryRetry(service.name)) return this.#refuseRetry('budget');
     this.#call.trace.add('repeat');
     return true;
@@ -556,58 +445,7 @@
   }
 
   #createUnavailableError(): RouterError {
-    const { progress, service } = this.#call;
-    const reason = `no upstream of ${service.name} could take the request`;
-    if (progress.mayHaveRun) return new RouterError('upstreamFailed', reason);
-    if (progress.origin !== undefined && this.#usable.length === 0) {
-      return createVersionGoneError(progress.origin);
-    }
-    return new RouterError('upstreamUnavailable', reason, this.#retryDelay());
-  }
-
-  /** Returns a retry delay if an upstream will have room, otherwise an empty object. */
-  #retryDelay(): { retryAfterMs?: number } {
-    const { metrics } = this.#dependencies;
-    const limited = this.#usable
-      .map(({ availability }) => availability)
-      .filter(({ bound }) => bound !== undefined);
-    if (limited.length === 0) return {};
-    metrics.count('refusedAtLimit');
-    const { bound, waitMs } = limited.reduce((soonest, other) =>
-      other.waitMs < soonest.waitMs ? other : soonest,
-    );
-    this.#call.trace.add('atLimit', {
-      upstreams: limited.length,
-      bound,
-      waitMs: Math.round(waitMs),
-    });
-    return { retryAfterMs: Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, waitMs)) };
-  }
-
-  /**
-   * Reports whether one upstream is silent, its service, or this process itself stood still, and what is done; the
-   * log line of the request shows it once for each decision.
-   */
-  #reportSilence(
-    { id: upstreamId, activity }: Upstream,
-    decision: HedgeDecision | HedgeRefusal,
-    lateMs: number,
-  ): void {
-    const { upstreams, metrics } = this.#dependencies;
-    const { service, progress, trace } = this.#call;
-    metrics.count('hedges', decision);
-    if (this.#lastHedgeDecision === decision) return;
-    this.#lastHedgeDecision = decision;
-    const { sinceReceivedMs, longestWaitMs } = activity;
-    trace.add('silent', {
-      upstreamId,
-      decision,
-      sinceReceivedMs: Number.isFinite(sinceReceivedMs) ? Math.round(sinceReceivedMs) : undefined,
-      longestWaitMs: Math.round(longestWaitMs),
-      timerLateMs: Math.round(lateMs),
-      events: progress.events,
-      ...upstreams.silenceOf(service.name),
-    });
+    return createUnavailableError(this.#call, this.#chooser.usable, this.#dependencies.metrics);
   }
 
   /** Updates metrics and the upstream's health from the result of an attempt. */
@@ -622,19 +460,14 @@
     if (!this.#dependencies.reach.isReached) return;
     const isOutrun = result.kind === 'superseded' && result.wasSilent;
     const isFault = result.kind === 'broken' || isOutrun;
-    if (result.kind === 'notSent') upstream.eject();
-    if (result.kind === 'notSent' || (isFault && upstream.recordFailure()))
-      upstreams.reportEjected(upstream);
+    const noAnswer = noAnswerOf(result);
+    if (noAnswer !== undefined) metrics.count('noAnswers', noAnswer);
+    const isEjectedAtOnce = result.kind === 'notSent' || noAnswer !== undefined;
+    if (isEjectedAtOnce) upstream.eject();
+    if (isEjectedAtOnce || (isFault && upstream.recordFailure())) upstreams.reportEjected(upstream);
   }
 }
 
-/** Orders upstreams for a suspect: those in use first, and among these by their requests. */
-function costApart(upstream: Upstream, nowMs: number): number {
-  const requests = upstream.inFlight.size + (upstream.reportedLoad?.running ?? 0);
-  const ejectedCost = upstream.isEjected(nowMs) ? 1_000_000 : 0;
-  return ejectedCost + requests;
-}
-
 /** Whether the request may have reached the upstream. */
 function wasSent(result: AttemptResult): boolean {
   if ('wasSent' in result) return result.wasSent;
@@ -646,12 +479,3 @@
   if (result.kind === 'answer' || result.kind === 'broken') return true;
   return 'wasSent' in result && result.wasSent;
 }
-
-function describeResult(result: AttemptResult): TraceStep {
-  if (result.kind === 'answer') return { status: result.status, bytes: result.body.byteLength };
-  if (result.kind === 'streamed') return { longestGapMs: result.longestGapMs };
-  if (result.kind === 'notRun') return { status: result.status, backoffMs: result.backoffMs };
-  if (result.kind === 'notSent' || result.kind === 'broken') return { reason: result.reason };
-  if (result.kind === 'superseded') return { wasSilent: result.wasSilent };
-  return {};
-}
--- a/packages/forwarding/src/_lib/UpstreamConnection/index.ts
+++ b/packages/forwarding/src/_lib/UpstreamConnection/index.ts
@@ -1,10 +1,14 @@
 /**
  * One connection to an upstream, used by one request at a time.
  */
+import type { Clock } from '@acaciacrank/base';
 import { connect, type Socket } from 'node:net';
 import { Client } from 'undici';
 import { connectTimeoutMs, keepAliveTimeoutMs, maxKeepAliveTimeoutMs } from '../limits/index.js';
 
+/** Maximum number of bytes on a connection while no request is in progress. */
+const maxIdleBytes = 1_024;
+
 /** Gets news of a connection. */
 export interface ConnectionListener {
   /** Called when it came about, or did not. */
@@ -28,17 +32,25 @@
  */
 export class UpstreamConnection {
   readonly client: Client;
+  readonly #clock: Clock;
   readonly #address: string;
   readonly #listener: ConnectionListener;
   #wasReset = false;
   #socket: Socket | undefined;
   #openCount = 0;
+  /** Number of bytes of the open connection that have been parsed. */
+  #parsedBytes = 0;
+  /** Number of bytes that came while no request was in progress. */
+  #idleBytes = 0;
+  #onRead: ((bytes: number) => void) | undefined;
 
   /**
+   * @param clock - measures the time to connect
    * @param address - `IP:PORT` of the upstream
    * @param listener - gets news of it
    */
-  constructor(address: string, listener: ConnectionListener = {}) {
+  constructor(clock: Clock, address: string, listener: ConnectionListener = {}) {
+    this.#clock = clock;
     this.#address = address;
     this.#listener = listener;
     this.client = new Client(`http://${address}`, {
@@ -81,6 +93,22 @@
     return this.#openCount;
   }
 
+  /**
+   * Reports bytes of the response to a request, those of its framing included, once they have been parsed.
+   *
+   * @param onRead - called for each read, with the number of bytes
+   * @returns ends the reports
+   */
+  watch(onRead: (bytes: number) => void): Disposable {
+    this.#onRead = onRead;
+    this.#idleBytes = 0;
+    return {
+      [Symbol.dispose]: () => {
+        this.#onRead = undefined;
+      },
+    };
+  }
+
   /** Closes the connection immediately. */
   destroy(): void {
     this.client.destroy().catch(() => {
@@ -94,13 +122,20 @@
     const [host = '', port = ''] = this.#address.split(':');
     return new Promise((resolve, reject) => {
       const socket = connect({ host, port: Number(port), noDelay: true, keepAlive: true });
-      const timer = setTimeout(() => {
+      const timer = this.#clock.scheduleActive(connectTimeoutMs, () => {
         socket.destroy(new ConnectTimeoutError(this.#address));
-      }, connectTimeoutMs);
+      });
       socket.once('connect', () => {
-        clearTimeout(timer);
+        timer[Symbol.dispose]();
         this.#socket = socket;
         this.#openCount += 1;
+        this.#parsedBytes = 0;
+        // The parser of the HTTP client listens first, so that it has taken what is counted.
+        setImmediate(() => {
+          socket.on('readable', () => {
+            this.#countRead(socket);
+          });
+        });
         this.#listener.onConnect?.(true);
         resolve(socket);
       });
@@ -108,7 +143,7 @@
         this.#listener.onClosedByPeer?.();
       });
       socket.once('error', (error: NodeJS.ErrnoException) => {
-        clearTimeout(timer);
+        timer[Symbol.dispose]();
         // Errors raised by undici itself, including the one for an orderly close, have no
         // `syscall`.
         if (error.syscall !== undefined) this.#wasReset = true;
@@ -118,4 +153,17 @@
       });
     });
   }
+
+  /** Guards against bytes without end after a response, which the parser skips if they are empty lines. */
+  #countRead(socket: Socket): void {
+    const parsedBytes = socket.bytesRead - socket.readableLength;
+    const bytes = parsedBytes - this.#parsedBytes;
+    this.#parsedBytes = parsedBytes;
+    if (this.#onRead !== undefined) {
+      this.#onRead(bytes);
+      return;
+    }
+    this.#idleBytes += bytes;
+    if (this.#idleBytes > maxIdleBytes) socket.destroy();
+  }
 }
--- a/packages/soak/src/_lib/DirectoryCheck/index.ts
+++ b/packages/soak/src/_lib/DirectoryCheck/index.ts
@@ -87,9 +87,8 @@
   }
 
   /**
-   * Guards against a directory that is blamed for leaving out an instance which began to stop between its own answer
-   * and that of the directory, as when the directory's instance stood still meanwhile (seed 9907, 0.4 minutes): only
-   * an instance that is still ready in the next polls was ready when it was left out.
+   * Only an instance that is still ready in the next polls was ready when it was left out: one that began to stop between
+   * its own answer and that of the directory is left out rightly.
    */
   #confirmOmissions(): void {
     for (const { polledInstance, omitted, readySinceMs } of this.#omissions) {
--- a/packages/standins/src/experiments/hedge/_lib/ModelInstance/index.ts
+++ b/packages/standins/src/experiments/hedge/_lib/ModelInstance/index.ts
@@ -194,11 +194,11 @@
     );
     const decision = decideHedge({
       isRepeatable: true,
-      isSuspect: false,
+      endCount: 0,
       sends: stream.attempted.size,
       maxSends: bounds.maxSends,
-      hasCandidate: speaking.length > 0,
-      silence: this.#silence,
+      hasCandidate: () => speaking.length > 0,
+      silence: () => this.#silence,
       probes: this.#probes,
     });
     if (decision !== 'hedge' && decision !== 'probe') return;
