A request that could not be sent to an upstream may be sent there again 0.3 s later

What callers saw: 502 for reads that were sent once only. Cause: an upstream that was tried counts as sent to, also if its connection was refused. Change: the chooser leaves such an upstream out for 0.3 s only; at most three connections are tried as before.

--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -374,7 +374,10 @@
     const { upstream } = contender;
     trace.add(result.kind, { upstreamId: upstream?.id, ...describeResult(result) });
     progress.mayHaveRun ||= mayHaveRun(result);
-    if (upstream !== undefined) this.#recordResult(upstream, result);
+    if (upstream === undefined) return;
+    if (result.kind === 'notSent' && result.isOtherRun !== true)
+      this.#chooser.recordUnsent(upstream);
+    this.#recordResult(upstream, result);
   }
 
   /** Handles the result of the attempts; returns whether the caller's request is complete. */
--- a/packages/forwarding/src/_lib/UpstreamChooser/index.ts
+++ b/packages/forwarding/src/_lib/UpstreamChooser/index.ts
@@ -1,11 +1,11 @@
 /**
- * Chooses the upstreams that one request is sent to, each at most once.
+ * Chooses the upstreams that one request is sent to, each at most once; where it could not be sent is tried again later.
  */
 import type { Clock, FailureDomainId, Random, UpstreamId } from '@acaciacrank/base';
 import { isSilent, mayContinueStream } from '@acaciacrank/routing';
 import type { UpstreamTable } from '../../UpstreamTable/index.js';
 import type { ForwardCall } from '../ForwardCall/index.js';
-import { silenceLimitMs } from '../limits/index.js';
+import { reconnectDelayMs, silenceLimitMs } from '../limits/index.js';
 import type { PrefillTimeModels } from '../PrefillTimeModels/index.js';
 import type { PromptPartLocations } from '../PromptPartLocations/index.js';
 import { lastSharedPart, pickUpstream, type UpstreamPick } from '../pickUpstream/index.js';
@@ -26,6 +26,8 @@
   readonly #dependencies: UpstreamChooserDependencies;
   readonly #call: ForwardCall;
   readonly #attemptedIds = new Set<UpstreamId>();
+  /** When it could not be sent, by upstream. */
+  readonly #unsentAtMs = new Map<UpstreamId, number>();
 
   constructor(dependencies: UpstreamChooserDependencies, call: ForwardCall) {
     this.#dependencies = dependencies;
@@ -34,7 +36,7 @@
 
   /** Whether the request was sent to any upstream, or an attempt to do so was made. */
   get hasAttempted(): boolean {
-    return this.#attemptedIds.size > 0;
+    return this.#attemptedIds.size + this.#unsentAtMs.size > 0;
   }
 
   /** The upstreams of the service that the request may be sent to, by their software. */
@@ -59,6 +61,17 @@
     this.#attemptedIds.add(upstream.id);
   }
 
+  /**
+   * Records that the request could not be sent to an upstream.
+   *
+   * Guards against a request that fails with the one upstream that took it, since others had refused its connections
+   * before: they may have started again meanwhile.
+   */
+  recordUnsent(upstream: Upstream): void {
+    this.#attemptedIds.delete(upstream.id);
+    this.#unsentAtMs.set(upstream.id, this.#dependencies.clock.monotonicMs());
+  }
+
   /** Chooses an upstream; undefined if there is none left. */
   pick(): UpstreamPick | undefined {
     const near = this.#near;
@@ -102,7 +115,15 @@
   }
 
   #isOpen({ id, hasRoom }: Upstream): boolean {
-    return hasRoom && !this.#attemptedIds.has(id);
+    return hasRoom && !this.#closedIds.has(id);
+  }
+
+  /** The upstreams that the request was sent to, and those to which it could not be sent just now. */
+  get #closedIds(): ReadonlySet<UpstreamId> {
+    if (this.#unsentAtMs.size === 0) return this.#attemptedIds;
+    const sinceMs = this.#dependencies.clock.monotonicMs() - reconnectDelayMs;
+    const unsent = [...this.#unsentAtMs].filter(([, atMs]) => atMs > sinceMs);
+    return new Set([...this.#attemptedIds, ...unsent.map(([id]) => id)]);
   }
 
   #isHedge(upstream: Upstream): boolean {
@@ -128,7 +149,7 @@
     const { head, service } = this.#call;
     return pickUpstream({
       candidates,
-      attemptedIds: this.#attemptedIds,
+      attemptedIds: this.#closedIds,
       promptParts: head.promptParts,
       promptTokens: head.tokens?.promptTokens ?? 0,
       engine: service.engine,
--- a/packages/forwarding/src/_lib/limits/index.ts
+++ b/packages/forwarding/src/_lib/limits/index.ts
@@ -17,6 +17,8 @@
 export const maxKeepAliveTimeoutMs = 30_000;
 /** Maximum number of upstreams that a request is tried at while no connection can be opened. */
 export const maxConnectAttempts = 3;
+/** After how long a request is sent again to an upstream that could not be connected to, in milliseconds. */
+export const reconnectDelayMs = 300;
 /**
  * How long a request waits for tokens from the store, in milliseconds: the duration of two slow
  * store calls.
