One bound for all response bodies that are being read, the largest gives way

Cause: BodyCollector bounded each response by itself at 64 MiB and kept each part as an object; an event's buffer was copied for each part; the HTTP client creates an error for each header field beyond its limit, 0.1 s of processor time for each response. Change: ResponseMemory with decideBodyMemory (routing). From 4 MiB of all bodies on the largest is read and the others wait (backpressure), so that sound ones end one after the other; one gives way beyond 6 MiB, when others have waited 250 ms for less than 256 KiB of it, or beyond 256 KiB if its upstream has just sent what is no answer. 12 MiB in all, and for one body (64 MiB before); a stated length beyond that is refused at the head. The parser gets its bytes in parts of 16 KiB (MeteredSocket), so that a response can be ended between two of them; small parts of a body are copied into blocks. Heads and framing are bounded at 32 KiB. Ruled out: giving up whoever comes last, or the largest at once: 20 sound bodies of 5 MB at the same time would fail.

--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -27,6 +27,7 @@
   tokenReserveTimeoutMs,
 } from '../_lib/limits/index.js';
 import { PromptPartLocations } from '../_lib/PromptPartLocations/index.js';
+import { ResponseMemory } from '../_lib/ResponseMemory/index.js';
 import { RequestTrace } from '../_lib/RequestTrace/index.js';
 import { SilenceProbes } from '../_lib/SilenceProbes/index.js';
 import type { ForwardCodec } from '../ForwardCodec/index.js';
@@ -104,6 +105,7 @@
       ...options,
       promptPartLocations: new PromptPartLocations(),
       silenceProbes: new SilenceProbes(),
+      responseMemory: new ResponseMemory(options.clock, options.metrics),
       models,
     };
   }
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -35,6 +35,7 @@
   relayUpstreamHeader,
 } from '../relayProtocol/index.js';
 import { responseHeaders } from '../responseHeaders/index.js';
+import { maxBodyBytes, type ReadBody, type ResponseMemory } from '../ResponseMemory/index.js';
 import { StreamRelay } from '../StreamRelay/index.js';
 import type { PrefillEstimate, InFlightRequest, Upstream } from '../Upstream/index.js';
 import type { UpstreamConnection } from '../UpstreamConnection/index.js';
@@ -51,6 +52,8 @@
   fetchFrom: string | undefined;
   /** Estimated prefill work of the engine; undefined for plain services. */
   prefill: PrefillEstimate | undefined;
+  /** Bounds the bodies of all responses that are being read. */
+  responseMemory: ResponseMemory;
   /** Called before the first events are passed on to the caller, with the run of the upstream that sent them. */
   onStreamBegun: (run: UpstreamRun) => void;
   /** Called once, when the first event arrives. */
@@ -89,6 +92,9 @@
 /** How long an upstream may take to say which run it is until another one is asked, in milliseconds. */
 const runCheckPatienceMs = 300;
 
+/** From this size on an event that is not complete counts with the bodies that are being read, in bytes. */
+const minHeldEventBytes = 65_536;
+
 /** Why this instance aborted an attempt. */
 type AbortReason = 'superseded' | 'deadline' | 'callerGone';
 
@@ -122,11 +128,16 @@
   /** Whether the caller has not yet taken what the upstream sent last. */
   #isCallerBehind = false;
   readonly #responseProgress: ResponseProgress;
+  readonly #heldBytes: ReadBody;
 
   constructor(options: AttemptOptions) {
     super();
     this.#options = options;
     this.#responseProgress = new ResponseProgress(options.call.route);
+    this.#heldBytes = options.responseMemory.open({
+      isSuspect: () => options.upstream.isSuspect,
+      onGiveWay: (error) => this.#exchange?.fail(error),
+    });
   }
 
   /** Sends the request, then relays or buffers the response. Never throws. */
@@ -172,6 +183,7 @@
       this.#hasEnded = true;
       deadline[Symbol.dispose]();
       this.#inactivityTimer?.[Symbol.dispose]();
+      this.#heldBytes[Symbol.dispose]();
       upstream.end(inFlightRequest);
       upstream.releaseConnection(connection, isReusable);
     }
@@ -236,7 +248,7 @@
   override onHead(response: UpstreamResponseHead): void {
     const { call, codec, upstream } = this.#options;
     const { status, headers, isFramed } = response;
-    const isBounded = call.route.kind !== 'stream' && hasLength(headers);
+    const isBounded = call.route.kind !== 'stream' && lengthOf(headers) > 0;
     this.#responseProgress.recordHead({ isBounded });
     const head = codec.readResponseHead(status, headers);
     this.#recheckConnection();
@@ -265,6 +277,7 @@
       const relay = new StreamRelay({ call, head: response, callerHeaders, onBegin, onEvents });
       this.#bodyHandling = { kind: 'relay', relay };
     } else {
+      if (lengthOf(headers) > maxBodyBytes) throw new NoAnswerError('bodyBytes');
       this.#collect((body) => ({ kind: 'answer', status, headers, body, isFramed }));
     }
   }
@@ -275,11 +288,17 @@
     if (handling === undefined) return undefined;
     if (handling.kind === 'collect') {
       handling.collector.add(chunk);
-      return undefined;
+      return this.#heldBytes.setBytes(handling.collector.bytes);
     }
     const isTaken = handling.relay.relay(chunk);
     if (isTaken !== undefined) void this.#waitForCaller(isTaken);
-    return isTaken;
+    return isTaken ?? this.#holdEvent(handling.relay.heldBytes);
+  }
+
+  /** Only large events count with the bodies that wait for each other: sound ones are never held up. */
+  #holdEvent(heldBytes: number): Promise<void> | undefined {
+    const bytes = heldBytes <= minHeldEventBytes ? 0 : heldBytes;
+    return bytes === this.#heldBytes.bytes ? undefined : this.#heldBytes.setBytes(bytes);
   }
 
   /** A caller that is behind keeps the upstream from sending, which says nothing of the upstream. */
@@ -332,7 +351,7 @@
   }
 
   #collect(result: (body: Buffer) => AttemptResult): void {
-    this.#bodyHandling = { kind: 'collect', collector: new BodyCollector(), result };
+    this.#bodyHandling = { kind: 'collect', collector: new BodyCollector(maxBodyBytes), result };
   }
 
   /** Whether the request has been sent, and the attempt has not ended. */
@@ -426,8 +445,9 @@
   }
 }
 
-function hasLength(headers: RawHeaders): boolean {
-  return rawHeaderValue(headers, 'content-length') !== undefined;
+/** The length of the body that a head states, in bytes; 0 if it states none. */
+function lengthOf(headers: RawHeaders): number {
+  return Number(rawHeaderValue(headers, 'content-length') ?? 0);
 }
 
 function notRunByPeer(status: number): AttemptResult {
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -35,6 +35,7 @@
 import type { PromptPartLocations } from '../PromptPartLocations/index.js';
 import { digestContent } from '../digestContent/index.js';
 import { recordStreamBegin } from '../recordStreamBegin/index.js';
+import type { ResponseMemory } from '../ResponseMemory/index.js';
 import { Relay } from '../Relay/index.js';
 import type { SilenceProbes } from '../SilenceProbes/index.js';
 import { createVersionGoneError } from '../versionErrors/index.js';
@@ -56,6 +57,7 @@
   readonly promptPartLocations: PromptPartLocations;
   readonly models: PrefillTimeModels;
   readonly silenceProbes: SilenceProbes;
+  readonly responseMemory: ResponseMemory;
   readonly random: Random;
   readonly metrics: Metrics;
 }
@@ -297,7 +299,7 @@
     callbacks: Pick<AttemptOptions, 'mayBeSent' | 'onProgress' | 'onSilent'>,
   ): Attempt {
     const { upstream, fetchFrom, prefill } = pick;
-    const { clock, codec, retries, upstreams } = this.#dependencies;
+    const { clock, codec, retries, upstreams, responseMemory } = this.#dependencies;
     const call = this.#call;
     if (this.#attemptedIds.size === 0) retries.recordRequest(call.service.name);
     this.#attemptedIds.add(upstream.id);
@@ -312,6 +314,7 @@
       upstream,
       fetchFrom,
       prefill,
+      responseMemory,
       isMixed: upstreams.isMixed(call.service.name),
       isRecordStale: upstreams.isStoreUnavailable,
       onStreamBegun: (run) => {
@@ -624,9 +627,10 @@
     const isFault = result.kind === 'broken' || isOutrun;
     const noAnswer = noAnswerOf(result);
     if (noAnswer !== undefined) metrics.count('noAnswers', noAnswer);
-    const isEjectedAtOnce = result.kind === 'notSent' || noAnswer !== undefined;
-    if (isEjectedAtOnce) upstream.eject();
-    if (isEjectedAtOnce || (isFault && upstream.recordFailure())) upstreams.reportEjected(upstream);
+    if (noAnswer !== undefined) upstream.recordNoAnswer();
+    else if (result.kind === 'notSent') upstream.eject();
+    else if (!isFault || !upstream.recordFailure()) return;
+    upstreams.reportEjected(upstream);
   }
 }
 
--- a/packages/forwarding/src/_lib/EventBuffer/index.ts
+++ b/packages/forwarding/src/_lib/EventBuffer/index.ts
@@ -1,8 +1,8 @@
 /**
  * Splits a byte stream into complete server-sent events.
  */
-import { RouterError } from '@acaciacrank/base';
 import { maxEventBytes } from '../limits/index.js';
+import { NoAnswerError } from '../NoAnswerError/index.js';
 
 /** Complete events that follow each other. */
 export interface CompleteEvents {
@@ -15,6 +15,8 @@
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
 const space = 0x20;
+/** Size of the longest end of an event: a line feed, a carriage return and a line feed. */
+const maxEventEndBytes = 3;
 const idField = Buffer.from('id:', 'latin1');
 
 /**
@@ -24,11 +26,18 @@
  * receive the first half of it, directly followed by the stream resumed at another upstream.
  */
 export class EventBuffer {
-  #pending: Buffer = Buffer.alloc(0);
+  /** The incomplete event, at the start of a buffer with room for more. */
+  #buffer: Buffer = Buffer.alloc(0);
+  #pendingBytes = 0;
 
   /** Whether the buffer contains an incomplete event. */
   get hasPartialEvent(): boolean {
-    return this.#pending.byteLength > 0;
+    return this.#pendingBytes > 0;
+  }
+
+  /** Memory held for the incomplete event, in bytes. */
+  get heldBytes(): number {
+    return this.#buffer.byteLength;
   }
 
   /**
@@ -36,25 +45,41 @@
    *
    * @param chunk - the received bytes
    * @returns the completed events, in order; undefined if there are none
-   * @throws RouterError `upstreamFailed` if an event is too large
+   * @throws NoAnswerError if an event is too large
    */
   push(chunk: Buffer): CompleteEvents | undefined {
-    const bytes = this.#pending.byteLength === 0 ? chunk : Buffer.concat([this.#pending, chunk]);
+    // What was searched before contains no end, but may contain the start of one.
+    let searchFrom = Math.max(0, this.#pendingBytes - maxEventEndBytes + 1);
+    const isContinued = this.#pendingBytes > 0;
+    const bytes = isContinued ? this.#append(chunk) : chunk;
     const ids: (string | undefined)[] = [];
     let start = 0;
-    for (let end = findEventEnd(bytes, start); end > 0; end = findEventEnd(bytes, start)) {
+    for (let end = findEventEnd(bytes, searchFrom); end > 0; end = findEventEnd(bytes, start)) {
       ids.push(parseEventId(bytes, start, end));
       start = end;
+      searchFrom = end;
     }
-    this.#pending = bytes.subarray(start);
-    if (this.#pending.byteLength > maxEventBytes) {
-      throw new RouterError(
-        'upstreamFailed',
-        'the upstream sent an event that exceeds the size limit',
-      );
-    }
+    this.#pendingBytes = bytes.byteLength - start;
+    // Events that are returned share this memory; it is never written to again.
+    if (start > 0 || !isContinued) this.#buffer = bytes.subarray(start);
+    if (this.#pendingBytes > maxEventBytes) throw new NoAnswerError('eventBytes');
     return start === 0 ? undefined : { bytes: bytes.subarray(0, start), ids };
   }
+
+  /** Returns the incomplete event with the chunk behind it. */
+  #append(chunk: Buffer): Buffer {
+    const size = this.#pendingBytes + chunk.byteLength;
+    if (size > this.#buffer.byteLength) this.#grow(size);
+    chunk.copy(this.#buffer, this.#pendingBytes);
+    return this.#buffer.subarray(0, size);
+  }
+
+  /** Grows the buffer by half: copying it for each chunk would take time by the square of the event's size. */
+  #grow(size: number): void {
+    const larger = Buffer.allocUnsafeSlow(Math.ceil(1.5 * size));
+    this.#buffer.copy(larger, 0, 0, this.#pendingBytes);
+    this.#buffer = larger;
+  }
 }
 
 /**
--- a/packages/forwarding/src/_lib/Relay/index.ts
+++ b/packages/forwarding/src/_lib/Relay/index.ts
@@ -19,6 +19,7 @@
 import { isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
 import { HedgedAttempts, type Contender, type EndedContender } from '../HedgedAttempts/index.js';
 import { recordStreamBegin } from '../recordStreamBegin/index.js';
+import type { ResponseMemory } from '../ResponseMemory/index.js';
 import { writePlainHead } from '../responseHeaders/index.js';
 import type { Upstream } from '../Upstream/index.js';
 
@@ -30,6 +31,7 @@
   readonly retries: RetryShare;
   readonly relayPeers: RelayPeers;
   readonly affinity: StreamAffinity;
+  readonly responseMemory: ResponseMemory;
   readonly metrics: Metrics;
 }
 
@@ -135,7 +137,7 @@
   }
 
   #createAttempt(peer: Upstream, onProgress: () => void): Attempt {
-    const { clock, codec, relayPeers } = this.#dependencies;
+    const { clock, codec, relayPeers, responseMemory } = this.#dependencies;
     const { route, trace } = this.#call;
     this.#asked.add(instanceIdOf(peer));
     trace.add('relayed', { peer: peer.id, ownInFlight: peer.inFlight.size });
@@ -148,6 +150,7 @@
       codec,
       call: this.#call,
       upstream: peer,
+      responseMemory,
       isMixed: false,
       isRecordStale: false,
       relayedBy: relayPeers.instanceId,
--- a/packages/forwarding/src/_lib/StreamRelay/index.ts
+++ b/packages/forwarding/src/_lib/StreamRelay/index.ts
@@ -54,6 +54,11 @@
     return writer.writeNow(events.bytes);
   }
 
+  /** Memory held for the event that is not complete, in bytes. */
+  get heldBytes(): number {
+    return this.#buffer.heldBytes;
+  }
+
   /** Ends the stream; returns whether its last event is complete. */
   finish(): boolean {
     if (this.#buffer.hasPartialEvent) return false;
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -163,6 +163,7 @@
   #ejectedUntilMs = 0;
   #lastReceivedMs = -Infinity;
   #runDoubtedUntilMs = -Infinity;
+  #lastNoAnswerMs = -Infinity;
   /** The last probe of its address, and when it began. */
   #endProbe: { readonly hasEnded: Promise<boolean>; readonly atMs: number } | undefined;
 
@@ -464,6 +465,17 @@
     return true;
   }
 
+  /** Whether it sent what is no answer a short while ago. */
+  get isSuspect(): boolean {
+    return this.#clock.monotonicMs() - this.#lastNoAnswerMs < initialEjectionMs;
+  }
+
+  /** Records that it sent what is no answer: it is ejected at once. */
+  recordNoAnswer(): void {
+    this.#lastNoAnswerMs = this.#clock.monotonicMs();
+    this.eject();
+  }
+
   /**
    * Ejects the upstream temporarily, for longer with each ejection in a row.
    *
--- a/packages/forwarding/src/_lib/UpstreamConnection/index.ts
+++ b/packages/forwarding/src/_lib/UpstreamConnection/index.ts
@@ -1,10 +1,16 @@
 /**
  * One connection to an upstream, used by one request at a time.
  */
-import { connect, type Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import { Client } from 'undici';
 import { connectTimeoutMs, keepAliveTimeoutMs, maxKeepAliveTimeoutMs } from '../limits/index.js';
+import { MeteredSocket } from '../MeteredSocket/index.js';
 
+/**
+ * Maximum size of header fields for the HTTP client, in bytes: more than whoever counts the bytes allows. The client
+ * creates an error for each further field, which takes much processor time.
+ */
+const maxHeaderFieldBytes = 131_072;
 /** Maximum number of bytes on a connection while no request is in progress. */
 const maxIdleBytes = 1_024;
 
@@ -36,8 +42,6 @@
   #wasReset = false;
   #socket: Socket | undefined;
   #openCount = 0;
-  /** Number of bytes of the open connection that have been parsed. */
-  #parsedBytes = 0;
   /** Number of bytes that came while no request was in progress. */
   #idleBytes = 0;
   #onRead: ((bytes: number) => void) | undefined;
@@ -53,6 +57,7 @@
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
+      maxHeaderSize: maxHeaderFieldBytes,
       keepAliveTimeout: keepAliveTimeoutMs,
       keepAliveMaxTimeout: maxKeepAliveTimeoutMs,
       connect: (_options, callback) => {
@@ -117,7 +122,13 @@
     this.#wasReset = false;
     const [host = '', port = ''] = this.#address.split(':');
     return new Promise((resolve, reject) => {
-      const socket = connect({ host, port: Number(port), noDelay: true, keepAlive: true });
+      const socket: Socket = new MeteredSocket((bytes) => {
+        this.#countParsed(socket, bytes);
+      });
+      socket
+        .setNoDelay(true)
+        .setKeepAlive(true)
+        .connect({ host, port: Number(port) });
       const timer = setTimeout(() => {
         socket.destroy(new ConnectTimeoutError(this.#address));
       }, connectTimeoutMs);
@@ -125,13 +136,6 @@
         clearTimeout(timer);
         this.#socket = socket;
         this.#openCount += 1;
-        this.#parsedBytes = 0;
-        // The parser of the HTTP client listens first, so that it has taken what is counted.
-        setImmediate(() => {
-          socket.on('readable', () => {
-            this.#countRead(socket);
-          });
-        });
         this.#listener.onConnect?.(true);
         resolve(socket);
       });
@@ -151,10 +155,7 @@
   }
 
   /** Guards against bytes without end after a response, which the parser skips if they are empty lines. */
-  #countRead(socket: Socket): void {
-    const parsedBytes = socket.bytesRead - socket.readableLength;
-    const bytes = parsedBytes - this.#parsedBytes;
-    this.#parsedBytes = parsedBytes;
+  #countParsed(socket: Socket, bytes: number): void {
     if (this.#onRead !== undefined) {
       this.#onRead(bytes);
       return;
--- a/packages/routing/src/ResponseProgress/index.ts
+++ b/packages/routing/src/ResponseProgress/index.ts
@@ -12,15 +12,15 @@
   | 'trickle';
 
 /** Maximum size of a head, with the interim responses before it, in bytes. */
-const maxHeadBytes = 65_536;
+const maxHeadBytes = 32_768;
 /** Maximum time in which bytes of a head arrive, in milliseconds. */
 const maxHeadMs = 1_500;
 /** Minimum number of reads of such a head: one that was interrupted once is complete with the next read. */
 const minHeadReads = 3;
 /** Maximum number of interim responses before a head. */
 const maxInterimResponses = 32;
-/** Maximum framing of a body, in bytes, and in bytes for each byte of the body. */
-const maxFramingBytes = 65_536;
+/** Maximum framing of a body with what is left of its head, in bytes, and in bytes for each byte of the body. */
+const maxFramingBytes = 32_768;
 const maxFramingRatio = 2;
 /** Minimum time over which a trickle arrives, in milliseconds and in target latencies of the route. */
 const minTrickle = { durationMs: 2_000, targetLatencies: 5 } as const;
@@ -47,7 +47,7 @@
  *
  * @example
  * const progress = new ResponseProgress({ targetLatencyMs: 400 });
- * progress.recordRead(70_000, nowMs);
+ * progress.recordRead(40_000, nowMs);
  * //=> 'headBytes'
  */
 export class ResponseProgress {
--- a/packages/routing/src/ResponseProgress/test.ts
+++ b/packages/routing/src/ResponseProgress/test.ts
@@ -22,7 +22,7 @@
 
 test('a head of more than its size is none', (t) => {
   const progress = new ResponseProgress(route);
-  t.is(progress.recordRead(65_536, 0), undefined);
+  t.is(progress.recordRead(32_768, 0), undefined);
   t.is(progress.recordRead(1, 1), 'headBytes');
 });
 
@@ -48,14 +48,14 @@
 
 test('framing without a body is no answer', (t) => {
   const progress = afterHead();
-  t.is(progress.recordRead(65_536, 1), undefined);
+  t.is(progress.recordRead(32_768, 1), undefined);
   t.is(progress.recordRead(1, 2), 'framingBytes');
 });
 
 test('a small body in chunks of one byte is an answer, a large one is not', (t) => {
   const progress = afterHead();
-  progress.recordPayload(20_000);
-  t.is(progress.recordRead(120_000, 1), undefined);
+  progress.recordPayload(10_000);
+  t.is(progress.recordRead(60_000, 1), undefined);
   progress.recordPayload(5_000);
   t.is(progress.recordRead(30_000, 2), 'framingBytes');
 });
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -45,3 +45,4 @@
 export * from './measureSilence/index.js';
 export * from './needsRunCheck/index.js';
 export * from './ResponseProgress/index.js';
+export * from './decideBodyMemory/index.js';
