A success on a streaming route that is no event stream is no answer

Cause: the content type was not looked at. Change: a success on a streaming route whose content type is not text/event-stream (parameters and case aside) is broken at its head; its upstream is ejected at once.

--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -252,6 +252,9 @@
     this.#responseProgress.recordHead({ isBounded });
     const head = codec.readResponseHead(status, headers);
     this.#recheckConnection();
+    const isSuccess = status >= 200 && status < 300;
+    if (isSuccess && call.route.kind === 'stream' && !isEventStream(headers))
+      throw new NoAnswerError('noEventStream');
     this.#recordReceived(false);
     this.#applyStatement(head, headers);
     if (this.#options.relayedBy !== undefined && rawHeaderValue(headers, relayRefusedHeader)) {
@@ -264,7 +267,6 @@
       this.#collect(() => ({ kind: 'notRun', status, isWrongUpstream, backoffMs }));
       return;
     }
-    const isSuccess = status >= 200 && status < 300;
     checkResponse(head, call, isSuccess);
     if (isSuccess && call.route.kind === 'stream') {
       const onBegin = () => {
@@ -445,6 +447,11 @@
   }
 }
 
+function isEventStream(headers: RawHeaders): boolean {
+  const type = rawHeaderValue(headers, 'content-type') ?? '';
+  return type.split(';', 1)[0]?.trim().toLowerCase() === 'text/event-stream';
+}
+
 /** The length of the body that a head states, in bytes; 0 if it states none. */
 function lengthOf(headers: RawHeaders): number {
   return Number(rawHeaderValue(headers, 'content-length') ?? 0);
