Nothing is learnt from a response that turns out to be no answer

Cause: what a head states was applied before anything showed that it belongs to an answer; the run time of any response with a head was learnt, and a prompt part counted as read by whichever engine it was sent to. Change: of a success only what refuses requests (leaving, backoff) is applied at its head, load, limit, warm-up and brittleness with the first event or the whole body; run times of what is no answer are not learnt, and its prompt part is forgotten. Prefill times need a first event already. Refusals and failures are applied at once as before.

--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -24,7 +24,7 @@
   type UpstreamResponseHead,
 } from '../Exchange/index.js';
 import type { ForwardCall } from '../ForwardCall/index.js';
-import type { ResponseHead } from '../../types.js';
+import type { ResponseHead, UpstreamStatement } from '../../types.js';
 import { responseMarginMs } from '../limits/index.js';
 import { NoAnswerError, noAnswerReasonOf } from '../NoAnswerError/index.js';
 import {
@@ -35,6 +35,7 @@
   relayUpstreamHeader,
 } from '../relayProtocol/index.js';
 import { responseHeaders } from '../responseHeaders/index.js';
+import { splitStatement } from '../splitStatement/index.js';
 import { maxBodyBytes, type ReadBody, type ResponseMemory } from '../ResponseMemory/index.js';
 import { StreamRelay } from '../StreamRelay/index.js';
 import type { PrefillEstimate, InFlightRequest, Upstream } from '../Upstream/index.js';
@@ -123,10 +124,13 @@
   #isRunUnproven = false;
   #inactivityTimer: InactivityTimer | undefined;
   readonly #runCheckAbort = new AbortController();
+  /** Applies what a success states of its upstream, once an event or the whole body has shown that it is one. */
+  #applyHeldStatement: () => void = () => undefined;
   /** Whether nothing has come from the upstream for the timeout. */
   #isSilent = false;
   /** Whether the caller has not yet taken what the upstream sent last. */
   #isCallerBehind = false;
+  #wasNoAnswer = false;
   readonly #responseProgress: ResponseProgress;
   readonly #heldBytes: ReadBody;
 
@@ -174,6 +178,7 @@
       if (connection.wasReset)
         return this.#classifyError(new Error('the connection was reset during the response'));
       const result = this.#finish(inFlightRequest);
+      if (result.kind !== 'broken') this.#applyHeldStatement();
       isReusable =
         result.kind === 'answer' || result.kind === 'streamed' || result.kind === 'notRun';
       return result;
@@ -184,7 +189,7 @@
       deadline[Symbol.dispose]();
       this.#inactivityTimer?.[Symbol.dispose]();
       this.#heldBytes[Symbol.dispose]();
-      upstream.end(inFlightRequest);
+      upstream.end(inFlightRequest, { isLearnt: !this.#wasNoAnswer });
       upstream.releaseConnection(connection, isReusable);
     }
   }
@@ -256,7 +261,7 @@
     if (isSuccess && call.route.kind === 'stream' && !isEventStream(headers))
       throw new NoAnswerError('noEventStream');
     this.#recordReceived(false);
-    this.#applyStatement(head, headers);
+    this.#receiveStatement(head, headers, isSuccess);
     if (this.#options.relayedBy !== undefined && rawHeaderValue(headers, relayRefusedHeader)) {
       this.#collect(() => notRunByPeer(status));
       return;
@@ -316,6 +321,7 @@
     if (inFlightRequest !== undefined && !inFlightRequest.hasFirstEvent)
       this.#options.onFirstEvent(inFlightRequest);
     this.#responseProgress.recordEvent();
+    this.#applyHeldStatement();
     this.#recordReceived(true);
     this.#options.onProgress();
   }
@@ -399,15 +405,28 @@
    * Guards against the statement of another upstream at a reused address, and against one in a late response to
    * an earlier request.
    */
-  #applyStatement(head: ResponseHead, headers: RawHeaders): void {
+  #receiveStatement(head: ResponseHead, headers: RawHeaders, isSuccess: boolean): void {
     const { requestId, isSigned, isWrongUpstream, statement } = head;
     const { call, clock, onStatement, relayedBy } = this.#options;
     if (isWrongUpstream || (requestId !== undefined && requestId !== call.head.requestId)) return;
     const receivedMs = clock.monotonicMs();
     const sentMs = this.#inFlightRequest?.sentMs ?? receivedMs;
-    const received = { statement, isSigned, sentMs, receivedMs };
-    if (relayedBy === undefined) onStatement(received);
-    else onStatement(received, rawHeaderValue(headers, relayUpstreamHeader) as UpstreamId);
+    const relayedFrom = rawHeaderValue(headers, relayUpstreamHeader) as UpstreamId;
+    const apply = (part: UpstreamStatement) => {
+      const received = { statement: part, isSigned, sentMs, receivedMs };
+      if (relayedBy === undefined) onStatement(received);
+      else onStatement(received, relayedFrom);
+    };
+    if (!isSuccess) {
+      apply(statement);
+      return;
+    }
+    const { refusing, other } = splitStatement(statement);
+    apply(refusing);
+    this.#applyHeldStatement = () => {
+      this.#applyHeldStatement = () => undefined;
+      apply(other);
+    };
   }
 
   #recordReceived(hasFirstEvent: boolean): void {
@@ -436,6 +455,7 @@
     if (abortReason !== undefined) return { kind: abortReason, wasSent: wasStarted };
     if (!wasStarted) return { kind: 'notSent', reason: toRouterError(thrown).message };
     const noAnswer = noAnswerReasonOf(thrown);
+    this.#wasNoAnswer = noAnswer !== undefined;
     const isConnectionLost = !(thrown instanceof RouterError) && noAnswer === undefined;
     return { kind: 'broken', reason: toRouterError(thrown).message, isConnectionLost, noAnswer };
   }
@@ -443,6 +463,7 @@
   #createSuperseded(wasSent: boolean): SupersededResult {
     const wasSilent = this.#isSilent;
     const noAnswer = wasSilent && this.#responseProgress.isTrickling ? 'trickle' : undefined;
+    this.#wasNoAnswer = noAnswer !== undefined;
     return { kind: 'superseded', wasSent, wasSilent, noAnswer };
   }
 }
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -613,6 +613,12 @@
     });
   }
 
+  /** What an upstream was sent and gave no answer to is not assumed to be in its cache. */
+  #forgetPart({ id }: Upstream): void {
+    const part = lastSharedPart(this.#call.head.promptParts);
+    if (part !== undefined) this.#dependencies.promptPartLocations.forget(part.id, id);
+  }
+
   /** Updates metrics and the upstream's health from the result of an attempt. */
   #recordResult(upstream: Upstream, result: AttemptResult): void {
     const { upstreams, metrics } = this.#dependencies;
@@ -626,6 +632,7 @@
     const isOutrun = result.kind === 'superseded' && result.wasSilent;
     const isFault = result.kind === 'broken' || isOutrun;
     const noAnswer = noAnswerOf(result);
+    if (noAnswer !== undefined) this.#forgetPart(upstream);
     if (noAnswer !== undefined) metrics.count('noAnswers', noAnswer);
     if (noAnswer !== undefined) upstream.recordNoAnswer();
     else if (result.kind === 'notSent') upstream.eject();
--- a/packages/forwarding/src/_lib/PromptPartLocations/index.ts
+++ b/packages/forwarding/src/_lib/PromptPartLocations/index.ts
@@ -40,6 +40,11 @@
       this.#enginesByPart.delete(oldest);
   }
 
+  /** Forgets that a part was sent to an engine. */
+  forget(partId: string, upstreamId: UpstreamId): void {
+    this.#enginesByPart.get(partId)?.delete(upstreamId);
+  }
+
   /** Removes an engine from all parts, since its cache is empty after a restart. */
   removeEngine(upstreamId: UpstreamId): void {
     for (const engines of this.#enginesByPart.values()) engines.delete(upstreamId);
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -433,13 +433,18 @@
     this.#reach?.recordReceived();
   }
 
-  /** Records that a request has ended. */
-  end(inFlightRequest: InFlightRequest): void {
+  /**
+   * Records that a request has ended.
+   *
+   * @param inFlightRequest - the request
+   * @param options - whether its run time is learnt; it is by default
+   */
+  end(inFlightRequest: InFlightRequest, { isLearnt = true }: { isLearnt?: boolean } = {}): void {
     if (!this.inFlight.delete(inFlightRequest)) return;
     this.#ownAverage.update(this.inFlight.size, this.#clock.monotonicMs());
     if (isPrefilling(inFlightRequest)) this.#endPrefill(inFlightRequest);
     const { startedMs, sentMs, prefill, hasFirstEvent } = inFlightRequest;
-    if (startedMs === undefined) return;
+    if (startedMs === undefined || !isLearnt) return;
     // A stream holds its slot from its first event on, a plain request all the time.
     const sinceMs = prefill === undefined ? sentMs : startedMs;
     if (prefill === undefined || hasFirstEvent)
