Engines' own client: frames, load reports and outcomes without end are bounded

What was seen: 16 calls to an engine that pours held 2,339 MiB (a frame that does not end), 5,733 MiB (a load report) and 1,779 MiB (the outcome of an order) until their timeouts of 4 and 5 s. Cause: bodies were read as JSON whatever their size; the event parser keeps what completes no event.

Left: the bound of a service's response (8 MiB) is for each call and not shared.

--- a/packages/upstreams/src/HttpEngineClient/index.ts
+++ b/packages/upstreams/src/HttpEngineClient/index.ts
@@ -9,6 +9,7 @@
 import { isConnectFailure } from '../_lib/isConnectFailure/index.js';
 import { readBackoffMs } from '../readBackoffMs/index.js';
 import { controlRequestTimeoutMs, readJson } from '../_lib/readJson/index.js';
+import { readText } from '../_lib/readText/index.js';
 import type {
   EngineFrame,
   EngineState,
@@ -31,6 +32,8 @@
 /** Statuses of an engine that does not have the stream. */
 const unknownStreamStatuses = new Set([404, 410]);
 const maxConnections = 256;
+/** Maximum size of what completes no frame, in bytes. */
+const maxFrameBytes = 262_144;
 
 const frameSchema = z.discriminatedUnion('kind', [
   z.object({
@@ -128,7 +131,7 @@
   override async order(orderRequest: OrderRequest, signal: AbortSignal): Promise<OrderOutcome> {
     const answer = await this.#open('POST', '/v1/orders', signal, JSON.stringify(orderRequest));
     if (answer.statusCode === 200) {
-      return orderOutcomeSchema.parse(await answer.body.json());
+      return orderOutcomeSchema.parse(JSON.parse(await readText(answer.body)));
     }
     discard(answer);
     throw new RouterError(
@@ -188,9 +191,14 @@
       ready.push(frameSchema.parse(JSON.parse(event.data)) as EngineFrame);
     },
   });
+  let bytesSinceFrame = 0;
   try {
     for await (const chunk of body) {
+      bytesSinceFrame += chunk.byteLength;
       parser.feed(decoder.decode(chunk, { stream: true }));
+      if (ready.length > 0) bytesSinceFrame = 0;
+      if (bytesSinceFrame > maxFrameBytes)
+        throw new RouterError('upstreamFailed', `a frame has more than ${maxFrameBytes} bytes`);
       yield* ready.splice(0);
     }
   } catch (error) {
--- a/packages/upstreams/src/_lib/readJson/index.ts
+++ b/packages/upstreams/src/_lib/readJson/index.ts
@@ -4,6 +4,7 @@
 import { RouterError, withTimeout, type Clock } from '@acaciacrank/base';
 import { request } from 'undici';
 import type { ConnectionPool } from '../ConnectionPool/index.js';
+import { readText } from '../readText/index.js';
 
 /** Timeout of requests other than generations and service calls, in milliseconds. */
 export const controlRequestTimeoutMs = 5_000;
@@ -20,7 +21,7 @@
 export async function readJson(clock: Clock, pool: ConnectionPool, url: string): Promise<unknown> {
   const read = async (signal: AbortSignal) => {
     const answer = await request(url, { dispatcher: pool.dispatcher, signal });
-    if (answer.statusCode === 200) return answer.body.json();
+    if (answer.statusCode === 200) return JSON.parse(await readText(answer.body)) as unknown;
     await answer.body.dump();
     throw new RouterError('upstreamUnavailable', `${url} answered ${answer.statusCode}`);
   };
