A run check reads 128 KiB at most, and its answer is no idle bytes

The check now watches its connection itself, and ends an answer of which the HTTP client passes nothing on (empty lines, a status line, a chunk extension), for which a stream that goes on elsewhere would wait until its deadline.

--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -210,7 +210,7 @@
     if (!needsRunCheck({ ...evidence, isConnected })) return undefined;
     const startedMs = clock.monotonicMs();
     this.#startInactivityTimer(runCheckPatienceMs);
-    const { check, why } = await checkRun(connection.client, upstream.record.startedAtMs, codec, {
+    const { check, why } = await checkRun(connection, upstream.record.startedAtMs, codec, {
       signal: this.#runCheckAbort.signal,
       // A stream that has begun goes on only where the run is known, so that there is no use in sending it unasked.
       timeoutMs: this.#isResumption ? undefined : runCheckPatienceMs,
--- a/packages/forwarding/src/_lib/checkRun/index.ts
+++ b/packages/forwarding/src/_lib/checkRun/index.ts
@@ -1,6 +1,6 @@
-import type { Client } from 'undici';
 import type { ForwardCodec } from '../../ForwardCodec/index.js';
 import { BodyCollector } from '../BodyCollector/index.js';
+import type { UpstreamConnection } from '../UpstreamConnection/index.js';
 
 /** Whether an upstream is the run that its record names: `notStated` if it does not say. */
 export type RunCheck = 'same' | 'other' | 'notStated';
@@ -19,32 +19,44 @@
   readonly timeoutMs: number | undefined;
 }
 
-/** Maximum size of the answer, in bytes. */
+/** Maximum size of the answer's body, in bytes. */
 const maxBytes = 65_536;
+/** Maximum size of the answer with its head and framing, in bytes. */
+const maxReadBytes = 2 * maxBytes;
 
 /**
  * Asks an upstream which run it is, over the connection that is then used: it leads to the same run while it is open.
  *
- * @param client - the connection, without any other request in progress
+ * @param connection - the connection, without any other request in progress
  * @param startedAtMs - the start of the run that the record names
  * @param codec - how the deployment's upstreams are asked
  * @param options - for how long
  *
  * @example
- * await checkRun(connection.client, record.startedAtMs, codec, { signal, timeoutMs: 300 });
+ * await checkRun(connection, record.startedAtMs, codec, { signal, timeoutMs: 300 });
  */
 export async function checkRun(
-  client: Client,
+  connection: UpstreamConnection,
   startedAtMs: number | undefined,
   codec: Pick<ForwardCodec, 'runReportPath' | 'readRunStart'>,
   { signal: abortSignal, timeoutMs }: CheckRunOptions,
 ): Promise<RunCheckResult> {
-  const signal =
-    timeoutMs === undefined
-      ? abortSignal
-      : AbortSignal.any([abortSignal, AbortSignal.timeout(timeoutMs)]);
+  const excess = new AbortController();
+  const ends = [abortSignal, excess.signal];
+  if (timeoutMs !== undefined) ends.push(AbortSignal.timeout(timeoutMs));
+  const signal = AbortSignal.any(ends);
+  let readBytes = 0;
+  // Guards against an answer without end of which the HTTP client passes nothing on.
+  using _watch = connection.watch((bytes) => {
+    readBytes += bytes;
+    if (readBytes > maxReadBytes) excess.abort();
+  });
   try {
-    const answer = await client.request({ method: 'GET', path: codec.runReportPath, signal });
+    const answer = await connection.client.request({
+      method: 'GET',
+      path: codec.runReportPath,
+      signal,
+    });
     const collector = new BodyCollector(maxBytes);
     for await (const chunk of answer.body as AsyncIterable<Buffer>) collector.add(chunk);
     if (answer.statusCode !== 200) return notStated(`status ${answer.statusCode}`);
@@ -53,6 +65,7 @@
     if (startedAtMs === undefined) return notStated('not in the record');
     return { check: reported === startedAtMs ? 'same' : 'other' };
   } catch (thrown) {
+    if (excess.signal.aborted) return notStated('the answer exceeds its size');
     return notStated(signal.aborted ? 'no answer in time' : (thrown as Error).message);
   }
 }
