Links: frames of a refused peer are not held

What was seen: a peer that was refused and goes on sending cost 250 MiB in the 200 ms until its connection is ended. Cause: its frames were still queued, and nobody reads them any more. Change: frames are dropped once the connection is being closed, and it is ended at once after 64 KiB of them. Ruled out: pausing the connection, which holds back the peer's reason for the refusal (a test showed it).

Measured: +0 MiB (46 with dropping alone); the 20 tests of the package pass. Left: one message of up to 2 MiB that is not complete is held for each connection that is not authenticated yet, for the 3 s of the handshake, 1,024 connections.

--- a/packages/fleet/src/_lib/FrameSocket/index.ts
+++ b/packages/fleet/src/_lib/FrameSocket/index.ts
@@ -18,6 +18,9 @@
   onSilent: () => void;
 }
 
+/** Maximum size of what a peer sends while its connection is being closed, in bytes. */
+const maxLateBytes = 65_536;
+
 /**
  * A WebSocket as a sequence of frames, with detection of half-open connections.
  *
@@ -32,6 +35,10 @@
   readonly #receivedFrames: Uint8Array[] = [];
   #wake: (() => void) | undefined;
   #isClosed = false;
+  /** Whether this end is closing the connection, so that nothing is read any more. */
+  #isClosing = false;
+  /** Bytes that came meanwhile. */
+  #lateBytes = 0;
   #lastReceivedAtMs: number;
   #lastFrameAtMs: number;
   #checkTimer: Disposable;
@@ -44,6 +51,10 @@
     socket.on('message', (data) => {
       this.#markReceived();
       this.#lastFrameAtMs = this.#lastReceivedAtMs;
+      if (this.#isClosing) {
+        this.#countLateBytes(toBytes(data).byteLength);
+        return;
+      }
       this.#receivedFrames.push(toBytes(data));
       this.#wake?.();
     });
@@ -86,8 +97,14 @@
     return this.#receivedFrames.shift();
   }
 
-  /** Closes the connection with a code and a reason for the peer. */
+  /**
+   * Closes the connection with a code and a reason for the peer.
+   *
+   * Guards against a refused peer that goes on sending: its frames would be held until the connection is closed.
+   */
   close(code: number, reason: string): void {
+    this.#isClosing = true;
+    this.#receivedFrames.length = 0;
     this.#socket.close(code, reason);
     this.#options.clock.schedule(200, () => {
       this.#socket.terminate();
@@ -99,6 +116,11 @@
     this.#onClose();
   }
 
+  #countLateBytes(bytes: number): void {
+    this.#lateBytes += bytes;
+    if (this.#lateBytes > maxLateBytes) this.#socket.terminate();
+  }
+
   #markReceived(): void {
     this.#lastReceivedAtMs = this.#options.clock.monotonicMs();
   }
