--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -24,7 +24,7 @@
   type UpstreamResponseHead,
 } from '../Exchange/index.js';
 import type { ForwardCall } from '../ForwardCall/index.js';
-import type { ResponseHead } from '../../types.js';
+import type { ResponseHead, UpstreamStatement } from '../../types.js';
 import { responseMarginMs } from '../limits/index.js';
 import { NoAnswerError, noAnswerReasonOf } from '../NoAnswerError/index.js';
 import {
@@ -35,6 +35,8 @@
   relayUpstreamHeader,
 } from '../relayProtocol/index.js';
 import { responseHeaders } from '../responseHeaders/index.js';
+import { splitStatement } from '../splitStatement/index.js';
+import { maxBodyBytes, type ReadBody, type ResponseMemory } from '../ResponseMemory/index.js';
 import { StreamRelay } from '../StreamRelay/index.js';
 import type { PrefillEstimate, InFlightRequest, Upstream } from '../Upstream/index.js';
 import type { UpstreamConnection } from '../UpstreamConnection/index.js';
@@ -51,6 +53,8 @@
   fetchFrom: string | undefined;
   /** Estimated prefill work of the engine; undefined for plain services. */
   prefill: PrefillEstimate | undefined;
+  /** Bounds the bodies of all responses that are being read. */
+  responseMemory: ResponseMemory;
   /** Called before the first events are passed on to the caller, with the run of the upstream that sent them. */
   onStreamBegun: (run: UpstreamRun) => void;
   /** Called once, when the first event arrives. */
@@ -89,6 +93,9 @@
 /** How long an upstream may take to say which run it is until another one is asked, in milliseconds. */
 const runCheckPatienceMs = 300;
 
+/** From this size on an event that is not complete counts with the bodies that are being read, in bytes. */
+const minHeldEventBytes = 65_536;
+
 /** Why this instance aborted an attempt. */
 type AbortReason = 'superseded' | 'deadline' | 'callerGone';
 
@@ -117,16 +124,24 @@
   #isRunUnproven = false;
   #inactivityTimer: InactivityTimer | undefined;
   #runCheckAbort: AbortController | undefined;
+  /** Applies what a success states of its upstream, once an event or the whole body has shown that it is one. */
+  #applyHeldStatement: () => void = () => undefined;
   /** Whether nothing has come from the upstream for the timeout. */
   #isSilent = false;
   /** Whether the caller has not yet taken what the upstream sent last. */
   #isCallerBehind = false;
+  #wasNoAnswer = false;
   readonly #responseProgress: ResponseProgress;
+  readonly #heldBytes: ReadBody;
 
   constructor(options: AttemptOptions) {
     super();
     this.#options = options;
     this.#responseProgress = new ResponseProgress(options.call.route);
+    this.#heldBytes = options.responseMemory.open({
+      isSuspect: () => options.upstream.isSuspect,
+      onGiveWay: (error) => this.#exchange?.fail(error),
+    });
   }
 
   /** Sends the request, then relays or buffers the response. Never throws. */
@@ -164,6 +179,7 @@
       if (connection.wasReset)
         return this.#classifyError(new Error('the connection was reset during the response'));
       const result = this.#finish(inFlightRequest);
+      if (result.kind !== 'broken') this.#applyHeldStatement();
       isReusable =
         result.kind === 'answer' || result.kind === 'streamed' || result.kind === 'notRun';
       return result;
@@ -173,7 +189,8 @@
       this.#hasEnded = true;
       deadline[Symbol.dispose]();
       this.#inactivityTimer?.[Symbol.dispose]();
-      upstream.end(inFlightRequest);
+      this.#heldBytes[Symbol.dispose]();
+      upstream.end(inFlightRequest, { isLearnt: !this.#wasNoAnswer });
       upstream.releaseConnection(connection, isReusable);
     }
   }
@@ -195,7 +212,7 @@
     const startedMs = clock.monotonicMs();
     this.#startInactivityTimer(runCheckPatienceMs);
     this.#runCheckAbort = new AbortController();
-    const { check, why } = await checkRun(connection.client, upstream.record.startedAtMs, codec, {
+    const { check, why } = await checkRun(connection, upstream.record.startedAtMs, codec, {
       clock,
       signal: this.#runCheckAbort.signal,
       // A stream that has begun goes on only where the run is known, so that there is no use in sending it unasked.
@@ -240,12 +257,15 @@
   override onHead(response: UpstreamResponseHead): void {
     const { call, codec, upstream } = this.#options;
     const { status, headers, isFramed } = response;
-    const isBounded = call.route.kind !== 'stream' && hasLength(headers);
+    const isBounded = call.route.kind !== 'stream' && lengthOf(headers) > 0;
     this.#responseProgress.recordHead({ isBounded });
     const head = codec.readResponseHead(status, headers);
     this.#recheckConnection();
+    const isSuccess = status >= 200 && status < 300;
+    if (isSuccess && call.route.kind === 'stream' && !isEventStream(headers))
+      throw new NoAnswerError('noEventStream');
     this.#recordReceived(false);
-    this.#applyStatement(head, headers);
+    this.#receiveStatement(head, headers, isSuccess);
     if (this.#options.relayedBy !== undefined && rawHeaderValue(headers, relayRefusedHeader)) {
       this.#collect(() => notRunByPeer(status));
       return;
@@ -256,7 +276,6 @@
       this.#collect(() => ({ kind: 'notRun', status, isWrongUpstream, backoffMs }));
       return;
     }
-    const isSuccess = status >= 200 && status < 300;
     checkResponse(head, call, isSuccess);
     if (isSuccess && call.route.kind === 'stream') {
       const onBegin = () => {
@@ -271,6 +290,7 @@
       const relay = new StreamRelay({ call, head: response, isRelayed, ...callbacks });
       this.#bodyHandling = { kind: 'relay', relay };
     } else {
+      if (lengthOf(headers) > maxBodyBytes) throw new NoAnswerError('bodyBytes');
       this.#collect((body) => ({ kind: 'answer', status, headers, body, isFramed }));
     }
   }
@@ -281,11 +301,17 @@
     if (handling === undefined) return undefined;
     if (handling.kind === 'collect') {
       handling.collector.add(chunk);
-      return undefined;
+      return this.#heldBytes.setBytes(handling.collector.bytes);
     }
     const isTaken = handling.relay.relay(chunk);
     if (isTaken !== undefined) void this.#waitForCaller(isTaken);
-    return isTaken;
+    return isTaken ?? this.#holdEvent(handling.relay.heldBytes);
+  }
+
+  /** Only large events count with the bodies that wait for each other: sound ones are never held up. */
+  #holdEvent(heldBytes: number): Promise<void> | undefined {
+    const bytes = heldBytes <= minHeldEventBytes ? 0 : heldBytes;
+    return bytes === this.#heldBytes.bytes ? undefined : this.#heldBytes.setBytes(bytes);
   }
 
   /** A caller that is behind keeps the upstream from sending, which says nothing of the upstream. */
@@ -301,6 +327,7 @@
     if (inFlightRequest !== undefined && !inFlightRequest.hasFirstEvent)
       this.#options.onFirstEvent(inFlightRequest);
     this.#responseProgress.recordEvent();
+    this.#applyHeldStatement();
     this.#recordReceived(true);
     this.#options.onProgress();
   }
@@ -342,7 +369,7 @@
   }
 
   #collect(result: (body: Buffer) => AttemptResult): void {
-    this.#bodyHandling = { kind: 'collect', collector: new BodyCollector(), result };
+    this.#bodyHandling = { kind: 'collect', collector: new BodyCollector(maxBodyBytes), result };
   }
 
   /** Whether nothing has come from the upstream for the timeout. */
@@ -393,15 +420,28 @@
    * Guards against the statement of another upstream at a reused address, and against one in a late response to
    * an earlier request.
    */
-  #applyStatement(head: ResponseHead, headers: RawHeaders): void {
+  #receiveStatement(head: ResponseHead, headers: RawHeaders, isSuccess: boolean): void {
     const { requestId, isSigned, isWrongUpstream, statement } = head;
     const { call, clock, onStatement, relayedBy } = this.#options;
     if (isWrongUpstream || (requestId !== undefined && requestId !== call.head.requestId)) return;
     const receivedMs = clock.monotonicMs();
     const sentMs = this.#inFlightRequest?.sentMs ?? receivedMs;
-    const received = { statement, isSigned, sentMs, receivedMs };
-    if (relayedBy === undefined) onStatement(received);
-    else onStatement(received, rawHeaderValue(headers, relayUpstreamHeader) as UpstreamId);
+    const relayedFrom = rawHeaderValue(headers, relayUpstreamHeader) as UpstreamId;
+    const apply = (part: UpstreamStatement) => {
+      const received = { statement: part, isSigned, sentMs, receivedMs };
+      if (relayedBy === undefined) onStatement(received);
+      else onStatement(received, relayedFrom);
+    };
+    if (!isSuccess) {
+      apply(statement);
+      return;
+    }
+    const { refusing, other } = splitStatement(statement);
+    apply(refusing);
+    this.#applyHeldStatement = () => {
+      this.#applyHeldStatement = () => undefined;
+      apply(other);
+    };
   }
 
   #recordReceived(hasFirstEvent: boolean): void {
@@ -436,6 +476,7 @@
     if (abortReason !== undefined) return { kind: abortReason, wasSent: wasStarted };
     if (!wasStarted) return { kind: 'notSent', reason: toRouterError(thrown).message };
     const noAnswer = noAnswerReasonOf(thrown);
+    this.#wasNoAnswer = noAnswer !== undefined;
     const isConnectionLost = !(thrown instanceof RouterError) && noAnswer === undefined;
     return { kind: 'broken', reason: toRouterError(thrown).message, isConnectionLost, noAnswer };
   }
@@ -443,12 +484,19 @@
   #createSuperseded(wasSent: boolean): SupersededResult {
     const wasSilent = wasSent && this.#isSilent;
     const noAnswer = wasSilent && this.#responseProgress.isTrickling ? 'trickle' : undefined;
+    this.#wasNoAnswer = noAnswer !== undefined;
     return { kind: 'superseded', wasSent, wasSilent, noAnswer };
   }
 }
 
-function hasLength(headers: RawHeaders): boolean {
-  return rawHeaderValue(headers, 'content-length') !== undefined;
+function isEventStream(headers: RawHeaders): boolean {
+  const type = rawHeaderValue(headers, 'content-type') ?? '';
+  return type.split(';', 1)[0]?.trim().toLowerCase() === 'text/event-stream';
+}
+
+/** The length of the body that a head states, in bytes; 0 if it states none. */
+function lengthOf(headers: RawHeaders): number {
+  return Number(rawHeaderValue(headers, 'content-length') ?? 0);
 }
 
 function notRunByPeer(status: number): AttemptResult {
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -22,9 +22,10 @@
 import { describeResult, describeSend } from '../describeAttempt/index.js';
 import { digestContent } from '../digestContent/index.js';
 import { recordStreamBegin } from '../recordStreamBegin/index.js';
+import type { ResponseMemory } from '../ResponseMemory/index.js';
 import { Relay } from '../Relay/index.js';
 import { responseHeaders, writePlainHead } from '../responseHeaders/index.js';
-import type { UpstreamPick } from '../pickUpstream/index.js';
+import { lastSharedPart, type UpstreamPick } from '../pickUpstream/index.js';
 import { UpstreamChooser, type UpstreamChooserDependencies } from '../UpstreamChooser/index.js';
 import type { InFlightRequest, Upstream } from '../Upstream/index.js';
 
@@ -36,6 +37,7 @@
   readonly reach: ReachMonitor;
   readonly relayPeers: RelayPeers;
   readonly affinity: StreamAffinity;
+  readonly responseMemory: ResponseMemory;
 }
 
 /**
@@ -224,7 +226,7 @@
     callbacks: Pick<AttemptOptions, 'mayBeSent' | 'onProgress' | 'onSilent'>,
   ): Attempt {
     const { upstream, fetchFrom, prefill } = pick;
-    const { clock, codec, retries, upstreams } = this.#dependencies;
+    const { clock, codec, retries, upstreams, responseMemory } = this.#dependencies;
     const call = this.#call;
     if (!this.#chooser.hasAttempted) retries.recordRequest(call.service.name);
     this.#chooser.recordAttempt(upstream);
@@ -239,6 +241,7 @@
       upstream,
       fetchFrom,
       prefill,
+      responseMemory,
       isMixed: upstreams.isMixed(call.service.name),
       isRecordStale: upstreams.isStoreUnavailable,
       onStreamBegun: (run) => {
@@ -451,6 +454,12 @@
     return createUnavailableError(this.#call, this.#chooser.usable, this.#dependencies.metrics);
   }
 
+  /** What an upstream was sent and gave no answer to is not assumed to be in its cache. */
+  #forgetPart({ id }: Upstream): void {
+    const part = lastSharedPart(this.#call.head.promptParts);
+    if (part !== undefined) this.#dependencies.promptPartLocations.forget(part.id, id);
+  }
+
   /** Updates metrics and the upstream's health from the result of an attempt. */
   #recordResult(upstream: Upstream, result: AttemptResult): void {
     const { upstreams, metrics } = this.#dependencies;
@@ -464,10 +473,12 @@
     const isOutrun = result.kind === 'superseded' && result.wasSilent;
     const isFault = result.kind === 'broken' || isOutrun;
     const noAnswer = noAnswerOf(result);
+    if (noAnswer !== undefined) this.#forgetPart(upstream);
     if (noAnswer !== undefined) metrics.count('noAnswers', noAnswer);
-    const isEjectedAtOnce = result.kind === 'notSent' || noAnswer !== undefined;
-    if (isEjectedAtOnce) upstream.eject();
-    if (isEjectedAtOnce || (isFault && upstream.recordFailure())) upstreams.reportEjected(upstream);
+    if (noAnswer !== undefined) upstream.recordNoAnswer();
+    else if (result.kind === 'notSent') upstream.eject();
+    else if (!isFault || !upstream.recordFailure()) return;
+    upstreams.reportEjected(upstream);
   }
 }
 
--- a/packages/forwarding/src/_lib/Relay/index.ts
+++ b/packages/forwarding/src/_lib/Relay/index.ts
@@ -21,6 +21,7 @@
 import { HedgedAttempts, type Contender, type EndedContender } from '../HedgedAttempts/index.js';
 import { relayUpstreamHeader } from '../relayProtocol/index.js';
 import { recordStreamBegin } from '../recordStreamBegin/index.js';
+import type { ResponseMemory } from '../ResponseMemory/index.js';
 import { writePlainHead } from '../responseHeaders/index.js';
 import type { Upstream } from '../Upstream/index.js';
 
@@ -32,6 +33,7 @@
   readonly retries: RetryShare;
   readonly relayPeers: RelayPeers;
   readonly affinity: StreamAffinity;
+  readonly responseMemory: ResponseMemory;
   readonly metrics: Metrics;
 }
 
@@ -143,7 +145,7 @@
   }
 
   #createAttempt(peer: Upstream, onProgress: () => void): Attempt {
-    const { clock, codec, relayPeers } = this.#dependencies;
+    const { clock, codec, relayPeers, responseMemory } = this.#dependencies;
     const { route, trace } = this.#call;
     this.#asked.add(instanceIdOf(peer));
     trace.add('relayed', { peer: peer.id, ownInFlight: peer.inFlight.size });
@@ -156,6 +158,7 @@
       codec,
       call: this.#call,
       upstream: peer,
+      responseMemory,
       isMixed: false,
       isRecordStale: false,
       relayedBy: relayPeers.instanceId,
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -167,6 +167,7 @@
   #ejectedUntilMs = 0;
   #lastReceivedActiveMs = -Infinity;
   #runDoubtedUntilMs = -Infinity;
+  #lastNoAnswerMs = -Infinity;
   /** The last probe of its address, and when it began. */
   #endProbe: { readonly hasEnded: Promise<boolean>; readonly atMs: number } | undefined;
 
@@ -450,13 +451,18 @@
     this.#reach?.recordReceived();
   }
 
-  /** Records that a request has ended. */
-  end(inFlightRequest: InFlightRequest): void {
+  /**
+   * Records that a request has ended.
+   *
+   * @param inFlightRequest - the request
+   * @param options - whether its run time is learnt; it is by default
+   */
+  end(inFlightRequest: InFlightRequest, { isLearnt = true }: { isLearnt?: boolean } = {}): void {
     if (!this.inFlight.delete(inFlightRequest)) return;
     this.#ownAverage.update(this.inFlight.size, this.#clock.monotonicMs());
     if (isPrefilling(inFlightRequest)) this.#endPrefill(inFlightRequest);
     const { startedMs, sentMs, prefill, hasFirstEvent } = inFlightRequest;
-    if (startedMs === undefined) return;
+    if (startedMs === undefined || !isLearnt) return;
     // A stream holds its slot from its first event on, a plain request all the time.
     const sinceMs = prefill === undefined ? sentMs : startedMs;
     if (prefill === undefined || hasFirstEvent)
@@ -482,6 +488,17 @@
     return true;
   }
 
+  /** Whether it sent what is no answer a short while ago. */
+  get isSuspect(): boolean {
+    return this.#clock.monotonicMs() - this.#lastNoAnswerMs < initialEjectionMs;
+  }
+
+  /** Records that it sent what is no answer: it is ejected at once. */
+  recordNoAnswer(): void {
+    this.#lastNoAnswerMs = this.#clock.monotonicMs();
+    this.eject();
+  }
+
   /**
    * Ejects the upstream temporarily, for longer with each ejection in a row.
    *
