Soak: long streams only in runs whose plan has pauses of upstreams

Cause: the streams of 1.6 s that came with pauses: 8 in 100 answers took longer than the second that 95 in 100 may take, and more requests were beside each end of an engine. Change: runs without pauses have the streams that they had before.

--- a/packages/soak/src/_lib/FakeUpstream/index.ts
+++ b/packages/soak/src/_lib/FakeUpstream/index.ts
@@ -14,6 +14,8 @@
   /** Version of the software that its first run runs. */
   readonly softwareVersion: string;
   readonly observations: Observations;
+  /** Whether one stream in five lasts 1.6 s, so that pauses meet streams under way. */
+  readonly hasLongStreams: boolean;
   /** Milliseconds from the start of the run. */
   readonly now: () => number;
   /** Called when a deadly request ends it; its connections are to be lost. */
@@ -212,7 +214,8 @@
     response.writeHead(200, { ...this.#buildHeaders(id), 'content-type': 'text/event-stream' });
     const lastEventId = Number(request.headers['last-event-id'] ?? 0);
     const { softwareVersion } = this.run;
-    const delayMs = longStreamIds.test(id) ? delaysMs.longEvent : delaysMs.event;
+    const isLong = this.#options.hasLongStreams && longStreamIds.test(id);
+    const delayMs = isLong ? delaysMs.longEvent : delaysMs.event;
     for (let event = lastEventId + 1; event <= eventsPerStream; event += 1) {
       await sleep(delayMs);
       await this.pause.whenResumed();
--- a/packages/soak/src/_lib/SoakEnvironment/index.ts
+++ b/packages/soak/src/_lib/SoakEnvironment/index.ts
@@ -30,6 +30,8 @@
 export interface SoakEnvironmentOptions extends SoakOptions {
   readonly random: Random;
   readonly observations: Observations;
+  /** Whether some streams are long. */
+  readonly hasLongStreams: boolean;
   /** Milliseconds from the start of the run. */
   readonly now: () => number;
 }
@@ -229,13 +231,12 @@
   async #addUpstream(service: string, softwareVersion = firstVersion): Promise<ProxiedUpstream> {
     this.#upstreamCount += 1;
     const id = `u${this.#upstreamCount}`;
-    const { observations, now } = this.#options;
+    const { observations, now, hasLongStreams } = this.#options;
     const onEnd = (ended: FakeUpstream) => {
       this.endUpstream(ended);
     };
-    const server = this.#owned.add(
-      new FakeUpstream({ id, service, softwareVersion, observations, now, onEnd }),
-    );
+    const common = { observations, hasLongStreams, now, onEnd };
+    const server = this.#owned.add(new FakeUpstream({ id, service, softwareVersion, ...common }));
     const proxy = this.#owned.add(new FaultProxy(await server.listen()));
     await proxy.listen();
     const upstream = { server, proxy };
--- a/packages/soak/src/runSoak/index.ts
+++ b/packages/soak/src/runSoak/index.ts
@@ -40,6 +40,7 @@
   readonly #startedAtMs = performance.now();
   readonly #observations = new Observations(() => this.#now());
   readonly #environment: SoakEnvironment;
+  readonly #faults: readonly PlannedFault[];
   readonly #injector: FaultInjector;
   #createdDeadlyCaller: DeadlyCaller | undefined;
   #createdResumingCaller: ResumingCaller | undefined;
@@ -48,6 +49,7 @@
     this.#options = options;
     this.#random = createRandom(options.seed);
     mkdirSync(options.directory, { recursive: true });
+    this.#faults = options.faults ?? this.#planFaults();
     const observations = this.#observations;
     const { injectedDefect } = options;
     const now = () => this.#now();
@@ -55,6 +57,7 @@
       ...options,
       random: this.#random,
       observations,
+      hasLongStreams: this.#faults.some(({ kind }) => kind === 'pauseUpstreams'),
       now,
     });
     this.#environment = environment;
@@ -90,8 +93,7 @@
     const loadStartMs = this.#now();
     const loadAbort = new AbortController();
     const loadDone = this.#runLoad(loadAbort.signal);
-    const { faults = this.#planFaults() } = this.#options;
-    for (const fault of faults) {
+    for (const fault of this.#faults) {
       await sleep(Math.max(0, loadStartMs + fault.atMs - this.#now()));
       await this.#injector.inject(fault);
     }
