A pause of this process opens no connection to the store too late; pauses count from 250 ms on

The meter took gaps of over 100 ms for a pause, so that in a process which is busy for 150 ms every other tick the time stood nearly still, and with it the wait for dead upstreams; the bound is 250 ms, below each wait that goes by it.

--- a/packages/base/src/PauseMeter/index.ts
+++ b/packages/base/src/PauseMeter/index.ts
@@ -1,7 +1,7 @@
 /** Interval of the ticks that a {@link PauseMeter} expects, in milliseconds. */
 export const pauseTickMs = 50;
 /** How long a process may take from one tick to the next without having stood still, in milliseconds. */
-const maxTickGapMs = 2 * pauseTickMs;
+const maxTickGapMs = 5 * pauseTickMs;
 
 /**
  * Measures the time in which a process ran, from ticks of a timer: one that is late shows that the process stood
--- a/packages/base/src/PauseMeter/test.ts
+++ b/packages/base/src/PauseMeter/test.ts
@@ -26,13 +26,23 @@
 test('the time that was read never goes back', (t) => {
   const meter = new PauseMeter(0);
   meter.tick(50);
-  t.is(meter.activeMs(140), 140);
-  t.is(meter.activeMs(1_500), 140);
+  t.is(meter.activeMs(290), 290);
+  t.is(meter.activeMs(1_500), 290);
 });
 
 // Guards against waits without end in a process that is always busy.
 test('time goes on while every tick is late', (t) => {
   const meter = new PauseMeter(0);
-  for (let nowMs = 200; nowMs <= 4_000; nowMs += 200) meter.tick(nowMs);
-  t.is(meter.activeMs(4_000), 1_900);
+  for (let nowMs = 400; nowMs <= 4_000; nowMs += 400) meter.tick(nowMs);
+  t.is(meter.activeMs(4_000), 9 * 250);
+});
+
+// Guards against a busy process in which time stands still, since each second of its ticks is a little late.
+test('time goes on as usual in a process that is busy for 200 ms at a time', (t) => {
+  const meter = new PauseMeter(0);
+  for (let nowMs = 200; nowMs <= 4_000; nowMs += 250) {
+    meter.tick(nowMs);
+    meter.tick(nowMs + 50);
+  }
+  t.is(meter.activeMs(4_000), 4_000);
 });
