--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -14,6 +14,7 @@
 import type { ForwardCodec, RawHeaders } from '../../ForwardCodec/index.js';
 import type { ReceivedStatement } from '../applyStatement/index.js';
 import type { AttemptResult, SupersededResult } from '../AttemptResult/index.js';
+import { checkResponse, isEventStream, lengthOf } from '../checkResponse/index.js';
 import { checkRun, type RunCheck } from '../checkRun/index.js';
 import { BodyCollector } from '../BodyCollector/index.js';
 import {
@@ -489,36 +490,6 @@
   }
 }
 
-function isEventStream(headers: RawHeaders): boolean {
-  const type = rawHeaderValue(headers, 'content-type') ?? '';
-  return type.split(';', 1)[0]?.trim().toLowerCase() === 'text/event-stream';
-}
-
-/** The length of the body that a head states, in bytes; 0 if it states none. */
-function lengthOf(headers: RawHeaders): number {
-  return Number(rawHeaderValue(headers, 'content-length') ?? 0);
-}
-
 function notRunByPeer(status: number): AttemptResult {
   return { kind: 'notRun', status, isWrongUpstream: false, backoffMs: undefined };
 }
-
-/**
- * Checks that a response belongs to the request and comes from an upstream.
- *
- * @throws RouterError `upstreamFailed` if not
- */
-function checkResponse(
-  { requestId, isSigned }: ResponseHead,
-  { head }: ForwardCall,
-  isSuccess: boolean,
-): void {
-  // A late response to an earlier request may arrive on this connection instead; the request id
-  // shows it.
-  if (requestId !== undefined && requestId !== head.requestId) {
-    throw new RouterError('upstreamFailed', 'response to a different request');
-  }
-  if (isSuccess && (!isSigned || requestId === undefined)) {
-    throw new RouterError('upstreamFailed', 'success response without signature or request id');
-  }
-}
