--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -55,7 +55,7 @@
 /** How long the number of instances that share connections is cached, in milliseconds. */
 const instanceCountTtlMs = 250;
 /** How long the number of silent upstreams is cached, in milliseconds. */
-const silenceTtlMs = 50;
+const silenceTtlMs = 200;
 
 /**
  * The usable upstreams, from their records in the store.
