--- a/packages/forwarding/src/_lib/AttemptResult/index.ts
+++ b/packages/forwarding/src/_lib/AttemptResult/index.ts
@@ -4,6 +4,9 @@
 import type { RawHeaders } from '../../ForwardCodec/index.js';
 import type { NoAnswerReason } from '../NoAnswerError/index.js';
 
+/** Responses with this status or above report a failure, which may be specific to one upstream. */
+export const firstServerError = 500;
+
 /** How an attempt ended. */
 export type AttemptResult =
   | PlainResponse
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -9,7 +9,12 @@
 import type { StreamAffinity } from '../../StreamAffinity/index.js';
 import type { RequestQuarantine, SuspectAttempt } from '@acaciacrank/callers';
 import { Attempt, type AttemptOptions } from '../Attempt/index.js';
-import { noAnswerOf, type AttemptResult, type PlainResponse } from '../AttemptResult/index.js';
+import {
+  firstServerError,
+  noAnswerOf,
+  type AttemptResult,
+  type PlainResponse,
+} from '../AttemptResult/index.js';
 import { isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
 import {
   HedgePermits,
@@ -49,9 +54,6 @@
 /** Attempts at upstreams that ended which do not count against the limit of the route. */
 const maxUncountedEnds = 2;
 
-/** Responses with this status or above are retried: the error may be specific to one upstream. */
-const firstServerError = 500;
-
 /** Why a request is sent to no further upstream: its route, no other upstream, or the retry budget. */
 type RetryRefusal = 'routeLimit' | 'noUpstream' | 'budget';
 
--- a/packages/forwarding/src/_lib/HedgedAttempts/index.ts
+++ b/packages/forwarding/src/_lib/HedgedAttempts/index.ts
@@ -9,7 +9,7 @@
   type EndedContender as AnyEndedContender,
   type ResultRank,
 } from '@acaciacrank/routing';
-import type { AttemptResult } from '../AttemptResult/index.js';
+import { firstServerError, type AttemptResult } from '../AttemptResult/index.js';
 
 /** An attempt that may run beside others of the same request. */
 export type Contender = AnyContender<AttemptResult>;
@@ -24,9 +24,6 @@
   readonly hasBegun: () => boolean;
 }
 
-/** Responses with this status or above may be specific to one upstream. */
-const firstServerError = 500;
-
 /** Hedged attempts whose results are ranked by what they say of a forwarded request. */
 export class HedgedAttempts<Kind extends Contender> extends AnyHedgedAttempts<Kind, AttemptResult> {
   constructor({ onEnded, hasBegun }: HedgedAttemptsOptions<Kind>) {
--- a/packages/forwarding/src/_lib/Relay/index.ts
+++ b/packages/forwarding/src/_lib/Relay/index.ts
@@ -16,13 +16,18 @@
 import type { UpstreamTable } from '../../UpstreamTable/index.js';
 import { Attempt } from '../Attempt/index.js';
 import type { ReceivedStatement } from '../applyStatement/index.js';
-import type { AttemptResult, PlainResponse } from '../AttemptResult/index.js';
+import {
+  firstServerError,
+  type AttemptResult,
+  type PlainResponse,
+} from '../AttemptResult/index.js';
 import { isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
 import { HedgedAttempts, type Contender, type EndedContender } from '../HedgedAttempts/index.js';
 import { relayUpstreamHeader } from '../relayProtocol/index.js';
 import { recordStreamBegin } from '../recordStreamBegin/index.js';
 import type { ResponseMemory } from '../ResponseMemory/index.js';
 import { writePlainHead } from '../responseHeaders/index.js';
+import { emptyStatement } from '../splitStatement/index.js';
 import type { Upstream } from '../Upstream/index.js';
 
 /** Dependencies shared by all relayed requests of an instance. */
@@ -37,8 +42,6 @@
   readonly metrics: Metrics;
 }
 
-/** Responses with this status or above report a failure. */
-const firstServerError = 500;
 /** Number of peers that are asked for one request at most. */
 const maxPeers = 3;
 /** Where a peer sends nothing for this long, and some target latencies, another one is asked if the request is repeatable. */
@@ -244,14 +247,7 @@
     const { upstreams } = this.#dependencies;
     const upstream = relayedFrom === undefined ? undefined : upstreams.get(relayedFrom);
     if (upstream === undefined || !received.statement.isLeaving) return;
-    const statement = {
-      load: undefined,
-      limitPerS: undefined,
-      warmUpMs: undefined,
-      isLeaving: true,
-      backoffMs: undefined,
-      maxRefusalsPerS: undefined,
-    };
+    const statement = { ...emptyStatement, isLeaving: true };
     upstreams.applyStatement(upstream, { ...received, statement });
   }
 }
--- a/packages/forwarding/src/_lib/splitStatement/index.ts
+++ b/packages/forwarding/src/_lib/splitStatement/index.ts
@@ -1,5 +1,15 @@
 import type { UpstreamStatement } from '../../types.js';
 
+/** A statement that says nothing. */
+export const emptyStatement: UpstreamStatement = {
+  load: undefined,
+  limitPerS: undefined,
+  warmUpMs: undefined,
+  isLeaving: false,
+  backoffMs: undefined,
+  maxRefusalsPerS: undefined,
+};
+
 /** A statement in two parts. */
 export interface SplitStatement {
   /** That the upstream takes no more requests, or none for a while: true of whatever sends it. */
@@ -17,16 +27,8 @@
  */
 export function splitStatement(statement: UpstreamStatement): SplitStatement {
   const { isLeaving, backoffMs } = statement;
-  const nothing: UpstreamStatement = {
-    load: undefined,
-    limitPerS: undefined,
-    warmUpMs: undefined,
-    isLeaving: false,
-    backoffMs: undefined,
-    maxRefusalsPerS: undefined,
-  };
   return {
-    refusing: { ...nothing, isLeaving, backoffMs },
+    refusing: { ...emptyStatement, isLeaving, backoffMs },
     other: { ...statement, isLeaving: false, backoffMs: undefined },
   };
 }
