--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -129,6 +129,8 @@
   #applyHeldStatement: () => void = () => undefined;
   /** Whether nothing has come from the upstream for the timeout. */
   #isSilent = false;
+  /** When the first event arrived, by the time in which this process ran; undefined before. */
+  #begunActiveMs: number | undefined;
   /** Whether the caller has not yet taken what the upstream sent last. */
   #isCallerBehind = false;
   #wasNoAnswer = false;
@@ -327,6 +329,7 @@
     const inFlightRequest = this.#inFlightRequest;
     if (inFlightRequest !== undefined && !inFlightRequest.hasFirstEvent)
       this.#options.onFirstEvent(inFlightRequest);
+    this.#begunActiveMs ??= this.#options.clock.activeMs();
     this.#responseProgress.recordEvent();
     this.#applyHeldStatement();
     this.#recordReceived(true);
@@ -383,6 +386,12 @@
     return this.#exchange !== undefined && !this.#hasEnded;
   }
 
+  /** Time since the first event arrived, in milliseconds; undefined if none has. */
+  get begunForMs(): number | undefined {
+    if (this.#begunActiveMs === undefined) return undefined;
+    return this.#options.clock.activeMs() - this.#begunActiveMs;
+  }
+
   /** Ends the attempt, since another one has given something. */
   supersede(): void {
     this.#abort('superseded');
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -54,6 +54,9 @@
 /** Attempts at upstreams that ended which do not count against the limit of the route. */
 const maxUncountedEnds = 2;
 
+/** Maximum number of prompt parts in a line of the log. */
+const maxTracedParts = 8;
+
 /** Why a request is sent to no further upstream: its route, no other upstream, or the retry budget. */
 type RetryRefusal = 'routeLimit' | 'noUpstream' | 'budget';
 
@@ -212,7 +215,7 @@
       wasAnswered = result.kind === 'answer' || result.kind === 'streamed';
       if (wasAnswered) quarantine.recordAnswered(this.#content);
       if (result.kind === 'broken' && result.isConnectionLost) {
-        const checking = this.#checkEnd(upstream);
+        const checking = this.#checkEnd(upstream, attempt);
         // An answer of another attempt does not wait for it.
         if (this.#attempts.running.size < 2) await checking;
       }
@@ -349,10 +352,10 @@
   }
 
   /** Finds out whether the upstream has ended under the request. */
-  async #checkEnd(upstream: Upstream): Promise<void> {
+  async #checkEnd(upstream: Upstream, { begunForMs }: Attempt): Promise<void> {
     const underWay = upstream.inFlight.size + 1;
     if (!(await upstream.confirmEnd())) return;
-    const { upstreams, quarantine, reach } = this.#dependencies;
+    const { upstreams, quarantine, reach, metrics } = this.#dependencies;
     reach.reach.recordConnectFailed(upstream.id);
     if (!(await reach.settle())) return;
     upstreams.reportEnded(upstream, underWay);
@@ -360,7 +363,11 @@
     const { name: service } = this.#call.service;
     quarantine.recordEnd({ digest: this.#content, service }, upstreamId);
     this.#call.progress.endedCount += 1;
-    this.#call.trace.add('upstreamEnded', { upstreamId, underWay, content: this.#content });
+    const traced = this.#call.head.promptParts.slice(0, maxTracedParts);
+    const parts = traced.map(({ id }) => id).join(' ');
+    const ended = { upstreamId, underWay, begunForMs: begunForMs && Math.round(begunForMs) };
+    this.#call.trace.add('upstreamEnded', { ...ended, content: this.#content, parts });
+    metrics.count('requestsEnded', begunForMs === undefined ? 'waiting' : 'begun');
   }
 
   /** The digest of what the request asks for, the same for all attempts to send it. */
