--- a/packages/base/src/types.ts
+++ b/packages/base/src/types.ts
@@ -22,6 +22,8 @@
 export type GrantId = Brand<string, 'GrantId'>;
 /** A back end that requests are forwarded to: a model engine or a plain service instance. */
 export type UpstreamId = Brand<string, 'UpstreamId'>;
+/** What a request may have in common with others: a part of its prompt, or all that it asks for. */
+export type FeatureId = Brand<string, 'FeatureId'>;
 /** The name by which callers address a group of upstreams. */
 export type ServiceName = Brand<string, 'ServiceName'>;
 /** The name of a priority class, for example `review`. */
--- a/packages/callers/src/ChatHandler/index.ts
+++ b/packages/callers/src/ChatHandler/index.ts
@@ -23,6 +23,7 @@
 import { DeadlineSignal } from '../_lib/DeadlineSignal/index.js';
 import { reserveTokensOrFindBill } from '../_lib/reserveTokens/index.js';
 import type { TokenReservation } from '../_lib/TokenReservation/index.js';
+import { createFeatures } from '../_lib/createFeatures/index.js';
 import { chatDigest, requestKeyOf } from '../_lib/requestKeyOf/index.js';
 import { abortReason } from '../_lib/untilAborted/index.js';
 import { AnswerCache } from '../AnswerCache/index.js';
@@ -214,6 +215,7 @@
     signal: AbortSignal,
   ): AsyncIterable<EngineFrame> {
     const { call, requestId, classEntry, maxTokens } = attempt;
+    const service = attempt.service.name as ServiceName;
     const frames = this.#options.engines.stream(
       {
         request: {
@@ -223,8 +225,8 @@
           maxTokens,
           priority: classEntry.priority,
         },
-        digest: attempt.digest,
-        service: attempt.service.name as ServiceName,
+        features: createFeatures({ service, digest: attempt.digest, messages: call.messages }),
+        service,
         className: classEntry.name as ClassName,
         prefixHash: hashText(call.messages[0]?.content ?? ''),
         firstTokenDueMs: attempt.startedMs + classEntry.firstTokenDeadlineMs,
--- a/packages/callers/src/EngineDispatch/index.ts
+++ b/packages/callers/src/EngineDispatch/index.ts
@@ -22,7 +22,7 @@
 } from '../_lib/EngineAttempt/index.js';
 import { HedgeSchedule } from '../_lib/HedgeSchedule/index.js';
 import { toPossiblyRunError } from '../_lib/toPossiblyRunError/index.js';
-import type { RequestQuarantine } from '../RequestQuarantine/index.js';
+import type { RequestFeatures, RequestQuarantine } from '../RequestQuarantine/index.js';
 import { SuspectTracker } from '../_lib/SuspectTracker/index.js';
 import { UpstreamPicker, type UpstreamPickerOptions } from '../_lib/UpstreamPicker/index.js';
 
@@ -34,8 +34,8 @@
 /** One generation to run at any suitable engine. */
 export interface GenerationTask {
   readonly request: GenerateRequest;
-  /** Names what is asked for, the same for all attempts to generate it. */
-  readonly digest: string;
+  /** What it has in common with other generations. */
+  readonly features: RequestFeatures;
   readonly service: ServiceName;
   readonly className: ClassName;
   /** Hash of the start of the prompt, for prefix affinity. */
@@ -101,8 +101,8 @@
   async *stream(task: GenerationTask, signal: AbortSignal): AsyncIterable<EngineFrame> {
     const picker = new UpstreamPicker(this.#options, { ...task, dueMs: task.firstTokenDueMs });
     const outcome: DispatchOutcome = { mayHaveRun: false, forwardedTokens: 0 };
-    const { digest, service, firstTokenDueMs: dueMs } = task;
-    const tracker = new SuspectTracker({ ...this.#options, request: { digest, service }, dueMs });
+    const { features, firstTokenDueMs: dueMs } = task;
+    const tracker = new SuspectTracker({ ...this.#options, features, dueMs });
     let lastError: RouterError | undefined;
     for (;;) {
       const upstream = await tracker.next(picker);
@@ -116,6 +116,7 @@
       );
       try {
         if (result.kind !== 'begun') throw errorOf(result);
+        tracker.recordBegun();
         yield* contender.frames(result.first);
         tracker.recordAnswered();
         return;
@@ -160,7 +161,7 @@
       picker,
       service: task.service,
       isRepeatable: true,
-      endCount: () => quarantine.suspects.ends(task.digest).length,
+      endCount: () => quarantine.crashCountOf(task.features),
       waitMs: () => this.#hedgeWaitMs(task),
       start: (next) => {
         const attempt = open(next);
--- a/packages/callers/src/RequestQuarantine/index.ts
+++ b/packages/callers/src/RequestQuarantine/index.ts
@@ -1,21 +1,24 @@
 import {
+  getOrCreate,
   RouterError,
   type Clock,
+  type FeatureId,
   type InstanceId,
   type Log,
   type Metrics,
+  type ServiceName,
   type UpstreamId,
 } from '@acaciacrank/base';
 import type { FleetLinks, FleetMessageOf, FleetRpc } from '@acaciacrank/fleet';
 import {
-  AnsweredRequests,
-  maxEndsPerRequest,
+  endsToIsolate,
   rankByKey,
-  SuspectRequests,
-  type SuspectAttemptRequest,
+  SuspectFeatures,
+  type CrashReport,
+  type ReportedRequest,
+  type ServiceBlame,
   type SuspectDecision,
   type SuspectRequest,
-  type UpstreamEnd,
 } from '@acaciacrank/routing';
 
 /** Options of {@link RequestQuarantine}. */
@@ -26,94 +29,161 @@
   instanceId: InstanceId;
   /** The instances that currently live, including this one. */
   live: () => readonly InstanceId[];
+  /** All other instances that may serve callers, leaving and suspected ones included. */
+  peers: () => readonly InstanceId[];
+  /** Called when features are blamed that were not before. */
+  onBlame?: () => void;
   log: Log;
   metrics: Metrics;
 }
 
+/** What a request has in common with others. */
+export interface RequestFeatures {
+  readonly service: ServiceName;
+  /** The parts of its prompt that others may share. */
+  readonly parts: readonly FeatureId[];
+  /** All that it asks for; a digest of it is computed once, when it is needed. */
+  readonly content: FeatureId;
+  /** Those of its features that are known without computing a digest. */
+  readonly known: readonly FeatureId[];
+}
+
+/** A request whose upstream crashed. */
+export interface CrashedAttempt {
+  readonly features: RequestFeatures;
+  readonly upstreamId: UpstreamId;
+  /** When it was sent and when its connection was lost, on the monotonic clock in milliseconds. */
+  readonly sentMs: number;
+  readonly lostMs: number;
+  /** Whether its answer had lived on for a while, so that no part of its prompt is suspect. */
+  readonly hasLivedOn: boolean;
+}
+
 /** An attempt to send a request under suspicion. */
 export interface SuspectAttempt {
   /** The upstream to send it to. */
   readonly upstreamId: UpstreamId;
-  /** Number of upstreams that have ended under the request. */
+  /** Number of crashes for which the request is under suspicion. */
   readonly endCount: number;
   /** Reports the result: whether the upstream answered, so that the request did not end it. */
   finish(wasAnswered: boolean): void;
 }
 
 /** A question whether a request may be sent. */
-export interface SuspectQuestion extends SuspectRequest {
+export interface SuspectQuestion {
+  readonly features: RequestFeatures;
   /** Returns the upstreams to which it may be sent now, the preferred one first. */
   readonly candidates: () => readonly UpstreamId[];
   /** Until when the question may be repeated, on the monotonic clock in milliseconds. */
   readonly deadlineMs: number;
 }
 
-type ToldSuspect = FleetMessageOf<'suspectRequests'>['requests'][number];
-
-/** Number of instances that know of the ends at a service: its home and one that can take its place. */
+/** Number of instances that know of the crashes at a service: its home and one that can take its place. */
 const homeCount = 2;
-/** Number of ends from which all instances are told of a request. */
-const endsToTellAll = 2;
-/** Maximum number of suspects in one message, and of upstreams in one question. */
-const maxInMessage = { suspects: 64, candidates: 32 } as const;
+/** Limits on the items of one message. */
+const maxInMessage = { requests: 256, parts: 64, candidates: 32, features: 256, blames: 64 };
+/** Time between two announcements of a home, in milliseconds: each crash is reported by many instances. */
+const announceIntervalMs = 20;
 /** Timeout of a home's reply, in milliseconds. */
 const replyTimeoutMs = 200;
 /** Time between two questions while another attempt is under way, and for how long they are asked, in ms. */
 const busyPoll = { intervalMs: 100, limitMs: 1_000 } as const;
 
 /**
- * Keeps requests that end upstreams (queries of death) from ending more, whichever instance they come to.
+ * Keeps requests that end upstreams (queries of death), and others that share the cause, from ending more, whichever
+ * instance receives them.
  *
- * Who sees an upstream end under a request tells the home of its service, the first of the live instances in the
- * rendezvous order of the service's name. All instances are told when a second upstream ends under it, and when it
- * is convicted. Only who is about to send such a request asks the home; nothing is asked or told for any other.
+ * An instance whose requests were at an upstream when it crashed reports them to the home of the service, the first of
+ * the live instances in the rendezvous order of the service's name. The home informs all instances of suspects and of
+ * what it blames; an instance that is about to send a suspect requests the home's permission. No other request causes
+ * a message, or a digest of its content.
  */
 export class RequestQuarantine implements Disposable {
-  readonly suspects: SuspectRequests;
-  readonly #answered: AnsweredRequests;
+  readonly suspects: SuspectFeatures;
   readonly #options: RequestQuarantineOptions;
   readonly #subscriptions: readonly Disposable[];
+  /** Crashes that are reported together, by service and upstream. */
+  readonly #pendingReports = new Map<string, CrashReport & { requests: ReportedRequest[] }>();
+  /** What was last announced, by service. */
+  readonly #announced = new Map<ServiceName, string>();
+  /** Services of which an announcement was sent a moment ago, and whether there is news since. */
+  readonly #announcing = new Map<ServiceName, { hasNews: boolean }>();
   #attemptCount = 0;
 
   constructor(options: RequestQuarantineOptions) {
     this.#options = options;
     const { clock, links, rpc } = options;
-    this.suspects = new SuspectRequests({ clock });
-    this.#answered = new AnsweredRequests(clock);
+    this.suspects = new SuspectFeatures(clock);
     this.#subscriptions = [
-      links.subscribe((message) => {
-        if (message.kind === 'suspectRequests') this.#receive(message);
-        if (message.kind === 'suspectAttemptEnded')
-          this.suspects.finishAttempt(message.attempt, message.wasAnswered);
+      links.subscribe((message, from) => {
+        this.#receive(message, from);
       }),
-      rpc.answer('suspectAttempt', ({ suspect, attempt, candidates }) => {
-        this.#merge(suspect);
-        const decision = this.suspects.requestAttempt({ ...suspect, attempt, candidates });
-        return { kind: 'suspectAttempt', ...decision, suspect: this.#describe(suspect) };
+      rpc.answer('suspectAttempt', ({ service, content, parts, attempt, candidates }) => {
+        const question = { service, content, parts, attempt, candidates };
+        const decision = this.suspects.requestAttempt(question);
+        this.#announce(service);
+        return { kind: 'suspectAttempt', ...decision, blames: this.#describeBlames(service) };
       }),
     ];
   }
 
-  /** Whether this instance knows of upstreams that ended under the request. */
-  isSuspect(digest: string): boolean {
-    return this.suspects.ends(digest).length > 0;
+  /** Whether this instance knows of a reason not to send the request like any other. */
+  isSuspect({ service, parts, content }: RequestFeatures): boolean {
+    const features = [content, ...parts];
+    if (this.suspects.blamed.find(service, features) !== undefined) return true;
+    return this.suspects.crashCountOf(service, features) > 0;
   }
 
-  /** Records that an upstream has answered a request. */
-  recordAnswered(digest: string): void {
-    this.#answered.record(digest);
+  /** Number of crashes for which the request is under suspicion. */
+  crashCountOf(features: RequestFeatures): number {
+    const { suspects } = this;
+    if (suspects.isEmpty) return 0;
+    return suspects.crashCountOf(features.service, [features.content, ...features.parts]);
   }
 
-  /** Records that an upstream ended under a request of this instance, and tells the home of its service. */
-  recordEnd(request: SuspectRequest, upstreamId: UpstreamId): void {
-    const { clock } = this.#options;
-    if (this.#answered.has(request.digest)) return;
-    this.#add(request, { upstreamId, atMs: clock.monotonicMs() });
-    for (const home of this.homesOf(request)) this.#tell(home, [request]);
+  /**
+   * Records that an upstream answers a request.
+   *
+   * @param isComplete - whether the answer is complete; otherwise it has lived on for a while
+   */
+  recordAnswered(features: RequestFeatures, isComplete = true): void {
+    const { service } = features;
+    const { suspects } = this;
+    const answered = suspects.hasSuspects(service)
+      ? [...(isComplete ? [features.content] : []), ...features.parts]
+      : features.known;
+    suspects.sound.record(service, answered);
+    if (suspects.isEmpty) return;
+    const cleared = answered.filter((feature) => suspects.crashCountOf(service, [feature]) > 0);
+    const blame = suspects.blamed.find(service, answered);
+    const sound = [...new Set([...cleared, ...(blame?.features ?? [])])];
+    if (sound.length === 0) return;
+    suspects.recordSound(service, sound, this.#options.clock.monotonicMs());
+    this.#announce(service);
+    const message = { sound: sound.map((feature) => ({ feature, ageMs: 0 })), others: [] };
+    for (const home of this.homesOf(service))
+      this.#send(home, { kind: 'soundFeatures', service, ...message });
+  }
+
+  /** Records that an upstream crashed under a request of this instance, and reports it to the home of its service. */
+  recordCrash({ features, upstreamId, sentMs, lostMs, hasLivedOn }: CrashedAttempt): void {
+    const { service, content } = features;
+    const parts = hasLivedOn ? [] : features.parts.slice(0, maxInMessage.parts);
+    const request = { content, parts, sentMs };
+    const report = { service, upstreamId, atMs: lostMs };
+    this.suspects.recordCrash({ ...report, requests: [request] });
+    this.#announce(service);
+    const key = `${service}/${upstreamId}`;
+    if (this.#pendingReports.size === 0)
+      this.#options.clock.schedule(0, () => {
+        this.#sendReports();
+      });
+    const pending = getOrCreate(this.#pendingReports, key, () => ({ ...report, requests: [] }));
+    if (pending.requests.length < maxInMessage.requests) pending.requests.push(request);
   }
 
   /**
-   * Asks to send a request that may be under suspicion.
+   * Requests permission to send a request that may be under suspicion.
    *
    * @returns the attempt, whose result is to be reported; undefined if the request is clear
    * @throws RouterError `requestQuarantined`, or `upstreamUnavailable` if other attempts are under way
@@ -124,12 +194,12 @@
     for (;;) {
       this.#attemptCount += 1;
       const attempt = `${this.#options.instanceId}/${this.#attemptCount}`;
+      const endCount = this.crashCountOf(question.features);
       const { decision, home } = await this.#ask(question, attempt);
       metrics.count('suspectAttempts', decision.verdict);
       if (decision.verdict === 'clear') return undefined;
       if (decision.verdict === 'granted') {
         const { upstreamId } = decision;
-        const endCount = this.suspects.ends(question.digest).length;
         const finish = (wasAnswered: boolean) => {
           this.#finish(home, attempt, wasAnswered);
         };
@@ -137,17 +207,38 @@
       }
       if (decision.verdict === 'quarantined') throw createQuarantinedError();
       if (clock.monotonicMs() + busyPoll.intervalMs >= untilMs) {
-        throw new RouterError('upstreamUnavailable', 'the request is being tried elsewhere');
+        throw new RouterError('upstreamUnavailable', 'a request like this one is being tried');
       }
       await clock.sleep(busyPoll.intervalMs);
     }
   }
 
-  /** Tells a peer that has become live of the requests of which this instance is the home. */
+  /** Informs a peer of all that is blamed, as when it becomes live. */
   sendAllTo(peer: InstanceId): void {
-    if (this.suspects.isEmpty) return;
-    const requests = this.suspects.withEnds(endsToTellAll).filter((one) => this.#isHome(one));
-    this.#tell(peer, requests);
+    for (const service of new Set(this.suspects.blamed.all().map((blame) => blame.service)))
+      this.#send(peer, this.#describe(service));
+  }
+
+  /**
+   * Lifts what is blamed and names a feature, at all instances.
+   *
+   * @returns number of blames that are lifted
+   */
+  lift(feature: FeatureId): number {
+    const lifted = this.suspects.lift(feature);
+    for (const { service, features } of lifted) {
+      this.#options.log.warn({ service, features }, 'blame lifted by an operator');
+      this.#sendLifted(service, [features], true);
+    }
+    return lifted.length;
+  }
+
+  /** The home of a service, and the instance that takes its place. */
+  homesOf(service: ServiceName): readonly InstanceId[] {
+    const candidates = this.#options.live().map((id) => ({ id }));
+    return rankByKey(service, candidates)
+      .slice(0, homeCount)
+      .map(({ id }) => id);
   }
 
   [Symbol.dispose](): void {
@@ -156,42 +247,42 @@
 
   /** Asks the homes in turn; where none replies, what this instance knows decides. */
   async #ask(
-    question: SuspectQuestion,
+    { features, candidates }: SuspectQuestion,
     attempt: string,
   ): Promise<{ readonly decision: SuspectDecision; readonly home: InstanceId }> {
     const { instanceId } = this.#options;
-    const candidates = question.candidates().slice(0, maxInMessage.candidates);
-    const own = () => this.suspects.requestAttempt({ ...question, attempt, candidates });
-    if (this.suspects.ends(question.digest).length >= maxEndsPerRequest) {
-      return { decision: own(), home: instanceId };
-    }
-    for (const home of this.homesOf(question)) {
+    const { service, content } = features;
+    const parts = features.parts.slice(0, maxInMessage.parts);
+    const request = { service, content, parts };
+    const choice = candidates().slice(0, maxInMessage.candidates);
+    const own = () => this.suspects.requestAttempt({ ...request, attempt, candidates: choice });
+    const isBlamed = this.suspects.blamed.find(service, [content, ...parts]) !== undefined;
+    if (isBlamed) return { decision: { verdict: 'quarantined' }, home: instanceId };
+    for (const home of this.homesOf(service)) {
       if (home === instanceId) break;
-      const decision = await this.#askHome(home, question, { attempt, candidates });
+      const decision = await this.#askHome(home, request, { attempt, candidates: choice });
       if (decision !== undefined) return { decision, home };
     }
-    return { decision: own(), home: instanceId };
+    const decision = own();
+    this.#announce(service);
+    return { decision, home: instanceId };
   }
 
   async #askHome(
     home: InstanceId,
-    question: SuspectQuestion,
-    attempt: Pick<SuspectAttemptRequest, 'attempt' | 'candidates'>,
+    request: SuspectRequest,
+    { attempt, candidates }: { readonly attempt: string; readonly candidates: UpstreamId[] },
   ): Promise<SuspectDecision | undefined> {
     const { rpc } = this.#options;
+    const { service, content } = request;
+    const parts = [...request.parts];
     try {
-      const { verdict, upstreamId, suspect } = await rpc.ask(
+      const { verdict, upstreamId, blames } = await rpc.ask(
         home,
-        {
-          kind: 'suspectAttempt',
-          suspect: this.#describe(question),
-          attempt: attempt.attempt,
-          candidates: [...attempt.candidates],
-        },
+        { kind: 'suspectAttempt', service, content, parts, attempt, candidates },
         { timeoutMs: replyTimeoutMs },
       );
-      if (verdict === 'clear') this.suspects.forget(question.digest);
-      else this.#merge(suspect);
+      this.#addBlames(service, blames);
       if (verdict !== 'granted') return { verdict };
       return upstreamId === undefined ? undefined : { verdict, upstreamId };
     } catch {
@@ -201,74 +292,175 @@
   }
 
   #finish(home: InstanceId, attempt: string, wasAnswered: boolean): void {
-    const { links, instanceId } = this.#options;
-    if (home === instanceId) this.suspects.finishAttempt(attempt, wasAnswered);
-    else links.send(home, { kind: 'suspectAttemptEnded', attempt, wasAnswered });
+    // A crash under the attempt has to be known before its end.
+    this.#sendReports();
+    if (home === this.#options.instanceId) this.#finishOwn(attempt, wasAnswered);
+    else this.#send(home, { kind: 'suspectAttemptEnded', attempt, wasAnswered });
   }
 
-  #receive({ requests }: FleetMessageOf<'suspectRequests'>): void {
-    for (const suspect of requests) this.#merge(suspect);
+  #finishOwn(attempt: string, wasAnswered: boolean): void {
+    const service = this.suspects.finishAttempt(attempt, wasAnswered);
+    if (service !== undefined) this.#announce(service);
   }
 
-  #merge({ digest, service, ends, isConvicted }: ToldSuspect): void {
+  #receive(message: Parameters<Parameters<FleetLinks['subscribe']>[0]>[0], from: InstanceId): void {
+    if (message.kind === 'crashReport') this.#receiveReport(message);
+    if (message.kind === 'crashSuspects') this.#receiveSuspects(message, from);
+    if (message.kind === 'blameLifted') this.#receiveLifted(message);
+    if (message.kind === 'soundFeatures') this.#receiveSound(message);
+    if (message.kind === 'suspectAttemptEnded')
+      this.#finishOwn(message.attempt, message.wasAnswered);
+  }
+
+  #receiveReport({ service, upstreamId, ageMs, requests }: FleetMessageOf<'crashReport'>): void {
     const nowMs = this.#options.clock.monotonicMs();
-    for (const { upstreamId, ageMs } of ends) {
-      this.#add({ digest, service }, { upstreamId, atMs: nowMs - ageMs });
+    this.suspects.recordCrash({
+      service,
+      upstreamId,
+      atMs: nowMs - ageMs,
+      requests: requests.map(({ content, parts, sentAgeMs }) => {
+        return { content, parts, sentMs: nowMs - sentAgeMs };
+      }),
+    });
+    this.#announce(service);
+  }
+
+  #receiveSuspects(message: FleetMessageOf<'crashSuspects'>, from: InstanceId): void {
+    const { service, blames, suspects } = message;
+    this.#addBlames(service, blames);
+    const found = new Map(suspects.map(({ feature, crashCount }) => [feature, crashCount]));
+    this.suspects.recordTold(service, found);
+    this.#reportSound(from, service, [...found.keys()]);
+  }
+
+  /** Reports to the home of a service what this instance knows of answers with and without its suspects. */
+  #reportSound(home: InstanceId, service: ServiceName, features: readonly FeatureId[]): void {
+    const { clock } = this.#options;
+    const { sound: memory } = this.suspects;
+    const nowMs = clock.monotonicMs();
+    const sound = features.flatMap((feature) => {
+      const soundMs = memory.lastSoundMs(service, feature);
+      return soundMs === undefined ? [] : [{ feature, ageMs: Math.max(0, nowMs - soundMs) }];
+    });
+    const others = features.filter((feature) => memory.hasOthers(service, feature));
+    if (sound.length === 0 && others.length === 0) return;
+    this.#send(home, { kind: 'soundFeatures', service, sound, others });
+  }
+
+  #receiveSound({ service, sound, others }: FleetMessageOf<'soundFeatures'>): void {
+    const nowMs = this.#options.clock.monotonicMs();
+    for (const { feature, ageMs } of sound)
+      this.suspects.recordSound(service, [feature], nowMs - ageMs);
+    this.suspects.recordOthers(service, others);
+    this.#announce(service);
+  }
+
+  /** Adds what a peer blames. */
+  #addBlames(service: ServiceName, blames: FleetMessageOf<'crashSuspects'>['blames']): void {
+    const nowMs = this.#options.clock.monotonicMs();
+    for (const { features, crashCount, ageMs } of blames) {
+      const isNew = this.suspects.blamed.add({
+        service,
+        features,
+        crashCount,
+        sinceMs: nowMs - ageMs,
+      });
+      if (isNew) this.#options.onBlame?.();
     }
-    if (isConvicted) this.suspects.convict(digest);
   }
 
-  /** Adds an end, and as the home of the service tells all instances if they have to know. */
-  #add(request: SuspectRequest, end: UpstreamEnd): void {
-    const { digest } = request;
-    if (this.#answered.has(digest)) return;
-    if (!this.suspects.recordEnd(request, end)) return;
-    const endCount = this.suspects.ends(digest).length;
-    if (endCount < endsToTellAll || !this.#isHome(request)) return;
-    const { log, live } = this.#options;
-    const isConvicted = this.suspects.isConvicted(digest);
-    const { service } = request;
-    const { upstreamId } = end;
-    log.warn({ digest, service, endCount, isConvicted, upstreamId }, 'request ends upstreams');
-    for (const peer of live()) this.#tell(peer, [request]);
+  /** As the home of a service, blames what its crashes show, and informs all instances of any change. */
+  #announce(service: ServiceName): void {
+    const { instanceId, clock, log, onBlame } = this.#options;
+    if (!this.homesOf(service).includes(instanceId)) return;
+    const { isNew, lifted } = this.suspects.deriveBlame(service);
+    if (isNew) log.warn({ ...this.#describe(service) }, 'requests end upstreams');
+    if (isNew) onBlame?.();
+    this.#sendLifted(service, lifted);
+    const recent = this.#announcing.get(service);
+    if (recent !== undefined) {
+      recent.hasNews = true;
+      return;
+    }
+    this.#sendAnnouncement(service);
+    const current = { hasNews: false };
+    this.#announcing.set(service, current);
+    clock.schedule(announceIntervalMs, () => {
+      this.#announcing.delete(service);
+      if (current.hasNews) this.#announce(service);
+    });
   }
 
-  #tell(peer: InstanceId, requests: readonly SuspectRequest[]): void {
-    const { instanceId, links } = this.#options;
-    if (peer === instanceId || requests.length === 0) return;
-    const suspects = requests.slice(0, maxInMessage.suspects).map((one) => this.#describe(one));
-    links.send(peer, { kind: 'suspectRequests', requests: suspects });
+  #sendAnnouncement(service: ServiceName): void {
+    const message = this.#describe(service);
+    const features = message.blames.map((blame) => blame.features);
+    const state = JSON.stringify([features, message.suspects]);
+    if (state === (this.#announced.get(service) ?? '[[],[]]')) return;
+    this.#announced.set(service, state);
+    for (const peer of this.#options.peers()) this.#send(peer, message);
+  }
+
+  #sendLifted(
+    service: ServiceName,
+    lifted: readonly (readonly FeatureId[])[],
+    isByOperator = false,
+  ): void {
+    if (lifted.length === 0) return;
+    const blames = lifted.slice(0, maxInMessage.blames).map((features) => [...features]);
+    for (const peer of this.#options.peers())
+      this.#send(peer, { kind: 'blameLifted', service, blames, isByOperator });
   }
 
-  #describe({ digest, service }: SuspectRequest): ToldSuspect {
+  #receiveLifted({ service, blames, isByOperator }: FleetMessageOf<'blameLifted'>): void {
+    for (const features of blames) {
+      if (isByOperator) this.suspects.recordLifted(service, features);
+      else this.suspects.blamed.remove(service, features);
+    }
+  }
+
+  #sendReports(): void {
     const nowMs = this.#options.clock.monotonicMs();
-    const ends = this.suspects
-      .ends(digest)
-      .slice(0, maxEndsPerRequest)
-      .map(({ upstreamId, atMs }) => ({ upstreamId, ageMs: Math.max(0, nowMs - atMs) }));
-    return { digest, service, ends, isConvicted: this.suspects.isConvicted(digest) };
+    for (const { service, upstreamId, atMs, requests } of this.#pendingReports.values()) {
+      const report = {
+        kind: 'crashReport',
+        service,
+        upstreamId,
+        ageMs: Math.max(0, nowMs - atMs),
+        requests: requests.map(({ content, parts, sentMs }) => {
+          return { content, parts: [...parts], sentAgeMs: Math.max(0, nowMs - sentMs) };
+        }),
+      } as const;
+      for (const home of this.homesOf(service)) this.#send(home, report);
+    }
+    this.#pendingReports.clear();
   }
 
-  /**
-   * Whether this instance is the home of a request's service, or takes its place: both tell all instances, since a
-   * home that is gone is not known to be for some seconds.
-   */
-  #isHome(request: SuspectRequest): boolean {
-    return this.homesOf(request).includes(this.#options.instanceId);
+  #send(to: InstanceId, message: Parameters<FleetLinks['send']>[1]): void {
+    const { instanceId, links } = this.#options;
+    if (to !== instanceId) links.send(to, message);
   }
 
-  /** The home of a request's service, and who takes its place. */
-  homesOf({ service }: SuspectRequest): readonly InstanceId[] {
-    const candidates = this.#options.live().map((id) => ({ id }));
-    return rankByKey(service, candidates)
-      .slice(0, homeCount)
-      .map(({ id }) => id);
+  /** What is blamed at a service, and what is suspect there after several crashes. */
+  #describe(service: ServiceName): FleetMessageOf<'crashSuspects'> {
+    const suspects = [...this.suspects.suspectsOf(service)]
+      .filter(([, crashCount]) => crashCount >= endsToIsolate)
+      .slice(0, maxInMessage.features)
+      .map(([feature, crashCount]) => ({ feature, crashCount }));
+    return { kind: 'crashSuspects', service, blames: this.#describeBlames(service), suspects };
+  }
+
+  #describeBlames(service: ServiceName): FleetMessageOf<'crashSuspects'>['blames'] {
+    const nowMs = this.#options.clock.monotonicMs();
+    return this.suspects.blamed
+      .all()
+      .filter((blame) => blame.service === service)
+      .slice(0, maxInMessage.blames)
+      .map(({ features, crashCount, sinceMs }: ServiceBlame) => {
+        return { features: [...features], crashCount, ageMs: Math.max(0, nowMs - sinceMs) };
+      });
   }
 }
 
 function createQuarantinedError(): RouterError {
-  return new RouterError(
-    'requestQuarantined',
-    `${maxEndsPerRequest} upstreams ended while they ran this request`,
-  );
+  return new RouterError('requestQuarantined', 'upstreams ended under requests like this one');
 }
--- a/packages/callers/src/ServiceDispatch/index.ts
+++ b/packages/callers/src/ServiceDispatch/index.ts
@@ -5,7 +5,7 @@
 import { rankOfResult, ServiceAttempt, type ServiceResult } from '../_lib/ServiceAttempt/index.js';
 import { toPossiblyRunError } from '../_lib/toPossiblyRunError/index.js';
 import { UpstreamPicker, type UpstreamPickerOptions } from '../_lib/UpstreamPicker/index.js';
-import type { RequestQuarantine } from '../RequestQuarantine/index.js';
+import type { RequestFeatures, RequestQuarantine } from '../RequestQuarantine/index.js';
 import { SuspectTracker } from '../_lib/SuspectTracker/index.js';
 import { abortReason, untilAborted } from '../_lib/untilAborted/index.js';
 
@@ -17,8 +17,8 @@
 /** One call to make at any suitable upstream. */
 export interface ServiceCallTask {
   readonly request: ServiceRequest;
-  /** Names what is asked for, the same for all attempts to call it. */
-  readonly digest: string;
+  /** What it has in common with other calls. */
+  readonly features: RequestFeatures;
   readonly service: ServiceName;
   readonly className: ClassName;
   /** Whether the call is idempotent, so that it may be retried. */
@@ -74,8 +74,8 @@
    */
   async call(task: ServiceCallTask, signal: AbortSignal): Promise<ServiceResponse> {
     const picker = new UpstreamPicker(this.#options, { ...task, dueMs: task.answerDueMs });
-    const { digest, service, answerDueMs: dueMs } = task;
-    const tracker = new SuspectTracker({ ...this.#options, request: { digest, service }, dueMs });
+    const { features, answerDueMs: dueMs } = task;
+    const tracker = new SuspectTracker({ ...this.#options, features, dueMs });
     const outcome: CallOutcome = { mayHaveRun: false };
     let last: ServiceResult | undefined;
     for (;;) {
@@ -129,7 +129,7 @@
       picker,
       service: task.service,
       isRepeatable: task.isRepeatable,
-      endCount: () => quarantine.suspects.ends(task.digest).length,
+      endCount: () => quarantine.crashCountOf(task.features),
       waitMs: () => this.#hedgeWaitMs(upstream, task),
       start,
     });
--- a/packages/callers/src/ServiceHandler/index.ts
+++ b/packages/callers/src/ServiceHandler/index.ts
@@ -24,6 +24,7 @@
 import { reserveTokens, reserveTokensOrFindBill } from '../_lib/reserveTokens/index.js';
 import { answerFromRecord, toStoredAnswer } from '../_lib/storedAnswer/index.js';
 import type { TokenReservation } from '../_lib/TokenReservation/index.js';
+import { createFeatures } from '../_lib/createFeatures/index.js';
 import { requestKeyOf, serviceDigest } from '../_lib/requestKeyOf/index.js';
 import { untilAborted } from '../_lib/untilAborted/index.js';
 import type { ServiceDispatch } from '../ServiceDispatch/index.js';
@@ -302,11 +303,12 @@
   ): Promise<ServiceResponse> {
     const { call, requestId, service, classEntry, isRepeatable, startedMs } = attempt;
     const { method, path, headers, body } = call;
+    const name = service.name as ServiceName;
     return this.#options.services.call(
       {
         request: { requestId, method, path, headers, body },
-        digest: attempt.digest,
-        service: service.name as ServiceName,
+        features: createFeatures({ service: name, digest: attempt.digest }),
+        service: name,
         className: classEntry.name as ClassName,
         isRepeatable,
         answerDueMs: startedMs + classEntry.firstTokenDeadlineMs,
--- a/packages/callers/src/_lib/SuspectTracker/index.ts
+++ b/packages/callers/src/_lib/SuspectTracker/index.ts
@@ -1,13 +1,17 @@
 import { toRouterError, withTimeout, type Clock } from '@acaciacrank/base';
-import type { SuspectRequest, Upstream } from '@acaciacrank/routing';
-import type { RequestQuarantine, SuspectAttempt } from '../../RequestQuarantine/index.js';
+import { livedOnMs, type Upstream } from '@acaciacrank/routing';
+import type {
+  RequestFeatures,
+  RequestQuarantine,
+  SuspectAttempt,
+} from '../../RequestQuarantine/index.js';
 import type { UpstreamPicker } from '../UpstreamPicker/index.js';
 
 /** Options of {@link SuspectTracker}. */
 export interface SuspectTrackerOptions {
   clock: Clock;
   quarantine: RequestQuarantine;
-  request: SuspectRequest;
+  features: RequestFeatures;
   /** When the answer is due, by the monotonic clock. */
   dueMs: number;
 }
@@ -19,6 +23,9 @@
 export class SuspectTracker {
   readonly #options: SuspectTrackerOptions;
   #attempt: SuspectAttempt | undefined;
+  /** When the request was last sent, on the monotonic clock, and since when it gets an answer. */
+  #sentMs = -Infinity;
+  #begunActiveMs: number | undefined;
 
   constructor(options: SuspectTrackerOptions) {
     this.#options = options;
@@ -31,27 +38,40 @@
    * @throws RouterError `requestQuarantined` if the request may be sent to none any more
    */
   async next(picker: UpstreamPicker): Promise<Upstream | undefined> {
-    const { quarantine, request, dueMs } = this.#options;
-    if (quarantine.suspects.isEmpty || !quarantine.isSuspect(request.digest)) return picker.next();
+    const { clock, quarantine, features, dueMs } = this.#options;
+    this.#sentMs = clock.monotonicMs();
+    this.#begunActiveMs = undefined;
+    if (quarantine.suspects.isEmpty || !quarantine.isSuspect(features)) return picker.next();
     const candidates = () => picker.candidateIds;
-    this.#attempt = await quarantine.admit({ ...request, candidates, deadlineMs: dueMs });
+    this.#attempt = await quarantine.admit({ features, candidates, deadlineMs: dueMs });
+    this.#sentMs = clock.monotonicMs();
     if (this.#attempt === undefined) return picker.next();
     const upstream = picker.take(this.#attempt.upstreamId);
     if (upstream === undefined) this.#finish(false);
     return upstream;
   }
 
+  /** Records that the upstream has begun to answer. */
+  recordBegun(): void {
+    this.#begunActiveMs = this.#options.clock.activeMs();
+  }
+
   /** Records that the upstream has answered. */
   recordAnswered(): void {
-    const { quarantine, request } = this.#options;
-    quarantine.recordAnswered(request.digest);
+    const { quarantine, features } = this.#options;
+    quarantine.recordAnswered(features);
     this.#finish(true);
   }
 
   /** Finds out whether the upstream has ended, after its connection failed while it may have run the request. */
   async recordFailure(upstream: Upstream): Promise<void> {
-    const { quarantine, request } = this.#options;
-    if (await this.#hasEnded(upstream)) quarantine.recordEnd(request, upstream.id);
+    const { clock, quarantine, features } = this.#options;
+    const sentMs = this.#sentMs;
+    const lostMs = clock.monotonicMs();
+    const begunActiveMs = this.#begunActiveMs ?? Infinity;
+    const hasLivedOn = clock.activeMs() - begunActiveMs >= livedOnMs;
+    const crashed = { features, upstreamId: upstream.id, sentMs, lostMs, hasLivedOn };
+    if (await this.#hasEnded(upstream)) quarantine.recordCrash(crashed);
     this.#finish(false);
   }
 
--- a/packages/fleet/src/messageSchemas/index.ts
+++ b/packages/fleet/src/messageSchemas/index.ts
@@ -7,6 +7,7 @@
   AccountId,
   BudgetId,
   FailureDomainId,
+  FeatureId,
   GrantId,
   InstanceId,
   ServiceName,
@@ -86,32 +87,35 @@
   receivedAgeMs: z.number().nonnegative(),
 });
 
-/** A digest that names a request, the same for all attempts to send it. */
-const requestDigest = z.string().min(1).max(64);
+/** What a request may have in common with others. */
+const featureId = z.string().min(1).max(128) as unknown as z.ZodType<FeatureId>;
+/** Maximum number of features in a message, of a request, and that are blamed together. */
+const maxFeatures = { inMessage: 256, ofRequest: 64 } as const;
 /** Names one attempt to send a request. */
 const attemptId = z.string().max(96);
 
-/** An upstream that ended under a request; the age is relative to when the message is sent. */
-const upstreamEndSchema = z.object({
-  upstreamId: z.string().max(256) as unknown as z.ZodType<UpstreamId>,
-  ageMs: z.number().nonnegative(),
-});
-/** Maximum number of ends that are told of one request. */
-const maxToldEnds = 8;
 /** Maximum number of upstreams among which the home of a suspect chooses. */
 const maxCandidates = 32;
 const upstreamId = z.string().max(256) as unknown as z.ZodType<UpstreamId>;
 const serviceName = z.string().max(256) as unknown as z.ZodType<ServiceName>;
 
-/** A request under which upstreams have ended. */
-const suspectSchema = z.object({
-  digest: requestDigest,
-  service: serviceName,
-  ends: z.array(upstreamEndSchema).max(maxToldEnds),
-  /** Whether it is taken as the cause of its ends, so that these do not count against other requests. */
-  isConvicted: z.boolean(),
+const requestFeatures = z.array(featureId).max(maxFeatures.ofRequest);
+
+/** A request that was running at a crash; the age is relative to when the message is sent. */
+const crashedRequestSchema = z.object({
+  content: featureId,
+  parts: requestFeatures,
+  sentAgeMs: z.number().nonnegative(),
 });
 
+/** Features that are blamed: a request with all of them is sent to no upstream. */
+const blameSchema = z.object({
+  features: requestFeatures.min(1),
+  crashCount: nonNegativeInteger,
+  ageMs: z.number().nonnegative(),
+});
+const blames = z.array(blameSchema).max(64);
+
 /** Maximum number of streams in one message, and of the runs that began them. */
 const maxStreams = 512;
 const streamKey = z.string().min(1).max(64) as unknown as z.ZodType<StreamKey>;
@@ -184,11 +188,12 @@
    * the ledger package.
    */
   z.object({ kind: z.literal('prepaidTokens'), loan: loanSchema }),
-  /** Asks the home of a request, under which upstreams have ended, whether it may be sent. */
+  /** Asks the home of a service whether a request that is under suspicion may be sent. */
   z.object({
     kind: z.literal('suspectAttempt'),
-    /** What the sender knows of it. */
-    suspect: suspectSchema,
+    service: serviceName,
+    content: featureId,
+    parts: requestFeatures,
     attempt: attemptId,
     /** Upstreams to which it may be sent, the preferred one first. */
     candidates: z.array(upstreamId).max(maxCandidates),
@@ -242,7 +247,7 @@
     verdict: z.enum(['clear', 'granted', 'busy', 'quarantined']),
     /** The upstream to send it to, if that is granted. */
     upstreamId: upstreamId.optional(),
-    suspect: suspectSchema,
+    blames,
   }),
   /** Of the streams that the peer knows. */
   z.object({ kind: z.literal('streamOrigins'), origins: streamOrigins }),
@@ -281,10 +286,38 @@
   }),
   /** Which runs of upstreams began streams, to the homes of these. */
   z.object({ kind: z.literal('streamOrigins'), origins: streamOrigins }),
-  /** Requests under which upstreams have ended, to their homes, and from these to all. */
+  /** The sender's requests that were running at an upstream when it crashed, to the homes of its service. */
+  z.object({
+    kind: z.literal('crashReport'),
+    service: serviceName,
+    upstreamId,
+    ageMs: z.number().nonnegative(),
+    requests: z.array(crashedRequestSchema).max(maxFeatures.inMessage),
+  }),
+  /** What crashes of a service's upstreams show, from its homes to all. */
+  z.object({
+    kind: z.literal('crashSuspects'),
+    service: serviceName,
+    blames,
+    suspects: z
+      .array(z.object({ feature: featureId, crashCount: nonNegativeInteger }))
+      .max(maxFeatures.inMessage),
+  }),
+  /** Blames that do not hold any more, or that an operator has lifted. */
+  z.object({
+    kind: z.literal('blameLifted'),
+    service: serviceName,
+    blames: z.array(requestFeatures.min(1)).max(64),
+    isByOperator: z.boolean(),
+  }),
+  /** What the sender knows of answers to requests with suspect features, and without them. */
   z.object({
-    kind: z.literal('suspectRequests'),
-    requests: z.array(suspectSchema).max(64),
+    kind: z.literal('soundFeatures'),
+    service: serviceName,
+    sound: z
+      .array(z.object({ feature: featureId, ageMs: z.number().nonnegative() }))
+      .max(maxFeatures.inMessage),
+    others: z.array(featureId).max(maxFeatures.inMessage),
   }),
   /** The result of an attempt that the receiver has granted. */
   z.object({
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -499,6 +499,7 @@
       clock,
       instanceId,
       live,
+      peers: () => this.fleet.otherInstances,
       log,
       metrics,
     });
--- a/packages/forwarding/src/InstanceFleet/index.ts
+++ b/packages/forwarding/src/InstanceFleet/index.ts
@@ -203,6 +203,11 @@
     return this.#live;
   }
 
+  /** All other instances that may serve callers, those included that are leaving or cannot be reached. */
+  get otherInstances(): readonly InstanceId[] {
+    return this.#othersExcept('left');
+  }
+
   /**
    * Number of instances among which quantities are divided, including this one.
    *
@@ -213,7 +218,7 @@
    */
   get sharingInstanceCount(): number {
     if (this.listAgeMs === undefined) return Infinity;
-    return 1 + this.#othersExcept('left').length;
+    return 1 + this.otherInstances.length;
   }
 
   /**
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -10,7 +10,7 @@
   type UpstreamId,
 } from '@acaciacrank/base';
 import { rawHeaderValue } from '@acaciacrank/callers';
-import { needsRunCheck, ResponseProgress, type UpstreamRun } from '@acaciacrank/routing';
+import { livedOnMs, needsRunCheck, ResponseProgress, type UpstreamRun } from '@acaciacrank/routing';
 import type { ForwardCodec, RawHeaders } from '../../ForwardCodec/index.js';
 import type { ReceivedStatement } from '../applyStatement/index.js';
 import type { AttemptResult, SupersededResult } from '../AttemptResult/index.js';
@@ -78,6 +78,8 @@
   mayBeSent?: () => boolean;
   /** Called before anything of a stream is passed on to the caller; other attempts of the request end then. */
   onProgress: () => void;
+  /** Called once, when an event arrives {@link livedOnMs} or more after the first one. */
+  onLivedOn?: () => void;
   /** Called each time that nothing has come from the upstream for the timeout; the attempt goes on. */
   onSilent: (lateMs: number) => void;
   /** After how long without progress {@link onSilent} is called, in milliseconds; undefined for never. */
@@ -131,6 +133,7 @@
   #isSilent = false;
   /** When the first event arrived, by the time in which this process ran; undefined before. */
   #begunActiveMs: number | undefined;
+  #hasLivedOn = false;
   /** Whether the caller has not yet taken what the upstream sent last. */
   #isCallerBehind = false;
   #wasNoAnswer = false;
@@ -329,13 +332,20 @@
     const inFlightRequest = this.#inFlightRequest;
     if (inFlightRequest !== undefined && !inFlightRequest.hasFirstEvent)
       this.#options.onFirstEvent(inFlightRequest);
-    this.#begunActiveMs ??= this.#options.clock.activeMs();
+    this.#recordLife();
     this.#responseProgress.recordEvent();
     this.#applyHeldStatement();
     this.#recordReceived(true);
     this.#options.onProgress();
   }
 
+  #recordLife(): void {
+    this.#begunActiveMs ??= this.#options.clock.activeMs();
+    if (this.#hasLivedOn || (this.begunForMs ?? 0) < livedOnMs) return;
+    this.#hasLivedOn = true;
+    this.#options.onLivedOn?.();
+  }
+
   #beginStream(headers: RawHeaders): void {
     const { call, upstream, relayedBy, onStreamBegun } = this.#options;
     // A peer that names no run, as earlier releases do, leaves the version unknown.
@@ -386,6 +396,11 @@
     return this.#exchange !== undefined && !this.#hasEnded;
   }
 
+  /** When the request was sent, on the monotonic clock; undefined before. */
+  get sentMs(): number | undefined {
+    return this.#inFlightRequest?.sentMs;
+  }
+
   /** Time since the first event arrived, in milliseconds; undefined if none has. */
   get begunForMs(): number | undefined {
     if (this.#begunActiveMs === undefined) return undefined;
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -2,7 +2,7 @@
  * Sends a request to one upstream after another until it succeeds or no retry is possible.
  */
 import { RouterError, toRouterError, type UpstreamId } from '@acaciacrank/base';
-import type { PrefillTimeModel } from '@acaciacrank/routing';
+import { livedOnMs, type PrefillTimeModel } from '@acaciacrank/routing';
 import type { ForwardCodec } from '../../ForwardCodec/index.js';
 import type { ReachMonitor } from '../../ReachMonitor/index.js';
 import type { RelayPeers } from '../../RelayPeers/index.js';
@@ -15,6 +15,7 @@
   type AttemptResult,
   type PlainResponse,
 } from '../AttemptResult/index.js';
+import { CallFeatures } from '../CallFeatures/index.js';
 import { isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
 import {
   HedgePermits,
@@ -25,7 +26,6 @@
 import { maxConnectAttempts, upstreamInactivityMs } from '../limits/index.js';
 import { createUnavailableError } from '../createUnavailableError/index.js';
 import { describeResult, describeSend } from '../describeAttempt/index.js';
-import { digestContent } from '../digestContent/index.js';
 import { recordStreamBegin } from '../recordStreamBegin/index.js';
 import type { ResponseMemory } from '../ResponseMemory/index.js';
 import { Relay } from '../Relay/index.js';
@@ -79,7 +79,7 @@
   readonly #chooser: UpstreamChooser;
   #unsentAttempts = 0;
   #wasRelayed = false;
-  #contentDigest: string | undefined;
+  readonly #features: CallFeatures;
   /** The attempts that are under way beside each other. */
   readonly #attempts = new HedgedAttempts<DispatchContender>({
     onEnded: (ended) => {
@@ -92,6 +92,7 @@
   constructor(dependencies: DispatchDependencies, call: ForwardCall) {
     this.#dependencies = dependencies;
     this.#call = call;
+    this.#features = new CallFeatures(call);
     this.#chooser = new UpstreamChooser(dependencies, call);
     this.#permits = new HedgePermits(dependencies, call, this.#chooser);
   }
@@ -133,15 +134,14 @@
   /** Whether upstreams have ended under the request, as far as this instance knows. */
   get #isSuspect(): boolean {
     const { quarantine } = this.#dependencies;
-    return !quarantine.suspects.isEmpty && quarantine.isSuspect(this.#content);
+    return !quarantine.suspects.isEmpty && quarantine.isSuspect(this.#features);
   }
 
   async #admitSuspect(): Promise<SuspectAttempt | undefined> {
     const { quarantine } = this.#dependencies;
-    const { deadlineMs, progress, service } = this.#call;
-    const request = { digest: this.#content, service: service.name };
+    const { deadlineMs, progress } = this.#call;
     const candidates = () => this.#chooser.rankApart();
-    const admitting = quarantine.admit({ ...request, candidates, deadlineMs });
+    const admitting = quarantine.admit({ features: this.#features, candidates, deadlineMs });
     const suspect = await admitting.catch((thrown: unknown) => {
       const { kind, message, ran } = toRouterError(thrown);
       throw progress.mayHaveRun && ran === 'notRun'
@@ -180,6 +180,10 @@
         // What another one has answered is not held back for one that stays silent.
         if (this.#attempts.hasHeld) this.#attempts.supersedeAll();
       },
+      onLivedOn: () => {
+        this.#dependencies.quarantine.recordAnswered(this.#features, false);
+        suspect?.finish(true);
+      },
     });
     const contender: DispatchContender = {
       upstream: pick.upstream,
@@ -213,7 +217,7 @@
       const result = await attempt.run();
       if (wasSent(result)) this.#call.progress.sendCount += 1;
       wasAnswered = result.kind === 'answer' || result.kind === 'streamed';
-      if (wasAnswered) quarantine.recordAnswered(this.#content);
+      if (wasAnswered) quarantine.recordAnswered(this.#features);
       if (result.kind === 'broken' && result.isConnectionLost) {
         const checking = this.#checkEnd(upstream, attempt);
         // An answer of another attempt does not wait for it.
@@ -228,7 +232,7 @@
 
   #createAttempt(
     pick: UpstreamPick,
-    callbacks: Pick<AttemptOptions, 'mayBeSent' | 'onProgress' | 'onSilent'>,
+    callbacks: Pick<AttemptOptions, 'mayBeSent' | 'onProgress' | 'onSilent' | 'onLivedOn'>,
   ): Attempt {
     const { upstream, fetchFrom, prefill } = pick;
     const { clock, codec, retries, upstreams, responseMemory } = this.#dependencies;
@@ -276,12 +280,11 @@
       this.#relayBeside();
       return;
     }
-    const { suspects } = this.#dependencies.quarantine;
     const permit = this.#permits.request({
       upstream,
       lateMs,
       sends: this.#sendsUnderWay,
-      endCount: suspects.isEmpty ? 0 : suspects.ends(this.#content).length,
+      endCount: this.#dependencies.quarantine.crashCountOf(this.#features),
       onRoom: () => {
         this.#hedgeAgain();
       },
@@ -352,29 +355,26 @@
   }
 
   /** Finds out whether the upstream has ended under the request. */
-  async #checkEnd(upstream: Upstream, { begunForMs }: Attempt): Promise<void> {
+  async #checkEnd(upstream: Upstream, { begunForMs, sentMs }: Attempt): Promise<void> {
     const underWay = upstream.inFlight.size + 1;
+    const lostMs = this.#dependencies.clock.monotonicMs();
     if (!(await upstream.confirmEnd())) return;
     const { upstreams, quarantine, reach, metrics } = this.#dependencies;
     reach.reach.recordConnectFailed(upstream.id);
     if (!(await reach.settle())) return;
     upstreams.reportEnded(upstream, underWay);
     const { id: upstreamId } = upstream;
-    const { name: service } = this.#call.service;
-    quarantine.recordEnd({ digest: this.#content, service }, upstreamId);
+    const features = this.#features;
+    const hasLivedOn = begunForMs !== undefined && begunForMs >= livedOnMs;
+    quarantine.recordCrash({ features, upstreamId, sentMs: sentMs ?? lostMs, lostMs, hasLivedOn });
     this.#call.progress.endedCount += 1;
-    const traced = this.#call.head.promptParts.slice(0, maxTracedParts);
-    const parts = traced.map(({ id }) => id).join(' ');
+    const { content } = features;
+    const parts = features.parts.slice(0, maxTracedParts).join(' ');
     const ended = { upstreamId, underWay, begunForMs: begunForMs && Math.round(begunForMs) };
-    this.#call.trace.add('upstreamEnded', { ...ended, content: this.#content, parts });
+    this.#call.trace.add('upstreamEnded', { ...ended, content, parts });
     metrics.count('requestsEnded', begunForMs === undefined ? 'waiting' : 'begun');
   }
 
-  /** The digest of what the request asks for, the same for all attempts to send it. */
-  get #content(): string {
-    return (this.#contentDigest ??= digestContent(this.#call));
-  }
-
   /** Handles the end of one attempt, whether or not others go on; what fails is replaced at once beside a silent one. */
   #handleContenderEnd(ended: DispatchEnd): void {
     this.#recordEnd(ended);
--- a/packages/router/src/Instance/index.ts
+++ b/packages/router/src/Instance/index.ts
@@ -217,6 +217,7 @@
         clock,
         instanceId,
         live: () => [instanceId, ...this.#reachablePeers()],
+        peers: () => this.#otherInstances,
         log: options.log,
         metrics: this.metrics,
       }),
@@ -242,9 +243,16 @@
     );
   }
 
+  /** The other instances that have not left, whether or not they can be reached. */
+  get #otherInstances(): readonly InstanceId[] {
+    return this.membership.members.value
+      .filter(({ state }) => state !== 'left')
+      .map(({ id }) => id);
+  }
+
   /** Number of other instances that have not left, whether or not they can be reached. */
   get #peerCount(): number {
-    return this.membership.members.value.filter(({ state }) => state !== 'left').length;
+    return this.#otherInstances.length;
   }
 
   /** Whether new requests are accepted. */
--- /dev/null
+++ b/packages/routing/src/BlamedFeatures/index.ts
@@ -0,0 +1,126 @@
+import { getOrCreate, type Clock, type FeatureId, type ServiceName } from '@acaciacrank/base';
+import type { Blame } from '../attributeCrashes/index.js';
+
+/** Features that are blamed, at a service. */
+export interface ServiceBlame extends Blame {
+  readonly service: ServiceName;
+  /** Since when, on the monotonic clock in milliseconds. */
+  readonly sinceMs: number;
+}
+
+interface BlameEntry extends ServiceBlame {
+  /** When it was last reported, or a request was refused for it. */
+  lastNewsMs: number;
+}
+
+/** For how long features stay blamed after the last news of them, in milliseconds. */
+const retentionMs = 3_600_000;
+/** Maximum number of entries; the least recent ones are discarded first. */
+const maxEntries = 256;
+/** For how long what an operator has lifted is not blamed again, since peers may still report it, in ms. */
+const liftedMs = 60_000;
+
+/**
+ * The features that this instance refuses to send to upstreams, by service.
+ *
+ * @example
+ * blamed.add({ service, features: ['dd'], crashCount: 3, sinceMs });
+ * blamed.find(service, ['a1', 'dd']) !== undefined; //=> true
+ */
+export class BlamedFeatures {
+  readonly #clock: Clock;
+  readonly #byService = new Map<ServiceName, Map<string, BlameEntry>>();
+  readonly #liftedUntilMs = new Map<string, number>();
+  #size = 0;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** Number of blamed sets of features. */
+  get size(): number {
+    return this.#size;
+  }
+
+  /** All that is blamed. */
+  all(): ServiceBlame[] {
+    return [...this.#byService.values()].flatMap((entries) => [...entries.values()]);
+  }
+
+  /** Adds features; returns whether they were not blamed yet. */
+  add(blame: ServiceBlame): boolean {
+    const nowMs = this.#clock.monotonicMs();
+    const key = keyOf(blame.features);
+    if (nowMs < (this.#liftedUntilMs.get(`${blame.service}/${key}`) ?? -Infinity)) return false;
+    const entries = getOrCreate(
+      this.#byService,
+      blame.service,
+      () => new Map<string, BlameEntry>(),
+    );
+    const known = entries.get(key);
+    if (known !== undefined) {
+      known.lastNewsMs = nowMs;
+      return false;
+    }
+    this.#discardOld(nowMs);
+    entries.set(key, { ...blame, lastNewsMs: nowMs });
+    this.#size += 1;
+    return true;
+  }
+
+  /** Returns what is blamed among the features of a request, which counts as news of it. */
+  find(service: ServiceName, features: readonly FeatureId[]): ServiceBlame | undefined {
+    const entries = this.#byService.get(service);
+    if (entries === undefined || entries.size === 0) return undefined;
+    for (const entry of entries.values()) {
+      if (!entry.features.every((feature) => features.includes(feature))) continue;
+      entry.lastNewsMs = this.#clock.monotonicMs();
+      return entry;
+    }
+    return undefined;
+  }
+
+  /** Removes a blame that does not hold any more; returns whether there was one. */
+  remove(service: ServiceName, features: readonly FeatureId[]): boolean {
+    return this.#remove(service, keyOf(features));
+  }
+
+  /** Clears what is blamed although a request with all of it was answered. */
+  clearSound(service: ServiceName, features: readonly FeatureId[]): void {
+    for (const [key, entry] of this.#byService.get(service) ?? []) {
+      if (entry.features.every((feature) => features.includes(feature))) this.#remove(service, key);
+    }
+  }
+
+  /** Removes a blame by an operator's command, and does not take it from peers again for a while. */
+  lift(service: ServiceName, features: readonly FeatureId[]): void {
+    const key = keyOf(features);
+    this.#remove(service, key);
+    this.#liftedUntilMs.set(`${service}/${key}`, this.#clock.monotonicMs() + liftedMs);
+  }
+
+  #remove(service: ServiceName, key: string): boolean {
+    const isRemoved = this.#byService.get(service)?.delete(key) === true;
+    if (isRemoved) this.#size -= 1;
+    return isRemoved;
+  }
+
+  #discardOld(nowMs: number): void {
+    let oldest: { readonly service: ServiceName; readonly key: string } | undefined;
+    let oldestMs = Infinity;
+    for (const [service, entries] of this.#byService) {
+      for (const [key, { lastNewsMs }] of entries) {
+        if (nowMs - lastNewsMs >= retentionMs) this.#remove(service, key);
+        else if (lastNewsMs < oldestMs) {
+          oldest = { service, key };
+          oldestMs = lastNewsMs;
+        }
+      }
+    }
+    if (this.#size >= maxEntries && oldest !== undefined) this.#remove(oldest.service, oldest.key);
+  }
+}
+
+function keyOf(features: readonly FeatureId[]): string {
+  return [...features].sort().join();
+}
--- /dev/null
+++ b/packages/routing/src/SuspectFeatures/index.ts
@@ -0,0 +1,360 @@
+import {
+  getOrCreate,
+  type Clock,
+  type FeatureId,
+  type ServiceName,
+  type UpstreamId,
+} from '@acaciacrank/base';
+import {
+  attributeCrashes,
+  endsToIsolate,
+  maxEndsPerRequest,
+  type Crash,
+  type CrashAttribution,
+  type CrashedRequest,
+} from '../attributeCrashes/index.js';
+import { BlamedFeatures, type ServiceBlame } from '../BlamedFeatures/index.js';
+import { SoundFeatures } from '../SoundFeatures/index.js';
+
+/** A crash as one instance reports it, with its own requests there. */
+export interface CrashReport {
+  readonly service: ServiceName;
+  readonly upstreamId: UpstreamId;
+  /** When the connections were lost, on the monotonic clock in milliseconds. */
+  readonly atMs: number;
+  readonly requests: readonly ReportedRequest[];
+}
+
+/** A request that was running at a crash, and when it was sent, on the monotonic clock in milliseconds. */
+export interface ReportedRequest extends CrashedRequest {
+  readonly sentMs: number;
+}
+
+/** The features of a request that is to be sent. */
+export interface SuspectRequest {
+  readonly service: ServiceName;
+  readonly content: FeatureId;
+  readonly parts: readonly FeatureId[];
+}
+
+/** An attempt to send a suspect. */
+export interface SuspectAttemptRequest extends SuspectRequest {
+  /** Names the attempt. */
+  readonly attempt: string;
+  /** Upstreams to which it may be sent, the preferred one first. */
+  readonly candidates: readonly UpstreamId[];
+}
+
+/**
+ * Whether a request may be sent now: `clear` as any other, `granted` to one upstream and with its result reported,
+ * `busy` not before another attempt has ended, `quarantined` not at all.
+ */
+export type SuspectDecision =
+  | { readonly verdict: 'clear' | 'busy' | 'quarantined' }
+  | { readonly verdict: 'granted'; readonly upstreamId: UpstreamId };
+
+/** Reports within this time are about the same crash of an upstream, in milliseconds. */
+const sameCrashMs = 500;
+/** For how long crashes count, and what peers report of suspects, in milliseconds. */
+const retentionMs = { crash: 600_000, told: 30_000 } as const;
+/**
+ * Time after which an attempt without a result no longer counts against its content, and against other requests with
+ * its suspect parts, in milliseconds.
+ */
+const attemptTimeoutMs = { content: 20_000, parts: 5_000 } as const;
+/** Maximum number of crashes of a service that count, and of requests in each. */
+const maxCrashes = 64;
+const maxRequestsPerCrash = 256;
+
+interface CrashEntry extends Crash {
+  readonly requests: CrashedRequest[];
+  isolatedContent: FeatureId | undefined;
+}
+
+/** What is known of one service. */
+interface ServiceEvidence {
+  crashes: CrashEntry[];
+  /** What peers have reported of answers. */
+  readonly soundMs: Map<FeatureId, number>;
+  readonly others: Set<FeatureId>;
+  /** Suspects that peers have found, with the number of crashes. */
+  readonly told: Map<FeatureId, { readonly crashCount: number; readonly untilMs: number }>;
+  /** Derived from the above; undefined after a change. */
+  attribution: CrashAttribution | undefined;
+}
+
+/** What changes of what is blamed. */
+export interface DerivedBlame {
+  readonly isNew: boolean;
+  readonly lifted: readonly (readonly FeatureId[])[];
+}
+
+interface PendingAttempt {
+  readonly request: SuspectRequest;
+  readonly upstreamId: UpstreamId;
+  readonly isIsolated: boolean;
+  readonly grantedMs: number;
+}
+
+/**
+ * What requests under which upstreams have crashed have in common.
+ *
+ * A request that ends the upstream which runs it (a query of death) ends the next one as well, whoever sends it; so do
+ * others that share what does it. Suspects are sent one at a time, apart from each other; what is blamed is sent
+ * nowhere. An answer clears the features of its request.
+ *
+ * @example
+ * suspects.recordCrash({ service, upstreamId, atMs, requests });
+ * const decision = suspects.requestAttempt({ service, content, parts, attempt: 'one/1', candidates });
+ */
+export class SuspectFeatures {
+  readonly sound: SoundFeatures;
+  readonly blamed: BlamedFeatures;
+  readonly #clock: Clock;
+  readonly #services = new Map<ServiceName, ServiceEvidence>();
+  readonly #attempts = new Map<string, PendingAttempt>();
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+    this.sound = new SoundFeatures(clock);
+    this.blamed = new BlamedFeatures(clock);
+  }
+
+  /** Whether nothing is under suspicion or blamed. */
+  get isEmpty(): boolean {
+    return this.#services.size === 0 && this.blamed.size === 0;
+  }
+
+  /** Number of features that are under suspicion, and of sets of them that are blamed. */
+  get counts(): { readonly suspected: number; readonly blamed: number } {
+    this.#discardOld();
+    let suspected = 0;
+    for (const service of this.#services.keys()) suspected += this.suspectsOf(service).size;
+    return { suspected, blamed: this.blamed.size };
+  }
+
+  /** Records a crash, or further requests that were running at a known one. */
+  recordCrash(report: CrashReport): void {
+    const evidence = this.#evidenceOf(report.service);
+    for (const request of report.requests) {
+      const known = evidence.crashes.find((crash) => isSameCrash(crash, report, request));
+      const crash = known ?? createCrash(report);
+      if (known === undefined) evidence.crashes.push(crash);
+      const { content, parts } = request;
+      if (crash.requests.length < maxRequestsPerCrash) crash.requests.push({ content, parts });
+      if (this.#isIsolatedAt(report, content)) crash.isolatedContent = content;
+    }
+    evidence.crashes.splice(0, evidence.crashes.length - maxCrashes);
+    evidence.attribution = undefined;
+  }
+
+  /** Records that a peer knows of an answer to a request with a feature. */
+  recordSound(service: ServiceName, features: readonly FeatureId[], atMs: number): void {
+    this.blamed.clearSound(service, features);
+    const evidence = this.#services.get(service);
+    if (evidence === undefined) return;
+    for (const feature of features) {
+      const knownMs = evidence.soundMs.get(feature) ?? -Infinity;
+      evidence.soundMs.set(feature, Math.max(knownMs, atMs));
+      evidence.told.delete(feature);
+    }
+    evidence.attribution = undefined;
+  }
+
+  /** Records that a peer knows of answers to requests without the features. */
+  recordOthers(service: ServiceName, features: readonly FeatureId[]): void {
+    const evidence = this.#services.get(service);
+    if (evidence === undefined) return;
+    for (const feature of features) evidence.others.add(feature);
+    evidence.attribution = undefined;
+  }
+
+  /** Records what a peer has found to be suspect, and the number of crashes. */
+  recordTold(service: ServiceName, suspects: ReadonlyMap<FeatureId, number>): void {
+    if (suspects.size === 0 && !this.#services.has(service)) return;
+    const untilMs = this.#clock.monotonicMs() + retentionMs.told;
+    const { told } = this.#evidenceOf(service);
+    told.clear();
+    for (const [feature, crashCount] of suspects) told.set(feature, { crashCount, untilMs });
+  }
+
+  /**
+   * Blames what the crashes of a service show, and lifts what other requests explain by now.
+   *
+   * @returns whether anything is newly blamed, and what is lifted
+   */
+  deriveBlame(service: ServiceName): DerivedBlame {
+    const evidence = this.#services.get(service);
+    if (evidence === undefined) return { isNew: false, lifted: [] };
+    evidence.attribution = undefined;
+    const { blames, suspects } = this.#attributionOf(service);
+    const sinceMs = this.#clock.monotonicMs();
+    let isNew = false;
+    for (const blame of blames) isNew = this.blamed.add({ ...blame, service, sinceMs }) || isNew;
+    const lifted = [...suspects]
+      .filter(([feature, count]) => count < maxEndsPerRequest && !isPart(feature, evidence))
+      .map(([feature]) => [feature])
+      .filter((features) => this.blamed.remove(service, features));
+    return { isNew, lifted };
+  }
+
+  /** Lifts, by an operator's command, all that is blamed and names a feature; returns what that was. */
+  lift(feature: FeatureId): ServiceBlame[] {
+    const lifted = this.blamed.all().filter(({ features }) => features.includes(feature));
+    for (const { service, features } of lifted) this.recordLifted(service, features);
+    return lifted;
+  }
+
+  /** Records that an operator has lifted a blame; the crashes that led to it count no more. */
+  recordLifted(service: ServiceName, features: readonly FeatureId[]): void {
+    this.blamed.lift(service, features);
+    this.#services.delete(service);
+  }
+
+  /** The features under suspicion by the crashes that were reported here, with the number of these. */
+  suspectsOf(service: ServiceName): ReadonlyMap<FeatureId, number> {
+    return this.#attributionOf(service).suspects;
+  }
+
+  /** Whether requests of a service have to be looked at. */
+  hasSuspects(service: ServiceName): boolean {
+    return this.#services.has(service) || this.blamed.size > 0;
+  }
+
+  /** The highest number of crashes for which one of the features is under suspicion; 0 if none is. */
+  crashCountOf(service: ServiceName, features: readonly FeatureId[]): number {
+    const evidence = this.#services.get(service);
+    if (evidence === undefined) return 0;
+    const own = this.#attributionOf(service).suspects;
+    const nowMs = this.#clock.monotonicMs();
+    let highest = 0;
+    for (const feature of features) {
+      const { crashCount = 0, untilMs = 0 } = evidence.told.get(feature) ?? {};
+      highest = Math.max(highest, own.get(feature) ?? 0, untilMs > nowMs ? crashCount : 0);
+    }
+    return highest;
+  }
+
+  /** Asks whether a request may be sent now; the result is reported by {@link finishAttempt}. */
+  requestAttempt(question: SuspectAttemptRequest): SuspectDecision {
+    const { service, content, parts, attempt, candidates } = question;
+    this.deriveBlame(service);
+    if (this.blamed.find(service, [content, ...parts]) !== undefined)
+      return { verdict: 'quarantined' };
+    const contentCrashes = this.crashCountOf(service, [content]);
+    const suspectParts = parts.filter((part) => this.crashCountOf(service, [part]) > 0);
+    if (contentCrashes === 0 && suspectParts.length === 0) return { verdict: 'clear' };
+    this.#discardOverdueAttempts();
+    const pending = [...this.#attempts.values()].filter((one) => one.request.service === service);
+    const partsSinceMs = this.#clock.monotonicMs() - attemptTimeoutMs.parts;
+    const isTaken = (part: FeatureId) =>
+      pending.some(
+        ({ request, grantedMs }) => grantedMs > partsSinceMs && request.parts.includes(part),
+      );
+    if (suspectParts.some(isTaken)) return { verdict: 'busy' };
+    const ownPending = pending.filter(({ request }) => request.content === content);
+    if (contentCrashes + ownPending.length >= maxEndsPerRequest) return { verdict: 'busy' };
+    const isIsolated = contentCrashes >= endsToIsolate || suspectParts.length > 0;
+    const upstreamId = chooseApart(candidates, pending, isIsolated);
+    if (upstreamId === undefined) return { verdict: 'busy' };
+    const request = { service, content, parts: suspectParts };
+    const grantedMs = this.#clock.monotonicMs();
+    this.#attempts.set(attempt, { request, upstreamId, isIsolated, grantedMs });
+    return { verdict: 'granted', upstreamId };
+  }
+
+  /** Reports that an attempt has its result, and whether the upstream answered it. */
+  finishAttempt(attempt: string, wasAnswered: boolean): ServiceName | undefined {
+    const pending = this.#attempts.get(attempt);
+    if (pending === undefined) return undefined;
+    this.#attempts.delete(attempt);
+    const { service, content, parts } = pending.request;
+    if (wasAnswered) this.recordSound(service, [content, ...parts], this.#clock.monotonicMs());
+    return service;
+  }
+
+  /** Whether a request was sent to the upstream that crashed apart from other suspects. */
+  #isIsolatedAt({ upstreamId }: CrashReport, content: FeatureId): boolean {
+    return [...this.#attempts.values()].some(
+      (one) => one.isIsolated && one.upstreamId === upstreamId && one.request.content === content,
+    );
+  }
+
+  #evidenceOf(service: ServiceName): ServiceEvidence {
+    this.#discardOld();
+    return getOrCreate(this.#services, service, () => ({
+      crashes: [],
+      soundMs: new Map(),
+      others: new Set(),
+      told: new Map(),
+      attribution: undefined,
+    }));
+  }
+
+  #attributionOf(service: ServiceName): CrashAttribution {
+    const evidence = this.#services.get(service);
+    if (evidence === undefined) return { blames: [], suspects: new Map() };
+    const { soundMs, others, crashes } = evidence;
+    evidence.attribution ??= attributeCrashes(crashes, {
+      lastSoundMs: (feature) =>
+        latest(soundMs.get(feature), this.sound.lastSoundMs(service, feature)),
+      hasOthers: (feature) => others.has(feature) || this.sound.hasOthers(service, feature),
+    });
+    return evidence.attribution;
+  }
+
+  #discardOld(): void {
+    const nowMs = this.#clock.monotonicMs();
+    for (const [service, evidence] of this.#services) {
+      const count = evidence.crashes.length;
+      evidence.crashes = evidence.crashes.filter(({ atMs }) => nowMs - atMs < retentionMs.crash);
+      if (evidence.crashes.length !== count) evidence.attribution = undefined;
+      const isTold = [...evidence.told.values()].some(({ untilMs }) => untilMs > nowMs);
+      if (evidence.crashes.length === 0 && !isTold) this.#services.delete(service);
+    }
+  }
+
+  #discardOverdueAttempts(): void {
+    const nowMs = this.#clock.monotonicMs();
+    for (const [attempt, { grantedMs }] of this.#attempts)
+      if (nowMs - grantedMs >= attemptTimeoutMs.content) this.#attempts.delete(attempt);
+  }
+}
+
+function createCrash({ upstreamId, atMs }: CrashReport): CrashEntry {
+  return { upstreamId, atMs, requests: [], isolatedContent: undefined };
+}
+
+function isPart(feature: FeatureId, { crashes }: ServiceEvidence): boolean {
+  return crashes.some(({ requests }) => requests.some(({ parts }) => parts.includes(feature)));
+}
+
+/** A request that was sent after a crash was at another run, also if that started soon after it. */
+function isSameCrash(crash: Crash, report: CrashReport, request: ReportedRequest): boolean {
+  if (crash.upstreamId !== report.upstreamId || request.sentMs > crash.atMs) return false;
+  return Math.abs(crash.atMs - report.atMs) < sameCrashMs;
+}
+
+function latest(one: number | undefined, other: number | undefined): number | undefined {
+  if (one === undefined || other === undefined) return one ?? other;
+  return Math.max(one, other);
+}
+
+/**
+ * Chooses an upstream for a suspect: one that runs no other suspect, or else, unless it has to be isolated, the one
+ * with the fewest; none that runs an isolated one.
+ */
+function chooseApart(
+  candidates: readonly UpstreamId[],
+  pending: readonly PendingAttempt[],
+  isIsolated: boolean,
+): UpstreamId | undefined {
+  const free = candidates.map((upstreamId) => {
+    const there = pending.filter((one) => one.upstreamId === upstreamId);
+    return { upstreamId, count: there.length, isTaken: there.some((one) => one.isIsolated) };
+  });
+  const usable = free.filter(({ count, isTaken }) => !isTaken && (!isIsolated || count === 0));
+  const [first, ...others] = usable;
+  if (first === undefined) return undefined;
+  return others.reduce((best, one) => (one.count < best.count ? one : best), first).upstreamId;
+}
--- /dev/null
+++ b/packages/routing/src/attributeCrashes/index.ts
@@ -0,0 +1,256 @@
+import { getOrCreate, type FeatureId, type UpstreamId } from '@acaciacrank/base';
+
+/** A request that an upstream was running when it crashed. */
+export interface CrashedRequest {
+  /** What it asks for as a whole. */
+  readonly content: FeatureId;
+  /** The parts of its prompt that others may share; none if its answer had lived on for a while. */
+  readonly parts: readonly FeatureId[];
+}
+
+/** A crash of an upstream; the time is on the monotonic clock, in milliseconds. */
+export interface Crash {
+  readonly upstreamId: UpstreamId;
+  readonly atMs: number;
+  readonly requests: readonly CrashedRequest[];
+  /** The request that the upstream was running apart from other suspects; undefined if it ran none so. */
+  readonly isolatedContent?: FeatureId | undefined;
+}
+
+/** What is known of answers to requests with a feature. */
+export interface AnswerKnowledge {
+  /** When a request with the feature was last answered, on the monotonic clock; undefined if not known. */
+  readonly lastSoundMs: (feature: FeatureId) => number | undefined;
+  /** Whether a request without the feature was answered. */
+  readonly hasOthers: (feature: FeatureId) => boolean;
+}
+
+/** Features that end upstreams: a request that has all of them is sent to none. */
+export interface Blame {
+  readonly features: readonly FeatureId[];
+  readonly crashCount: number;
+}
+
+/** What crashes show of features. */
+export interface CrashAttribution {
+  readonly blames: readonly Blame[];
+  /** Features that may end upstreams, with the number of crashes; requests with them are sent with care. */
+  readonly suspects: ReadonlyMap<FeatureId, number>;
+}
+
+/** Number of upstreams that may end under one request. */
+export const maxEndsPerRequest = 3;
+/** Number of ends from which a request is sent to an upstream that runs no other suspect. */
+export const endsToIsolate = 2;
+
+/** Crashes from which a part of prompts is a suspect, and from which it can be blamed. */
+const partCrashes = { suspect: 2, blame: 3 } as const;
+/** Distinct requests in which a part must have been at crashes. */
+const minContents = 2;
+/** Crashes in which nothing but the same parts can be the cause, from which these are blamed. */
+const minSupport = 2;
+/** Crashes within this time count as one for a part, as when a failure domain goes down, in milliseconds. */
+const momentMs = 50;
+/**
+ * For a part that was answered shortly before the first crash, more is required: many crashes over some time. Upstreams
+ * that go down together leave what many requests share without an answer for a moment.
+ */
+const soundBefore = { withinMs: 60_000, crashes: 5, spanMs: 2_000 } as const;
+
+interface PartRecord {
+  readonly crashes: Crash[];
+  readonly contents: Set<FeatureId>;
+}
+
+/**
+ * Finds out which features of requests end upstreams: group testing over the requests that were running at crashes.
+ *
+ * A part counts as a cause of the crashes since a request with it was last answered, provided that it was in different
+ * requests and that requests without it are answered. Where several parts were at the same crashes, a request is blamed
+ * only if it has all of them; one with some is a suspect, and its answer clears these.
+ *
+ * @example
+ * attributeCrashes(crashes, knowledge).blames;
+ * //=> [{ features: ['dd'], crashCount: 3 }]
+ */
+export function attributeCrashes(
+  crashes: readonly Crash[],
+  knowledge: AnswerKnowledge,
+): CrashAttribution {
+  const parts = collectParts(crashes, knowledge);
+  const blamable = new Set<FeatureId>();
+  const suspects = new Map<FeatureId, number>();
+  for (const [part, record] of parts) {
+    if (isSuspect(part, record, knowledge)) suspects.set(part, record.crashes.length);
+    if (isBlamable(part, record, knowledge)) blamable.add(part);
+  }
+  const partBlames = findPartBlames(crashes, blamable, knowledge);
+  const contents = countContents(crashes, partBlames, knowledge);
+  const contentBlames: Blame[] = [];
+  for (const [content, crashCount] of contents) {
+    suspects.set(content, crashCount);
+    if (crashCount >= maxEndsPerRequest) contentBlames.push({ features: [content], crashCount });
+  }
+  return { blames: [...partBlames, ...contentBlames], suspects };
+}
+
+/** The crashes of each part that no later answer has cleared. */
+function collectParts(
+  crashes: readonly Crash[],
+  { lastSoundMs }: AnswerKnowledge,
+): Map<FeatureId, PartRecord> {
+  const records = new Map<FeatureId, PartRecord>();
+  for (const crash of crashes) {
+    for (const { content, parts } of crash.requests) {
+      for (const part of parts) {
+        if (isCleared(crash, lastSoundMs(part))) continue;
+        const record = getOrCreate<FeatureId, PartRecord>(records, part, () => ({
+          crashes: [],
+          contents: new Set(),
+        }));
+        if (record.crashes.at(-1) !== crash) record.crashes.push(crash);
+        record.contents.add(content);
+      }
+    }
+  }
+  return records;
+}
+
+function isCleared({ atMs }: Crash, lastSoundMs: number | undefined): boolean {
+  return lastSoundMs !== undefined && lastSoundMs >= atMs;
+}
+
+function isSuspect(part: FeatureId, record: PartRecord, knowledge: AnswerKnowledge): boolean {
+  if (record.contents.size < minContents || wasSoundBefore(part, record, knowledge)) return false;
+  return countMoments(record.crashes) >= partCrashes.suspect;
+}
+
+function isBlamable(part: FeatureId, record: PartRecord, knowledge: AnswerKnowledge): boolean {
+  const { crashes, contents } = record;
+  if (contents.size < minContents || !knowledge.hasOthers(part)) return false;
+  const moments = countMoments(crashes);
+  if (!wasSoundBefore(part, record, knowledge)) return moments >= partCrashes.blame;
+  return moments >= soundBefore.crashes && spanOf(crashes) >= soundBefore.spanMs;
+}
+
+/** Whether a request with the part was answered shortly before the first of its crashes. */
+function wasSoundBefore(
+  part: FeatureId,
+  { crashes }: PartRecord,
+  { lastSoundMs }: AnswerKnowledge,
+): boolean {
+  const soundMs = lastSoundMs(part);
+  if (soundMs === undefined) return false;
+  return Math.min(...crashes.map(({ atMs }) => atMs)) - soundMs < soundBefore.withinMs;
+}
+
+function spanOf(crashes: readonly Crash[]): number {
+  const times = crashes.map(({ atMs }) => atMs);
+  return Math.max(...times) - Math.min(...times);
+}
+
+function countMoments(crashes: readonly Crash[]): number {
+  const times = crashes.map(({ atMs }) => atMs).sort((a, b) => a - b);
+  let count = 0;
+  let startedMs = -Infinity;
+  for (const atMs of times) {
+    if (atMs - startedMs < momentMs) continue;
+    count += 1;
+    startedMs = atMs;
+  }
+  return count;
+}
+
+/** The sets of parts of which one must be the cause, since nothing else can explain some of the crashes. */
+function findPartBlames(
+  crashes: readonly Crash[],
+  blamable: ReadonlySet<FeatureId>,
+  { lastSoundMs }: AnswerKnowledge,
+): Blame[] {
+  if (blamable.size === 0) return [];
+  const candidates = crashes
+    .map((crash) => {
+      const parts = crash.requests.flatMap((request) => request.parts);
+      const open = parts.filter(
+        (part) => blamable.has(part) && !isCleared(crash, lastSoundMs(part)),
+      );
+      return new Set(open);
+    })
+    .filter(({ size }) => size > 0);
+  const distinct = new Map(candidates.map((set) => [[...set].sort().join(), set]));
+  const blames = [...distinct.values()].map((set) => ({
+    features: [...set],
+    crashCount: candidates.filter((one) => isSubset(one, set)).length,
+  }));
+  const supported = blames.filter(({ crashCount }) => crashCount >= minSupport);
+  return supported.filter(
+    (blame) => !supported.some((other) => other !== blame && isNarrower(other, blame)),
+  );
+}
+
+function isNarrower(one: Blame, other: Blame): boolean {
+  return (
+    one.features.length < other.features.length &&
+    isSubset(new Set(one.features), new Set(other.features))
+  );
+}
+
+function isSubset(set: ReadonlySet<FeatureId>, other: ReadonlySet<FeatureId>): boolean {
+  return [...set].every((item) => other.has(item));
+}
+
+interface ContentRecord {
+  readonly crashes: Crash[];
+  isIsolated: boolean;
+}
+
+/**
+ * Number of crashes under each whole request that no later answer clears. What another request explains, since it has
+ * all of what is blamed, or ended an upstream while it ran apart, does not convict.
+ */
+function countContents(
+  crashes: readonly Crash[],
+  blames: readonly Blame[],
+  { lastSoundMs }: AnswerKnowledge,
+): Map<FeatureId, number> {
+  const records = new Map<FeatureId, ContentRecord>();
+  for (const crash of crashes) {
+    for (const content of new Set(crash.requests.map((request) => request.content))) {
+      if (wasSound(crash, lastSoundMs(content))) continue;
+      const record = getOrCreate(records, content, () => ({ crashes: [], isIsolated: false }));
+      record.crashes.push(crash);
+      record.isIsolated ||= crash.isolatedContent === content;
+    }
+  }
+  const convicted = [...records].filter(
+    ([, record]) => record.isIsolated && record.crashes.length >= maxEndsPerRequest,
+  );
+  const counts = new Map<FeatureId, number>();
+  for (const [content, record] of records) {
+    const isConvicted = record.isIsolated && record.crashes.length >= maxEndsPerRequest;
+    const isExplained = (crash: Crash) =>
+      hasGuiltyBeside(crash, content, blames) ||
+      (!isConvicted && convicted.some(([, { crashes: theirs }]) => theirs.includes(crash)));
+    const unexplained = record.crashes.filter((crash) => !isExplained(crash)).length;
+    counts.set(content, Math.max(unexplained, Math.min(record.crashes.length, endsToIsolate)));
+  }
+  return counts;
+}
+
+/** Whether another request at a crash has all of what is blamed. */
+function hasGuiltyBeside(
+  { requests }: Crash,
+  content: FeatureId,
+  blames: readonly Blame[],
+): boolean {
+  return requests.some(
+    (request) =>
+      request.content !== content &&
+      blames.some(({ features }) => features.every((part) => request.parts.includes(part))),
+  );
+}
+
+/** Whether a request was answered after a crash, or shortly before it. */
+function wasSound({ atMs }: Crash, lastSoundMs: number | undefined): boolean {
+  return lastSoundMs !== undefined && lastSoundMs >= atMs - soundBefore.withinMs;
+}
--- a/packages/routing/src/decideHedge/index.ts
+++ b/packages/routing/src/decideHedge/index.ts
@@ -1,4 +1,4 @@
-import { endsToIsolate } from '../SuspectRequests/index.js';
+import { endsToIsolate } from '../attributeCrashes/index.js';
 import type { ServiceSilence } from '../measureSilence/index.js';
 
 /** What is known when a request has waited for its upstream in vain. */
--- a/packages/standins/src/experiments/suspects/index.ts
+++ b/packages/standins/src/experiments/suspects/index.ts
@@ -7,13 +7,14 @@
   createRandom,
   ManualClock,
   Metrics,
+  type FeatureId,
   type InstanceId,
   type Random,
   type ServiceName,
   type UpstreamId,
 } from '@acaciacrank/base';
 import { FleetRpc } from '@acaciacrank/fleet';
-import { RequestQuarantine } from '@acaciacrank/callers';
+import { RequestQuarantine, type RequestFeatures } from '@acaciacrank/callers';
 import type { RunOptions } from '../../_lib/runModuleByName/index.js';
 import { MemoryNetwork, type MemoryFleetLinks } from '../../MemoryNetwork/index.js';
 import type { ResultRow } from '../../printTable/index.js';
@@ -85,6 +86,11 @@
   readonly quarantine: RequestQuarantine;
 }
 
+function featuresOf(name: string): RequestFeatures {
+  const content = name as FeatureId;
+  return { service, parts: [], content, known: [] };
+}
+
 class SuspectSimulation implements Disposable {
   readonly #case: SuspectCase;
   readonly #random: Random;
@@ -133,6 +139,7 @@
       clock,
       instanceId: id,
       live: () => ids,
+      peers: () => ids.filter((peer) => peer !== id),
       log: createLog('experiment', { stream: { write: () => true } }),
       metrics: new Metrics(),
     });
@@ -147,7 +154,7 @@
         for (const to of ids) this.#network.setLossRatio(from, to, lossRatio);
       }
     }
-    const home = this.#instances[0]?.quarantine.homesOf({ digest: '', service })[0];
+    const home = this.#instances[0]?.quarantine.homesOf(service)[0];
     if (isHomeGone && home !== undefined) this.#network.isolate(home);
   }
 
@@ -161,26 +168,28 @@
   }
 
   async #send(quarantine: RequestQuarantine): Promise<void> {
-    const request = { digest: 'guilty', service };
+    const features = featuresOf('guilty');
     const deadlineMs = this.#clock.monotonicMs() + 3_000;
-    const suspect = quarantine.isSuspect(request.digest)
-      ? await quarantine.admit({ ...request, candidates: () => upstreams, deadlineMs })
+    const suspect = quarantine.isSuspect(features)
+      ? await quarantine.admit({ features, candidates: () => upstreams, deadlineMs })
       : undefined;
     const upstream = suspect?.upstreamId ?? this.#pick(upstreams);
+    const sentMs = this.#clock.monotonicMs();
     await this.#clock.sleep(repeats.runMs);
     if (upstream === undefined) return;
-    this.#end(quarantine, upstream);
+    this.#end(quarantine, upstream, sentMs);
     suspect?.finish(false);
   }
 
   /** The upstream ends under the request, and under others that random instances had there. */
-  #end(quarantine: RequestQuarantine, upstream: UpstreamId): void {
+  #end(quarantine: RequestQuarantine, upstreamId: UpstreamId, sentMs: number): void {
     this.#ends += 1;
-    quarantine.recordEnd({ digest: 'guilty', service }, upstream);
+    const crash = { upstreamId, sentMs, lostMs: this.#clock.monotonicMs(), hasLivedOn: false };
+    quarantine.recordCrash({ ...crash, features: featuresOf('guilty') });
     for (let index = 0; index < companionsPerEnd; index += 1) {
       this.#companionCount += 1;
-      const digest = `companion-${this.#companionCount}`;
-      this.#pick(this.#instances)?.quarantine.recordEnd({ digest, service }, upstream);
+      const features = featuresOf(`companion-${this.#companionCount}`);
+      this.#pick(this.#instances)?.quarantine.recordCrash({ ...crash, features });
     }
   }
 
