--- a/packages/soak/src/_lib/FakeUpstream/index.ts
+++ b/packages/soak/src/_lib/FakeUpstream/index.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { BrittleRoom } from '../BrittleRoom/index.js';
+import { deadlyPartOf } from '../DeadlyPartCaller/index.js';
 import { deadlyRequestOf } from '../DeadlyCaller/index.js';
 import { requestKinds } from '../buildSoakConfiguration/index.js';
 import { closeServer, listenOnLoopback } from '../listenOnLoopback/index.js';
@@ -56,6 +57,8 @@
   readonly #server: Server;
   /** Ids of the requests that it is running. */
   readonly #running = new Set<string>();
+  /** Number of times that it began to answer a request with a deadly part. */
+  #partRuns = 0;
 
   constructor(options: FakeUpstreamOptions) {
     this.#options = options;
@@ -128,6 +131,11 @@
       this.#end(deadlyRequest);
       return;
     }
+    const deadlyPart = deadlyPartOf(String(request.headers['x-prompt-prefix'] ?? ''));
+    if (deadlyPart !== undefined) {
+      await this.#endUnderPart(deadlyPart, id, response);
+      return;
+    }
     this.#running.add(id);
     if (kind?.isStream === true) await this.#stream(id, request, response);
     else {
@@ -178,6 +186,23 @@
     onEnd(this);
   }
 
+  /** Ends as it begins to answer a request with a deadly part; every second time it has written an event before. */
+  async #endUnderPart(part: string, id: string, response: ServerResponse): Promise<void> {
+    const { observations, onEnd } = this.#options;
+    observations.deadlyParts.noteArrival(part);
+    await sleep(delaysMs.plain);
+    if (response.destroyed) return;
+    response.writeHead(200, { ...this.#buildHeaders(id), 'content-type': 'text/event-stream' });
+    this.#partRuns += 1;
+    const event = `id: 1\ndata: ${id} 1 of ${eventsPerStream} ${this.run.softwareVersion}\n\n`;
+    if (this.#partRuns % 2 === 0) response.write(event);
+    await sleep(delaysMs.event);
+    observations.deadlyParts.noteEnd(part);
+    this.#running.clear();
+    this.#server.closeAllConnections();
+    onEnd(this);
+  }
+
   /** Builds the headers of a response, and reports the current limit to the checks. */
   #buildHeaders(id: string): Record<string, string> {
     const { limitPerS } = this;
--- a/packages/soak/src/_lib/FaultInjector/index.ts
+++ b/packages/soak/src/_lib/FaultInjector/index.ts
@@ -1,4 +1,5 @@
 import type { InjectedDefect, PlannedFault } from '../../types.js';
+import type { DeadlyPartCaller } from '../DeadlyPartCaller/index.js';
 import type { DeadlyCaller } from '../DeadlyCaller/index.js';
 import type { ResumingCaller } from '../ResumingCaller/index.js';
 import { BrittleRoom } from '../BrittleRoom/index.js';
@@ -33,6 +34,7 @@
   readonly environment: SoakEnvironment;
   readonly observations: Observations;
   readonly deadlyCaller: () => DeadlyCaller;
+  readonly deadlyPartCaller: () => DeadlyPartCaller;
   readonly resumingCaller: () => ResumingCaller;
   readonly injectedDefect: InjectedDefect | undefined;
 }
@@ -59,6 +61,7 @@
     const instance = environment.instances[index];
     const upstream = environment.upstreams[fault.target % environment.upstreams.length];
     if (instance === undefined || upstream === undefined) return;
+    if (fault.kind !== 'deadlyPart') observations.deadlyParts.noteOtherFault(fault.durationMs);
     const { process, storeProxy } = instance;
     switch (fault.kind) {
       case 'kill':
@@ -154,6 +157,9 @@
       case 'deadlyRequest':
         void this.#options.deadlyCaller().send(fault.target);
         return;
+      case 'deadlyPart':
+        void this.#options.deadlyPartCaller().run(fault.target, fault.durationMs);
+        return;
       case 'changeConfiguration':
         environment.changeConfiguration();
         return;
--- a/packages/soak/src/_lib/Observations/index.ts
+++ b/packages/soak/src/_lib/Observations/index.ts
@@ -3,6 +3,7 @@
 import { bounds, toleranceMs } from '../InstanceProcess/index.js';
 import { LimitCheck } from '../LimitCheck/index.js';
 import { DeadlyCheck } from '../DeadlyCheck/index.js';
+import { DeadlyPartCheck } from '../DeadlyPartCheck/index.js';
 import { BrittleCheck } from '../BrittleCheck/index.js';
 import { ReachCheck } from '../ReachCheck/index.js';
 import { VersionCheck } from '../VersionCheck/index.js';
@@ -70,6 +71,7 @@
   readonly limits: LimitCheck;
   readonly statements: StatementCheck;
   readonly deadly: DeadlyCheck;
+  readonly deadlyParts: DeadlyPartCheck;
   readonly reach: ReachCheck;
   readonly brittle: BrittleCheck;
   readonly versions: VersionCheck;
@@ -97,6 +99,7 @@
     this.limits = new LimitCheck({ now, onViolation });
     this.statements = new StatementCheck({ now, onViolation });
     this.deadly = new DeadlyCheck({ onViolation });
+    this.deadlyParts = new DeadlyPartCheck({ now, onViolation });
     this.reach = new ReachCheck({ now, onViolation });
     this.brittle = new BrittleCheck({ now, onViolation });
     const isUndisturbed = (fromMs: number, toMs: number) => this.#isUndisturbed(fromMs, toMs);
@@ -182,6 +185,7 @@
   /** Checks the invariants that apply to the run as a whole. */
   finish(): void {
     this.deadly.finish(this.calls);
+    this.deadlyParts.finish(this.calls);
     this.reach.finish(this.calls);
     this.brittle.finish();
     this.versions.finish();
--- a/packages/soak/src/_lib/planFaults/index.ts
+++ b/packages/soak/src/_lib/planFaults/index.ts
@@ -140,6 +140,31 @@
   return plan;
 }
 
+/** Mean time between two deadly parts, and for how long requests with one are sent. */
+const deadlyPartTimesMs = { meanInterval: 15_000, duration: 6_000 } as const;
+
+/**
+ * Generates the times at which callers send requests that share a part which ends upstreams. They are drawn apart from
+ * the other faults, like the overloads.
+ *
+ * @param random - random numbers; the same sequence gives the same plan
+ * @param runDurationMs - duration of the run
+ *
+ * @example
+ * planDeadlyParts(createRandom(7), 60_000).length;
+ */
+export function planDeadlyParts(random: Random, runDurationMs: number): PlannedFault[] {
+  const { meanInterval, duration: durationMs } = deadlyPartTimesMs;
+  const plan: PlannedFault[] = [];
+  let atMs = meanInterval * 2 * random();
+  while (atMs < runDurationMs) {
+    const target = Math.floor(random() * 1_000);
+    plan.push({ kind: 'deadlyPart', atMs: Math.round(atMs), durationMs, target });
+    atMs += durationMs + meanInterval * 2 * random();
+  }
+  return plan;
+}
+
 /** Mean time between two times of mixed versions, and how long these last. */
 const versionMixTimesMs = { meanInterval: 15_000, duration: 6_000 } as const;
 
--- a/packages/soak/src/runSoak/index.ts
+++ b/packages/soak/src/runSoak/index.ts
@@ -3,11 +3,13 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { LoadGenerator } from '../_lib/LoadGenerator/index.js';
 import { DeadlyCaller } from '../_lib/DeadlyCaller/index.js';
+import { DeadlyPartCaller } from '../_lib/DeadlyPartCaller/index.js';
 import { ResumingCaller } from '../_lib/ResumingCaller/index.js';
 import { DirectoryPoller } from '../_lib/DirectoryPoller/index.js';
 import { FaultInjector } from '../_lib/FaultInjector/index.js';
 import { Observations } from '../_lib/Observations/index.js';
 import {
+  planDeadlyParts,
   planDeadlyRequests,
   planFaults,
   planOverloads,
@@ -43,6 +45,7 @@
   readonly #faults: readonly PlannedFault[];
   readonly #injector: FaultInjector;
   #createdDeadlyCaller: DeadlyCaller | undefined;
+  #createdDeadlyPartCaller: DeadlyPartCaller | undefined;
   #createdResumingCaller: ResumingCaller | undefined;
 
   constructor(options: SoakOptions) {
@@ -65,6 +68,7 @@
       environment,
       observations,
       deadlyCaller: () => this.#deadlyCaller,
+      deadlyPartCaller: () => this.#deadlyPartCaller,
       resumingCaller: () => this.#resumingCaller,
       injectedDefect,
     });
@@ -78,6 +82,15 @@
     }));
   }
 
+  get #deadlyPartCaller(): DeadlyPartCaller {
+    return (this.#createdDeadlyPartCaller ??= new DeadlyPartCaller({
+      random: this.#random,
+      check: this.#observations.deadlyParts,
+      callerPorts: this.#environment.instances.map(({ process }) => process.ports.front),
+      isVaried: this.#options.injectedDefect === 'varyPart',
+    }));
+  }
+
   get #resumingCaller(): ResumingCaller {
     return (this.#createdResumingCaller ??= new ResumingCaller({
       random: this.#random,
@@ -110,9 +123,10 @@
     const overloads = planOverloads(createRandom(seed + 2), durationMs);
     const restores = hasRestores === true ? planRestores(createRandom(seed + 1), durationMs) : [];
     const deadly = planDeadlyRequests(createRandom(seed + 3), durationMs);
+    const parts = planDeadlyParts(createRandom(seed + 6), durationMs);
     const mixes = planVersionMixes(createRandom(seed + 4), durationMs);
     const pauses = planPauses(createRandom(seed + 5), durationMs);
-    return [...faults, ...overloads, ...deadly, ...mixes, ...pauses, ...restores].sort(
+    return [...faults, ...overloads, ...deadly, ...parts, ...mixes, ...pauses, ...restores].sort(
       (a, b) => a.atMs - b.atMs,
     );
   }
--- a/packages/soak/src/runSoak/test.ts
+++ b/packages/soak/src/runSoak/test.ts
@@ -129,6 +129,30 @@
   t.deepEqual(report.violations, []);
 });
 
+// Guards against a part of prompts that ends one upstream after another, since no two requests with it are alike.
+test.serial('a deadly part of prompts ends a bounded number of upstreams', async (t) => {
+  const deadly = { kind: 'deadlyPart', durationMs: 8_000 } as const;
+  const faults = [0, 1].map((target) => ({ ...deadly, atMs: 1_500 + 9_000 * target, target }));
+  const changes = { faults, instances: 4, durationMs: 19_000, requestsPerSecond: 160 };
+  const report = await runSoak(optionsFor('deadlyPart', changes));
+  t.deepEqual(report.violations, []);
+});
+
+// Guards against an instance that does not know what is blamed: started again, leaving, or having stood still.
+test.serial('a deadly part is known to instances that start, leave or pause', async (t) => {
+  const faults = [
+    { kind: 'deadlyPart', atMs: 1_500, durationMs: 16_000, target: 1 },
+    { kind: 'pause', atMs: 1_450, durationMs: 1_800, target: 0 },
+    { kind: 'stop', atMs: 1_550, durationMs: 8_500, target: 1 },
+    { kind: 'kill', atMs: 5_000, durationMs: 0, target: 2 },
+    { kind: 'kill', atMs: 8_000, durationMs: 0, target: 3 },
+    { kind: 'powerOff', atMs: 11_000, durationMs: 1_500, target: 0 },
+  ] as const;
+  const changes = { faults, instances: 4, durationMs: 18_500, requestsPerSecond: 160 };
+  const report = await runSoak(optionsFor('deadlyPartStarts', changes));
+  t.deepEqual(report.violations, []);
+});
+
 // Guards against requests that are refused as deadly since they were at upstreams that ended for other reasons.
 test.serial('upstreams that crash one after another convict no request', async (t) => {
   const crash = { kind: 'crashUpstream', durationMs: 0 } as const;
@@ -237,6 +261,7 @@
   ['hideLimit', 'upstreamLimit', singleFault('limitUpstream', 6_000)],
   ['hideLeaving', 'statedLeaving', singleFault('leaveUpstream')],
   ['hideBackoff', 'statedBackoff', singleFault('overloadUpstream', 6_000)],
+  ['varyPart', 'deadlyPart', singleFault('deadlyPart', 5_000)],
   ['varyDeadly', 'queryOfDeath', singleFault('deadlyRequest')],
   [
     'hideBrittle',
--- a/packages/soak/src/types.ts
+++ b/packages/soak/src/types.ts
@@ -29,6 +29,8 @@
   | 'statedBackoff'
   /** One request ends at most three upstreams, whoever repeats it, and the requests beside it are served. */
   | 'queryOfDeath'
+  /** A part of prompts that ends upstreams ends eight at most, is soon sent nowhere, and sound requests are served. */
+  | 'deadlyPart'
   /** An instance that reaches no upstream serves nearly what the others do; if none does, all refuse at once. */
   | 'unreachedUpstreams'
   /** Upstreams that fall over when they refuse too much rarely do, and are used. */
@@ -83,6 +85,8 @@
   | 'hideBackoff'
   /** Sends each attempt of a deadly request for something else. */
   | 'varyDeadly'
+  /** Names the part of prompts that ends upstreams in another way in each request. */
+  | 'varyPart'
   /** Omits from the responses of brittle upstreams that they are. */
   | 'hideBrittle'
   /** States the same version in the records of all upstreams. */
@@ -141,6 +145,8 @@
   | 'overloadUpstream'
   /** A caller sends a request that ends each upstream which runs it, and repeats it at any instance. */
   | 'deadlyRequest'
+  /** Callers send requests, no two alike, that share a part of their prompts which ends each upstream. */
+  | 'deadlyPart'
   /** Some or all instances reach no upstream: their connections hang, are reset, or only new ones hang. */
   | 'cutFromUpstreams'
   /** The upstreams of a service have little room, and fall over if they refuse too much. */
