BUDGET: instances that start, leave or reach no peer know what is blamed

Cause: blame was sent to live peers only, over links. Change: registrations carry what an instance has found or refused itself; who finds it writes at once, others with their next heartbeat. They are read before the first request of a run (500 ms at most) and once a second as before, so no call is added while nothing is blamed. What was only told is not reported on, so that blame ends an hour after the last request.

--- a/packages/callers/src/RequestQuarantine/index.ts
+++ b/packages/callers/src/RequestQuarantine/index.ts
@@ -9,7 +9,7 @@
   type ServiceName,
   type UpstreamId,
 } from '@acaciacrank/base';
-import type { FleetLinks, FleetMessageOf, FleetRpc } from '@acaciacrank/fleet';
+import type { FleetLinks, FleetMessageOf, FleetRpc, RegisteredBlame } from '@acaciacrank/fleet';
 import {
   endsToIsolate,
   rankByKey,
@@ -31,7 +31,7 @@
   live: () => readonly InstanceId[];
   /** All other instances that may serve callers, leaving and suspected ones included. */
   peers: () => readonly InstanceId[];
-  /** Called when features are blamed that were not before. */
+  /** Called when this instance blames features that were not blamed before. */
   onBlame?: () => void;
   log: Log;
   metrics: Metrics;
@@ -215,8 +215,23 @@
 
   /** Informs a peer of all that is blamed, as when it becomes live. */
   sendAllTo(peer: InstanceId): void {
+    const { instanceId } = this.#options;
     for (const service of new Set(this.suspects.blamed.all().map((blame) => blame.service)))
-      this.#send(peer, this.#describe(service));
+      if (this.homesOf(service).includes(instanceId)) this.#send(peer, this.#describe(service));
+  }
+
+  /** What this instance registers in the store, for instances that no peer reaches or that start. */
+  get registered(): readonly RegisteredBlame[] {
+    return this.suspects.blamed
+      .witnessed()
+      .slice(0, maxInMessage.blames)
+      .map(({ service, features, crashCount }) => ({ service, features, crashCount }));
+  }
+
+  /** Adds what another instance has registered in the store. */
+  addRegistered(blames: readonly RegisteredBlame[]): void {
+    const sinceMs = this.#options.clock.monotonicMs();
+    for (const blame of blames) this.suspects.blamed.addTold({ ...blame, sinceMs });
   }
 
   /**
@@ -359,13 +374,7 @@
   #addBlames(service: ServiceName, blames: FleetMessageOf<'crashSuspects'>['blames']): void {
     const nowMs = this.#options.clock.monotonicMs();
     for (const { features, crashCount, ageMs } of blames) {
-      const isNew = this.suspects.blamed.add({
-        service,
-        features,
-        crashCount,
-        sinceMs: nowMs - ageMs,
-      });
-      if (isNew) this.#options.onBlame?.();
+      this.suspects.blamed.addTold({ service, features, crashCount, sinceMs: nowMs - ageMs });
     }
   }
 
@@ -452,7 +461,7 @@
   #describeBlames(service: ServiceName): FleetMessageOf<'crashSuspects'>['blames'] {
     const nowMs = this.#options.clock.monotonicMs();
     return this.suspects.blamed
-      .all()
+      .witnessed()
       .filter((blame) => blame.service === service)
       .slice(0, maxInMessage.blames)
       .map(({ features, crashCount, sinceMs }: ServiceBlame) => {
--- a/packages/fleet/src/Registrations/index.ts
+++ b/packages/fleet/src/Registrations/index.ts
@@ -1,4 +1,4 @@
-import type { Clock, FailureDomainId, InstanceId } from '@acaciacrank/base';
+import type { Clock, FailureDomainId, FeatureId, InstanceId, ServiceName } from '@acaciacrank/base';
 import type { ListedInstance, ObjectStore, StoredObject } from '@acaciacrank/store';
 import * as z from 'zod';
 import type { RestoreReport } from '../RestoreWitness/index.js';
@@ -21,15 +21,28 @@
   readonly heartbeat: number;
   /** What this instance reports about restores of the store; undefined until it has listed the others. */
   readonly restores?: RestoreReport | undefined;
+  /** Features of requests that end upstreams, as this instance knows; undefined if there are none. */
+  readonly blames?: readonly RegisteredBlame[] | undefined;
+}
+
+/** Features of requests that end the upstreams of a service: one with all of them is sent to none. */
+export interface RegisteredBlame {
+  readonly service: ServiceName;
+  readonly features: readonly FeatureId[];
+  readonly crashCount: number;
 }
 
 /** Options of {@link Registrations}. */
 export interface RegistrationsOptions {
   store: ObjectStore;
   clock: Clock;
-  self: Omit<Registration, 'heartbeat' | 'state' | 'restores'>;
+  self: Omit<Registration, 'heartbeat' | 'state' | 'restores' | 'blames'>;
   /** The own report about restores of the store, to register. */
   restores?: () => RestoreReport | undefined;
+  /** What this instance knows of features that end upstreams, to register. */
+  blames?: () => readonly RegisteredBlame[];
+  /** Called with what another instance has registered of such features, each time that it has written. */
+  onBlames?: (blames: readonly RegisteredBlame[]) => void;
   /** Called with all registrations of other instances after each successful read of the list. */
   onRegistrations?: (others: readonly RegisteredRun[]) => void;
   /** Called with the other instances after each successful read of the list. */
@@ -90,6 +103,15 @@
       witnessedEpoch: z.number(),
     })
     .optional(),
+  blames: z
+    .array(
+      z.object({
+        service: z.string(),
+        features: z.array(z.string()).min(1),
+        crashCount: z.number(),
+      }),
+    )
+    .optional(),
 });
 
 interface SeenRegistration {
@@ -162,6 +184,11 @@
     await Promise.all([this.#runHeartbeats(), this.#runListing()]);
   }
 
+  /** Writes the registration now, since what it says has changed. */
+  async writeNow(): Promise<void> {
+    if (this.#heartbeat > 0 && !this.#stop.signal.aborted) await this.#register();
+  }
+
   /** Marks the registration of this instance as `leaving`. */
   async leave(): Promise<void> {
     this.#state = 'leaving';
@@ -209,7 +236,10 @@
     this.#heartbeat += 1;
     const { store, self } = this.#options;
     const restores = this.#options.restores?.();
-    const registration = { ...self, state: this.#state, heartbeat: this.#heartbeat, restores };
+    const known = this.#options.blames?.() ?? [];
+    const blames = known.length > 0 ? known : undefined;
+    const written = { state: this.#state, heartbeat: this.#heartbeat, restores, blames };
+    const registration = { ...self, ...written };
     await store.write(this.#key, registration, { kind: 'none' });
   }
 
@@ -286,6 +316,7 @@
       this.#rememberFormerRun(known.registration.runId);
     }
     this.#seen.set(registration.instanceId, { registration, version, heartbeatAtMs, removeAtMs });
+    if (registration.blames !== undefined) this.#options.onBlames?.(registration.blames);
   }
 
   #rememberFormerRun(runId: string): void {
--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -56,6 +56,8 @@
   tokens: PrepaidAccounts;
   retries: RetryShare;
   quarantine: RequestQuarantine;
+  /** Returns what to wait for until this instance knows what its fleet blames; undefined once it does. */
+  untilInformed: () => Promise<void> | undefined;
   /** Whether this instance reaches upstreams. */
   reach: ReachMonitor;
   /** The peers that send requests to upstreams while this instance reaches none. */
@@ -145,6 +147,8 @@
       const limit = this.#options.routes()?.configuration.limits.bodyBytes ?? defaultMaxBodyBytes;
       const body = await readBody(request, limit, buffered);
       const call = this.#admit(request, response, body, trace, summary);
+      const informing = this.#options.untilInformed();
+      if (informing !== undefined) await informing;
       await this.#serve(call);
     } catch (thrown) {
       outcome = this.#respondWithError(response, thrown, trace);
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -123,6 +123,9 @@
 /** Time reserved for the exit of the process itself, in milliseconds. */
 const exitMarginMs = 150;
 
+/** How long requests wait after a start for what other instances have registered, in milliseconds. */
+const maxInformingMs = 500;
+
 /** A component that runs until it is disposed of. */
 type Runnable = (Disposable | AsyncDisposable) & { run(): Promise<void> };
 
@@ -160,6 +163,8 @@
   readonly #linkKey = randomBytes(linkKeyBytes).toString('hex');
   #fleetPort: number | undefined;
   #phase: 'running' | 'leaving' | 'refusing' = 'running';
+  /** Pending until what other instances have registered is known, or could not be read for a while. */
+  #informing: Promise<void> | undefined;
 
   constructor(options: ForwardingInstanceOptions) {
     this.#options = { random: Math.random, ...options };
@@ -244,6 +249,7 @@
       tokens: this.tokens,
       retries,
       quarantine: this.quarantine,
+      untilInformed: () => this.#informing,
       reach: this.reach,
       relayPeers: this.#createRelayPeers(),
       affinity: this.affinity,
@@ -328,6 +334,7 @@
     this.#startTask('upstreams', upstreams);
     this.#startTask('drains', this.#followDrains());
     this.#startTask('fleet', this.fleet);
+    this.#informing = this.#waitForFirstList();
     this.#startTask('upstreams of peers', this.#createPeerUpstreamSync(upstreams));
     this.#startTask('upstream limits', this.#limitGossip);
     this.#startTask('tokens', this.tokens);
@@ -429,10 +436,23 @@
       isStoreUnavailable,
       isFirstStart: settings.isFirstStart,
       accountedEpoch: () => this.tokens.accountedEpoch,
+      blames: {
+        blames: () => this.quarantine.registered,
+        onBlames: (blames) => {
+          this.quarantine.addRegistered(blames);
+        },
+      },
       onPeerLive,
     });
   }
 
+  /** Guards against a request that ends upstreams at an instance that has just started, while the others know of it. */
+  async #waitForFirstList(): Promise<void> {
+    const { clock } = this.#options;
+    await Promise.race([this.fleet.firstList, clock.sleep(maxInformingMs)]);
+    this.#informing = undefined;
+  }
+
   /** Tells the holders of state that the store came back from an older copy. */
   #followRestores(): Disposable {
     const { store, log, metrics } = this.#options;
@@ -500,6 +520,9 @@
       instanceId,
       live,
       peers: () => this.fleet.otherInstances,
+      onBlame: () => {
+        this.fleet.registerNow();
+      },
       log,
       metrics,
     });
--- a/packages/forwarding/src/InstanceFleet/index.ts
+++ b/packages/forwarding/src/InstanceFleet/index.ts
@@ -40,6 +40,8 @@
   isFirstStart: boolean;
   /** The highest epoch of the store in which this instance has written again all that it held. */
   accountedEpoch: () => number;
+  /** What this instance knows of features of requests that end upstreams, and what others have registered. */
+  blames?: Required<Pick<RegistrationsOptions, 'blames' | 'onBlames'>>;
   /** Called when a peer becomes live, initially, again or after a restart. */
   onPeerLive?: (peer: InstanceId) => void;
 }
@@ -98,6 +100,10 @@
   /** The instances that share rate limits, and when they were derived. */
   #rateSharing: { readonly ids: readonly InstanceId[]; readonly atMs: number } | undefined;
   #isListFailing = false;
+  #resolveFirstList: () => void = () => undefined;
+  readonly #firstList = new Promise<void>((resolve) => {
+    this.#resolveFirstList = resolve;
+  });
   readonly #membership: Membership;
   readonly #disposables = new DisposableStore();
 
@@ -140,6 +146,7 @@
         clock,
         self,
         restores: () => this.restores.report,
+        ...options.blames,
         onRegistrations: (others) => {
           const epoch = store.epochs.value;
           const wasAccounted = this.restores.isAccounted(epoch);
@@ -152,6 +159,7 @@
         },
         onListAttempt: (isListed) => {
           this.#isListFailing = !isListed;
+          if (isListed) this.#resolveFirstList();
           metrics.count('instanceLists', isListed ? 'listed' : 'failed');
         },
       }),
@@ -255,6 +263,11 @@
     return this.#registrations.listAgeMs;
   }
 
+  /** Resolves when the store's list of instances, and what they have registered, was read for the first time. */
+  get firstList(): Promise<void> {
+    return this.#firstList;
+  }
+
   /** Whether the last attempt to read the list from the store failed. */
   get isListFailing(): boolean {
     return this.#isListFailing;
@@ -282,6 +295,13 @@
     await this.#registrations.run();
   }
 
+  /** Writes the registration of this instance now, since what it says has changed. */
+  registerNow(): void {
+    this.#registrations.writeNow().catch(() => {
+      // The next heartbeat writes it.
+    });
+  }
+
   /** Announces to the others that this instance accepts callers. */
   declareLive(): void {
     this.#membership.declareLive();
--- a/packages/routing/src/BlamedFeatures/index.ts
+++ b/packages/routing/src/BlamedFeatures/index.ts
@@ -9,11 +9,13 @@
 }
 
 interface BlameEntry extends ServiceBlame {
-  /** When it was last reported, or a request was refused for it. */
-  lastNewsMs: number;
+  /** When this instance found it, or refused a request for it, last; negative infinity if it was only told. */
+  witnessedMs: number;
+  /** When a peer reported it last. */
+  toldMs: number;
 }
 
-/** For how long features stay blamed after the last news of them, in milliseconds. */
+/** For how long features stay blamed after the last request or report, in milliseconds. */
 const retentionMs = 3_600_000;
 /** Maximum number of entries; the least recent ones are discarded first. */
 const maxEntries = 256;
@@ -44,11 +46,33 @@
 
   /** All that is blamed. */
   all(): ServiceBlame[] {
+    return this.#entries;
+  }
+
+  /**
+   * What this instance itself found, or refused a request for. Only that is reported to peers: what is merely told would
+   * go from one to the other for good.
+   */
+  witnessed(): ServiceBlame[] {
+    const sinceMs = this.#clock.monotonicMs() - retentionMs;
+    return this.#entries.filter(({ witnessedMs }) => witnessedMs > sinceMs);
+  }
+
+  get #entries(): BlameEntry[] {
     return [...this.#byService.values()].flatMap((entries) => [...entries.values()]);
   }
 
-  /** Adds features; returns whether they were not blamed yet. */
+  /** Adds what this instance has found; returns whether it was not blamed yet. */
   add(blame: ServiceBlame): boolean {
+    return this.#add(blame, { witnessedMs: this.#clock.monotonicMs(), toldMs: -Infinity });
+  }
+
+  /** Adds what a peer has reported; returns whether it was not blamed yet. */
+  addTold(blame: ServiceBlame): boolean {
+    return this.#add(blame, { witnessedMs: -Infinity, toldMs: this.#clock.monotonicMs() });
+  }
+
+  #add(blame: ServiceBlame, news: Pick<BlameEntry, 'witnessedMs' | 'toldMs'>): boolean {
     const nowMs = this.#clock.monotonicMs();
     const key = keyOf(blame.features);
     if (nowMs < (this.#liftedUntilMs.get(`${blame.service}/${key}`) ?? -Infinity)) return false;
@@ -59,22 +83,23 @@
     );
     const known = entries.get(key);
     if (known !== undefined) {
-      known.lastNewsMs = nowMs;
+      known.witnessedMs = Math.max(known.witnessedMs, news.witnessedMs);
+      known.toldMs = Math.max(known.toldMs, news.toldMs);
       return false;
     }
     this.#discardOld(nowMs);
-    entries.set(key, { ...blame, lastNewsMs: nowMs });
+    entries.set(key, { ...blame, ...news });
     this.#size += 1;
     return true;
   }
 
-  /** Returns what is blamed among the features of a request, which counts as news of it. */
+  /** Returns what is blamed among the features of a request, which makes this instance a witness of it. */
   find(service: ServiceName, features: readonly FeatureId[]): ServiceBlame | undefined {
     const entries = this.#byService.get(service);
     if (entries === undefined || entries.size === 0) return undefined;
     for (const entry of entries.values()) {
       if (!entry.features.every((feature) => features.includes(feature))) continue;
-      entry.lastNewsMs = this.#clock.monotonicMs();
+      entry.witnessedMs = this.#clock.monotonicMs();
       return entry;
     }
     return undefined;
@@ -109,7 +134,8 @@
     let oldest: { readonly service: ServiceName; readonly key: string } | undefined;
     let oldestMs = Infinity;
     for (const [service, entries] of this.#byService) {
-      for (const [key, { lastNewsMs }] of entries) {
+      for (const [key, { witnessedMs, toldMs }] of entries) {
+        const lastNewsMs = Math.max(witnessedMs, toldMs);
         if (nowMs - lastNewsMs >= retentionMs) this.#remove(service, key);
         else if (lastNewsMs < oldestMs) {
           oldest = { service, key };
--- a/packages/routing/src/BlamedFeatures/test.ts
+++ b/packages/routing/src/BlamedFeatures/test.ts
@@ -55,6 +55,17 @@
   );
 });
 
+// Guards against blame that peers report to each other for good, after the last request.
+test('what was only told is not reported on, until a request is refused for it', (t) => {
+  const blamed = new BlamedFeatures(new ManualClock());
+  t.true(blamed.addTold(blame('dd')));
+  t.false(blamed.addTold(blame('dd')));
+  t.is(blamed.all().length, 1);
+  t.is(blamed.witnessed().length, 0);
+  t.not(blamed.find(service, features('dd')), undefined);
+  t.is(blamed.witnessed().length, 1);
+});
+
 // Guards against memory that grows with what is blamed.
 test('the least recent blame is discarded when there are many', (t) => {
   const blamed = new BlamedFeatures(new ManualClock());
