BUDGET: a home's reply to a crash report comes before the retry; instances without a home exchange crashes through the store

Crash reports are requests now, whose reply says what is blamed and suspect; where no home replies, the crash is registered in the store and the registrations are read at once. A part that was at two crashes of one request is a suspect already, so that requests with it go one at a time.

--- a/packages/callers/src/RequestQuarantine/index.ts
+++ b/packages/callers/src/RequestQuarantine/index.ts
@@ -1,5 +1,4 @@
 import {
-  getOrCreate,
   RouterError,
   type Clock,
   type FeatureId,
@@ -9,17 +8,23 @@
   type ServiceName,
   type UpstreamId,
 } from '@acaciacrank/base';
-import type { FleetLinks, FleetMessageOf, FleetRpc, RegisteredBlame } from '@acaciacrank/fleet';
+import type {
+  CrashReportMessage,
+  FleetLinks,
+  FleetMessageOf,
+  FleetRpc,
+  RegisteredBlame,
+  RegisteredQuarantine,
+} from '@acaciacrank/fleet';
 import {
   endsToIsolate,
   rankByKey,
   SuspectFeatures,
-  type CrashReport,
-  type ReportedRequest,
   type ServiceBlame,
   type SuspectDecision,
   type SuspectRequest,
 } from '@acaciacrank/routing';
+import { CrashReporter } from '../_lib/CrashReporter/index.js';
 
 /** Options of {@link RequestQuarantine}. */
 export interface RequestQuarantineOptions {
@@ -33,6 +38,8 @@
   peers: () => readonly InstanceId[];
   /** Called when this instance blames features that were not blamed before. */
   onBlame?: () => void;
+  /** Writes what this instance registers in the store, and reads what others have; by default nothing is registered. */
+  exchange?: () => Promise<void>;
   log: Log;
   metrics: Metrics;
 }
@@ -81,7 +88,9 @@
 /** Number of instances that know of the crashes at a service: its home and one that can take its place. */
 const homeCount = 2;
 /** Limits on the items of one message. */
-const maxInMessage = { requests: 256, parts: 64, candidates: 32, features: 256, blames: 64 };
+const maxInMessage = { parts: 64, candidates: 32, features: 256, blames: 64 };
+/** Maximum number of registered crashes that are remembered. */
+const maxKnownCrashes = 4_096;
 /** Time between two announcements of a home, in milliseconds: each crash is reported by many instances. */
 const announceIntervalMs = 20;
 /** Timeout of a home's reply, in milliseconds. */
@@ -102,8 +111,9 @@
   readonly suspects: SuspectFeatures;
   readonly #options: RequestQuarantineOptions;
   readonly #subscriptions: readonly Disposable[];
-  /** Crashes that are reported together, by service and upstream. */
-  readonly #pendingReports = new Map<string, CrashReport & { requests: ReportedRequest[] }>();
+  readonly #reporter: CrashReporter;
+  /** Crashes that other instances have registered in the store, by instance, run and upstream. */
+  readonly #knownCrashes = new Set<string>();
   /** What was last announced, by service. */
   readonly #announced = new Map<ServiceName, string>();
   /** Services of which an announcement was sent a moment ago, and whether there is news since. */
@@ -114,7 +124,21 @@
     this.#options = options;
     const { clock, links, rpc } = options;
     this.suspects = new SuspectFeatures(clock);
+    this.#reporter = new CrashReporter({
+      ...options,
+      homesOf: (service) => this.homesOf(service),
+      hasPeers: () => options.peers().length > 0,
+      onReply: (service, home, { blames, suspects }) => {
+        this.#receiveSuspects({ kind: 'crashSuspects', service, blames, suspects }, home);
+      },
+      exchange: options.exchange,
+    });
     this.#subscriptions = [
+      rpc.answer('crashReport', ({ report }) => {
+        this.#addReport(report);
+        const { blames, suspects } = this.#describe(report.service);
+        return { kind: 'crashReport', blames, suspects };
+      }),
       links.subscribe((message, from) => {
         this.#receive(message, from);
       }),
@@ -165,21 +189,19 @@
       this.#send(home, { kind: 'soundFeatures', service, ...message });
   }
 
-  /** Records that an upstream crashed under a request of this instance, and reports it to the home of its service. */
-  recordCrash({ features, upstreamId, sentMs, lostMs, hasLivedOn }: CrashedAttempt): void {
+  /**
+   * Records that an upstream crashed under a request of this instance, and reports it to the homes of its service.
+   *
+   * @returns resolves when this instance knows what the crashes show by now, or after a short time
+   */
+  recordCrash({ features, upstreamId, sentMs, lostMs, hasLivedOn }: CrashedAttempt): Promise<void> {
     const { service, content } = features;
     const parts = hasLivedOn ? [] : features.parts.slice(0, maxInMessage.parts);
     const request = { content, parts, sentMs };
-    const report = { service, upstreamId, atMs: lostMs };
-    this.suspects.recordCrash({ ...report, requests: [request] });
+    const crash = { service, upstreamId, atMs: lostMs };
+    this.suspects.recordCrash({ ...crash, requests: [request] });
     this.#announce(service);
-    const key = `${service}/${upstreamId}`;
-    if (this.#pendingReports.size === 0)
-      this.#options.clock.schedule(0, () => {
-        this.#sendReports();
-      });
-    const pending = getOrCreate(this.#pendingReports, key, () => ({ ...report, requests: [] }));
-    if (pending.requests.length < maxInMessage.requests) pending.requests.push(request);
+    return this.#reporter.report(crash, request);
   }
 
   /**
@@ -221,17 +243,24 @@
   }
 
   /** What this instance registers in the store, for instances that no peer reaches or that start. */
-  get registered(): readonly RegisteredBlame[] {
-    return this.suspects.blamed
-      .witnessed()
-      .slice(0, maxInMessage.blames)
-      .map(({ service, features, crashCount }) => ({ service, features, crashCount }));
+  get registered(): RegisteredQuarantine | undefined {
+    const blames = this.suspects.blamed.witnessed().slice(0, maxInMessage.blames);
+    const crashes = this.#reporter.registered;
+    if (blames.length === 0 && crashes.length === 0) return undefined;
+    return { blames: blames.map(toRegisteredBlame), crashes };
   }
 
   /** Adds what another instance has registered in the store. */
-  addRegistered(blames: readonly RegisteredBlame[]): void {
+  addRegistered(run: string, { blames, crashes }: RegisteredQuarantine): void {
     const sinceMs = this.#options.clock.monotonicMs();
     for (const blame of blames) this.suspects.blamed.addTold({ ...blame, sinceMs });
+    for (const crash of crashes) {
+      const key = `${run}/${crash.service}/${crash.upstreamId}`;
+      if (this.#knownCrashes.has(key)) continue;
+      this.#knownCrashes.add(key);
+      if (this.#knownCrashes.size > maxKnownCrashes) this.#knownCrashes.clear();
+      this.#addReport(crash);
+    }
   }
 
   /**
@@ -308,7 +337,7 @@
 
   #finish(home: InstanceId, attempt: string, wasAnswered: boolean): void {
     // A crash under the attempt has to be known before its end.
-    this.#sendReports();
+    void this.#reporter.flush();
     if (home === this.#options.instanceId) this.#finishOwn(attempt, wasAnswered);
     else this.#send(home, { kind: 'suspectAttemptEnded', attempt, wasAnswered });
   }
@@ -319,7 +348,6 @@
   }
 
   #receive(message: Parameters<Parameters<FleetLinks['subscribe']>[0]>[0], from: InstanceId): void {
-    if (message.kind === 'crashReport') this.#receiveReport(message);
     if (message.kind === 'crashSuspects') this.#receiveSuspects(message, from);
     if (message.kind === 'blameLifted') this.#receiveLifted(message);
     if (message.kind === 'soundFeatures') this.#receiveSound(message);
@@ -327,7 +355,7 @@
       this.#finishOwn(message.attempt, message.wasAnswered);
   }
 
-  #receiveReport({ service, upstreamId, ageMs, requests }: FleetMessageOf<'crashReport'>): void {
+  #addReport({ service, upstreamId, ageMs, requests }: CrashReportMessage): void {
     const nowMs = this.#options.clock.monotonicMs();
     this.suspects.recordCrash({
       service,
@@ -427,23 +455,6 @@
     }
   }
 
-  #sendReports(): void {
-    const nowMs = this.#options.clock.monotonicMs();
-    for (const { service, upstreamId, atMs, requests } of this.#pendingReports.values()) {
-      const report = {
-        kind: 'crashReport',
-        service,
-        upstreamId,
-        ageMs: Math.max(0, nowMs - atMs),
-        requests: requests.map(({ content, parts, sentMs }) => {
-          return { content, parts: [...parts], sentAgeMs: Math.max(0, nowMs - sentMs) };
-        }),
-      } as const;
-      for (const home of this.homesOf(service)) this.#send(home, report);
-    }
-    this.#pendingReports.clear();
-  }
-
   #send(to: InstanceId, message: Parameters<FleetLinks['send']>[1]): void {
     const { instanceId, links } = this.#options;
     if (to !== instanceId) links.send(to, message);
@@ -470,6 +481,10 @@
   }
 }
 
+function toRegisteredBlame({ service, features, crashCount }: ServiceBlame): RegisteredBlame {
+  return { service, features, crashCount };
+}
+
 function createQuarantinedError(): RouterError {
   return new RouterError('requestQuarantined', 'upstreams ended under requests like this one');
 }
--- a/packages/callers/src/_lib/SuspectTracker/index.ts
+++ b/packages/callers/src/_lib/SuspectTracker/index.ts
@@ -71,7 +71,7 @@
     const begunActiveMs = this.#begunActiveMs ?? Infinity;
     const hasLivedOn = clock.activeMs() - begunActiveMs >= livedOnMs;
     const crashed = { features, upstreamId: upstream.id, sentMs, lostMs, hasLivedOn };
-    if (await this.#hasEnded(upstream)) quarantine.recordCrash(crashed);
+    if (await this.#hasEnded(upstream)) await quarantine.recordCrash(crashed);
     this.#finish(false);
   }
 
--- a/packages/fleet/src/Registrations/index.ts
+++ b/packages/fleet/src/Registrations/index.ts
@@ -1,7 +1,9 @@
 import type { Clock, FailureDomainId, FeatureId, InstanceId, ServiceName } from '@acaciacrank/base';
 import type { ListedInstance, ObjectStore, StoredObject } from '@acaciacrank/store';
 import * as z from 'zod';
+import { crashReportSchema } from '../messageSchemas/index.js';
 import type { RestoreReport } from '../RestoreWitness/index.js';
+import type { CrashReportMessage } from '../types.js';
 
 /** The registration of an instance, as stored in the object store. */
 export interface Registration {
@@ -21,8 +23,15 @@
   readonly heartbeat: number;
   /** What this instance reports about restores of the store; undefined until it has listed the others. */
   readonly restores?: RestoreReport | undefined;
-  /** Features of requests that end upstreams, as this instance knows; undefined if there are none. */
-  readonly blames?: readonly RegisteredBlame[] | undefined;
+  /** What this instance knows of requests that end upstreams; undefined if it knows nothing. */
+  readonly quarantine?: RegisteredQuarantine | undefined;
+}
+
+/** What an instance knows of requests that end upstreams. */
+export interface RegisteredQuarantine {
+  readonly blames: readonly RegisteredBlame[];
+  /** Crashes under its requests that no other instance has confirmed. */
+  readonly crashes: readonly CrashReportMessage[];
 }
 
 /** Features of requests that end the upstreams of a service: one with all of them is sent to none. */
@@ -36,13 +45,13 @@
 export interface RegistrationsOptions {
   store: ObjectStore;
   clock: Clock;
-  self: Omit<Registration, 'heartbeat' | 'state' | 'restores' | 'blames'>;
+  self: Omit<Registration, 'heartbeat' | 'state' | 'restores' | 'quarantine'>;
   /** The own report about restores of the store, to register. */
   restores?: () => RestoreReport | undefined;
-  /** What this instance knows of features that end upstreams, to register. */
-  blames?: () => readonly RegisteredBlame[];
-  /** Called with what another instance has registered of such features, each time that it has written. */
-  onBlames?: (blames: readonly RegisteredBlame[]) => void;
+  /** What this instance knows of requests that end upstreams, to register. */
+  quarantine?: () => RegisteredQuarantine | undefined;
+  /** Called with what a run of another instance has registered of them, each time that it has written. */
+  onQuarantine?: (run: string, quarantine: RegisteredQuarantine) => void;
   /** Called with all registrations of other instances after each successful read of the list. */
   onRegistrations?: (others: readonly RegisteredRun[]) => void;
   /** Called with the other instances after each successful read of the list. */
@@ -87,6 +96,12 @@
 /** Number of replaced runs that are remembered; more than restart within the age of a copy. */
 const maxFormerRuns = 1_024;
 
+const registeredBlameSchema = z.object({
+  service: z.string(),
+  features: z.array(z.string()).min(1),
+  crashCount: z.number(),
+});
+
 const registrationSchema = z.object({
   instanceId: z.string(),
   runId: z.string(),
@@ -103,14 +118,8 @@
       witnessedEpoch: z.number(),
     })
     .optional(),
-  blames: z
-    .array(
-      z.object({
-        service: z.string(),
-        features: z.array(z.string()).min(1),
-        crashCount: z.number(),
-      }),
-    )
+  quarantine: z
+    .object({ blames: z.array(registeredBlameSchema), crashes: z.array(crashReportSchema) })
     .optional(),
 });
 
@@ -189,6 +198,12 @@
     if (this.#heartbeat > 0 && !this.#stop.signal.aborted) await this.#register();
   }
 
+  /** Writes the registration now, and reads those of the others. */
+  async exchangeNow(): Promise<void> {
+    await this.writeNow();
+    if (!this.#stop.signal.aborted) await this.#list();
+  }
+
   /** Marks the registration of this instance as `leaving`. */
   async leave(): Promise<void> {
     this.#state = 'leaving';
@@ -236,9 +251,8 @@
     this.#heartbeat += 1;
     const { store, self } = this.#options;
     const restores = this.#options.restores?.();
-    const known = this.#options.blames?.() ?? [];
-    const blames = known.length > 0 ? known : undefined;
-    const written = { state: this.#state, heartbeat: this.#heartbeat, restores, blames };
+    const quarantine = this.#options.quarantine?.();
+    const written = { state: this.#state, heartbeat: this.#heartbeat, restores, quarantine };
     const registration = { ...self, ...written };
     await store.write(this.#key, registration, { kind: 'none' });
   }
@@ -316,7 +330,9 @@
       this.#rememberFormerRun(known.registration.runId);
     }
     this.#seen.set(registration.instanceId, { registration, version, heartbeatAtMs, removeAtMs });
-    if (registration.blames !== undefined) this.#options.onBlames?.(registration.blames);
+    const { quarantine, instanceId, runId } = registration;
+    if (quarantine !== undefined)
+      this.#options.onQuarantine?.(`${instanceId}/${runId}`, quarantine);
   }
 
   #rememberFormerRun(runId: string): void {
--- a/packages/fleet/src/messageSchemas/index.ts
+++ b/packages/fleet/src/messageSchemas/index.ts
@@ -115,6 +115,17 @@
   ageMs: z.number().nonnegative(),
 });
 const blames = z.array(blameSchema).max(64);
+const suspects = z
+  .array(z.object({ feature: featureId, crashCount: nonNegativeInteger }))
+  .max(maxFeatures.inMessage);
+
+/** Requests of one instance that were running at an upstream when it crashed. */
+export const crashReportSchema = z.object({
+  service: serviceName,
+  upstreamId,
+  ageMs: z.number().nonnegative(),
+  requests: z.array(crashedRequestSchema).max(maxFeatures.inMessage),
+});
 
 /** Maximum number of streams in one message, and of the runs that began them. */
 const maxStreams = 512;
@@ -188,6 +199,8 @@
    * the ledger package.
    */
   z.object({ kind: z.literal('prepaidTokens'), loan: loanSchema }),
+  /** Reports a crash to a home of the service, and asks what its crashes show by now. */
+  z.object({ kind: z.literal('crashReport'), report: crashReportSchema }),
   /** Asks the home of a service whether a request that is under suspicion may be sent. */
   z.object({
     kind: z.literal('suspectAttempt'),
@@ -249,6 +262,7 @@
     upstreamId: upstreamId.optional(),
     blames,
   }),
+  z.object({ kind: z.literal('crashReport'), blames, suspects }),
   /** Of the streams that the peer knows. */
   z.object({ kind: z.literal('streamOrigins'), origins: streamOrigins }),
   /** `isCurrent` is false, and `records` empty, when the peer cannot reach the store either. */
@@ -286,22 +300,12 @@
   }),
   /** Which runs of upstreams began streams, to the homes of these. */
   z.object({ kind: z.literal('streamOrigins'), origins: streamOrigins }),
-  /** The sender's requests that were running at an upstream when it crashed, to the homes of its service. */
-  z.object({
-    kind: z.literal('crashReport'),
-    service: serviceName,
-    upstreamId,
-    ageMs: z.number().nonnegative(),
-    requests: z.array(crashedRequestSchema).max(maxFeatures.inMessage),
-  }),
   /** What crashes of a service's upstreams show, from its homes to all. */
   z.object({
     kind: z.literal('crashSuspects'),
     service: serviceName,
     blames,
-    suspects: z
-      .array(z.object({ feature: featureId, crashCount: nonNegativeInteger }))
-      .max(maxFeatures.inMessage),
+    suspects,
   }),
   /** Blames that do not hold any more, or that an operator has lifted. */
   z.object({
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -4,6 +4,7 @@
 import type { InstanceId } from '@acaciacrank/base';
 import type { z } from 'zod';
 import type {
+  crashReportSchema,
   fleetMessageSchema,
   fleetRequestSchema,
   fleetReplySchema,
@@ -28,6 +29,9 @@
 /** A reply of one kind. */
 export type FleetReplyOf<Kind extends FleetReply['kind']> = Extract<FleetReply, { kind: Kind }>;
 
+/** A crash of an upstream, as an instance reports it; ages are relative to when it is sent. */
+export type CrashReportMessage = z.infer<typeof crashReportSchema>;
+
 /** The gossiped record of a member. */
 export type MemberRecord = z.infer<typeof memberRecordSchema>;
 
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -436,10 +436,10 @@
       isStoreUnavailable,
       isFirstStart: settings.isFirstStart,
       accountedEpoch: () => this.tokens.accountedEpoch,
-      blames: {
-        blames: () => this.quarantine.registered,
-        onBlames: (blames) => {
-          this.quarantine.addRegistered(blames);
+      quarantine: {
+        quarantine: () => this.quarantine.registered,
+        onQuarantine: (run, registered) => {
+          this.quarantine.addRegistered(run, registered);
         },
       },
       onPeerLive,
@@ -523,6 +523,7 @@
       onBlame: () => {
         this.fleet.registerNow();
       },
+      exchange: () => this.fleet.exchangeNow(),
       log,
       metrics,
     });
--- a/packages/forwarding/src/InstanceFleet/index.ts
+++ b/packages/forwarding/src/InstanceFleet/index.ts
@@ -40,8 +40,8 @@
   isFirstStart: boolean;
   /** The highest epoch of the store in which this instance has written again all that it held. */
   accountedEpoch: () => number;
-  /** What this instance knows of features of requests that end upstreams, and what others have registered. */
-  blames?: Required<Pick<RegistrationsOptions, 'blames' | 'onBlames'>>;
+  /** What this instance registers of requests that end upstreams, and what it does with what others have. */
+  quarantine?: Required<Pick<RegistrationsOptions, 'quarantine' | 'onQuarantine'>>;
   /** Called when a peer becomes live, initially, again or after a restart. */
   onPeerLive?: (peer: InstanceId) => void;
 }
@@ -146,7 +146,7 @@
         clock,
         self,
         restores: () => this.restores.report,
-        ...options.blames,
+        ...options.quarantine,
         onRegistrations: (others) => {
           const epoch = store.epochs.value;
           const wasAccounted = this.restores.isAccounted(epoch);
@@ -302,6 +302,11 @@
     });
   }
 
+  /** Writes the registration of this instance, and reads those of the others. */
+  exchangeNow(): Promise<void> {
+    return this.#registrations.exchangeNow();
+  }
+
   /** Announces to the others that this instance accepts callers. */
   declareLive(): void {
     this.#membership.declareLive();
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -366,13 +366,14 @@
     const { id: upstreamId } = upstream;
     const features = this.#features;
     const hasLivedOn = begunForMs !== undefined && begunForMs >= livedOnMs;
-    quarantine.recordCrash({ features, upstreamId, sentMs: sentMs ?? lostMs, lostMs, hasLivedOn });
     this.#call.progress.endedCount += 1;
     const { content } = features;
     const parts = features.parts.slice(0, maxTracedParts).join(' ');
     const ended = { upstreamId, underWay, begunForMs: begunForMs && Math.round(begunForMs) };
     this.#call.trace.add('upstreamEnded', { ...ended, content, parts });
     metrics.count('requestsEnded', begunForMs === undefined ? 'waiting' : 'begun');
+    const crashed = { features, upstreamId, sentMs: sentMs ?? lostMs, lostMs, hasLivedOn };
+    await quarantine.recordCrash(crashed);
   }
 
   /** Handles the end of one attempt, whether or not others go on; what fails is replaced at once beside a silent one. */
--- a/packages/routing/src/attributeCrashes/index.ts
+++ b/packages/routing/src/attributeCrashes/index.ts
@@ -45,7 +45,7 @@
 
 /** Crashes from which a part of prompts is a suspect, and from which it can be blamed. */
 const partCrashes = { suspect: 2, blame: 3 } as const;
-/** Distinct requests in which a part must have been at crashes. */
+/** Distinct requests in which a part must have been at crashes to be blamed. */
 const minContents = 2;
 /** Crashes in which nothing but the same parts can be the cause, from which these are blamed. */
 const minSupport = 2;
@@ -121,7 +121,7 @@
 }
 
 function isSuspect(part: FeatureId, record: PartRecord, knowledge: AnswerKnowledge): boolean {
-  if (record.contents.size < minContents || wasSoundBefore(part, record, knowledge)) return false;
+  if (wasSoundBefore(part, record, knowledge)) return false;
   return countMoments(record.crashes) >= partCrashes.suspect;
 }
 
--- a/packages/standins/src/experiments/suspects/index.ts
+++ b/packages/standins/src/experiments/suspects/index.ts
@@ -177,20 +177,21 @@
     const sentMs = this.#clock.monotonicMs();
     await this.#clock.sleep(repeats.runMs);
     if (upstream === undefined) return;
-    this.#end(quarantine, upstream, sentMs);
+    await this.#end(quarantine, upstream, sentMs);
     suspect?.finish(false);
   }
 
   /** The upstream ends under the request, and under others that random instances had there. */
-  #end(quarantine: RequestQuarantine, upstreamId: UpstreamId, sentMs: number): void {
+  #end(quarantine: RequestQuarantine, upstreamId: UpstreamId, sentMs: number): Promise<void> {
     this.#ends += 1;
     const crash = { upstreamId, sentMs, lostMs: this.#clock.monotonicMs(), hasLivedOn: false };
-    quarantine.recordCrash({ ...crash, features: featuresOf('guilty') });
+    const reporting = quarantine.recordCrash({ ...crash, features: featuresOf('guilty') });
     for (let index = 0; index < companionsPerEnd; index += 1) {
       this.#companionCount += 1;
       const features = featuresOf(`companion-${this.#companionCount}`);
-      this.#pick(this.#instances)?.quarantine.recordCrash({ ...crash, features });
+      void this.#pick(this.#instances)?.quarantine.recordCrash({ ...crash, features });
     }
+    return reporting;
   }
 
   #pick<Item>(items: readonly Item[]): Item | undefined {
