Upstreams that have ended are not taken for this instance's own cut, and cost a request a connection, not its answer

Cause: in a doubt three upstreams were probed at random; with many ended all three refuse, and two rounds of 0.4 s follow until they count as reached. And a request was given up after three refused connections, however quick. Change: chooseProbeTargets (routing) probes those heard of last and, in a doubt, twelve in all, four in each later round. A request may try eight upstreams while that has taken less than 0.3 s.

--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -186,14 +186,17 @@
       this.#relayedStore,
       batchShare.configuration * settings.configurationLimitMs,
     );
-    const addresses = () => this.upstreams.all().map(({ address }) => address);
+    const targets = () =>
+      this.upstreams.all().map(({ address, activity: { sinceReceivedMs } }) => {
+        return { address, sinceReceivedMs };
+      });
     this.reach = this.#disposables.add(
       new ReachMonitor({
         clock,
         random,
         log,
         metrics,
-        addresses,
+        targets,
         onReturn: () => {
           this.upstreams.clearEjections();
         },
--- a/packages/forwarding/src/ReachMonitor/index.ts
+++ b/packages/forwarding/src/ReachMonitor/index.ts
@@ -1,5 +1,5 @@
 import type { Clock, Log, Metrics, Random } from '@acaciacrank/base';
-import { UpstreamReach } from '@acaciacrank/routing';
+import { chooseProbeTargets, UpstreamReach, type ProbeTarget } from '@acaciacrank/routing';
 import { probeAddress } from '../_lib/probeAddress/index.js';
 
 /** Options of {@link ReachMonitor}. */
@@ -8,14 +8,16 @@
   random: Random;
   log: Log;
   metrics: Metrics;
-  /** Returns the addresses of the upstreams, `IP:PORT`. */
-  addresses: () => readonly string[];
+  /** Returns the upstreams that can be probed. */
+  targets: () => readonly ProbeTarget[];
   /** Called when upstreams are reached again. */
   onReturn: () => void;
 }
 
-/** Number of upstreams that are probed at once, and how long each may take, in milliseconds. */
-const probes = { count: 3, timeoutMs: 250 } as const;
+/** Number of upstreams that are probed in a doubt, and in each round while none is reached. */
+const probeCounts = { inDoubt: 12, unreached: 4 } as const;
+/** How long a probe may take, in milliseconds. */
+const probeTimeoutMs = 250;
 /** Time between two rounds of probes while no upstream is reached, in milliseconds. */
 const roundIntervalMs = 400;
 
@@ -76,15 +78,13 @@
     this.#nextRound = this.#options.clock.schedule(roundIntervalMs, () => void this.#answerDoubt());
   }
 
-  /** Returns whether any of a few random upstreams accepts a connection. */
+  /** Returns whether any of a few upstreams accepts a connection. */
   async #probeSome(): Promise<boolean> {
-    const { addresses, random, clock } = this.#options;
-    const candidates = [...addresses()];
-    const accepting: Promise<void>[] = [];
-    while (accepting.length < probes.count && candidates.length > 0) {
-      const [address = ''] = candidates.splice(Math.floor(random() * candidates.length), 1);
-      accepting.push(probeUntilAccepted(clock, address));
-    }
+    const { targets, random, clock } = this.#options;
+    const count = this.reach.state === 'unreached' ? probeCounts.unreached : probeCounts.inDoubt;
+    const accepting = chooseProbeTargets(targets(), { count, random }).map(({ address }) =>
+      probeUntilAccepted(clock, address),
+    );
     return Promise.any(accepting).then(
       () => true,
       () => false,
@@ -107,6 +107,6 @@
 }
 
 async function probeUntilAccepted(clock: Clock, address: string): Promise<void> {
-  const outcome = await probeAddress(clock, address, probes.timeoutMs);
+  const outcome = await probeAddress(clock, address, probeTimeoutMs);
   if (outcome !== 'accepted') throw new Error(`${address} is not reached: ${outcome}`);
 }
--- a/packages/forwarding/src/ReachMonitor/test.ts
+++ b/packages/forwarding/src/ReachMonitor/test.ts
@@ -22,7 +22,7 @@
     random: () => 0,
     log: createLog('test', { stream: { write: () => true } }),
     metrics: new Metrics(),
-    addresses: () => [address, address, address],
+    targets: () => [1, 2, 3].map(() => ({ address, sinceReceivedMs: 0 })),
     onReturn: () => undefined,
   });
   monitor.reach.recordConnectFailed('u1' as UpstreamId);
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -23,7 +23,7 @@
   type HedgePermitsDependencies,
 } from '../HedgePermits/index.js';
 import { HedgedAttempts, type Contender, type EndedContender } from '../HedgedAttempts/index.js';
-import { maxConnectAttempts, upstreamInactivityMs } from '../limits/index.js';
+import { connectAttempts, upstreamInactivityMs } from '../limits/index.js';
 import { createUnavailableError } from '../createUnavailableError/index.js';
 import { describeResult, describeSend } from '../describeAttempt/index.js';
 import { recordStreamBegin } from '../recordStreamBegin/index.js';
@@ -78,6 +78,8 @@
   readonly #call: ForwardCall;
   readonly #chooser: UpstreamChooser;
   #unsentAttempts = 0;
+  /** Time that attempts have taken which were not sent, in milliseconds. */
+  #unsentMs = 0;
   #wasRelayed = false;
   readonly #features: CallFeatures;
   /** The attempts that are under way beside each other. */
@@ -113,7 +115,10 @@
         suspect?.finish(false);
         throw this.#createUnavailableError();
       }
-      if (await this.#handleEnd(await this.#attempt(pick, suspect))) return;
+      const startedMs = this.#dependencies.clock.monotonicMs();
+      const end = await this.#attempt(pick, suspect);
+      if (end.result.kind === 'notSent') this.#recordUnsent(startedMs);
+      if (await this.#handleEnd(end)) return;
     }
   }
 
@@ -411,8 +416,7 @@
         await call.writer.end(result.body);
         return true;
       case 'notSent':
-        this.#unsentAttempts += 1;
-        if (this.#unsentAttempts < maxConnectAttempts || this.#mustRelay) return false;
+        if (this.#mayConnectAgain || this.#mustRelay) return false;
         throw this.#createUnavailableError();
       case 'notRun':
         if (this.#tryTakeRetry()) return false;
@@ -433,6 +437,17 @@
     }
   }
 
+  #recordUnsent(startedMs: number): void {
+    this.#unsentAttempts += 1;
+    this.#unsentMs += this.#dependencies.clock.monotonicMs() - startedMs;
+  }
+
+  /** Upstreams that refuse connections cost a request little; those that do not answer use up its time. */
+  get #mayConnectAgain(): boolean {
+    const isQuick = this.#unsentMs < connectAttempts.quickMs;
+    return this.#unsentAttempts < (isQuick ? connectAttempts.quick : connectAttempts.slow);
+  }
+
   #writeResponseHead(result: PlainResponse, upstreamId: UpstreamId | undefined): void {
     const { codec } = this.#dependencies;
     const callerHeaders = responseHeaders(this.#call, codec, result.headers, upstreamId);
--- a/packages/forwarding/src/_lib/limits/index.ts
+++ b/packages/forwarding/src/_lib/limits/index.ts
@@ -15,8 +15,11 @@
 export const keepAliveTimeoutMs = 4_000;
 /** Upper bound for a keep-alive timeout that an upstream announces, in milliseconds. */
 export const maxKeepAliveTimeoutMs = 30_000;
-/** Maximum number of upstreams that a request is tried at while no connection can be opened. */
-export const maxConnectAttempts = 3;
+/**
+ * Maximum number of upstreams that a request is tried at while no connection can be opened: the lower one once that
+ * has taken longer than `quickMs` in all, in milliseconds.
+ */
+export const connectAttempts = { slow: 3, quick: 8, quickMs: 300 } as const;
 /** After how long a request is sent again to an upstream that could not be connected to, in milliseconds. */
 export const reconnectDelayMs = 300;
 /**
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -44,6 +44,7 @@
 export * from './BlamedFeatures/index.js';
 export * from './SuspectFeatures/index.js';
 export * from './UpstreamReach/index.js';
+export * from './chooseProbeTargets/index.js';
 export * from './divideSlots/index.js';
 export * from './mayContinueStream/index.js';
 export * from './StreamOrigins/index.js';
