--- a/packages/callers/src/RequestQuarantine/index.ts
+++ b/packages/callers/src/RequestQuarantine/index.ts
@@ -19,6 +19,7 @@
 import {
   endsToIsolate,
   rankByKey,
+  repliesMs,
   SuspectFeatures,
   type ServiceBlame,
   type SuspectDecision,
@@ -128,16 +129,17 @@
       ...options,
       homesOf: (service) => this.homesOf(service),
       hasPeers: () => options.peers().length > 0,
-      onReply: (service, home, { blames, suspects }) => {
-        this.#receiveSuspects({ kind: 'crashSuspects', service, blames, suspects }, home);
+      onReply: (service, home, { blames, suspects, questions }) => {
+        const found = { blames, suspects, questions };
+        this.#receiveSuspects({ kind: 'crashSuspects', service, ...found }, home);
       },
       exchange: options.exchange,
     });
     this.#subscriptions = [
       rpc.answer('crashReport', ({ report }) => {
         this.#addReport(report);
-        const { blames, suspects } = this.#describe(report.service);
-        return { kind: 'crashReport', blames, suspects };
+        const { blames, suspects, questions } = this.#describe(report.service);
+        return { kind: 'crashReport', blames, suspects, questions };
       }),
       links.subscribe((message, from) => {
         this.#receive(message, from);
@@ -182,7 +184,8 @@
     const blame = suspects.blamed.find(service, answered);
     const sound = [...new Set([...cleared, ...(blame?.features ?? [])])];
     if (sound.length === 0) return;
-    suspects.recordSound(service, sound, this.#options.clock.monotonicMs());
+    const lifted = suspects.recordSound(service, sound, this.#options.clock.monotonicMs());
+    this.#sendLifted(service, lifted);
     this.#announce(service);
     const message = { sound: sound.map((feature) => ({ feature, ageMs: 0 })), others: [] };
     for (const home of this.homesOf(service))
@@ -308,6 +311,7 @@
       if (decision !== undefined) return { decision, home };
     }
     const decision = own();
+    this.suspects.recordAsked(service);
     this.#announce(service);
     return { decision, home: instanceId };
   }
@@ -369,11 +373,11 @@
   }
 
   #receiveSuspects(message: FleetMessageOf<'crashSuspects'>, from: InstanceId): void {
-    const { service, blames, suspects } = message;
+    const { service, blames, suspects, questions } = message;
     this.#addBlames(service, blames);
     const found = new Map(suspects.map(({ feature, crashCount }) => [feature, crashCount]));
     this.suspects.recordTold(service, found);
-    this.#reportSound(from, service, [...found.keys()]);
+    this.#reportSound(from, service, [...found.keys(), ...questions]);
   }
 
   /** Reports to the home of a service what this instance knows of answers with and without its suspects. */
@@ -431,10 +435,24 @@
   #sendAnnouncement(service: ServiceName): void {
     const message = this.#describe(service);
     const features = message.blames.map((blame) => blame.features);
-    const state = JSON.stringify([features, message.suspects]);
-    if (state === (this.#announced.get(service) ?? '[[],[]]')) return;
-    this.#announced.set(service, state);
+    const { suspects, questions } = message;
+    const state = JSON.stringify([
+      features,
+      suspects,
+      questions,
+      this.suspects.crashCount(service),
+    ]);
+    const hasNothing = features.length + suspects.length + questions.length === 0;
+    if (state === this.#announced.get(service)) return;
+    if (hasNothing && !this.#announced.has(service)) return;
+    if (hasNothing) this.#announced.delete(service);
+    else this.#announced.set(service, state);
     for (const peer of this.#options.peers()) this.#send(peer, message);
+    if (suspects.length + questions.length === 0) return;
+    this.suspects.recordAsked(service);
+    this.#options.clock.schedule(repliesMs, () => {
+      this.#announce(service);
+    });
   }
 
   #sendLifted(
@@ -466,7 +484,9 @@
       .filter(([, crashCount]) => crashCount >= endsToIsolate)
       .slice(0, maxInMessage.features)
       .map(([feature, crashCount]) => ({ feature, crashCount }));
-    return { kind: 'crashSuspects', service, blames: this.#describeBlames(service), suspects };
+    const questions = this.suspects.questionsOf(service).slice(0, maxInMessage.features);
+    const blames = this.#describeBlames(service);
+    return { kind: 'crashSuspects', service, blames, suspects, questions: [...questions] };
   }
 
   #describeBlames(service: ServiceName): FleetMessageOf<'crashSuspects'>['blames'] {
--- a/packages/fleet/src/messageSchemas/index.ts
+++ b/packages/fleet/src/messageSchemas/index.ts
@@ -119,6 +119,8 @@
   .array(z.object({ feature: featureId, crashCount: nonNegativeInteger }))
   .max(maxFeatures.inMessage);
 
+const questions = z.array(featureId).max(maxFeatures.inMessage);
+
 /** Requests of one instance that were running at an upstream when it crashed. */
 export const crashReportSchema = z.object({
   service: serviceName,
@@ -262,7 +264,7 @@
     upstreamId: upstreamId.optional(),
     blames,
   }),
-  z.object({ kind: z.literal('crashReport'), blames, suspects }),
+  z.object({ kind: z.literal('crashReport'), blames, suspects, questions }),
   /** Of the streams that the peer knows. */
   z.object({ kind: z.literal('streamOrigins'), origins: streamOrigins }),
   /** `isCurrent` is false, and `records` empty, when the peer cannot reach the store either. */
@@ -306,6 +308,8 @@
     service: serviceName,
     blames,
     suspects,
+    /** Features of which the receiver may know later answers. */
+    questions,
   }),
   /** Blames that do not hold any more, or that an operator has lifted. */
   z.object({
--- a/packages/routing/src/BlamedFeatures/index.ts
+++ b/packages/routing/src/BlamedFeatures/index.ts
@@ -110,11 +110,15 @@
     return this.#remove(service, keyOf(features));
   }
 
-  /** Clears what is blamed although a request with all of it was answered. */
-  clearSound(service: ServiceName, features: readonly FeatureId[]): void {
+  /** Clears what is blamed although a request with all of it was answered; returns what that was. */
+  clearSound(service: ServiceName, features: readonly FeatureId[]): readonly FeatureId[][] {
+    const cleared: FeatureId[][] = [];
     for (const [key, entry] of this.#byService.get(service) ?? []) {
-      if (entry.features.every((feature) => features.includes(feature))) this.#remove(service, key);
+      if (!entry.features.every((feature) => features.includes(feature))) continue;
+      this.#remove(service, key);
+      cleared.push([...entry.features]);
     }
+    return cleared;
   }
 
   /** Removes a blame by an operator's command, and does not take it from peers again for a while. */
--- a/packages/routing/src/SuspectFeatures/index.ts
+++ b/packages/routing/src/SuspectFeatures/index.ts
@@ -55,6 +55,9 @@
 
 /** Reports within this time are about the same crash of an upstream, in milliseconds. */
 const sameCrashMs = 500;
+/** Time after which the replies of all instances to a question are known, in milliseconds. */
+export const repliesMs = 100;
+
 /** For how long crashes count, and what peers report of suspects, in milliseconds. */
 const retentionMs = { crash: 600_000, told: 30_000 } as const;
 /**
@@ -62,6 +65,8 @@
  * its suspect parts, in milliseconds.
  */
 const attemptTimeoutMs = { content: 20_000, parts: 5_000 } as const;
+/** Number of times that are remembered at which all instances were asked about a feature. */
+const maxQuestions = 8;
 /** Maximum number of crashes of a service that count, and of requests in each. */
 const maxCrashes = 64;
 const maxRequestsPerCrash = 256;
@@ -79,6 +84,8 @@
   readonly others: Set<FeatureId>;
   /** Suspects that peers have found, with the number of crashes. */
   readonly told: Map<FeatureId, { readonly crashCount: number; readonly untilMs: number }>;
+  /** When all instances were asked about answers to requests with a feature, in order. */
+  readonly askedMs: Map<FeatureId, number[]>;
   /** Derived from the above; undefined after a change. */
   attribution: CrashAttribution | undefined;
 }
@@ -148,17 +155,22 @@
     evidence.attribution = undefined;
   }
 
-  /** Records that a peer knows of an answer to a request with a feature. */
-  recordSound(service: ServiceName, features: readonly FeatureId[], atMs: number): void {
-    this.blamed.clearSound(service, features);
+  /** Records an answer to a request with the features; returns what is not blamed any more. */
+  recordSound(
+    service: ServiceName,
+    features: readonly FeatureId[],
+    atMs: number,
+  ): readonly FeatureId[][] {
+    const lifted = this.blamed.clearSound(service, features);
     const evidence = this.#services.get(service);
-    if (evidence === undefined) return;
+    if (evidence === undefined) return lifted;
     for (const feature of features) {
       const knownMs = evidence.soundMs.get(feature) ?? -Infinity;
       evidence.soundMs.set(feature, Math.max(knownMs, atMs));
       evidence.told.delete(feature);
     }
     evidence.attribution = undefined;
+    return lifted;
   }
 
   /** Records that a peer knows of answers to requests without the features. */
@@ -169,6 +181,19 @@
     evidence.attribution = undefined;
   }
 
+  /** Records that all instances are asked now about answers to requests with what is suspect or in question. */
+  recordAsked(service: ServiceName): void {
+    const evidence = this.#services.get(service);
+    if (evidence === undefined) return;
+    const { suspects, questions } = this.#attributionOf(service);
+    const nowMs = this.#clock.monotonicMs();
+    for (const feature of [...suspects.keys(), ...questions]) {
+      const times = getOrCreate(evidence.askedMs, feature, () => []);
+      times.push(nowMs);
+      times.splice(0, times.length - maxQuestions);
+    }
+  }
+
   /** Records what a peer has found to be suspect, and the number of crashes. */
   recordTold(service: ServiceName, suspects: ReadonlyMap<FeatureId, number>): void {
     if (suspects.size === 0 && !this.#services.has(service)) return;
@@ -216,6 +241,16 @@
     return this.#attributionOf(service).suspects;
   }
 
+  /** Number of crashes that count for a service. */
+  crashCount(service: ServiceName): number {
+    return this.#services.get(service)?.crashes.length ?? 0;
+  }
+
+  /** Parts of which other instances may know later answers than this one. */
+  questionsOf(service: ServiceName): readonly FeatureId[] {
+    return this.#attributionOf(service).questions;
+  }
+
   /** Whether requests of a service have to be looked at. */
   hasSuspects(service: ServiceName): boolean {
     return this.#services.has(service) || this.blamed.size > 0;
@@ -287,18 +322,22 @@
       soundMs: new Map(),
       others: new Set(),
       told: new Map(),
+      askedMs: new Map(),
       attribution: undefined,
     }));
   }
 
   #attributionOf(service: ServiceName): CrashAttribution {
     const evidence = this.#services.get(service);
-    if (evidence === undefined) return { blames: [], suspects: new Map() };
-    const { soundMs, others, crashes } = evidence;
+    if (evidence === undefined) return { blames: [], suspects: new Map(), questions: [] };
+    const { soundMs, others, crashes, askedMs } = evidence;
+    const repliedMs = this.#clock.monotonicMs() - repliesMs;
     evidence.attribution ??= attributeCrashes(crashes, {
       lastSoundMs: (feature) =>
         latest(soundMs.get(feature), this.sound.lastSoundMs(service, feature)),
       hasOthers: (feature) => others.has(feature) || this.sound.hasOthers(service, feature),
+      answeredUpToMs: (feature) =>
+        askedMs.get(feature)?.findLast((atMs) => atMs <= repliedMs) ?? -Infinity,
     });
     return evidence.attribution;
   }
--- a/packages/routing/src/SuspectFeatures/test.ts
+++ b/packages/routing/src/SuspectFeatures/test.ts
@@ -160,11 +160,14 @@
 });
 
 // Guards against a part that ends upstreams in one request after the other.
-test('a request with a blamed part is quarantined, whatever else it holds', (t) => {
+test('a request with a blamed part is quarantined, whatever else it holds', async (t) => {
   const scene = new Scene();
   for (const index of [1, 2, 3])
     scene.crash(request(`r${index}`, 'a', 'dd'), `u${index}`, 1_000 * index);
   scene.suspects.recordOthers(service, ['a', 'dd'] as FeatureId[]);
+  await scene.clock.advance(4_000);
+  scene.suspects.recordAsked(service);
+  await scene.clock.advance(100);
   scene.suspects.recordSound(service, ['a'] as FeatureId[], 3_500);
   t.is(scene.attempt('one/1', request('new', 'x', 'dd', 'y')), 'quarantined');
   t.is(scene.attempt('one/2', request('sound', 'a', 'y')), 'clear');
--- a/packages/routing/src/attributeCrashes/index.ts
+++ b/packages/routing/src/attributeCrashes/index.ts
@@ -23,6 +23,11 @@
   readonly lastSoundMs: (feature: FeatureId) => number | undefined;
   /** Whether a request without the feature was answered. */
   readonly hasOthers: (feature: FeatureId) => boolean;
+  /**
+   * Up to when all instances have said whether a request with the feature was answered, on the monotonic clock; negative
+   * infinity if they were not asked.
+   */
+  readonly answeredUpToMs: (feature: FeatureId) => number;
 }
 
 /** Features that end upstreams: a request that has all of them is sent to none. */
@@ -36,6 +41,8 @@
   readonly blames: readonly Blame[];
   /** Features that may end upstreams, with the number of crashes; requests with them are sent with care. */
   readonly suspects: ReadonlyMap<FeatureId, number>;
+  /** Parts that were answered before the crashes: other instances may know of later answers. */
+  readonly questions: readonly FeatureId[];
 }
 
 /** Number of upstreams that may end under one request. */
@@ -55,7 +62,7 @@
  * For a part that was answered shortly before the first crash, more is required: many crashes over some time. Upstreams
  * that go down together leave what many requests share without an answer for a moment.
  */
-const soundBefore = { withinMs: 60_000, crashes: 5, spanMs: 2_000 } as const;
+const soundBefore = { withinMs: 60_000, question: 3, crashes: 5, spanMs: 2_000 } as const;
 
 interface PartRecord {
   readonly crashes: Crash[];
@@ -80,18 +87,20 @@
   const parts = collectParts(crashes, knowledge);
   const blamable = new Set<FeatureId>();
   const suspects = new Map<FeatureId, number>();
+  const questions: FeatureId[] = [];
   for (const [part, record] of parts) {
+    if (isQuestion(part, record, knowledge)) questions.push(part);
     if (isSuspect(part, record, knowledge)) suspects.set(part, record.crashes.length);
     if (isBlamable(part, record, knowledge)) blamable.add(part);
   }
-  const partBlames = findPartBlames(crashes, blamable, knowledge);
+  const partBlames = findPartBlames(crashes, blamable, parts, suspects);
   const contents = countContents(crashes, partBlames, knowledge);
   const contentBlames: Blame[] = [];
   for (const [content, crashCount] of contents) {
     suspects.set(content, crashCount);
     if (crashCount >= maxEndsPerRequest) contentBlames.push({ features: [content], crashCount });
   }
-  return { blames: [...partBlames, ...contentBlames], suspects };
+  return { blames: [...partBlames, ...contentBlames], suspects, questions };
 }
 
 /** The crashes of each part that no later answer has cleared. */
@@ -128,9 +137,17 @@
 function isBlamable(part: FeatureId, record: PartRecord, knowledge: AnswerKnowledge): boolean {
   const { crashes, contents } = record;
   if (contents.size < minContents || !knowledge.hasOthers(part)) return false;
-  const moments = countMoments(crashes);
-  if (!wasSoundBefore(part, record, knowledge)) return moments >= partCrashes.blame;
-  return moments >= soundBefore.crashes && spanOf(crashes) >= soundBefore.spanMs;
+  const upToMs = knowledge.answeredUpToMs(part);
+  const confirmed = crashes.filter(({ atMs }) => atMs <= upToMs);
+  const confirmedMoments = countMoments(confirmed);
+  if (wasSoundBefore(part, record, knowledge))
+    return confirmedMoments >= soundBefore.crashes && spanOf(confirmed) >= soundBefore.spanMs;
+  return confirmedMoments >= partCrashes.suspect && countMoments(crashes) >= partCrashes.blame;
+}
+
+function isQuestion(part: FeatureId, record: PartRecord, knowledge: AnswerKnowledge): boolean {
+  if (!wasSoundBefore(part, record, knowledge)) return false;
+  return countMoments(record.crashes) >= soundBefore.question;
 }
 
 /** Whether a request with the part was answered shortly before the first of its crashes. */
@@ -161,38 +178,50 @@
   return count;
 }
 
-/** The sets of parts of which one must be the cause, since nothing else can explain some of the crashes. */
+/**
+ * The sets of parts of which one must be the cause. Each request at a crash stands for its parts that no answer has
+ * cleared and that were at several crashes. The set that explains the most crashes is blamed for these, or what all of
+ * them have in common, then the one that explains the most of the others.
+ */
 function findPartBlames(
   crashes: readonly Crash[],
   blamable: ReadonlySet<FeatureId>,
-  { lastSoundMs }: AnswerKnowledge,
+  parts: ReadonlyMap<FeatureId, PartRecord>,
+  suspects: ReadonlyMap<FeatureId, number>,
 ): Blame[] {
   if (blamable.size === 0) return [];
-  const candidates = crashes
-    .map((crash) => {
-      const parts = crash.requests.flatMap((request) => request.parts);
-      const open = parts.filter(
-        (part) => blamable.has(part) && !isCleared(crash, lastSoundMs(part)),
-      );
-      return new Set(open);
-    })
-    .filter(({ size }) => size > 0);
-  const distinct = new Map(candidates.map((set) => [[...set].sort().join(), set]));
-  const blames = [...distinct.values()].map((set) => ({
-    features: [...set],
-    crashCount: candidates.filter((one) => isSubset(one, set)).length,
-  }));
-  const supported = blames.filter(({ crashCount }) => crashCount >= minSupport);
-  return supported.filter(
-    (blame) => !supported.some((other) => other !== blame && isNarrower(other, blame)),
+  const isOpen = (crash: Crash, part: FeatureId) =>
+    (blamable.has(part) || suspects.has(part)) && parts.get(part)?.crashes.includes(crash) === true;
+  let unexplained = crashes.map((crash) =>
+    crash.requests
+      .map((request) => new Set(request.parts.filter((part) => isOpen(crash, part))))
+      .filter((set) => [...set].some((part) => blamable.has(part))),
   );
+  const blames: Blame[] = [];
+  for (;;) {
+    const best = findBestSet(unexplained);
+    if (best === undefined || best.crashCount < minSupport) return blames;
+    const set = new Set(best.features);
+    const explained = unexplained.flatMap((sets) => sets.find((one) => isSubset(one, set)) ?? []);
+    const common = best.features.filter((part) => explained.every((one) => one.has(part)));
+    blames.push(common.length > 0 ? { ...best, features: common } : best);
+    unexplained = unexplained.filter((sets) => !sets.some((one) => isSubset(one, set)));
+  }
 }
 
-function isNarrower(one: Blame, other: Blame): boolean {
-  return (
-    one.features.length < other.features.length &&
-    isSubset(new Set(one.features), new Set(other.features))
-  );
+/** The set that explains the most crashes, and of several the one with the fewest parts. */
+function findBestSet(setsByCrash: readonly (readonly Set<FeatureId>[])[]): Blame | undefined {
+  const distinct = new Map(setsByCrash.flat().map((set) => [[...set].sort().join(), set]));
+  let best: Blame | undefined;
+  for (const set of distinct.values()) {
+    const crashCount = setsByCrash.filter((sets) => sets.some((one) => isSubset(one, set))).length;
+    const isBetter =
+      best === undefined ||
+      crashCount > best.crashCount ||
+      (crashCount === best.crashCount && set.size < best.features.length);
+    if (isBetter) best = { features: [...set], crashCount };
+  }
+  return best;
 }
 
 function isSubset(set: ReadonlySet<FeatureId>, other: ReadonlySet<FeatureId>): boolean {
--- a/packages/routing/src/attributeCrashes/test.ts
+++ b/packages/routing/src/attributeCrashes/test.ts
@@ -26,6 +26,7 @@
       return atS === undefined ? undefined : 1_000 * atS;
     },
     hasOthers: () => hasOthers,
+    answeredUpToMs: () => Infinity,
   };
 }
 
@@ -95,6 +96,19 @@
   t.is(attributeCrashes(crashes, knowledge({ dd: 4 })).suspects.get(feature('dd')), undefined);
 });
 
+// Guards against blame at an instance that does not know of the answers at others.
+test('a part is blamed only for crashes about which all instances were asked', (t) => {
+  const asked = (upToS: number, soundS = {}) => {
+    return { ...knowledge(soundS), answeredUpToMs: () => 1_000 * upToS };
+  };
+  t.deepEqual(blamedSets(threeCrashes, asked(1)), []);
+  t.deepEqual(blamedSets(threeCrashes, asked(2)), ['a dd']);
+  const shared = [10, 11, 12, 13, 14].map((atS) => crash(atS, { [`r${atS}`]: 'a' }));
+  t.deepEqual(blamedSets(shared, asked(13, { a: 9 })), []);
+  t.deepEqual(attributeCrashes(shared, asked(13, { a: 9 })).questions, ['a'] as FeatureId[]);
+  t.deepEqual(blamedSets(shared, asked(14, { a: 9 })), ['a']);
+});
+
 // Guards against requests that stay refused for what another one beside them has done.
 test('a request beside the cause of its crashes is not blamed', (t) => {
   const crashes = threeCrashes.map((one) => ({
--- a/packages/standins/src/experiments/suspects/index.ts
+++ b/packages/standins/src/experiments/suspects/index.ts
@@ -16,6 +16,7 @@
 import { FleetRpc } from '@acaciacrank/fleet';
 import { RequestQuarantine, type RequestFeatures } from '@acaciacrank/callers';
 import type { RunOptions } from '../../_lib/runModuleByName/index.js';
+import { simulateParts, type PartCase } from './_lib/PartSimulation/index.js';
 import { MemoryNetwork, type MemoryFleetLinks } from '../../MemoryNetwork/index.js';
 import type { ResultRow } from '../../printTable/index.js';
 
@@ -49,6 +50,16 @@
 /** How often each caller sends the request, the time between two attempts, and how long it runs, in ms. */
 const repeats = { perCaller: 12, pauseMs: 60, runMs: 20 } as const;
 
+/** One deadly part, five requests with it a second. */
+export const calmParts: PartCase = {
+  instances: 28,
+  parts: 1,
+  deadlyPerSecond: 5,
+  lossRatio: 0,
+  isHomeGone: false,
+  crashesPerSecond: 0,
+};
+
 const fleetSizes = [2, 28, 78, 390] as const;
 
 /** Plays each size calmly, with lossy links, with the home gone and with several callers at once. */
@@ -68,6 +79,28 @@
       rows.push({ instances, case: name, ends, messages, perInstance, mostOfOne, bytes });
     }
   }
+  return [...rows, ...(await playParts(seed))];
+}
+
+/** Plays deadly parts: one and three, seldom and often, with lossy links and with the home gone. */
+async function playParts(seed: number): Promise<readonly ResultRow[]> {
+  const rows: ResultRow[] = [];
+  for (const instances of fleetSizes) {
+    const one = { ...calmParts, instances };
+    const cases = {
+      onePart: one,
+      threeParts: { ...one, parts: 3 },
+      seldom: { ...one, deadlyPerSecond: 0.2 },
+      often: { ...one, deadlyPerSecond: 20 },
+      lossyParts: { ...one, lossRatio: 0.05 },
+      partsHomeGone: { ...one, isHomeGone: true },
+      crashesAlone: { ...one, parts: 0, deadlyPerSecond: 0, crashesPerSecond: 1.4 },
+    };
+    for (const [name, partCase] of Object.entries(cases)) {
+      const result = await simulateParts(partCase, seed);
+      rows.push({ instances, case: name, ...result, blamedMs: result.blamedMs ?? '-' });
+    }
+  }
   return rows;
 }
 
--- a/packages/standins/src/experiments/suspects/test.ts
+++ b/packages/standins/src/experiments/suspects/test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
-import { simulateSuspect } from './index.js';
+import { simulateParts } from './_lib/PartSimulation/index.js';
+import { calmParts, simulateSuspect } from './index.js';
 
 const calm = { instances: 28, lossRatio: 0, isHomeGone: false, callers: 1 };
 
@@ -29,3 +30,34 @@
   const { messages: many } = await simulateSuspect({ ...calm, instances: 280 }, 1);
   t.true(many <= 10 * few, `${few} messages at 28 instances, ${many} at 280`);
 });
+
+// Guards against a part that ends upstreams in one request after the other, at whichever instances.
+test('a part ends eight upstreams at most, and sound requests are served', async (t) => {
+  for (const instances of [2, 28, 78]) {
+    const result = await simulateParts({ ...calmParts, instances }, 1);
+    t.true(result.mostEnds <= 8, `${result.mostEnds} ended at ${instances} instances`);
+    t.is(result.lateSends, 0);
+    t.true(result.soundRefused <= 0.05 * result.sound);
+    t.is(result.soundRefusedLate, 0);
+  }
+});
+
+// Guards against parts of which each excuses the other.
+test('three parts at the same time are all found', async (t) => {
+  const result = await simulateParts({ ...calmParts, parts: 3 }, 1);
+  t.true(result.mostEnds <= 8, `${result.mostEnds} ended`);
+  t.not(result.blamedMs, undefined);
+});
+
+// Guards against blame of what requests share for crashes by themselves.
+test('crashes without a cause refuse no request', async (t) => {
+  const alone = { ...calmParts, parts: 0, deadlyPerSecond: 0, crashesPerSecond: 1.4 };
+  t.is((await simulateParts(alone, 1)).soundRefused, 0);
+});
+
+// Guards against a cost of each crash that grows with the square of the fleet.
+test('the messages for a deadly part grow with the number of instances', async (t) => {
+  const few = await simulateParts({ ...calmParts, instances: 28 }, 1);
+  const many = await simulateParts({ ...calmParts, instances: 280 }, 1);
+  t.true(many.messages <= 10 * few.messages, `${few.messages}, then ${many.messages} messages`);
+});
