ORDER: a cut answer without length or chunks ends with a reset

Cause: the answer to the caller is delimited by its connection, as the engine's is, and a cut closed that connection in good order, which says whole.

--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -34,6 +34,7 @@
 import type { RelayPeers } from '../RelayPeers/index.js';
 import type { RequestQuarantine } from '@acaciacrank/callers';
 import type { StreamAffinity } from '../StreamAffinity/index.js';
+import { cutResponse } from '../_lib/cutResponse/index.js';
 import { bindResumption } from '../_lib/bindResumption/index.js';
 import type { RouteTable } from '../RouteTable/index.js';
 import type {
@@ -313,7 +314,7 @@
     } else if (response.headersSent) {
       // Part of the response has been sent, so only closing the connection shows that it is
       // incomplete.
-      response.destroy();
+      cutResponse(response, this.#options.clock);
     } else {
       if (peerRefusals.has(error.kind) && relayedBy(response.req) !== undefined)
         response.setHeader(relayRefusedHeader, error.kind);
