Answers that end with their connection raise no doubt whether their upstream has started again

Each whole answer without length or chunks closes its connection. Change: the end of such an answer is expected; one that ends inside an event is a sign as before. Test: no run check for 60 whole streams; failed before.

--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -115,6 +115,7 @@
 export class Attempt extends ResponseReceiver {
   readonly #options: AttemptOptions;
   #exchange: Exchange | undefined;
+  #connection: UpstreamConnection | undefined;
   #inFlightRequest: InFlightRequest | undefined;
   #bodyHandling: BodyHandling | undefined;
   #abortReason: AbortReason | undefined;
@@ -157,6 +158,7 @@
     if (call.disconnect.isGone) return { kind: 'callerGone', wasSent: false };
     if (remainingMs <= responseMarginMs) return { kind: 'deadline', wasSent: false };
     const connection = upstream.acquireConnection();
+    this.#connection = connection;
     const inFlightRequest = upstream.begin(this.#options.prefill);
     this.#inFlightRequest = inFlightRequest;
     const deadline = clock.schedule(remainingMs, () => {
@@ -185,6 +187,7 @@
       if (connection.wasReset)
         return this.#classifyError(new Error('the connection was reset during the response'));
       const result = this.#finish(inFlightRequest);
+      if (result.kind === 'broken' && connection.isEndExpected) upstream.doubtRun();
       if (result.kind !== 'broken') this.#applyHeldStatement();
       isReusable =
         result.kind === 'answer' || result.kind === 'streamed' || result.kind === 'notRun';
@@ -263,6 +266,7 @@
   override onHead(response: UpstreamResponseHead): void {
     const { call, codec, upstream } = this.#options;
     const { status, headers, isFramed } = response;
+    if (this.#connection !== undefined) this.#connection.isEndExpected = !isFramed;
     const isBounded = call.route.kind !== 'stream' && lengthOf(headers) > 0;
     this.#responseProgress.recordHead({ isBounded });
     const head = codec.readResponseHead(status, headers);
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -209,7 +209,8 @@
     this.#runDoubtedUntilMs = -Infinity;
   }
 
-  #doubtRun(): void {
+  /** Records that its process may have ended: a connection has, without a reason that is known. */
+  doubtRun(): void {
     this.#runDoubtedUntilMs = this.#clock.monotonicMs() + runDoubtMs;
   }
 
@@ -360,10 +361,10 @@
       onConnect: (isConnected) => {
         if (isConnected) this.#reach?.recordConnected();
         else this.#reach?.recordConnectFailed(this.id);
-        if (!isConnected) this.#doubtRun();
+        if (!isConnected) this.doubtRun();
       },
       onClosedByPeer: () => {
-        this.#doubtRun();
+        this.doubtRun();
       },
     });
     this.#open.add(connection);
--- a/packages/forwarding/src/_lib/UpstreamConnection/index.ts
+++ b/packages/forwarding/src/_lib/UpstreamConnection/index.ts
@@ -93,6 +93,9 @@
     return this.#socket !== undefined && !this.#socket.destroyed && !this.#socket.readableEnded;
   }
 
+  /** Whether its end is that of a response without length or chunks, and no sign of the end of the upstream. */
+  isEndExpected = false;
+
   /** How often it was opened: the same number means the same process at the other end. */
   get openCount(): number {
     return this.#openCount;
@@ -124,6 +127,7 @@
   /** Opens the connection; the timer of undici's own connector is up to half a second late. */
   #open(): Promise<Socket> {
     this.#wasReset = false;
+    this.isEndExpected = false;
     const [host = '', port = ''] = this.#address.split(':');
     return new Promise((resolve, reject) => {
       const socket: Socket = new MeteredSocket((bytes) => {
@@ -144,7 +148,7 @@
         resolve(socket);
       });
       socket.once('end', () => {
-        this.#listener.onClosedByPeer?.();
+        if (!this.isEndExpected) this.#listener.onClosedByPeer?.();
       });
       socket.once('error', (error: NodeJS.ErrnoException) => {
         timer[Symbol.dispose]();
