--- a/packages/router/src/createOperatorServer/index.ts
+++ b/packages/router/src/createOperatorServer/index.ts
@@ -5,6 +5,7 @@
   millisecondsInSecond,
   RouterError,
   type Clock,
+  type FeatureId,
   type Metrics,
 } from '@acaciacrank/base';
 import { timingSafeEqual } from 'node:crypto';
@@ -22,6 +23,8 @@
   keyDigest: string;
   /** Starts a planned stop. */
   onDrain: () => void;
+  /** Lifts the blame of a feature of requests at all instances; returns how many blames that lifts. */
+  onLift: (feature: FeatureId) => number;
 }
 
 /** Limits of the port, which serves a few operators and a metrics scraper. */
@@ -34,6 +37,9 @@
   requestMs: 10 * millisecondsInSecond,
 } as const;
 
+/** The request that lifts the blame of a feature. */
+const liftPath = /^POST \/lift\/([^/?]{1,256})$/;
+
 interface ResponseContent {
   readonly type: string;
   readonly body: string;
@@ -41,7 +47,8 @@
 
 /**
  * Creates the server for the operators' port: the status page at `/`, the same as JSON at `/status`,
- * metrics at `/metrics`, and `POST /drain` for a planned stop. All requests require the operators' key.
+ * metrics at `/metrics`, `POST /drain` for a planned stop, and `POST /lift/FEATURE` to send requests again that are
+ * refused since upstreams ended under others like them. All requests require the operators' key.
  *
  * @param options - the sources of status and metrics
  * @returns a server that is not listening yet
@@ -104,6 +111,11 @@
 function answer(options: CreateOperatorServerOptions, request: IncomingMessage): ResponseContent {
   const { clock, metrics, status, onDrain } = options;
   const json = () => ({ type: 'application/json', body: JSON.stringify(status()) });
+  const lifted = liftPath.exec(`${request.method ?? ''} ${request.url ?? ''}`)?.[1];
+  if (lifted !== undefined) {
+    const blames = options.onLift(decodeURIComponent(lifted) as FeatureId);
+    return { type: 'application/json', body: JSON.stringify({ lifted: blames }) };
+  }
   switch (`${request.method ?? ''} ${request.url ?? ''}`) {
     case 'GET /':
       return {
@@ -123,7 +135,7 @@
     default:
       throw new RouterError(
         'notFound',
-        'not found; available are GET /, GET /status, GET /metrics and POST /drain',
+        'not found; available are GET /, GET /status, GET /metrics, POST /drain and POST /lift/FEATURE',
       );
   }
 }
--- a/packages/router/src/createOperatorServer/test.ts
+++ b/packages/router/src/createOperatorServer/test.ts
@@ -13,6 +13,7 @@
   openWork: 0,
   configuration: null,
   configurationProblem: null,
+  blames: [],
   members: [],
   upstreams: [],
 };
@@ -28,6 +29,7 @@
     metrics,
     status: () => status,
     keyDigest: digestText(key),
+    onLift: (feature) => (feature === ('p/1' as typeof feature) ? 1 : 0),
     onDrain: () => {
       drainCount += 1;
     },
@@ -89,3 +91,10 @@
   const { code } = await port.send('GET', '/status', { ...bearer, padding: 'x'.repeat(9_000) });
   t.is(code, 431);
 });
+
+test('lifts the blame of a feature, only with the bearer token', async (t) => {
+  using port = await startServer();
+  t.is((await port.send('POST', '/lift/p%2F1', basic)).code, 401);
+  t.is((await port.send('POST', '/lift/p%2F1', bearer)).body, '{"lifted":1}');
+  t.is((await port.send('POST', '/lift/other', bearer)).body, '{"lifted":0}');
+});
--- a/packages/router/src/describeInstance/index.ts
+++ b/packages/router/src/describeInstance/index.ts
@@ -39,6 +39,11 @@
         ? null
         : { version: inForce.version, digest: inForce.digest, sinceMs: inForce.sinceMs },
     configurationProblem: instance.configuration.problem ?? null,
+    blames: instance.quarantine.suspects.blamed
+      .all()
+      .map(({ service, features, crashCount, sinceMs }) => {
+        return { service, features, crashCount, sinceMs };
+      }),
     members: describeMembers(instance.membership),
     upstreams: instance.registry.all().map(({ id, service, state, inFlightRequests }) => ({
       id,
--- a/packages/router/src/formatStatusPage/test.ts
+++ b/packages/router/src/formatStatusPage/test.ts
@@ -10,6 +10,7 @@
   openWork: 3,
   configuration: { version: 7, digest: 'abcdef0123456789', sinceMs: 1_000 },
   configurationProblem: null,
+  blames: [],
   members: [],
   upstreams: [],
 };
--- a/packages/router/src/runInstance/index.ts
+++ b/packages/router/src/runInstance/index.ts
@@ -71,6 +71,7 @@
     status: () => describeInstance(instance, settings.instanceId),
     keyDigest,
     onDrain: () => void stop(),
+    onLift: (feature) => instance.quarantine.lift(feature),
   });
   const operatorsPort = await listen(operators, settings.operators, owned);
   await instance.start({ url: formatUrl('http', settings.callers.ip, callersPort), fleetUrl });
