--- a/packages/standins/src/failures/queryOfDeath/test.ts
+++ b/packages/standins/src/failures/queryOfDeath/test.ts
@@ -67,3 +67,47 @@
   t.true(await fleet.clock.runUntil(ask('other', 'how long does broth boil?')));
   await fleet[Symbol.asyncDispose]();
 });
+
+// Guards against a message that ends one engine after another, since no two of the prompts that begin with it are alike.
+test('a message that prompts share ends a bounded number of engines', async (t) => {
+  const ended = new Set<string>();
+  let isDeadly = false;
+  const fleet = await createLocalFleet({
+    document,
+    engines: 16,
+    wrap: (parts) => {
+      const clients = new FaultyUpstreams(parts.clients, ({ engineId }) => {
+        if (!isDeadly) return undefined;
+        ended.add(engineId);
+        clients.endedEngines.add(engineId);
+        return { kind: 'dies', afterTokens: 0 };
+      });
+      return { ...parts, clients };
+    },
+  });
+  const [local] = fleet.instances;
+  if (local === undefined) throw new Error('there is no instance');
+  const ask = async (key: string, context: string) => {
+    const call = chatCall(key, `the question ${key}`);
+    const shared = ['be brief', context].map((content) => ({ role: 'system' as const, content }));
+    const messages = [...shared, ...call.messages];
+    isDeadly = context === deadlyText;
+    let hasEnd = false;
+    for await (const frame of local.instance.chat.run(
+      { ...call, messages },
+      new AbortController().signal,
+    ))
+      hasEnd ||= frame.kind === 'final';
+    return hasEnd;
+  };
+  let answered = 0;
+  for (let repeat = 0; repeat < 20; repeat += 1) {
+    await fleet.clock.runUntil(ask(`deadly-${repeat}`, deadlyText).catch(() => undefined));
+    await fleet.clock.runUntil(fleet.clock.sleep(150));
+    const isAnswered = await fleet.clock.runUntil(ask(`sound-${repeat}`, `context ${repeat % 2}`));
+    if (isAnswered) answered += 1;
+  }
+  t.true(ended.size >= 1 && ended.size <= 8, `${ended.size} ended`);
+  t.is(answered, 20);
+  await fleet[Symbol.asyncDispose]();
+});
