--- a/packages/standins/src/StandinEngine/index.ts
+++ b/packages/standins/src/StandinEngine/index.ts
@@ -97,6 +97,10 @@
   refusedForOverload = 0;
   #overload = { untilMs: -Infinity, backoffMs: 0 };
   failureMode: EngineFailureMode = 'none';
+  /** Number of times that it has ended under a deadly prompt. */
+  ends = 0;
+  #deadly = { text: '', downMs: 0 };
+  #downUntilMs = -Infinity;
   /** Number of times that it has started again. */
   restarts = 0;
 
@@ -153,6 +157,11 @@
     this.#startedAtMs = this.#options.clock.wallMs();
   }
 
+  /** Ends from now on under each prompt with a message that contains a text, and is down for a while each time. */
+  endUnder(text: string, downMs: number): void {
+    this.#deadly = { text, downMs };
+  }
+
   /** Prefix cache events after a sequence number; delayed, and some are omitted. */
   cacheEvents(sinceSequence: number): readonly CacheEvent[] {
     const { clock, cacheEventLagMs, omitEveryNthCacheEvent } = this.#options;
@@ -168,10 +177,13 @@
   /**
    * Accepts a generation request; its frames are read with {@link frames}.
    *
-   * @throws RouterError `upstreamUnavailable` if the engine is leaving, `upstreamFailed` if it simulates
-   *   failures
+   * @throws RouterError `upstreamUnavailable` if the engine is leaving or down, `upstreamFailed` if it simulates
+   *   failures or ends under the request
    */
   submit(request: GenerateRequest): void {
+    this.#checkUp();
+    const { text } = this.#deadly;
+    if (text !== '' && request.messages.some(({ content }) => content.includes(text))) this.#end();
     if (this.#streams.has(request.requestId)) return;
     if (this.#state === 'leaving') {
       const sinceLeavingMs = this.#options.clock.monotonicMs() - this.#leavingSinceMs;
@@ -204,6 +216,7 @@
     offset: number,
     signal: AbortSignal,
   ): AsyncIterable<EngineFrame> {
+    this.#checkUp();
     const stream = this.#streams.get(requestId);
     if (stream === undefined)
       throw new RouterError('notFound', `${this.id} has no stream for request ${requestId}`);
@@ -235,6 +248,7 @@
 
   /** Returns the load as it was `reportLagMs` ago. */
   load(): LoadReport {
+    this.#checkUp();
     const { clock, reportLagMs, maxRunningRequests } = this.#options;
     const nowMs = clock.wallMs();
     this.#reports.push({
@@ -253,6 +267,19 @@
     return report;
   }
 
+  #checkUp(): void {
+    if (this.#options.clock.monotonicMs() >= this.#downUntilMs) return;
+    throw new RouterError('upstreamUnavailable', `${this.id} is down`);
+  }
+
+  /** All streams are lost, and new connections are refused until it has started again. */
+  #end(): never {
+    this.ends += 1;
+    this.restart();
+    this.#downUntilMs = this.#options.clock.monotonicMs() + this.#deadly.downMs;
+    throw new RouterError('upstreamFailed', `${this.id} has ended`);
+  }
+
   #createStream(request: GenerateRequest): EngineStream {
     const text = request.messages.map((message) => message.content).join('\n');
     const bytes = request.messages.reduce(
--- a/packages/standins/src/faults/StoryContext/index.ts
+++ b/packages/standins/src/faults/StoryContext/index.ts
@@ -33,6 +33,8 @@
 export interface ChatAttemptOptions {
   /** Number of tokens after which the caller closes the connection. */
   hangUpAfterTokens?: number;
+  /** A message before the prompt's own, which other prompts share. */
+  context?: string | undefined;
 }
 
 /** Options of {@link StoryContext}. */
@@ -108,7 +110,7 @@
     const hangUp = new AbortController();
     const work = async () => {
       refuseWhenLeaving(local);
-      for await (const frame of local.instance.chat.run(chatCall(key), hangUp.signal)) {
+      for await (const frame of local.instance.chat.run(chatCall(key, options), hangUp.signal)) {
         if (frame.kind === 'final') this.#handleFinalFrame(outcome, frame);
         else outcome.text += frame.text;
         const delivered = frame.kind === 'token' ? frame.sequence + 1 : 0;
@@ -267,8 +269,9 @@
   className: 'shift' as ClassName,
 };
 
-function chatCall(key: string): ChatCall {
-  const messages = [{ role: 'user', content: key }];
+function chatCall(key: string, { context }: ChatAttemptOptions): ChatCall {
+  const shared = context === undefined ? [] : [{ role: 'system', content: context }];
+  const messages = [...shared, { role: 'user', content: key }];
   return { ...identity, idempotencyKey: key, model: 'small', messages, maxTokens: 40 };
 }
 
--- /dev/null
+++ b/packages/standins/src/faults/stories/deadlyMessage/test.ts
@@ -0,0 +1,3 @@
+import { testStory } from '../../_lib/testStory/index.js';
+
+testStory('deadlyMessage');
--- a/packages/standins/src/faults/stories/index.ts
+++ b/packages/standins/src/faults/stories/index.ts
@@ -13,6 +13,7 @@
 import { plannedStop } from './plannedStop/index.js';
 import { engineStartsAgain } from './engineStartsAgain/index.js';
 import { engineOrder } from './engineOrder/index.js';
+import { deadlyMessage } from './deadlyMessage/index.js';
 import { engineLeaving } from './engineLeaving/index.js';
 
 /** One scripted user scenario. */
@@ -36,6 +37,7 @@
   { name: 'plannedStop', run: plannedStop },
   { name: 'engineLeaving', run: engineLeaving },
   { name: 'engineStartsAgain', run: engineStartsAgain },
+  { name: 'deadlyMessage', run: deadlyMessage },
   { name: 'engineOrder', run: engineOrder, instances: 0 },
 ];
 
--- a/packages/standins/src/scenarios/runScenario/index.ts
+++ b/packages/standins/src/scenarios/runScenario/index.ts
@@ -16,7 +16,7 @@
   readonly answeredPercent: number;
   readonly refusals: Readonly<Record<string, number>>;
   readonly refusedForOverload: number;
-  /** Number of times that services ended under deadly calls. */
+  /** Number of times that upstreams ended under deadly requests. */
   readonly endedUpstreams: number;
   readonly settledTokens: number;
   readonly version: number;
@@ -126,9 +126,10 @@
   #attempt(workload: ScenarioTraffic, key: string, index: number, count: number) {
     if (workload.kind === 'read') return this.#context.service(index, key, 'GET');
     if (workload.kind === 'write') return this.#context.service(index, key, 'POST');
-    const { hangUpAfterTokens } = workload;
+    const { hangUpAfterTokens, context } = workload;
     const shouldHangUp = hangUpAfterTokens !== undefined && count === 1;
-    return this.#context.chat(index, key, shouldHangUp ? { hangUpAfterTokens } : {});
+    const hangUp = shouldHangUp ? { hangUpAfterTokens } : {};
+    return this.#context.chat(index, key, { context, ...hangUp });
   }
 
   #chooseInstance(workload: ScenarioTraffic, failed: ReadonlySet<string>): number {
@@ -203,7 +204,9 @@
   }
 
   #endUnder(text: string, downMs: number): void {
-    for (const service of this.#fleet.clients.services.values()) service.endUnder(text, downMs);
+    const { engines, services } = this.#fleet.clients;
+    for (const upstream of [...engines.values(), ...services.values()])
+      upstream.endUnder(text, downMs);
   }
 
   async #topUp(event: { topUp: string; tokens: number; by: string }): Promise<void> {
@@ -286,8 +289,9 @@
   }
 
   #endedUpstreams(): number {
-    const services = [...this.#fleet.clients.services.values()];
-    return services.reduce((sum, service) => sum + service.ends, 0);
+    const { engines, services } = this.#fleet.clients;
+    const upstreams = [...engines.values(), ...services.values()];
+    return upstreams.reduce((sum, { ends }) => sum + ends, 0);
   }
 
   #settledTokens(): number {
--- a/packages/standins/src/scenarios/scenarioSchema/index.ts
+++ b/packages/standins/src/scenarios/scenarioSchema/index.ts
@@ -23,6 +23,8 @@
   at: z.string().default('directory'),
   /** The caller disconnects after this many tokens and retries with the same idempotency key. */
   hangUpAfterTokens: count.optional(),
+  /** A message that all prompts of this traffic begin with. */
+  context: z.string().min(1).optional(),
 });
 
 const at = { at: duration };
@@ -55,7 +57,7 @@
   z.strictObject({ ...at, overload: actor, for: duration, backoff: duration }),
   /** An engine starts again under its id with another version of its software; its streams are lost. */
   z.strictObject({ ...at, startAgain: actor, version: z.string() }),
-  /** Services end under each call of requests whose key contains a text, and are down for a while each time. */
+  /** Upstreams end under each request whose key or shared message contains a text, and are down for a while. */
   z.strictObject({ ...at, deadly: z.string().min(1), down: duration }),
   /** An operator tops up the budget; the value is the id of the top-up. */
   z.strictObject({ ...at, topUp: z.string(), tokens: count, by: actor.default('operator') }),
@@ -95,7 +97,7 @@
     refused: z.record(z.string(), bounds).default({}),
     /** Number of requests that overloaded engines refused, from all instances. */
     refusedForOverload: bounds.optional(),
-    /** Number of times that services ended under deadly calls. */
+    /** Number of times that upstreams ended under deadly requests. */
     endedUpstreams: bounds.optional(),
     /** Tokens that were settled in the budget. */
     settledTokens: bounds.optional(),
