--- a/packages/base/src/PauseMeter/index.ts
+++ b/packages/base/src/PauseMeter/index.ts
@@ -8,7 +8,7 @@
  * still.
  *
  * The time of a pause is left out from its start on, so that whoever reads it first after a pause sees none of it. A
- * process whose ticks are always late is busy rather than paused: its time goes on, at most {@link maxTickGapMs} for
+ * process whose ticks are always late is busy rather than paused: its time continues, at most {@link maxTickGapMs} for
  * each tick, so that waits end.
  *
  * @example
--- a/packages/callers/src/EngineDispatch/index.ts
+++ b/packages/callers/src/EngineDispatch/index.ts
@@ -135,7 +135,7 @@
   }
 
   /**
-   * Sends the request to an engine, and to others beside it while nothing comes. Returns the one that gave its first
+   * Sends the request to an engine, and to others beside it while nothing arrives. Returns the one that gave its first
    * frame first, or a failure once all have failed.
    */
   async #begin(
--- a/packages/callers/src/RequestQuarantine/index.ts
+++ b/packages/callers/src/RequestQuarantine/index.ts
@@ -50,7 +50,7 @@
   readonly service: ServiceName;
   /** The parts of its prompt that others may share. */
   readonly parts: readonly FeatureId[];
-  /** All that it asks for; a digest of it is computed once, when it is needed. */
+  /** All that it is for; a digest of it is computed once, when it is needed. */
   readonly content: FeatureId;
   /** Those of its features that are known without computing a digest. */
   readonly known: readonly FeatureId[];
--- a/packages/callers/src/_lib/EngineAttempt/index.ts
+++ b/packages/callers/src/_lib/EngineAttempt/index.ts
@@ -50,7 +50,7 @@
     try {
       const first = await this.#frames.next();
       if (!this.#superseded.signal.aborted) return { kind: 'begun', first };
-      // It has begun at the same moment as the one that goes on.
+      // It has begun at the same moment as the one that continues.
       await this.#frames.return?.();
       return { kind: 'superseded' };
     } catch (error) {
--- a/packages/callers/src/_lib/HedgeSchedule/index.ts
+++ b/packages/callers/src/_lib/HedgeSchedule/index.ts
@@ -30,7 +30,7 @@
   start: (upstream: Upstream) => Promise<unknown>;
 }
 
-/** Considers a second attempt each time that nothing has come for a while, until it is disposed of. */
+/** Considers a second attempt each time that nothing has arrived for a while, until it is disposed of. */
 export class HedgeSchedule implements Disposable {
   readonly #options: HedgeScheduleOptions;
   #timer: Disposable | undefined;
--- a/packages/callers/src/_lib/createFeatures/index.ts
+++ b/packages/callers/src/_lib/createFeatures/index.ts
@@ -11,7 +11,7 @@
 /** Options of {@link createFeatures}. */
 export interface CreateFeaturesOptions {
   readonly service: ServiceName;
-  /** Names all that the call asks for. */
+  /** Names all that the call requests. */
   readonly digest: string;
   /** The messages of a prompt; the last one is its own. */
   readonly messages?: readonly ChatMessage[];
--- a/packages/fleet/src/ConfigurationGossip/index.ts
+++ b/packages/fleet/src/ConfigurationGossip/index.ts
@@ -160,7 +160,7 @@
   }
 }
 
-/** Maximum number of peers that are asked for one object. */
+/** Maximum number of peers that are requested one object. */
 const maxPeersAsked = 3;
 
 function announcedVersion(message: FleetMessage): number | undefined {
--- a/packages/fleet/src/Registrations/index.ts
+++ b/packages/fleet/src/Registrations/index.ts
@@ -150,7 +150,7 @@
   #heartbeat = 0;
   #listClockMs = 0;
   #listedAtMs: number | undefined;
-  /** When the store was last seen to have come back from an older copy, on the monotonic clock. */
+  /** When the store was last seen to have returned from an older copy, on the monotonic clock. */
   #restoredAtMs = -Infinity;
   readonly #epochSubscription: Disposable;
 
@@ -222,7 +222,7 @@
     this.#epochSubscription[Symbol.dispose]();
   }
 
-  /** The store came back from a copy that may lack this registration or hold an older one. */
+  /** The store returned from a copy that may lack this registration or hold an older one. */
   #registerAgain(): void {
     if (this.#heartbeat === 0 || this.#stop.signal.aborted) return;
     this.#restoredAtMs = this.#options.clock.monotonicMs();
--- a/packages/fleet/src/RestoreWitness/index.ts
+++ b/packages/fleet/src/RestoreWitness/index.ts
@@ -19,13 +19,13 @@
   isFirstStart: boolean;
   /** The highest epoch in which this run has written again all that it held from before. */
   ownAccountedEpoch: () => number;
-  /** How old the copy can be from which the store comes back, in milliseconds. */
+  /** How old the copy can be from which the store returns, in milliseconds. */
   maxCopyAgeMs?: number;
 }
 
 /**
  * The longest time without a list of registrations after which this run still counts as having seen every
- * other run, in milliseconds: the store may be away for a moment before it comes back.
+ * other run, in milliseconds: the store may be away for a moment before it returns.
  */
 const maxListGapMs = 10_000;
 /** How long a run is remembered after its last sign of life, in milliseconds. */
@@ -33,7 +33,7 @@
 
 /**
  * Determines whether everything is known again that was written to the store since the copy from which it
- * came back.
+ * returned.
  *
  * Each run writes again what it held and reports that in its registration. A run that was there during the
  * whole time that can be lost has seen every other run of that time. Once all of those have reported, it
--- a/packages/fleet/src/_lib/FrameSocket/index.ts
+++ b/packages/fleet/src/_lib/FrameSocket/index.ts
@@ -103,7 +103,7 @@
   /**
    * Closes the connection with a code and a reason for the peer.
    *
-   * Guards against a refused peer that goes on sending: its frames would be held until the connection is closed.
+   * Guards against a refused peer that continues sending: its frames would be held until the connection is closed.
    */
   close(code: number, reason: string): void {
     this.#isClosing = true;
--- a/packages/fleet/src/messageSchemas/index.ts
+++ b/packages/fleet/src/messageSchemas/index.ts
@@ -181,11 +181,11 @@
 
 /** A request to a peer. */
 export const fleetRequestSchema = z.discriminatedUnion('kind', [
-  /** Asks whether the peer can reach a member. */
+  /** Queries whether the peer can reach a member. */
   z.object({ kind: z.literal('probe'), target: instanceId }),
-  /** Asks for the peer's manifest if its version is above the given one. */
+  /** Requests the peer's manifest if its version is above the given one. */
   z.object({ kind: z.literal('manifest'), aboveVersion: nonNegativeInteger }),
-  /** Asks for an object of the peer's configuration. */
+  /** Requests an object of the peer's configuration. */
   z.object({ kind: z.literal('configurationObject'), digest: z.string().max(128) }),
   /** Asks the peer to return its unused tokens of a budget to the budget's ledger page. */
   z.object({ kind: z.literal('giveBack'), budget: budgetSchema }),
@@ -197,7 +197,7 @@
     tokens: nonNegativeInteger,
   }),
   /**
-   * Asks for a loan of prepaid tokens, or reports tokens passed on to the peer; see `PrepaidPeers` of
+   * Requests a loan of prepaid tokens, or reports tokens passed on to the peer; see `PrepaidPeers` of
    * the ledger package.
    */
   z.object({ kind: z.literal('prepaidTokens'), loan: loanSchema }),
@@ -215,7 +215,7 @@
   }),
   /** Asks which runs of upstreams began streams. */
   z.object({ kind: z.literal('streamOrigins'), streams: z.array(streamKey).max(maxStreams) }),
-  /** Asks for the upstreams that the peer knows from the store. */
+  /** Requests the upstreams that the peer knows from the store. */
   z.object({ kind: z.literal('upstreams') }),
   /** Asks a peer that watches the store for the changes under a prefix after a revision. */
   z.object({
--- a/packages/forwarding/src/DomainDrains/index.ts
+++ b/packages/forwarding/src/DomainDrains/index.ts
@@ -65,7 +65,7 @@
     this.#apply(domain, false);
   }
 
-  /** Records that the store came back from an older copy, which may lack drains of the last seconds. */
+  /** Records that the store returned from an older copy, which may lack drains of the last seconds. */
   markStoreRestored(): void {
     this.#storeRestoredAtMs = this.#options.clock.monotonicMs();
   }
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -456,7 +456,7 @@
     this.#informing = undefined;
   }
 
-  /** Tells the holders of state that the store came back from an older copy. */
+  /** Tells the holders of state that the store returned from an older copy. */
   #followRestores(): Disposable {
     const { store, log, metrics } = this.#options;
     return store.epochs.followRestores((epoch, previousEpoch) => {
--- a/packages/forwarding/src/RelayPeers/index.ts
+++ b/packages/forwarding/src/RelayPeers/index.ts
@@ -40,7 +40,7 @@
   /**
    * Chooses the peer with fewer relayed requests out of two random ones.
    *
-   * @param asked - peers that were asked for the same request
+   * @param asked - peers that the same request was sent to
    * @returns undefined if there is none left
    */
   choose(asked: ReadonlySet<InstanceId>): Upstream | undefined {
--- a/packages/forwarding/src/StreamAffinity/index.ts
+++ b/packages/forwarding/src/StreamAffinity/index.ts
@@ -33,20 +33,20 @@
   readonly source: 'own' | 'peer';
 }
 
-/** Number of instances that are told which run began a stream: one of them may end at the same time as the teller. */
+/** Number of instances that are informed which run began a stream: one of them may end at the same time as the teller. */
 const homeCount = 2;
 /** Number of instances that are asked: where a home is gone, another one comes after it in the asker's view. */
 const askedCount = 3;
-/** How long origins are collected before they are told, in milliseconds; who ends loses those not told yet. */
+/** How long origins are collected before they are informed, in milliseconds; who ends loses those not told yet. */
 const batchDelayMs = 50;
 
 /**
- * Keeps streams at the software version that began them, whichever instance their callers come back to.
+ * Keeps streams at the software version that began them, whichever instance their callers return to.
  *
  * Who passes on the first event of a stream remembers the run that sent it, and tells the homes of the stream: the
- * instances next to its key on a hash ring. Who is asked to go on with a stream that it does not know asks the homes.
+ * instances next to its key on a hash ring. Who is asked to continue with a stream that it does not know asks the homes.
  * A stream costs two entries in batched messages, however many instances there are. One that has been passed on to
- * its end is told as well: its caller may not have received it.
+ * its end is informed as well: its caller may not have received it.
  */
 export class StreamAffinity implements Disposable {
   readonly origins: StreamOrigins;
@@ -76,7 +76,7 @@
     ];
   }
 
-  /** Records which run sends the first event of a stream; its homes are told soon. */
+  /** Records which run sends the first event of a stream; its homes are informed soon. */
   begin(stream: StreamKey, run: UpstreamRun): void {
     this.origins.record(stream, run);
     if (this.#untold.size === 0) {
--- a/packages/forwarding/src/UpstreamTable/index.ts
+++ b/packages/forwarding/src/UpstreamTable/index.ts
@@ -173,7 +173,7 @@
   }
 
   /**
-   * Records that the store came back from an older copy, which may lack upstreams that registered since
+   * Records that the store returned from an older copy, which may lack upstreams that registered since
    * and show upstreams as live that left since. The missing ones get a grace period to register again;
    * the others stay out of use until a record of their next run appears.
    */
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -80,7 +80,7 @@
   onProgress: () => void;
   /** Called once, when an event arrives {@link livedOnMs} or more after the first one. */
   onLivedOn?: () => void;
-  /** Called each time that nothing has come from the upstream for the timeout; the attempt goes on. */
+  /** Called each time that nothing has arrived from the upstream for the timeout; the attempt continues. */
   onSilent: (lateMs: number) => void;
   /** After how long without progress {@link onSilent} is called, in milliseconds; undefined for never. */
   inactivityTimeoutMs: number | undefined;
@@ -130,7 +130,7 @@
   #runCheckAbort: AbortController | undefined;
   /** Applies what a success states of its upstream, once an event or the whole body has shown that it is one. */
   #applyHeldStatement: () => void = () => undefined;
-  /** Whether nothing has come from the upstream for the timeout. */
+  /** Whether nothing has arrived from the upstream for the timeout. */
   #isSilent = false;
   /** When the first event arrived, by the time in which this process ran; undefined before. */
   #begunActiveMs: number | undefined;
@@ -224,7 +224,7 @@
     const { check, why } = await checkRun(connection, upstream.record.startedAtMs, codec, {
       clock,
       signal: this.#runCheckAbort.signal,
-      // A stream that has begun goes on only where the run is known, so that there is no use in sending it unasked.
+      // A stream that has begun continues only where the run is known, so that there is no use in sending it unasked.
       timeoutMs: this.#isResumption ? undefined : runCheckPatienceMs,
     });
     const tookMs = Math.round(clock.monotonicMs() - startedMs);
@@ -240,7 +240,7 @@
   }
 
   /**
-   * Guards against a connection that was opened anew after the check, maybe to another run: a stream does not go on
+   * Guards against a connection that was opened anew after the check, maybe to another run: a stream does not continue
    * there, and one that begins there has no known version.
    */
   #recheckConnection(): void {
@@ -390,7 +390,7 @@
     this.#bodyHandling = { kind: 'collect', collector: new BodyCollector(maxBodyBytes), result };
   }
 
-  /** Whether nothing has come from the upstream for the timeout. */
+  /** Whether nothing has arrived from the upstream for the timeout. */
   get isSilent(): boolean {
     return this.#isSilent && !this.#hasEnded;
   }
--- a/packages/forwarding/src/_lib/CallFeatures/index.ts
+++ b/packages/forwarding/src/_lib/CallFeatures/index.ts
@@ -8,7 +8,7 @@
 
 /**
  * What a forwarded request has in common with others: the parts of its prompt but the last, which is its own, and all
- * that it asks for.
+ * that it requests.
  */
 export class CallFeatures implements RequestFeatures {
   readonly service: ServiceName;
@@ -29,7 +29,7 @@
     this.known = this.#content === undefined ? this.parts : [this.#content];
   }
 
-  /** Names all that the request asks for, the same for all attempts to send it. */
+  /** Names all that the request is for, the same for all attempts to send it. */
   get content(): FeatureId {
     return (this.#content ??= digestContent(this.#call) as FeatureId);
   }
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -66,7 +66,7 @@
   readonly upstream: Upstream | undefined;
   /** Whether it counts against the upstreams that the route allows, and has not ended. */
   readonly isUnderWay: boolean;
-  /** Whether nothing has come from it for a while. */
+  /** Whether nothing has arrived from it for a while. */
   readonly isSilent: boolean;
 }
 
@@ -122,7 +122,7 @@
     }
   }
 
-  /** Whether the request is to go on through a peer, since it turned out that no upstream is reached. */
+  /** Whether the request is to continue through a peer, since it turned out that no upstream is reached. */
   get #mustRelay(): boolean {
     const { reach, relayPeers } = this.#dependencies;
     return !this.#wasRelayed && !reach.isReached && relayPeers.canRelay(this.#call);
@@ -303,7 +303,7 @@
     if (silent?.upstream !== undefined) this.#handleSilence(silent.upstream, 0);
   }
 
-  /** Lets a peer send the request on beside attempts from which nothing comes, since no upstream is reached. */
+  /** Lets a peer send the request on beside attempts from which nothing arrives, since no upstream is reached. */
   #relayBeside(): void {
     if (!this.#mustRelay || !isRepeatable(this.#call) || this.#attempts.running.size === 0) return;
     const retry = this.#dependencies.retries.takeRetry(this.#call.service.name);
@@ -330,7 +330,7 @@
     this.#attempts.add(contender);
   }
 
-  /** Counts a request that is sent although the upstream asked for none. */
+  /** Counts a request that is sent although the upstream requested none. */
   #countAgainstStatements({ statements }: Upstream): void {
     const { metrics } = this.#dependencies;
     if (statements.leavingForMs !== undefined) metrics.count('sentAgainstStatement', 'leaving');
@@ -381,7 +381,7 @@
     await quarantine.recordCrash(crashed);
   }
 
-  /** Handles the end of one attempt, whether or not others go on; what fails is replaced at once beside a silent one. */
+  /** Handles the end of one attempt, whether or not others continue; what fails is replaced at once beside a silent one. */
   #handleContenderEnd(ended: DispatchEnd): void {
     this.#recordEnd(ended);
     if (ended.result.kind !== 'superseded') this.#hedgeAgain();
--- a/packages/forwarding/src/_lib/Exchange/index.ts
+++ b/packages/forwarding/src/_lib/Exchange/index.ts
@@ -118,7 +118,7 @@
     this.#fail(new AbortedError(wasStarted));
   }
 
-  /** Ends the request with an error, since what comes is not to be received any more. */
+  /** Ends the request with an error, since what arrives is not to be received any more. */
   fail(error: Error): void {
     this.#fail(error);
   }
--- a/packages/forwarding/src/_lib/OriginQuestions/index.ts
+++ b/packages/forwarding/src/_lib/OriginQuestions/index.ts
@@ -18,7 +18,7 @@
   readonly replies: PeerReplies;
 }
 
-/** How long questions to a peer are collected, in milliseconds: many streams come back at once after a loss. */
+/** How long questions to a peer are collected, in milliseconds: many streams return at once after a loss. */
 const batchDelayMs = 4;
 /** Timeout of a peer's reply, in milliseconds. */
 const replyTimeoutMs = 150;
--- a/packages/forwarding/src/_lib/Relay/index.ts
+++ b/packages/forwarding/src/_lib/Relay/index.ts
@@ -42,7 +42,7 @@
   readonly metrics: Metrics;
 }
 
-/** Number of peers that are asked for one request at most. */
+/** Number of peers that are requested one request at most. */
 const maxPeers = 3;
 /** Where a peer sends nothing for this long, and some target latencies, another one is asked if the request is repeatable. */
 const peerInactivity = { baseMs: 500, targetLatencies: 3 } as const;
@@ -182,7 +182,7 @@
     });
   }
 
-  /** Records the end of one attempt, whether or not others go on. */
+  /** Records the end of one attempt, whether or not others continue. */
   #recordEnd({ contender: { peer }, result }: EndedContender<PeerContender>): void {
     const { relayPeers, metrics } = this.#dependencies;
     const { trace, progress } = this.#call;
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -140,7 +140,7 @@
   readonly inFlight = new Set<InFlightRequest>();
   /** Requests of this instance here under which other upstreams have ended. */
   readonly suspects = new Set<Suspect>();
-  /** Whether its end was reported, and nothing came from it since. */
+  /** Whether its end was reported, and nothing arrived from it since. */
   hasReportedEnd = false;
   readonly #clock: Clock;
   readonly #runTimes: RunTimeEstimator;
--- a/packages/forwarding/src/_lib/UpstreamChooser/index.ts
+++ b/packages/forwarding/src/_lib/UpstreamChooser/index.ts
@@ -137,7 +137,7 @@
     return this.#pickFrom(proven) ?? this.#pickFrom(candidates);
   }
 
-  /** Leaves out what may not go on with the stream. */
+  /** Leaves out what may not continue with the stream. */
   #filterSuitable(upstreams: readonly Upstream[]): readonly Upstream[] {
     const { origin } = this.#call.progress;
     if (origin === undefined) return upstreams;
--- a/packages/forwarding/src/_lib/UpstreamDepartures/index.ts
+++ b/packages/forwarding/src/_lib/UpstreamDepartures/index.ts
@@ -16,7 +16,7 @@
 const maxDeparted = 4_096;
 
 /**
- * The upstreams that left, so that a store which comes back from an older copy does not bring them back.
+ * The upstreams that left, so that a store which returns from an older copy does not bring them back.
  *
  * After a while the store has caught up, and a run that had lost touch with it may be back: records that were
  * refused until then can be applied again from {@link refused}.
@@ -26,19 +26,19 @@
   readonly #departed = new Map<UpstreamId, Departure>();
   /** Records that were left out since they show a run which has left. */
   readonly #refused = new Map<UpstreamId, UpstreamRecord>();
-  /** When the store last came back from an older copy, on the monotonic clock. */
+  /** When the store last returned from an older copy, on the monotonic clock. */
   #storeRestoredAtMs = -Infinity;
 
   constructor(clock: Clock) {
     this.#clock = clock;
   }
 
-  /** Whether the store ever came back from an older copy. */
+  /** Whether the store ever returned from an older copy. */
   get wasStoreRestored(): boolean {
     return this.#storeRestoredAtMs > -Infinity;
   }
 
-  /** Records that the store came back from an older copy. */
+  /** Records that the store returned from an older copy. */
   markStoreRestored(): void {
     this.#storeRestoredAtMs = this.#clock.monotonicMs();
   }
@@ -55,7 +55,7 @@
    * Returns what a run stated before it disappeared; undefined if it did not disappear.
    *
    * Guards against an upstream whose record is back after an outage of the store, and which would get
-   * requests although it asked for none.
+   * requests although it requested none.
    */
   statementsOf(record: UpstreamRecord): UpstreamStatements | undefined {
     const departure = this.#departed.get(record.id);
--- a/packages/forwarding/src/_lib/bindResumption/index.ts
+++ b/packages/forwarding/src/_lib/bindResumption/index.ts
@@ -35,7 +35,7 @@
 const takeUpSlackMs = 5_000;
 
 /**
- * Finds out what began the stream that a request takes up, so that only the same version goes on with it.
+ * Finds out what began the stream that a request takes up, so that only the same version continues with it.
  *
  * @param call - a request of any kind; one that begins a stream, or none, is returned as it is
  * @param options - where origins are known, and the routes in force
--- a/packages/forwarding/src/_lib/digestContent/index.ts
+++ b/packages/forwarding/src/_lib/digestContent/index.ts
@@ -5,9 +5,9 @@
 const digestLength = 32;
 
 /**
- * Returns a digest of what a request asks for. It is the same for all attempts of callers to send it, at all
+ * Returns a digest of what a request is for. It is the same for all attempts of callers to send it, at all
  * instances, and contains neither the request id, which each attempt has anew, nor the caller, nor how far a
- * stream has come.
+ * stream has arrived.
  *
  * @example
  * digestContent(firstAttempt) === digestContent(itsRetry);
--- a/packages/forwarding/src/_lib/probeAddress/index.ts
+++ b/packages/forwarding/src/_lib/probeAddress/index.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@acaciacrank/base';
 import { connect } from 'node:net';
 
-/** What became of an attempt to connect: `silent` if nothing came back in time. */
+/** What became of an attempt to connect: `silent` if nothing returned in time. */
 export type ProbeOutcome = 'accepted' | 'refused' | 'silent';
 
 /** Time for which a new connection has to stay open, in milliseconds. */
--- a/packages/forwarding/src/_lib/recordStreamBegin/index.ts
+++ b/packages/forwarding/src/_lib/recordStreamBegin/index.ts
@@ -12,7 +12,7 @@
 
 /**
  * Records the run that sends a part of a stream, before its first event is passed on. The first one is the origin,
- * which decides who may go on.
+ * which decides who may continue.
  */
 export function recordStreamBegin(
   call: ForwardCall,
--- a/packages/forwarding/src/_lib/relayProtocol/index.ts
+++ b/packages/forwarding/src/_lib/relayProtocol/index.ts
@@ -10,7 +10,7 @@
 export const relayedByHeader = 'acaciacrank-relayed-by';
 /** Id of the upstream that the response comes from. */
 export const relayUpstreamHeader = 'acaciacrank-upstream';
-/** The run of the upstream that began the stream: in a request that goes on with it, and in its response. */
+/** The run of the upstream that began the stream: in a request that continues with it, and in its response. */
 export const relayOriginHeader = 'acaciacrank-origin';
 /** Present on a refusal that another peer need not give: this one cannot take requests or reaches no upstream. */
 export const relayRefusedHeader = 'acaciacrank-relay-refused';
--- a/packages/forwarding/src/_lib/versionErrors/index.ts
+++ b/packages/forwarding/src/_lib/versionErrors/index.ts
@@ -6,7 +6,7 @@
   return new RouterError('streamVersionUnknown', 'it is not known which version began the stream');
 }
 
-/** Returns the error for a stream that no upstream may go on with. */
+/** Returns the error for a stream that no upstream may continue with. */
 export function createVersionGoneError({ service, softwareVersion }: UpstreamRun): RouterError {
   if (softwareVersion === undefined) return createVersionUnknownError();
   const what = `no upstream of ${service} runs version ${softwareVersion}, which began the stream`;
--- a/packages/ledger/src/PageWriter/index.ts
+++ b/packages/ledger/src/PageWriter/index.ts
@@ -67,7 +67,7 @@
  *
  * A page without other writers is written without being read first.
  *
- * After the store came back from an older copy, what this instance wrote to a page lately is written
+ * After the store returned from an older copy, what this instance wrote to a page lately is written
  * again before anything else. Otherwise bills of which callers have the final event would be lost, and
  * their request keys would be billed a second time.
  */
@@ -248,7 +248,7 @@
     this.#lastCommitMs.set(pageKey, this.#options.clock.monotonicMs());
     const condition = { kind: 'version', version: written.version } as const;
     const epoch = epochOf(written.version);
-    // The store came back in between: the next attempt reads what it holds now.
+    // The store returned in between: the next attempt reads what it holds now.
     if (epoch !== before.epoch) return undefined;
     this.#writtenEpochs.set(pageKey, epoch);
     this.#journal.add(pageKey, operations, results);
@@ -256,7 +256,7 @@
     return results;
   }
 
-  /** Applies what this instance wrote to the page before the store came back from an older copy. */
+  /** Applies what this instance wrote to the page before the store returned from an older copy. */
   #applyLost(pageKey: string, { page, epoch }: CachedPage): LedgerPage {
     if ((this.#writtenEpochs.get(pageKey) ?? epoch) === epoch) return page;
     return this.#applyAll(page, this.#journal.operations(pageKey)).page;
--- a/packages/ledger/src/PrepaidAccount/index.ts
+++ b/packages/ledger/src/PrepaidAccount/index.ts
@@ -61,7 +61,7 @@
   isStoreUnavailable: () => boolean;
   /** The number of instances that may hold tokens of an account; infinite if unknown; 1 by default. */
   instanceCount?: () => number;
-  /** What is known about restores of the store; by default it never comes back from an older copy. */
+  /** What is known about restores of the store; by default it never returns from an older copy. */
   restores?: RestoreKnowledge;
 }
 
@@ -92,12 +92,12 @@
 const maxSurplusLoanShare = 0.25;
 /** The maximum delay after a write conflict, in milliseconds; the time of a few calls to the store. */
 const maxConflictDelayMs = 30;
-/** The maximum number of holders that the home asks for tokens; each takes a few milliseconds. */
+/** The maximum number of holders that the home requests tokens; each takes a few milliseconds. */
 const maxHoldersAsked = 3;
 /** The maximum attempts of a conditional write; the response to a conflict contains the current page. */
 const maxWriteAttempts = 6;
 
-/** For stores that never come back from an older copy; withholds everything if one does. */
+/** For stores that never return from an older copy; withholds everything if one does. */
 const noRestores: RestoreKnowledge = { firstEpoch: () => 0, isAccounted: () => false };
 
 /**
@@ -359,7 +359,7 @@
   ): Promise<LoanOutcome | undefined> {
     if (peer === undefined) return undefined;
     const missing = Math.max(0, neededTokens - this.stockTokens);
-    // Otherwise each of several concurrent requests would ask for a full stock.
+    // Otherwise each of several concurrent requests would request a full stock.
     const wanted =
       this.#loanRequestsInFlight > 0 ? 0 : Math.max(0, this.#targetStock() - this.stockTokens);
     this.#loanRequestsInFlight += 1;
@@ -438,7 +438,7 @@
     for (const holder of holders.slice(0, maxHoldersAsked)) {
       if (this.stockTokens >= neededTokens) break;
       const missing = Math.ceil(neededTokens - this.stockTokens);
-      // Ask for stock: for a need, the holder would call the store, which has no more tokens.
+      // Request stock: for a need, the holder would call the store, which has no more tokens.
       const response = await this.#requestLoan(holder, this.#createLoanRequest(0, missing));
       // Stop, since a request is waiting and a missing response suggests that no peer can be reached.
       if (response === undefined) break;
@@ -536,7 +536,7 @@
     return 'heldElsewhere';
   }
 
-  /** Writes the grant again if the store lost it when it came back from an older copy. */
+  /** Writes the grant again if the store lost it when it returned from an older copy. */
   async #writeLostGrant(): Promise<ReserveOutcome> {
     try {
       for (let attempt = 1; attempt <= maxWriteAttempts; attempt += 1) {
--- a/packages/ledger/src/RequestRecords/index.ts
+++ b/packages/ledger/src/RequestRecords/index.ts
@@ -246,7 +246,7 @@
   }
 
   /**
-   * Writes a record again that the store lost when it came back from an older copy. A record of another
+   * Writes a record again that the store lost when it returned from an older copy. A record of another
    * request is left as it is.
    */
   async #writeAgain(key: RequestKey, record: RequestRecord): Promise<void> {
--- a/packages/ledger/src/RestoreKnowledge/index.ts
+++ b/packages/ledger/src/RestoreKnowledge/index.ts
@@ -1,4 +1,4 @@
-/** What is known about a store that came back from an older copy. */
+/** What is known about a store that returned from an older copy. */
 export interface RestoreKnowledge {
   /** The epoch in which the store began; undefined until it is known. */
   firstEpoch: () => number | undefined;
--- a/packages/ledger/src/_lib/StoredGrant/index.ts
+++ b/packages/ledger/src/_lib/StoredGrant/index.ts
@@ -47,7 +47,7 @@
  * Only tokens that the store has confirmed may be spent, because the response to a write can be lost and
  * the write can take effect later.
  *
- * When the store comes back from an older copy, the page may lack grants that are being spent. The own
+ * When the store returns from an older copy, the page may lack grants that are being spent. The own
  * grant stays in force and has to be written again. Ungranted tokens are withheld meanwhile, since they
  * may be held by others: `RestoreKnowledge` determines from when on every grant is in the page again.
  */
@@ -182,7 +182,7 @@
   }
 
   /**
-   * The store came back from an older copy between the read of the page and its write. The write was
+   * The store returned from an older copy between the read of the page and its write. The write was
    * based on a page that may have lacked grants, so it grants nothing; its epoch shows that to others.
    */
   #handleRestoreDuringWrite(): 'conflict' {
--- a/packages/routing/src/HedgedAttempts/index.ts
+++ b/packages/routing/src/HedgedAttempts/index.ts
@@ -107,7 +107,7 @@
   }
 
   /**
-   * Returns the contender that went on to the end, or if none did the failure that says most, once all have ended;
+   * Returns the contender that continued to the end, or if none did the failure that says most, once all have ended;
    * contenders can be added again then.
    */
   async result(): Promise<EndedContender<Kind, Result>> {
--- a/packages/routing/src/OverloadBackoff/index.ts
+++ b/packages/routing/src/OverloadBackoff/index.ts
@@ -13,7 +13,7 @@
  * A later request for a backoff only ever extends it: each one holds until its own end, so a shorter one does not
  * shorten a longer one, and neither does a response to a request that was already on its way.
  *
- * Guards against load that comes back all at once: in the recovery requests follow each other at an interval, so
+ * Guards against load that returns all at once: in the recovery requests follow each other at an interval, so
  * that an upstream which is still overloaded refuses one of them and not a burst.
  *
  * @example
@@ -36,7 +36,7 @@
     return Math.max(0, this.#untilMs - this.#clock.monotonicMs());
   }
 
-  /** Whether neither it nor the recovery after it goes on. */
+  /** Whether neither it nor the recovery after it continues. */
   get isOver(): boolean {
     return this.#clock.monotonicMs() - this.#untilMs >= recoveryMs;
   }
@@ -49,7 +49,7 @@
   }
 
   /**
-   * Applies a backoff that the upstream asks for, in milliseconds, at most {@link maxBackoffMs}.
+   * Applies a backoff that the upstream requests, in milliseconds, at most {@link maxBackoffMs}.
    *
    * @returns whether it begins with this, rather than being extended or unchanged
    */
--- a/packages/routing/src/ResponseProgress/index.ts
+++ b/packages/routing/src/ResponseProgress/index.ts
@@ -109,7 +109,7 @@
     this.#restart();
   }
 
-  /** Whether tiny parts have come again and again since something was complete. */
+  /** Whether tiny parts have arrived again and again since something was complete. */
   get isTrickling(): boolean {
     return this.#reads >= minTrickleSignReads && this.#areReadsTiny;
   }
--- a/packages/routing/src/StreamOrigins/index.ts
+++ b/packages/routing/src/StreamOrigins/index.ts
@@ -18,10 +18,10 @@
 }
 
 /**
- * The runs of upstreams that began streams. What began a stream decides who may go on with it
- * (`mayContinueStream`), whichever instance its caller comes back to.
+ * The runs of upstreams that began streams. What began a stream decides who may continue with it
+ * (`mayContinueStream`), whichever instance its caller returns to.
  *
- * A key of which two versions are told names no single stream: its version is then not known.
+ * A key for which two versions are reported names no single stream: its version is then not known.
  *
  * @example
  * origins.record(stream, upstream.run);
--- a/packages/routing/src/SuspectFeatures/index.ts
+++ b/packages/routing/src/SuspectFeatures/index.ts
@@ -270,7 +270,7 @@
     return highest;
   }
 
-  /** Asks whether a request may be sent now; the result is reported by {@link finishAttempt}. */
+  /** Queries whether a request may be sent now; the result is reported by {@link finishAttempt}. */
   requestAttempt(question: SuspectAttemptRequest): SuspectDecision {
     const { service, content, parts, attempt, candidates } = question;
     this.deriveBlame(service);
--- a/packages/routing/src/UpstreamReach/index.ts
+++ b/packages/routing/src/UpstreamReach/index.ts
@@ -50,7 +50,7 @@
     return this.#unconnected.size >= minFailing || this.isSilent ? 'inDoubt' : 'reached';
   }
 
-  /** Whether requests were sent to several upstreams, and nothing comes from any. */
+  /** Whether requests were sent to several upstreams, and nothing arrives from any. */
   get isSilent(): boolean {
     const [oldestMs] = this.#waiting.values();
     if (oldestMs === undefined) return false;
--- a/packages/routing/src/UpstreamRegistry/index.ts
+++ b/packages/routing/src/UpstreamRegistry/index.ts
@@ -289,7 +289,7 @@
     this.#updatePool(entry);
   }
 
-  /** Updates the pools of upstreams whose backoff or recovery goes on or has just ended. */
+  /** Updates the pools of upstreams whose backoff or recovery continues or has just ended. */
   #updateBackingOff(): void {
     for (const upstream of this.#backingOff) {
       if (upstream.backoff.isOver) this.#backingOff.delete(upstream);
--- a/packages/routing/src/_lib/ServicePool/index.ts
+++ b/packages/routing/src/_lib/ServicePool/index.ts
@@ -41,7 +41,7 @@
   /**
    * Returns the upstreams that may receive requests. If none has room, returns the usable ones: a limit
    * may have been lowered after a request was admitted, which must not fail that request. An upstream that
-   * asked for a backoff is never among them. If none is usable, returns those that have refused requests without reporting that they are leaving: the fault
+   * requested a backoff is never among them. If none is usable, returns those that have refused requests without reporting that they are leaving: the fault
    * may lie with this instance.
    */
   candidates(): readonly Upstream[] {
--- a/packages/routing/src/attributeCrashes/index.ts
+++ b/packages/routing/src/attributeCrashes/index.ts
@@ -2,7 +2,7 @@
 
 /** A request that an upstream was running when it crashed. */
 export interface CrashedRequest {
-  /** What it asks for as a whole. */
+  /** What it requests as a whole. */
   readonly content: FeatureId;
   /** The parts of its prompt that others may share; none if its answer had lived on for a while. */
   readonly parts: readonly FeatureId[];
--- a/packages/routing/src/decideBodyMemory/index.ts
+++ b/packages/routing/src/decideBodyMemory/index.ts
@@ -28,7 +28,7 @@
  * Decides which response bodies are read while all of them together exceed their bounds.
  *
  * Where memory is short, the largest is read and the others wait, so that sound bodies end one after the other and
- * none is given up. One gives way for the others if it goes on beyond its fair size or time, or if its upstream is
+ * none is given up. One gives way for the others if it continues beyond its fair size or time, or if its upstream is
  * suspect: the largest, not whichever comes last.
  *
  * @param bodies - the bodies that are being read
--- a/packages/routing/src/decideHedge/index.ts
+++ b/packages/routing/src/decideHedge/index.ts
@@ -45,7 +45,7 @@
 
 /**
  * Decides whether a request is sent to a second upstream while the first is silent (a hedged request). The first one
- * is kept: whichever gives something first goes on, and the other is aborted.
+ * is kept: whichever gives something first continues, and the other is aborted.
  *
  * A silence of most upstreams at once, as in a pause of their machines or of the network, says nothing of any one of
  * them. Second requests would overload the few others, so only some find out whether these can do it.
--- a/packages/routing/src/mayContinueStream/index.ts
+++ b/packages/routing/src/mayContinueStream/index.ts
@@ -13,7 +13,7 @@
 /**
  * Whether an upstream may send the next events of a stream.
  *
- * What two versions of a software write does not fit together. Only the same version may go on, and where the
+ * What two versions of a software write does not fit together. Only the same version may continue, and where the
  * version of either is not known, only the same run.
  *
  * @param origin - the run that sent the first event
--- a/packages/routing/src/measureSilence/index.ts
+++ b/packages/routing/src/measureSilence/index.ts
@@ -36,7 +36,7 @@
   return { speaking, silent };
 }
 
-/** Whether requests wait at an upstream and nothing comes from it. */
+/** Whether requests wait at an upstream and nothing arrives from it. */
 export function isSilent({ sinceReceivedMs, longestWaitMs }: UpstreamActivity, limitMs: number) {
   return sinceReceivedMs >= limitMs && longestWaitMs >= limitMs;
 }
--- a/packages/routing/src/needsRunCheck/index.ts
+++ b/packages/routing/src/needsRunCheck/index.ts
@@ -1,6 +1,6 @@
 /** What is known about an upstream when a stream is about to be sent to it. */
 export interface RunEvidence {
-  /** Whether the request goes on with a stream that has begun. */
+  /** Whether the request continues with a stream that has begun. */
   readonly isResumption: boolean;
   /** Whether the connection to be used is open already. */
   readonly isConnected: boolean;
--- a/packages/soak/src/_lib/BrittleCheck/index.ts
+++ b/packages/soak/src/_lib/BrittleCheck/index.ts
@@ -19,7 +19,7 @@
 
 /** Number of falls in one period: so many, and one for each so many upstreams. */
 const allowedFalls = { base: 2, upstreamsPerFall: 10 } as const;
-/** Least part of what the upstreams can do that is done, if more than that is asked for. */
+/** Least part of what the upstreams can do that is done, if more than that is requested. */
 const minUsedShare = 0.7;
 
 /** Checks that brittle upstreams rarely fall over, and are used. */
--- a/packages/soak/src/_lib/DeadlyCaller/index.ts
+++ b/packages/soak/src/_lib/DeadlyCaller/index.ts
@@ -14,7 +14,7 @@
   readonly random: Random;
   /** Ports that serve callers, by instance index. */
   readonly callerPorts: readonly number[];
-  /** Whether each attempt asks for something else, so that instances cannot know that it is one request. */
+  /** Whether each attempt requests something else, so that instances cannot know that it is one request. */
   readonly isVaried: boolean;
 }
 
--- a/packages/soak/src/_lib/FakeUpstream/index.ts
+++ b/packages/soak/src/_lib/FakeUpstream/index.ts
@@ -43,7 +43,7 @@
   isLimitHidden = false;
   /** Whether its responses omit that it leaves. */
   isLeavingHidden = false;
-  /** Backoff that it asks for while it is overloaded, in milliseconds; undefined if it is not. */
+  /** Backoff that it requests while it is overloaded, in milliseconds; undefined if it is not. */
   backoffMs: number | undefined;
   /** Its room while it is brittle; undefined if it has room for all. */
   brittleRoom: BrittleRoom | undefined;
--- a/packages/soak/src/_lib/FaultInjector/index.ts
+++ b/packages/soak/src/_lib/FaultInjector/index.ts
@@ -24,7 +24,7 @@
 /** Time that a killed process takes to be up again, at most, in milliseconds. */
 const restartMs = 2_000;
 
-/** The greatest age of the copy from which the store comes back, in milliseconds. */
+/** The greatest age of the copy from which the store returns, in milliseconds. */
 const maxCopyAgeMs = 20_000;
 /** Time after which the operator and the upstreams write again what was lost, in milliseconds. */
 const rewriteDelayMs = 500;
@@ -235,7 +235,7 @@
     observations.soundAnswers.noteUpstreamFault(id, durationMs);
   }
 
-  /** The store is away, then comes back from a copy; its other users write again what is theirs. */
+  /** The store is away, then returns from a copy; its other users write again what is theirs. */
   #restoreStore({ durationMs, target }: PlannedFault): void {
     const { environment, observations } = this.#options;
     const ageMs = target % maxCopyAgeMs;
--- a/packages/soak/src/_lib/LoadGenerator/index.ts
+++ b/packages/soak/src/_lib/LoadGenerator/index.ts
@@ -107,7 +107,7 @@
     const sentAtMs = now();
     const instance = callerPorts.indexOf(port);
     observations.statements.noteCallStart(id, instance);
-    // Every second request asks for the same as others of its kind.
+    // Every second request is for the same as others of its kind.
     const item = this.#callCount % 2 === 0 ? 'x' : `x-${this.#callCount}`;
     const target = { port, path: `${kind.path}${item}`, method: kind.method, headers };
     const isDefective = injectedDefect === 'refuseAll' || random() < defectShare;
--- a/packages/soak/src/_lib/ProcessPause/index.ts
+++ b/packages/soak/src/_lib/ProcessPause/index.ts
@@ -1,9 +1,9 @@
-/** A pause of a process: it does nothing until the pause ends, and then goes on where it was. */
+/** A pause of a process: it does nothing until the pause ends, and then continues where it was. */
 export class ProcessPause {
   #count = 0;
   #waiting: (() => void)[] = [];
 
-  /** Begins a pause; of several that overlap, the process goes on after the last one. */
+  /** Begins a pause; of several that overlap, the process continues after the last one. */
   begin(): void {
     this.#count += 1;
   }
--- a/packages/soak/src/_lib/ReachCheck/index.ts
+++ b/packages/soak/src/_lib/ReachCheck/index.ts
@@ -28,7 +28,7 @@
 const refusalMs = 300;
 /** Time that detection takes if all are cut off, in milliseconds. */
 const detectMs = 1_500;
-/** The account that has tokens for all that it asks for; refusals of the others do not depend on a cut. */
+/** The account that has tokens for all that it requests; refusals of the others do not depend on a cut. */
 const ampleAccount = accounts[0]?.name;
 /** Number of calls from which shares are checked. */
 const minCalls = 30;
--- a/packages/soak/src/_lib/SoundAnswerCheck/index.ts
+++ b/packages/soak/src/_lib/SoundAnswerCheck/index.ts
@@ -29,7 +29,7 @@
 const endedOutcomes: ReadonlySet<string> = new Set(['cut', 'failed', 'refused']);
 /** Statuses of requests for which no upstream was found, or none that answered. */
 const unavailableStatuses: ReadonlySet<number> = new Set([502, 503]);
-/** The account that has tokens for all that it asks for; refusals of the others do not depend on a silence. */
+/** The account that has tokens for all that it requests; refusals of the others do not depend on a silence. */
 const ampleAccount = accounts[0]?.name;
 
 /**
--- a/packages/soak/src/_lib/VersionCheck/index.ts
+++ b/packages/soak/src/_lib/VersionCheck/index.ts
@@ -7,7 +7,7 @@
   readonly isUndisturbed: (fromMs: number, toMs: number) => boolean;
 }
 
-/** A stream that its caller has taken up, as far as it has come. */
+/** A stream that its caller has taken up, as far as it has arrived. */
 export interface TakenUpStream {
   readonly id: string;
   /** The events of all attempts of its caller. */
@@ -18,10 +18,10 @@
   readonly wentOn: boolean;
 }
 
-/** Least share of the taken up streams that go on in calm times, and the number from which that is checked. */
+/** Least share of the taken up streams that continue in calm times, and the number from which that is checked. */
 const calm = { minShare: 0.95, minCount: 20 } as const;
 
-/** Checks that no stream has events of two software versions, and that those which callers take up go on. */
+/** Checks that no stream has events of two software versions, and that those which callers take up continue. */
 export class VersionCheck {
   readonly #options: VersionCheckOptions;
   readonly #takenUp: TakenUpStream[] = [];
@@ -30,7 +30,7 @@
     this.#options = options;
   }
 
-  /** Number of streams that callers have taken up, and of those that went on. */
+  /** Number of streams that callers have taken up, and of those that continued. */
   get counts(): { readonly takenUp: number; readonly wentOn: number } {
     return { takenUp: this.#takenUp.length, wentOn: this.#takenUp.filter(hasGoneOn).length };
   }
@@ -51,7 +51,7 @@
     this.#takenUp.push(stream);
   }
 
-  /** Checks the share of taken up streams that went on in calm times. */
+  /** Checks the share of taken up streams that continued in calm times. */
   finish(): void {
     const { isUndisturbed, onViolation } = this.#options;
     const inCalm = this.#takenUp.filter((one) => isUndisturbed(one.beganAtMs, one.endedAtMs));
--- a/packages/soak/src/_lib/pauseUpstreams/index.ts
+++ b/packages/soak/src/_lib/pauseUpstreams/index.ts
@@ -16,7 +16,7 @@
 const plainEvery = 3;
 
 /**
- * Pauses upstreams without ending them: their connections stay open, nothing is read or written, then all goes on.
+ * Pauses upstreams without ending them: their connections stay open, nothing is read or written, then all continues.
  * The target chooses the share, then whether the plain service is paused as well, then from which upstream on.
  *
  * @example
--- a/packages/soak/src/_lib/planFaults/index.ts
+++ b/packages/soak/src/_lib/planFaults/index.ts
@@ -68,7 +68,7 @@
 const restoreTimesMs = { meanInterval: 15_000, minAway: 300, maxAway: 2_000 } as const;
 
 /**
- * Generates the times at which the store comes back from an older copy. They are drawn apart from the
+ * Generates the times at which the store returns from an older copy. They are drawn apart from the
  * other faults, so that a seed plans the same of those with and without restores.
  *
  * @param random - random numbers; the same sequence gives the same plan
--- a/packages/standins/src/_lib/prepaidSimulation/index.ts
+++ b/packages/standins/src/_lib/prepaidSimulation/index.ts
@@ -62,7 +62,7 @@
   spentTokens: number;
 }
 
-/** Creates a simulation without instances, whose store may come back from an older copy. */
+/** Creates a simulation without instances, whose store may return from an older copy. */
 export function createRestorableSimulation(seed: number, prepaidTokens: number): PrepaidSimulation {
   return { ...createSimulation(seed, prepaidTokens), isRestorable: true };
 }
--- a/packages/standins/src/experiments/hedge/_lib/ModelInstance/index.ts
+++ b/packages/standins/src/experiments/hedge/_lib/ModelInstance/index.ts
@@ -11,7 +11,7 @@
 import type { ModelUpstream } from '../ModelUpstream/index.js';
 
 /**
- * What is done when nothing has come from an upstream for a while: abort the attempt, then ask for another one; keep
+ * What is done when nothing has arrived from an upstream for a while: abort the attempt, then request another one; keep
  * it and decide on a second one beside it; or the same without the rule for a silence of most upstreams.
  */
 export type SilencePolicy = 'abortThenAsk' | 'hedge' | 'hedgeWithoutPanicThreshold';
@@ -93,7 +93,7 @@
     this.#send(stream, this.#candidates(stream));
   }
 
-  /** Records that upstreams have begun to fail; of connections that are reset the instance is told at once. */
+  /** Records that upstreams have begun to fail; of connections that are reset the instance is informed at once. */
   applyFault(isReset: boolean): void {
     const affected = this.#states
       .filter(({ upstream }) => upstream.isAffected)
@@ -161,7 +161,7 @@
     else this.#scheduleEvent(attempt, pace.eventMs);
   }
 
-  /** Calls the policy each time that nothing has come for the limit. */
+  /** Calls the policy each time that nothing has arrived for the limit. */
   #watch(attempt: ModelAttempt, sinceMs = attempt.lastReceivedMs): void {
     const dueMs = sinceMs + bounds.inactivityMs - this.#nowMs;
     this.#options.clock.schedule(dueMs, () => {
@@ -176,7 +176,7 @@
     });
   }
 
-  /** Aborts an attempt, then asks for another one. */
+  /** Aborts an attempt, then requests another one. */
   #replace(attempt: ModelAttempt): void {
     const { stream } = attempt;
     this.#abort(attempt);
--- a/packages/standins/src/experiments/hedge/_lib/ModelUpstream/index.ts
+++ b/packages/standins/src/experiments/hedge/_lib/ModelUpstream/index.ts
@@ -1,6 +1,6 @@
 import type { UpstreamId } from '@acaciacrank/base';
 
-/** What happens to an upstream: it is silent and goes on, its connections are reset, or its packets are dropped for good. */
+/** What happens to an upstream: it is silent and continues, its connections are reset, or its packets are dropped for good. */
 export type ModelFault =
   | { readonly kind: 'silence'; readonly durationMs: number }
   | { readonly kind: 'reset' }
--- a/packages/standins/src/faults/FaultInjector/index.ts
+++ b/packages/standins/src/faults/FaultInjector/index.ts
@@ -11,7 +11,7 @@
 /** Duration of a process pause, in milliseconds; longer than the validity of a grant or a lease. */
 const pauseMs = 200_000;
 
-/** Duration of a pause of all upstreams, after which they go on, in milliseconds. */
+/** Duration of a pause of all upstreams, after which they continue, in milliseconds. */
 const upstreamPauseMs = 3_000;
 
 /** One intercepted call, and how it fails. */
--- a/packages/standins/src/faults/_lib/UpstreamPause/index.ts
+++ b/packages/standins/src/faults/_lib/UpstreamPause/index.ts
@@ -14,7 +14,7 @@
 }
 
 /**
- * A pause of upstreams that ends: their connections stay open, nothing is read or written, then all goes on. Unlike
+ * A pause of upstreams that ends: their connections stay open, nothing is read or written, then all continues. Unlike
  * a connection that is silent for good, it loses nothing: what was sent meanwhile arrives, given up or not.
  */
 export class UpstreamPause {
--- a/packages/standins/src/faults/_lib/endAfterSilence/index.ts
+++ b/packages/standins/src/faults/_lib/endAfterSilence/index.ts
@@ -5,7 +5,7 @@
 const silenceLimitMs = 1_000;
 
 /**
- * Mutates an instance so that it ends chat requests from whose upstream nothing has come for a second.
+ * Mutates an instance so that it ends chat requests from whose upstream nothing has arrived for a second.
  *
  * @param instance - the instance
  * @param clock - the clock of the simulation
--- a/packages/standins/src/faults/checkRecords/index.ts
+++ b/packages/standins/src/faults/checkRecords/index.ts
@@ -80,7 +80,7 @@
   return keys.flatMap((key) => {
     const bill = context.bills.get(`${budget.budgetId}/${key}`);
     const records = engineRecords.filter(({ requestId }) => requestId === bill?.requestId);
-    // Engines to which it was sent before and that were given up cancel it when they go on.
+    // Engines to which it was sent before and that were given up cancel it when they continue.
     const record = records.find(({ state }) => state === 'done') ?? records[0];
     const tokens = (record?.promptTokens ?? 0) + (record?.outputTokens ?? 0);
     if (bill?.tokens === tokens) return [];
@@ -121,7 +121,7 @@
 ]);
 
 /**
- * While upstreams do nothing but pause and go on, no request ends for what its upstream does not do meanwhile. An engine
+ * While upstreams do nothing but pause and continue, no request ends for what its upstream does not do meanwhile. An engine
  * that starts again has lost what it ran.
  */
 function pauseViolations(context: StoryContext): Violation[] {
--- a/packages/standins/src/scenarios/scenarioSchema/index.ts
+++ b/packages/standins/src/scenarios/scenarioSchema/index.ts
@@ -49,7 +49,7 @@
    * links between the instance and the others fall silent.
    */
   z.strictObject({ ...at, silence: actor, to: z.enum(['store', 'engine', 'service', 'fleet']) }),
-  /** All upstreams of a kind stay connected and say nothing, then go on. */
+  /** All upstreams of a kind stay connected and say nothing, then continue. */
   z.strictObject({ ...at, pauseUpstreams: z.enum(['engine', 'service', 'all']), for: duration }),
   /** An upstream begins to leave: it rejects new requests and finishes those in progress. */
   z.strictObject({ ...at, leave: actor }),
--- a/packages/store/src/MemoryPlatform/index.ts
+++ b/packages/store/src/MemoryPlatform/index.ts
@@ -75,7 +75,7 @@
     this.#copy = options.isSharing === true ? deepFreeze : structuredClone;
   }
 
-  /** Number of times that the store came back from an older copy. */
+  /** Number of times that the store returned from an older copy. */
   get epoch(): number {
     return this.#epoch;
   }
--- a/packages/store/src/StoreEpochs/index.ts
+++ b/packages/store/src/StoreEpochs/index.ts
@@ -3,7 +3,7 @@
 /**
  * The epochs of a store, as its responses report them: the present one, and every later one.
  *
- * An epoch ends when the store comes back from an older copy of its objects. Writes that it acknowledged
+ * An epoch ends when the store returns from an older copy of its objects. Writes that it acknowledged
  * after that copy are lost, and every holder of state from before has to write its state again, read it
  * again or drop it.
  */
@@ -15,7 +15,7 @@
     super(0);
   }
 
-  /** Number of times that the store came back from an older copy since this process started. */
+  /** Number of times that the store returned from an older copy since this process started. */
   get restoreCount(): number {
     return this.#restoreCount;
   }
@@ -37,7 +37,7 @@
   }
 
   /**
-   * Calls a listener each time that the store came back from an older copy.
+   * Calls a listener each time that the store returned from an older copy.
    *
    * @param onRestore - called with the new epoch and the one before
    *
--- a/packages/store/src/restoreBounds/index.ts
+++ b/packages/store/src/restoreBounds/index.ts
@@ -1,5 +1,5 @@
 /**
- * What is assumed about a store that comes back from an older copy. Every holder of state relies on the
+ * What is assumed about a store that returns from an older copy. Every holder of state relies on the
  * same values.
  */
 
--- a/packages/store/src/storeVersion/index.ts
+++ b/packages/store/src/storeVersion/index.ts
@@ -1,7 +1,7 @@
 /**
  * Versions of objects: the epoch of the store and its revision, in one number.
  *
- * A store that comes back from an older copy gives out revisions again, for other changes. Its epoch
+ * A store that returns from an older copy gives out revisions again, for other changes. Its epoch
  * rises each time, so a version with a higher epoch is newer whatever its revision is, and versions of
  * different epochs are never equal.
  */
--- a/packages/upstreams/src/StoreLease/index.ts
+++ b/packages/upstreams/src/StoreLease/index.ts
@@ -56,7 +56,7 @@
  * lease duration plus the clock skew, by its own monotonic clock. So neither a clock jump nor a
  * paused process leads to two holders at once, as long as clocks run at nearly the same rate.
  *
- * A store that came back from an older copy lacks the last writes of the lease. A missing lease, and one
+ * A store that returned from an older copy lacks the last writes of the lease. A missing lease, and one
  * that shows a release in an earlier epoch, may therefore be held: they are waited for as well.
  */
 export class StoreLease {
--- a/packages/upstreams/src/hedgeReads/index.ts
+++ b/packages/upstreams/src/hedgeReads/index.ts
@@ -5,7 +5,7 @@
   clock: Clock;
   /** Opens the first connection; its signal is aborted when the connection is closed. */
   open: (signal: AbortSignal) => AsyncIterable<Item>;
-  /** Opens another one that goes on after the last item. */
+  /** Opens another one that continues after the last item. */
   reopen: (signal: AbortSignal) => AsyncIterable<Item>;
   /**
    * Returns for how long nothing may come until another connection is opened, in milliseconds; called again for
@@ -22,7 +22,7 @@
 const maxConnections = 3;
 
 /**
- * Forwards items as they arrive. While none does, opens other connections beside the silent one, and goes on with
+ * Forwards items as they arrive. While none does, opens other connections beside the silent one, and continues with
  * the one that gives an item first; the others are closed then.
  *
  * Guards against a connection whose state was lost by a device between the two ends: it stays open but never
