BUDGET: a request that many callers send is not blamed beside a deadly part

The content of a request that half of the callers send was at three crashes within 0.4 s, before the part beside it was blamed; once lifted, it returned with what other instances had registered before. Change: a content is blamed only once all instances were asked, like a part, and not for crashes at which another request had a suspect part; it is held back meanwhile (busy) and then tried apart. What was lifted is not taken from peers again for 10 s.

--- a/packages/routing/src/BlamedFeatures/index.ts
+++ b/packages/routing/src/BlamedFeatures/index.ts
@@ -19,8 +19,11 @@
 const retentionMs = 3_600_000;
 /** Maximum number of entries; the least recent ones are discarded first. */
 const maxEntries = 256;
-/** For how long what an operator has lifted is not blamed again, since peers may still report it, in ms. */
-const liftedMs = 60_000;
+/**
+ * For how long what was lifted, by an operator or since it does not hold, is not taken from peers again, in
+ * milliseconds: what they have registered may be older. What an operator has lifted is not found again either.
+ */
+const liftedMs = { byOperator: 60_000, byEvidence: 10_000 } as const;
 
 /**
  * The features that this instance refuses to send to upstreams, by service.
@@ -33,6 +36,7 @@
   readonly #clock: Clock;
   readonly #byService = new Map<ServiceName, Map<string, BlameEntry>>();
   readonly #liftedUntilMs = new Map<string, number>();
+  readonly #notToldUntilMs = new Map<string, number>();
   #size = 0;
 
   constructor(clock: Clock) {
@@ -69,6 +73,8 @@
 
   /** Adds what a peer has reported; returns whether it was not blamed yet. */
   addTold(blame: ServiceBlame): boolean {
+    const key = `${blame.service}/${keyOf(blame.features)}`;
+    if (this.#clock.monotonicMs() < (this.#notToldUntilMs.get(key) ?? -Infinity)) return false;
     return this.#add(blame, { witnessedMs: -Infinity, toldMs: this.#clock.monotonicMs() });
   }
 
@@ -107,7 +113,9 @@
 
   /** Removes a blame that does not hold any more; returns whether there was one. */
   remove(service: ServiceName, features: readonly FeatureId[]): boolean {
-    return this.#remove(service, keyOf(features));
+    const key = keyOf(features);
+    this.#refuseTold(service, key);
+    return this.#remove(service, key);
   }
 
   /** Clears what is blamed although a request with all of it was answered; returns what that was. */
@@ -115,6 +123,7 @@
     const cleared: FeatureId[][] = [];
     for (const [key, entry] of this.#byService.get(service) ?? []) {
       if (!entry.features.every((feature) => features.includes(feature))) continue;
+      this.#refuseTold(service, key);
       this.#remove(service, key);
       cleared.push([...entry.features]);
     }
@@ -125,7 +134,13 @@
   lift(service: ServiceName, features: readonly FeatureId[]): void {
     const key = keyOf(features);
     this.#remove(service, key);
-    this.#liftedUntilMs.set(`${service}/${key}`, this.#clock.monotonicMs() + liftedMs);
+    this.#liftedUntilMs.set(`${service}/${key}`, this.#clock.monotonicMs() + liftedMs.byOperator);
+  }
+
+  #refuseTold(service: ServiceName, key: string): void {
+    if (this.#notToldUntilMs.size >= maxEntries) this.#notToldUntilMs.clear();
+    const untilMs = this.#clock.monotonicMs() + liftedMs.byEvidence;
+    this.#notToldUntilMs.set(`${service}/${key}`, untilMs);
   }
 
   #remove(service: ServiceName, key: string): boolean {
--- a/packages/routing/src/BlamedFeatures/test.ts
+++ b/packages/routing/src/BlamedFeatures/test.ts
@@ -66,6 +66,19 @@
   t.is(blamed.witnessed().length, 1);
 });
 
+// Guards against blame that does not hold and returns with what a peer has registered before it was lifted.
+test('what was lifted is not taken from peers again for a while, and may be found again', async (t) => {
+  const clock = new ManualClock();
+  const blamed = new BlamedFeatures(clock);
+  blamed.add(blame('dd'));
+  t.true(blamed.remove(service, features('dd')));
+  t.false(blamed.addTold(blame('dd')));
+  t.true(blamed.add(blame('dd')));
+  blamed.clearSound(service, features('dd'));
+  await clock.advance(10_000);
+  t.true(blamed.addTold(blame('dd')));
+});
+
 // Guards against memory that grows with what is blamed.
 test('the least recent blame is discarded when there are many', (t) => {
   const blamed = new BlamedFeatures(new ManualClock());
--- a/packages/routing/src/SuspectFeatures/index.ts
+++ b/packages/routing/src/SuspectFeatures/index.ts
@@ -216,9 +216,9 @@
     const sinceMs = this.#clock.monotonicMs();
     let isNew = false;
     for (const blame of blames) isNew = this.blamed.add({ ...blame, service, sinceMs }) || isNew;
-    const lifted = [...suspects]
-      .filter(([feature, count]) => count < maxEndsPerRequest && !isPart(feature, evidence))
-      .map(([feature]) => [feature])
+    const lifted = contentsOf(evidence)
+      .filter((content) => (suspects.get(content) ?? 0) < maxEndsPerRequest)
+      .map((content) => [content])
       .filter((features) => this.blamed.remove(service, features));
     return { isNew, lifted };
   }
@@ -364,8 +364,8 @@
   return { upstreamId, atMs, requests: [], isolatedContent: undefined };
 }
 
-function isPart(feature: FeatureId, { crashes }: ServiceEvidence): boolean {
-  return crashes.some(({ requests }) => requests.some(({ parts }) => parts.includes(feature)));
+function contentsOf({ crashes }: ServiceEvidence): readonly FeatureId[] {
+  return crashes.flatMap(({ requests }) => requests.map(({ content }) => content));
 }
 
 /** A request that was sent after a crash was at another run, also if that started soon after it. */
--- a/packages/routing/src/SuspectFeatures/test.ts
+++ b/packages/routing/src/SuspectFeatures/test.ts
@@ -30,6 +30,13 @@
     return this.suspects.requestAttempt({ ...one, attempt: name, candidates }).verdict;
   }
 
+  /** All instances are asked about the crashes so far, and reply. */
+  async confirm(): Promise<void> {
+    await this.clock.advance(10_000);
+    this.suspects.recordAsked(service);
+    await this.clock.advance(100);
+  }
+
   count(one: SuspectRequest): number {
     return this.suspects.crashCountOf(service, [one.content, ...one.parts]);
   }
@@ -42,7 +49,7 @@
 });
 
 // Guards against a request that ends upstreams by being sent to several at once.
-test('attempts under way count as crashes to come', (t) => {
+test('attempts under way count as crashes to come', async (t) => {
   const scene = new Scene();
   scene.crash(guilty, 'u1', 0);
   t.is(scene.attempt('one/1'), 'granted');
@@ -53,6 +60,8 @@
   t.is(scene.attempt('three/1'), 'busy');
   scene.crash(guilty, 'u3', 6_000);
   scene.suspects.finishAttempt('two/1', false);
+  t.is(scene.attempt('three/1'), 'busy');
+  await scene.confirm();
   t.is(scene.attempt('three/1'), 'quarantined');
 });
 
@@ -102,7 +111,7 @@
 });
 
 // Guards against requests that stay in quarantine for what another one has done.
-test('a request that ends an upstream apart lets those that ran beside it be tried once more', (t) => {
+test('a request that ends an upstream apart lets those that ran beside it be tried once more', async (t) => {
   const scene = new Scene();
   for (const [index, id] of ['u1', 'u2'].entries()) {
     scene.crash(innocent, id, 1_000 * index);
@@ -110,8 +119,10 @@
   }
   t.is(scene.attempt('one/1'), 'granted');
   scene.crash(innocent, 'u4', 5_000);
+  await scene.confirm();
   t.is(scene.attempt('two/1', innocent), 'quarantined');
   scene.crash(guilty, 'u4', 5_010);
+  await scene.confirm();
   t.is(scene.attempt('one/2'), 'quarantined');
   scene.suspects.finishAttempt('one/1', false);
   t.is(scene.attempt('two/2', innocent), 'granted');
@@ -120,7 +131,7 @@
 });
 
 // Guards against a guilty request that goes free since another one was convicted for a crash of its upstream.
-test('a wrong conviction clears no other request', (t) => {
+test('a wrong conviction clears no other request', async (t) => {
   const scene = new Scene();
   for (const [index, id] of ['u1', 'u2'].entries()) {
     scene.crash(innocent, id, 1_000 * index);
@@ -132,6 +143,7 @@
   scene.suspects.finishAttempt('two/1', false);
   t.is(scene.attempt('one/1'), 'granted');
   scene.crash(guilty, 'u4', 5_000);
+  await scene.confirm();
   t.is(scene.attempt('one/2'), 'quarantined');
 });
 
@@ -177,6 +189,7 @@
 test('the oldest crashes are forgotten, and blame is not', async (t) => {
   const scene = new Scene();
   for (const index of [1, 2, 3]) scene.crash(guilty, `u${index}`, index * 1_000);
+  await scene.confirm();
   t.is(scene.attempt('one/1'), 'quarantined');
   for (let index = 0; index < 70; index += 1)
     scene.crash(request(`other${index}`), 'u4', 10_000 + 1_000 * index);
@@ -189,9 +202,10 @@
 });
 
 // Guards against an operator's command that lasts until the same crashes are looked at again.
-test('what an operator lifts is not blamed for the crashes that led to it', (t) => {
+test('what an operator lifts is not blamed for the crashes that led to it', async (t) => {
   const scene = new Scene();
   for (const index of [1, 2, 3]) scene.crash(guilty, `u${index}`, index * 1_000);
+  await scene.confirm();
   t.is(scene.attempt('one/1'), 'quarantined');
   t.is(scene.suspects.lift(guilty.content).length, 1);
   t.is(scene.attempt('one/2'), 'clear');
--- a/packages/routing/src/attributeCrashes/index.ts
+++ b/packages/routing/src/attributeCrashes/index.ts
@@ -94,11 +94,13 @@
     if (isBlamable(part, record, knowledge)) blamable.add(part);
   }
   const partBlames = findPartBlames(crashes, blamable, parts, suspects);
-  const contents = countContents(crashes, partBlames, knowledge);
+  const contents = countContents(crashes, partBlames, suspects, knowledge);
   const contentBlames: Blame[] = [];
-  for (const [content, crashCount] of contents) {
+  for (const [content, { crashCount, secondMs }] of contents) {
     suspects.set(content, crashCount);
-    if (crashCount >= maxEndsPerRequest) contentBlames.push({ features: [content], crashCount });
+    const isConfirmed = secondMs <= knowledge.answeredUpToMs(content);
+    if (crashCount >= maxEndsPerRequest && isConfirmed)
+      contentBlames.push({ features: [content], crashCount });
   }
   return { blames: [...partBlames, ...contentBlames], suspects, questions };
 }
@@ -233,15 +235,22 @@
   isIsolated: boolean;
 }
 
+/** Number of crashes under a whole request, and when the second of them was. */
+interface ContentCount {
+  readonly crashCount: number;
+  readonly secondMs: number;
+}
+
 /**
- * Number of crashes under each whole request that no later answer clears. What another request explains, since it has
- * all of what is blamed, or ended an upstream while it ran apart, does not convict.
+ * Counts the crashes under each whole request that no later answer clears. What another request may explain, since it
+ * has all of what is blamed or a suspect part, or ended an upstream while it ran apart, does not convict.
  */
 function countContents(
   crashes: readonly Crash[],
   blames: readonly Blame[],
+  suspects: ReadonlyMap<FeatureId, number>,
   { lastSoundMs }: AnswerKnowledge,
-): Map<FeatureId, number> {
+): Map<FeatureId, ContentCount> {
   const records = new Map<FeatureId, ContentRecord>();
   for (const crash of crashes) {
     for (const content of new Set(crash.requests.map((request) => request.content))) {
@@ -254,18 +263,32 @@
   const convicted = [...records].filter(
     ([, record]) => record.isIsolated && record.crashes.length >= maxEndsPerRequest,
   );
-  const counts = new Map<FeatureId, number>();
+  const counts = new Map<FeatureId, ContentCount>();
   for (const [content, record] of records) {
     const isConvicted = record.isIsolated && record.crashes.length >= maxEndsPerRequest;
     const isExplained = (crash: Crash) =>
       hasGuiltyBeside(crash, content, blames) ||
+      (!isConvicted && hasSuspectBeside(crash, content, suspects)) ||
       (!isConvicted && convicted.some(([, { crashes: theirs }]) => theirs.includes(crash)));
     const unexplained = record.crashes.filter((crash) => !isExplained(crash)).length;
-    counts.set(content, Math.max(unexplained, Math.min(record.crashes.length, endsToIsolate)));
+    const crashCount = Math.max(unexplained, Math.min(record.crashes.length, endsToIsolate));
+    counts.set(content, { crashCount, secondMs: record.crashes[1]?.atMs ?? Infinity });
   }
   return counts;
 }
 
+/** Whether another request at a crash has a suspect part that this one does not have. */
+function hasSuspectBeside(
+  { requests }: Crash,
+  content: FeatureId,
+  suspects: ReadonlyMap<FeatureId, number>,
+): boolean {
+  const own = new Set(
+    requests.filter((one) => one.content === content).flatMap(({ parts }) => parts),
+  );
+  return requests.some(({ parts }) => parts.some((part) => suspects.has(part) && !own.has(part)));
+}
+
 /** Whether another request at a crash has all of what is blamed. */
 function hasGuiltyBeside(
   { requests }: Crash,
--- a/packages/routing/src/attributeCrashes/test.ts
+++ b/packages/routing/src/attributeCrashes/test.ts
@@ -120,6 +120,18 @@
   t.is(suspects.get(feature('beside')), 2);
 });
 
+// Guards against blame of a request that many callers send, before the part beside it at each crash is blamed.
+test('a request beside a suspect part is not blamed', (t) => {
+  const crashes = threeCrashes.slice(0, 2).concat(crash(2.02, { four: 'dd' }));
+  const beside = crashes.map((one) => ({
+    ...one,
+    requests: [...one.requests, { content: feature('hot'), parts: [feature('a')] }],
+  }));
+  const { blames, suspects } = attributeCrashes(beside, knowledge({ a: 4 }));
+  t.deepEqual(blames, []);
+  t.is(suspects.get(feature('hot')), 2);
+});
+
 // Guards against requests that many callers send and that are at upstreams which crash one after another.
 test('a request that was answered in the last minute is under no suspicion', (t) => {
   const crashes = [10, 20, 30].map((atS) => crash(atS, { hot: '' }));
