BUDGET: the part that was at the most crashes is blamed, not a set that contains every cause

Cause: a set of parts explained a crash where a request's parts were contained in it, so that a deadly part with another one (document4, in sound requests at the same crashes) explained more than the deadly part alone; what was blamed then stopped the requests that would have cleared it.

Now greedy set cover over parts: the one at the most crashes, with those that no request had it without. Test: red before ('d4 dd' for 'dd').

--- a/packages/routing/src/attributeCrashes/index.ts
+++ b/packages/routing/src/attributeCrashes/index.ts
@@ -181,9 +181,8 @@
 }
 
 /**
- * The sets of parts of which one must be the cause. Each request at a crash stands for its parts that no answer has
- * cleared and that were at several crashes. The set that explains the most crashes is blamed for these, or what all of
- * them have in common, then the one that explains the most of the others.
+ * The parts that explain crashes: greedy set cover. The part that was at the most crashes is blamed for these, together
+ * with those that no request there had it without, then the one that was at the most of the others.
  */
 function findPartBlames(
   crashes: readonly Crash[],
@@ -195,39 +194,41 @@
   const isOpen = (crash: Crash, part: FeatureId) =>
     (blamable.has(part) || suspects.has(part)) && parts.get(part)?.crashes.includes(crash) === true;
   let unexplained = crashes.map((crash) =>
-    crash.requests
-      .map((request) => new Set(request.parts.filter((part) => isOpen(crash, part))))
-      .filter((set) => [...set].some((part) => blamable.has(part))),
+    crash.requests.map((request) => request.parts.filter((part) => isOpen(crash, part))),
   );
   const blames: Blame[] = [];
   for (;;) {
-    const best = findBestSet(unexplained);
-    if (best === undefined || best.crashCount < minSupport) return blames;
-    const set = new Set(best.features);
-    const explained = unexplained.flatMap((sets) => sets.find((one) => isSubset(one, set)) ?? []);
-    const common = best.features.filter((part) => explained.every((one) => one.has(part)));
-    blames.push(common.length > 0 ? { ...best, features: common } : best);
-    unexplained = unexplained.filter((sets) => !sets.some((one) => isSubset(one, set)));
+    const cause = findBestPart(unexplained, blamable);
+    if (cause === undefined) return blames;
+    const explained = unexplained.filter((requests) => hasPart(requests, cause));
+    if (explained.length < minSupport) return blames;
+    const carriers = explained.flat().filter((request) => request.includes(cause));
+    blames.push({ features: intersect(carriers), crashCount: explained.length });
+    unexplained = unexplained.filter((requests) => !hasPart(requests, cause));
   }
 }
 
-/** The set that explains the most crashes, and of several the one with the fewest parts. */
-function findBestSet(setsByCrash: readonly (readonly Set<FeatureId>[])[]): Blame | undefined {
-  const distinct = new Map(setsByCrash.flat().map((set) => [[...set].sort().join(), set]));
-  let best: Blame | undefined;
-  for (const set of distinct.values()) {
-    const crashCount = setsByCrash.filter((sets) => sets.some((one) => isSubset(one, set))).length;
-    const isBetter =
-      best === undefined ||
-      crashCount > best.crashCount ||
-      (crashCount === best.crashCount && set.size < best.features.length);
-    if (isBetter) best = { features: [...set], crashCount };
+/** The part that was at the most crashes, given as the open parts of each of their requests. */
+function findBestPart(
+  crashes: readonly (readonly (readonly FeatureId[])[])[],
+  blamable: ReadonlySet<FeatureId>,
+): FeatureId | undefined {
+  let best: { readonly part: FeatureId; readonly crashCount: number } | undefined;
+  for (const part of blamable) {
+    const crashCount = crashes.filter((requests) => hasPart(requests, part)).length;
+    if (crashCount > (best?.crashCount ?? 0)) best = { part, crashCount };
   }
-  return best;
+  return best?.part;
+}
+
+function hasPart(requests: readonly (readonly FeatureId[])[], part: FeatureId): boolean {
+  return requests.some((request) => request.includes(part));
 }
 
-function isSubset(set: ReadonlySet<FeatureId>, other: ReadonlySet<FeatureId>): boolean {
-  return [...set].every((item) => other.has(item));
+/** What all of the sets have in common. */
+function intersect(sets: readonly (readonly FeatureId[])[]): readonly FeatureId[] {
+  const [first = [], ...others] = sets;
+  return first.filter((part) => others.every((set) => set.includes(part)));
 }
 
 interface ContentRecord {
--- a/packages/routing/src/attributeCrashes/test.ts
+++ b/packages/routing/src/attributeCrashes/test.ts
@@ -57,6 +57,18 @@
   t.deepEqual(blamedSets(crashes), ['dd']);
 });
 
+// Guards against a cause that goes free since another part was beside it in its own requests and in others.
+test('a part that was at most of the crashes is not excused by one that was at some', (t) => {
+  const crashes = [
+    crash(1, { one: 'dd d4' }),
+    crash(2, { sound1: 'd4', two: 'dd' }),
+    crash(3, { three: 'dd d4' }),
+    crash(4, { sound2: 'd4', four: 'dd' }),
+    crash(5, { five: 'dd' }),
+  ];
+  t.deepEqual(blamedSets(crashes), ['dd']);
+});
+
 // Guards against two causes of which each excuses the other.
 test('two parts that end upstreams are both blamed', (t) => {
   const other = [1, 2, 3].map((index) => crash(10 + index, { [`o${index}`]: 'a ee' }));
