BUDGET: blame of a part ends when another explains its crashes, and all are informed

A sound part that was beside the cause at its first crashes could be blamed, and stayed so for an hour: requests with it were refused, so that no answer cleared it, and only blame of whole requests was lifted by later evidence. An answer to an attempt lifted blame at the home alone; the others kept it.

The home that has blamed parts lifts them once other blame explains all of their crashes; finishAttempt returns what it lifts, which is sent to all. Tests: red before (compile error for the second; the first: quarantined).

--- a/packages/callers/src/RequestQuarantine/index.ts
+++ b/packages/callers/src/RequestQuarantine/index.ts
@@ -347,8 +347,10 @@
   }
 
   #finishOwn(attempt: string, wasAnswered: boolean): void {
-    const service = this.suspects.finishAttempt(attempt, wasAnswered);
-    if (service !== undefined) this.#announce(service);
+    const finished = this.suspects.finishAttempt(attempt, wasAnswered);
+    if (finished === undefined) return;
+    this.#sendLifted(finished.service, finished.lifted);
+    this.#announce(finished.service);
   }
 
   #receive(message: Parameters<Parameters<FleetLinks['subscribe']>[0]>[0], from: InstanceId): void {
--- a/packages/routing/src/BlamedFeatures/index.ts
+++ b/packages/routing/src/BlamedFeatures/index.ts
@@ -166,6 +166,7 @@
   }
 }
 
-function keyOf(features: readonly FeatureId[]): string {
+/** Names a set of features, in whichever order they are given. */
+export function keyOf(features: readonly FeatureId[]): string {
   return [...features].sort().join();
 }
--- a/packages/routing/src/SuspectFeatures/index.ts
+++ b/packages/routing/src/SuspectFeatures/index.ts
@@ -9,11 +9,12 @@
   attributeCrashes,
   endsToIsolate,
   maxEndsPerRequest,
+  type Blame,
   type Crash,
   type CrashAttribution,
   type CrashedRequest,
 } from '../attributeCrashes/index.js';
-import { BlamedFeatures, type ServiceBlame } from '../BlamedFeatures/index.js';
+import { BlamedFeatures, keyOf, type ServiceBlame } from '../BlamedFeatures/index.js';
 import { SoundFeatures } from '../SoundFeatures/index.js';
 
 /** A crash as one instance reports it, with its own requests there. */
@@ -86,6 +87,8 @@
   readonly told: Map<FeatureId, { readonly crashCount: number; readonly untilMs: number }>;
   /** When all instances were asked about answers to requests with a feature, in order. */
   readonly askedMs: Map<FeatureId, number[]>;
+  /** Sets of parts that were blamed here by these crashes. */
+  readonly blamedParts: Map<string, readonly FeatureId[]>;
   /** Derived from the above; undefined after a change. */
   attribution: CrashAttribution | undefined;
 }
@@ -96,6 +99,19 @@
   readonly lifted: readonly (readonly FeatureId[])[];
 }
 
+/** What the result of an attempt changes. */
+export interface FinishedAttempt {
+  readonly service: ServiceName;
+  readonly lifted: readonly (readonly FeatureId[])[];
+}
+
+const nothingFound: CrashAttribution = {
+  blames: [],
+  partBlames: [],
+  suspects: new Map(),
+  questions: [],
+};
+
 interface PendingAttempt {
   readonly request: SuspectRequest;
   readonly upstreamId: UpstreamId;
@@ -212,14 +228,16 @@
     const evidence = this.#services.get(service);
     if (evidence === undefined) return { isNew: false, lifted: [] };
     evidence.attribution = undefined;
-    const { blames, suspects } = this.#attributionOf(service);
+    const { blames, partBlames, suspects } = this.#attributionOf(service);
     const sinceMs = this.#clock.monotonicMs();
     let isNew = false;
     for (const blame of blames) isNew = this.blamed.add({ ...blame, service, sinceMs }) || isNew;
-    const lifted = contentsOf(evidence)
+    const contents = contentsOf(evidence)
       .filter((content) => (suspects.get(content) ?? 0) < maxEndsPerRequest)
-      .map((content) => [content])
-      .filter((features) => this.blamed.remove(service, features));
+      .map((content) => [content]);
+    const lifted = [...contents, ...takeExcused(evidence, partBlames)].filter((features) =>
+      this.blamed.remove(service, features),
+    );
     return { isNew, lifted };
   }
 
@@ -298,14 +316,19 @@
     return { verdict: 'granted', upstreamId };
   }
 
-  /** Reports that an attempt has its result, and whether the upstream answered it. */
-  finishAttempt(attempt: string, wasAnswered: boolean): ServiceName | undefined {
+  /**
+   * Reports that an attempt has its result, and whether the upstream answered it.
+   *
+   * @returns the service, and what is not blamed any more; undefined if the attempt is not known
+   */
+  finishAttempt(attempt: string, wasAnswered: boolean): FinishedAttempt | undefined {
     const pending = this.#attempts.get(attempt);
     if (pending === undefined) return undefined;
     this.#attempts.delete(attempt);
     const { service, content, parts } = pending.request;
-    if (wasAnswered) this.recordSound(service, [content, ...parts], this.#clock.monotonicMs());
-    return service;
+    if (!wasAnswered) return { service, lifted: [] };
+    const lifted = this.recordSound(service, [content, ...parts], this.#clock.monotonicMs());
+    return { service, lifted };
   }
 
   /** Whether a request was sent to the upstream that crashed apart from other suspects. */
@@ -323,13 +346,14 @@
       others: new Set(),
       told: new Map(),
       askedMs: new Map(),
+      blamedParts: new Map(),
       attribution: undefined,
     }));
   }
 
   #attributionOf(service: ServiceName): CrashAttribution {
     const evidence = this.#services.get(service);
-    if (evidence === undefined) return { blames: [], suspects: new Map(), questions: [] };
+    if (evidence === undefined) return nothingFound;
     const { soundMs, others, crashes, askedMs } = evidence;
     const repliedMs = this.#clock.monotonicMs() - repliesMs;
     evidence.attribution ??= attributeCrashes(crashes, {
@@ -368,6 +392,36 @@
   return crashes.flatMap(({ requests }) => requests.map(({ content }) => content));
 }
 
+/** Records what is blamed now; returns, once, the sets of parts that were blamed and whose crashes others explain. */
+function takeExcused(
+  { crashes, blamedParts }: ServiceEvidence,
+  blames: readonly Blame[],
+): readonly (readonly FeatureId[])[] {
+  for (const { features } of blames) blamedParts.set(keyOf(features), features);
+  const current = new Set(blames.map(({ features }) => keyOf(features)));
+  const excused = [...blamedParts]
+    .filter(([key]) => !current.has(key))
+    .filter(([, features]) => isExplained(crashes, features, blames));
+  for (const [key] of excused) blamedParts.delete(key);
+  return excused.map(([, features]) => features);
+}
+
+/** Whether at each of the crashes of a set of parts there was a request with all of another set that is blamed. */
+function isExplained(
+  crashes: readonly Crash[],
+  features: readonly FeatureId[],
+  blames: readonly Blame[],
+): boolean {
+  const own = crashes.filter((crash) => hasCarrier(crash, features));
+  return (
+    own.length > 0 && own.every((crash) => blames.some((one) => hasCarrier(crash, one.features)))
+  );
+}
+
+function hasCarrier({ requests }: Crash, features: readonly FeatureId[]): boolean {
+  return requests.some(({ parts }) => features.every((feature) => parts.includes(feature)));
+}
+
 /** A request that was sent after a crash was at another run, also if that started soon after it. */
 function isSameCrash(crash: Crash, report: CrashReport, request: ReportedRequest): boolean {
   if (crash.upstreamId !== report.upstreamId || request.sentMs > crash.atMs) return false;
--- a/packages/routing/src/SuspectFeatures/test.ts
+++ b/packages/routing/src/SuspectFeatures/test.ts
@@ -171,6 +171,37 @@
   t.is(scene.attempt('two/3', request('r4', 'c', 'dd')), 'clear');
 });
 
+// Guards against blame of a sound part that stays, since requests with it are refused and cannot clear it.
+test('blame of a part ends when another one explains its crashes', async (t) => {
+  const scene = new Scene();
+  const parts = ['d4', 'dd'] as FeatureId[];
+  const record = (index: number) => {
+    scene.crash(request(`sound${index}`, 'd4'), `u${index}`, 1_000 * index);
+    scene.crash(request(`r${index}`, 'dd'), `u${index}`, 1_000 * index);
+  };
+  for (const index of [1, 2, 3]) record(index);
+  scene.suspects.recordOthers(service, parts);
+  await scene.confirm();
+  t.is(scene.attempt('one/1', request('sound', 'd4')), 'quarantined');
+  for (const index of [11, 12]) scene.crash(request(`r${index}`, 'dd'), `u${index}`, 1_000 * index);
+  t.deepEqual(scene.suspects.deriveBlame(service).lifted, [['d4']]);
+  t.is(scene.attempt('one/2', request('guilty', 'dd')), 'quarantined');
+  t.not(scene.attempt('one/3', request('sound', 'd4')), 'quarantined');
+});
+
+// Guards against blame that other instances keep, although a request with all of it was answered.
+test('an answer to an attempt reports what it lifts', async (t) => {
+  const scene = new Scene();
+  scene.crash(request('r1', 'a', 'dd'), 'u1', 1_000);
+  scene.crash(request('r2', 'b', 'dd'), 'u2', 2_000);
+  t.is(scene.attempt('one/1', request('r3', 'c', 'dd')), 'granted');
+  scene.crash(request('r4', 'a', 'dd'), 'u3', 3_000);
+  scene.suspects.recordOthers(service, ['dd'] as FeatureId[]);
+  await scene.confirm();
+  t.is(scene.attempt('two/1', request('r5', 'dd')), 'quarantined');
+  t.deepEqual(scene.suspects.finishAttempt('one/1', true), { service, lifted: [['dd']] });
+});
+
 // Guards against a part that ends upstreams in one request after the other.
 test('a request with a blamed part is quarantined, whatever else it holds', async (t) => {
   const scene = new Scene();
--- a/packages/routing/src/attributeCrashes/index.ts
+++ b/packages/routing/src/attributeCrashes/index.ts
@@ -39,6 +39,8 @@
 /** What crashes show of features. */
 export interface CrashAttribution {
   readonly blames: readonly Blame[];
+  /** Those of them that consist of parts of prompts. */
+  readonly partBlames: readonly Blame[];
   /** Features that may end upstreams, with the number of crashes; requests with them are sent with care. */
   readonly suspects: ReadonlyMap<FeatureId, number>;
   /** Parts that were answered before the crashes: other instances may know of later answers. */
@@ -102,7 +104,7 @@
     if (crashCount >= maxEndsPerRequest && isConfirmed)
       contentBlames.push({ features: [content], crashCount });
   }
-  return { blames: [...partBlames, ...contentBlames], suspects, questions };
+  return { blames: [...partBlames, ...contentBlames], partBlames, suspects, questions };
 }
 
 /** The crashes of each part that no later answer has cleared. */
