BUDGET: new homes of a service get its crash reports, with what ran apart

The homes of the service died, others took their place and convicted the request after its third end, which it had met apart from other suspects; when the first homes started again, they were the homes, and had none of these crashes; peers that had not granted the attempt could not tell that it ran apart either, and counted two crashes.

A crash report says whether a request ran apart. An instance that becomes live gets the reports of the services whose home it is: 16 crashes of 64 requests at most, each once, and nothing where nothing has crashed.

--- a/packages/callers/src/RequestQuarantine/index.ts
+++ b/packages/callers/src/RequestQuarantine/index.ts
@@ -86,6 +86,11 @@
   readonly deadlineMs: number;
 }
 
+interface IsolatedAttempt {
+  readonly upstreamId: UpstreamId;
+  readonly content: FeatureId;
+}
+
 /** Number of instances that know of the crashes at a service: its home and one that can take its place. */
 const homeCount = 2;
 /** Limits on the items of one message. */
@@ -119,6 +124,8 @@
   readonly #announced = new Map<ServiceName, string>();
   /** Services of which an announcement was sent a moment ago, and whether there is news since. */
   readonly #announcing = new Map<ServiceName, { hasNews: boolean }>();
+  /** Attempts of this instance that run apart from other suspects. */
+  readonly #isolated = new Map<string, IsolatedAttempt>();
   #attemptCount = 0;
 
   constructor(options: RequestQuarantineOptions) {
@@ -200,7 +207,10 @@
   recordCrash({ features, upstreamId, sentMs, lostMs, hasLivedOn }: CrashedAttempt): Promise<void> {
     const { service, content } = features;
     const parts = hasLivedOn ? [] : features.parts.slice(0, maxInMessage.parts);
-    const request = { content, parts, sentMs };
+    const isIsolated = [...this.#isolated.values()].some(
+      (one) => one.upstreamId === upstreamId && one.content === content,
+    );
+    const request = { content, parts, sentMs, isIsolated };
     const crash = { service, upstreamId, atMs: lostMs };
     this.suspects.recordCrash({ ...crash, requests: [request] });
     this.#announce(service);
@@ -224,8 +234,11 @@
       metrics.count('suspectAttempts', decision.verdict);
       if (decision.verdict === 'clear') return undefined;
       if (decision.verdict === 'granted') {
-        const { upstreamId } = decision;
+        const { upstreamId, isIsolated } = decision;
+        if (isIsolated)
+          this.#isolated.set(attempt, { upstreamId, content: question.features.content });
         const finish = (wasAnswered: boolean) => {
+          this.#isolated.delete(attempt);
           this.#finish(home, attempt, wasAnswered);
         };
         return { upstreamId, endCount, finish };
@@ -238,9 +251,12 @@
     }
   }
 
-  /** Informs a peer of all that is blamed, as when it becomes live. */
+  /** Informs a peer of all that is blamed, as when it becomes live, and of the crashes of services whose home it is. */
   sendAllTo(peer: InstanceId): void {
     const { instanceId } = this.#options;
+    for (const service of this.suspects.services)
+      if (this.homesOf(service).includes(peer))
+        this.#reporter.forward(peer, this.suspects.reportsOf(service));
     for (const service of new Set(this.suspects.blamed.all().map((blame) => blame.service)))
       if (this.homesOf(service).includes(instanceId)) this.#send(peer, this.#describe(service));
   }
@@ -325,14 +341,15 @@
     const { service, content } = request;
     const parts = [...request.parts];
     try {
-      const { verdict, upstreamId, blames } = await rpc.ask(
+      const { verdict, upstreamId, isIsolated, blames } = await rpc.ask(
         home,
         { kind: 'suspectAttempt', service, content, parts, attempt, candidates },
         { timeoutMs: replyTimeoutMs },
       );
       this.#addBlames(service, blames);
       if (verdict !== 'granted') return { verdict };
-      return upstreamId === undefined ? undefined : { verdict, upstreamId };
+      if (upstreamId === undefined) return undefined;
+      return { verdict, upstreamId, isIsolated: isIsolated === true };
     } catch {
       // The next one in the order takes its place.
       return undefined;
@@ -367,8 +384,8 @@
       service,
       upstreamId,
       atMs: nowMs - ageMs,
-      requests: requests.map(({ content, parts, sentAgeMs }) => {
-        return { content, parts, sentMs: nowMs - sentAgeMs };
+      requests: requests.map(({ content, parts, sentAgeMs, isIsolated = false }) => {
+        return { content, parts, sentMs: nowMs - sentAgeMs, isIsolated };
       }),
     });
     this.#announce(service);
--- a/packages/callers/src/_lib/CrashReporter/index.ts
+++ b/packages/callers/src/_lib/CrashReporter/index.ts
@@ -28,8 +28,9 @@
   readonly requests: ReportedRequest[];
 }
 
-/** Maximum number of requests in one report. */
+/** Maximum number of requests in one report, and in one that is sent to a new home. */
 const maxRequests = 256;
+const maxForwardedRequests = 64;
 /** Timeout of a home's reply, in milliseconds. */
 const replyTimeoutMs = 200;
 /** For how long a crash is registered in the store if no home has replied, in milliseconds. */
@@ -61,6 +62,14 @@
     return (this.#sending ??= this.#sendSoon());
   }
 
+  /** Sends known crashes to an instance that has become a home of their service. */
+  forward(home: InstanceId, reports: readonly CrashReport[]): void {
+    for (const report of reports.slice(-maxRegistered)) {
+      const requests = report.requests.slice(0, maxForwardedRequests);
+      void this.#ask(home, { ...report, requests });
+    }
+  }
+
   /** Sends at once what was reported. */
   flush(): Promise<void> {
     this.#sending = undefined;
@@ -73,7 +82,7 @@
   get registered(): readonly CrashReportMessage[] {
     const nowMs = this.#options.clock.monotonicMs();
     this.#unconfirmed = this.#unconfirmed.filter(({ atMs }) => nowMs - atMs < registeredMs);
-    return this.#unconfirmed.slice(-maxRegistered).map((report) => describe(report, nowMs));
+    return this.#unconfirmed.slice(-maxRegistered).map((report) => describeCrash(report, nowMs));
   }
 
   /** The requests whose connections broke at the same time are reported by then. */
@@ -93,9 +102,9 @@
     await exchange().catch(() => undefined);
   }
 
-  async #ask(home: InstanceId, report: PendingReport): Promise<boolean> {
+  async #ask(home: InstanceId, report: CrashReport): Promise<boolean> {
     const { rpc, clock, onReply } = this.#options;
-    const message = describe(report, clock.monotonicMs());
+    const message = describeCrash(report, clock.monotonicMs());
     try {
       const question = { kind: 'crashReport', report: message } as const;
       const reply = await rpc.ask(home, question, { timeoutMs: replyTimeoutMs });
@@ -107,14 +116,17 @@
   }
 }
 
-function describe(report: PendingReport, nowMs: number): CrashReportMessage {
+/** Describes a report for another instance. */
+function describeCrash(report: CrashReport, nowMs: number): CrashReportMessage {
   const { service, upstreamId, atMs, requests } = report;
   return {
     service,
     upstreamId,
     ageMs: Math.max(0, nowMs - atMs),
-    requests: requests.map(({ content, parts, sentMs }) => {
-      return { content, parts: [...parts], sentAgeMs: Math.max(0, nowMs - sentMs) };
-    }),
+    requests: requests
+      .slice(0, maxRequests)
+      .map(({ content, parts, sentMs, isIsolated = false }) => {
+        return { content, parts: [...parts], sentAgeMs: Math.max(0, nowMs - sentMs), isIsolated };
+      }),
   };
 }
--- a/packages/fleet/src/messageSchemas/index.ts
+++ b/packages/fleet/src/messageSchemas/index.ts
@@ -106,6 +106,8 @@
   content: featureId,
   parts: requestFeatures,
   sentAgeMs: z.number().nonnegative(),
+  /** Whether it was sent apart from other suspects; absent from earlier releases. */
+  isIsolated: z.boolean().optional(),
 });
 
 /** Features that are blamed: a request with all of them is sent to no upstream. */
@@ -262,6 +264,8 @@
     verdict: z.enum(['clear', 'granted', 'busy', 'quarantined']),
     /** The upstream to send it to, if that is granted. */
     upstreamId: upstreamId.optional(),
+    /** Whether it is sent apart from other suspects; absent from earlier releases. */
+    isIsolated: z.boolean().optional(),
     blames,
   }),
   z.object({ kind: z.literal('crashReport'), blames, suspects, questions }),
--- a/packages/routing/src/SuspectFeatures/index.ts
+++ b/packages/routing/src/SuspectFeatures/index.ts
@@ -29,6 +29,8 @@
 /** A request that was running at a crash, and when it was sent, on the monotonic clock in milliseconds. */
 export interface ReportedRequest extends CrashedRequest {
   readonly sentMs: number;
+  /** Whether it was sent apart from other suspects. */
+  readonly isIsolated?: boolean;
 }
 
 /** The features of a request that is to be sent. */
@@ -52,7 +54,12 @@
  */
 export type SuspectDecision =
   | { readonly verdict: 'clear' | 'busy' | 'quarantined' }
-  | { readonly verdict: 'granted'; readonly upstreamId: UpstreamId };
+  | {
+      readonly verdict: 'granted';
+      readonly upstreamId: UpstreamId;
+      /** Whether it is sent apart from other suspects. */
+      readonly isIsolated: boolean;
+    };
 
 /** Reports within this time are about the same crash of an upstream, in milliseconds. */
 const sameCrashMs = 500;
@@ -72,8 +79,12 @@
 const maxCrashes = 64;
 const maxRequestsPerCrash = 256;
 
+interface SentRequest extends CrashedRequest {
+  readonly sentMs: number;
+}
+
 interface CrashEntry extends Crash {
-  readonly requests: CrashedRequest[];
+  readonly requests: SentRequest[];
   isolatedContent: FeatureId | undefined;
 }
 
@@ -163,9 +174,11 @@
       const known = evidence.crashes.find((crash) => isSameCrash(crash, report, request));
       const crash = known ?? createCrash(report);
       if (known === undefined) evidence.crashes.push(crash);
-      const { content, parts } = request;
-      if (crash.requests.length < maxRequestsPerCrash) crash.requests.push({ content, parts });
-      if (this.#isIsolatedAt(report, content)) crash.isolatedContent = content;
+      const { content, parts, sentMs } = request;
+      if (crash.requests.length < maxRequestsPerCrash)
+        crash.requests.push({ content, parts, sentMs });
+      const isIsolated = request.isIsolated === true || this.#isIsolatedAt(report, content);
+      if (isIsolated) crash.isolatedContent = content;
     }
     evidence.crashes.splice(0, evidence.crashes.length - maxCrashes);
     evidence.attribution = undefined;
@@ -259,6 +272,22 @@
     return this.#attributionOf(service).suspects;
   }
 
+  /** Services of which crashes were reported here. */
+  get services(): readonly ServiceName[] {
+    return [...this.#services.keys()];
+  }
+
+  /** The crashes that count for a service, as reports for another instance. */
+  reportsOf(service: ServiceName): readonly CrashReport[] {
+    const crashes = this.#services.get(service)?.crashes ?? [];
+    return crashes.map(({ upstreamId, atMs, requests, isolatedContent }) => {
+      const isIsolated = ({ content }: SentRequest) => content === isolatedContent;
+      const apart = requests.filter(isIsolated).map((one) => ({ ...one, isIsolated: true }));
+      const others = requests.filter((one) => !isIsolated(one));
+      return { service, upstreamId, atMs, requests: [...apart, ...others] };
+    });
+  }
+
   /** Number of crashes that count for a service. */
   crashCount(service: ServiceName): number {
     return this.#services.get(service)?.crashes.length ?? 0;
@@ -313,7 +342,7 @@
     const request = { service, content, parts };
     const grantedMs = this.#clock.monotonicMs();
     this.#attempts.set(attempt, { request, upstreamId, isIsolated, grantedMs });
-    return { verdict: 'granted', upstreamId };
+    return { verdict: 'granted', upstreamId, isIsolated };
   }
 
   /**
--- a/packages/routing/src/SuspectFeatures/test.ts
+++ b/packages/routing/src/SuspectFeatures/test.ts
@@ -103,8 +103,9 @@
   }
   const send = (name: string, one: SuspectRequest) =>
     scene.suspects.requestAttempt({ ...one, attempt: name, candidates });
-  t.deepEqual(send('one/1', guilty), { verdict: 'granted', upstreamId: 'u4' as UpstreamId });
-  t.deepEqual(send('two/1', innocent), { verdict: 'granted', upstreamId: 'u5' as UpstreamId });
+  const granted = { verdict: 'granted', isIsolated: true } as const;
+  t.deepEqual(send('one/1', guilty), { ...granted, upstreamId: 'u4' as UpstreamId });
+  t.deepEqual(send('two/1', innocent), { ...granted, upstreamId: 'u5' as UpstreamId });
   const third = request('third');
   scene.crash(third, 'u1', 0);
   t.is(scene.attempt('three/1', third), 'busy');
@@ -211,6 +212,29 @@
   t.deepEqual(scene.suspects.finishAttempt('one/1', true), { service, lifted: [['dd']] });
 });
 
+// Guards against a home that has not granted the attempt under which an upstream crashed.
+test('what ended an upstream apart is known to those who get the reports', async (t) => {
+  const scene = new Scene();
+  scene.crash(innocent, 'u1', 1_000);
+  scene.crash(guilty, 'u1', 1_000);
+  scene.crash(guilty, 'u2', 2_000);
+  scene.crash(innocent, 'u2', 2_000);
+  scene.suspects.recordCrash({
+    service,
+    upstreamId: 'u3' as UpstreamId,
+    atMs: 3_000,
+    requests: [{ ...guilty, sentMs: 2_950, isIsolated: true }],
+  });
+  const other = new Scene();
+  for (const report of scene.suspects.reportsOf(service)) other.suspects.recordCrash(report);
+  for (const one of [scene, other]) {
+    await one.confirm();
+    t.is(one.attempt('one/1'), 'quarantined');
+    t.is(one.count(innocent), 2);
+    t.is(one.suspects.crashCount(service), 3);
+  }
+});
+
 // Guards against a part that ends upstreams in one request after the other.
 test('a request with a blamed part is quarantined, whatever else it holds', async (t) => {
   const scene = new Scene();
--- a/packages/standins/src/experiments/suspects/_lib/QuarantineFleet/index.ts
+++ b/packages/standins/src/experiments/suspects/_lib/QuarantineFleet/index.ts
@@ -31,6 +31,8 @@
 export class QuarantineFleet implements Disposable {
   readonly clock = new ManualClock();
   readonly instances: readonly QuarantineInstance[];
+  /** Instances that do not live. */
+  readonly #gone = new Set<InstanceId>();
   readonly #network = new MemoryNetwork({ clock: this.clock, seed: 7 });
 
   constructor(instanceCount: number) {
@@ -50,6 +52,23 @@
     if (isHomeGone && home !== undefined) this.#network.isolate(home);
   }
 
+  /** Ends an instance; the others know at once. */
+  end(id: InstanceId): void {
+    this.#gone.add(id);
+    this.#network.isolate(id);
+  }
+
+  /** Lets an instance live that has not so far, or did not for a while; the others inform it. */
+  begin(id: InstanceId): void {
+    this.#gone.delete(id);
+    this.#network.isolate(id, false);
+    for (const { quarantine } of this.#living) quarantine.sendAllTo(id);
+  }
+
+  get #living(): readonly QuarantineInstance[] {
+    return this.instances.filter(({ id }) => !this.#gone.has(id));
+  }
+
   [Symbol.dispose](): void {
     for (const { quarantine } of this.instances) quarantine[Symbol.dispose]();
   }
@@ -62,8 +81,8 @@
       links,
       clock,
       instanceId: id,
-      live: () => ids,
-      peers: () => ids.filter((peer) => peer !== id),
+      live: () => ids.filter((one) => !this.#gone.has(one)),
+      peers: () => ids.filter((peer) => peer !== id && !this.#gone.has(peer)),
       log: createLog('experiment', { stream: { write: () => true } }),
       metrics: new Metrics(),
     });
--- a/packages/standins/src/experiments/suspects/test.ts
+++ b/packages/standins/src/experiments/suspects/test.ts
@@ -1,4 +1,6 @@
+import type { FeatureId, ServiceName, UpstreamId } from '@acaciacrank/base';
 import test from 'ava';
+import { QuarantineFleet } from './_lib/QuarantineFleet/index.js';
 import { simulateParts } from './_lib/PartSimulation/index.js';
 import { calmParts, simulateSuspect } from './index.js';
 
@@ -71,3 +73,51 @@
   const many = await simulateParts({ ...calmParts, instances: 280 }, 1);
   t.true(many.messages <= 10 * few.messages, `${few.messages}, then ${many.messages} messages`);
 });
+
+const service = 'tutor' as ServiceName;
+
+/** Sends a deadly request through an instance, as one that ran apart if that is granted; returns what became of it. */
+async function sendDeadly(
+  fleet: QuarantineFleet,
+  index: number,
+  upstream: string,
+): Promise<string> {
+  const instance = fleet.instances[index];
+  if (instance === undefined) return 'no instance';
+  const { quarantine } = instance;
+  const upstreamId = upstream as UpstreamId;
+  const features = { service, parts: [], content: 'deadly' as FeatureId, known: [] };
+  const deadlineMs = fleet.clock.monotonicMs() + 2_000;
+  const question = { features, candidates: () => [upstreamId], deadlineMs };
+  const admitting = quarantine.isSuspect(features)
+    ? quarantine.admit(question)
+    : Promise.resolve(undefined);
+  const result = await fleet.clock.runUntil(
+    admitting.catch((error: unknown) => (error as { kind: string }).kind),
+  );
+  if (typeof result === 'string') return result;
+  const sentMs = fleet.clock.monotonicMs();
+  const crash = { features, upstreamId, sentMs, lostMs: sentMs + 10, hasLivedOn: false };
+  await fleet.clock.advance(10);
+  await fleet.clock.runUntil(quarantine.recordCrash(crash));
+  result?.finish(false);
+  await fleet.clock.advance(500);
+  return 'ended';
+}
+
+// Guards against homes that start again without what was reported to those that took their place.
+test('homes that start again know the crashes that were reported meanwhile', async (t) => {
+  using fleet = new QuarantineFleet(5);
+  const homes = fleet.instances[0]?.quarantine.homesOf(service) ?? [];
+  const others = fleet.instances.flatMap(({ id }, index) => (homes.includes(id) ? [] : [index]));
+  const [first = 0, second = 0, third = 0] = others;
+  for (const home of homes) fleet.end(home);
+  t.is(await sendDeadly(fleet, first, 'u1'), 'ended');
+  t.is(await sendDeadly(fleet, second, 'u2'), 'ended');
+  for (const home of homes) fleet.begin(home);
+  await fleet.clock.advance(100);
+  t.is(await sendDeadly(fleet, third, 'u3'), 'ended');
+  for (const index of others) t.is(await sendDeadly(fleet, index, 'u4'), 'requestQuarantined');
+  for (const { id, quarantine } of fleet.instances)
+    if (homes.includes(id)) t.is(quarantine.suspects.crashCount(service), 3);
+});
