BUDGET: blame that is found while permission is requested is registered and sent as any other

Seen: deadlyParts 'an instance that starts knows from its first request on' failed beside load (6 of 102 runs, six or ten at once): the new instance ended a fifth engine. The list of registrations held none of the first one's blame: its registration was still that of the start (heartbeat 1). Cause: requestAttempt derived blame itself and discarded what had changed, so that the announcement that followed saw nothing new: no log line, no registration until the next heartbeat, and lifts that nobody was informed of.

--- a/packages/callers/src/RequestQuarantine/index.ts
+++ b/packages/callers/src/RequestQuarantine/index.ts
@@ -22,6 +22,7 @@
   repliesMs,
   SuspectFeatures,
   type ServiceBlame,
+  type SuspectAttemptRequest,
   type SuspectDecision,
   type SuspectRequest,
 } from '@acaciacrank/routing';
@@ -153,7 +154,7 @@
       }),
       rpc.answer('suspectAttempt', ({ service, content, parts, attempt, candidates }) => {
         const question = { service, content, parts, attempt, candidates };
-        const decision = this.suspects.requestAttempt(question);
+        const decision = this.#decide(question);
         this.#announce(service);
         return { kind: 'suspectAttempt', ...decision, blames: this.#describeBlames(service) };
       }),
@@ -318,7 +319,6 @@
     const parts = features.parts.slice(0, maxInMessage.parts);
     const request = { service, content, parts };
     const choice = candidates().slice(0, maxInMessage.candidates);
-    const own = () => this.suspects.requestAttempt({ ...request, attempt, candidates: choice });
     const isBlamed = this.suspects.blamed.find(service, [content, ...parts]) !== undefined;
     if (isBlamed) return { decision: { verdict: 'quarantined' }, home: instanceId };
     for (const home of this.homesOf(service)) {
@@ -326,12 +326,18 @@
       const decision = await this.#askHome(home, request, { attempt, candidates: choice });
       if (decision !== undefined) return { decision, home };
     }
-    const decision = own();
+    const decision = this.#decide({ ...request, attempt, candidates: choice });
     this.suspects.recordAsked(service);
     this.#announce(service);
     return { decision, home: instanceId };
   }
 
+  /** Decides by what this instance knows, after it has blamed what that shows. */
+  #decide(question: SuspectAttemptRequest): SuspectDecision {
+    this.#derive(question.service);
+    return this.suspects.requestAttempt(question);
+  }
+
   async #askHome(
     home: InstanceId,
     request: SuspectRequest,
@@ -429,14 +435,20 @@
     }
   }
 
-  /** As the home of a service, blames what its crashes show, and informs all instances of any change. */
-  #announce(service: ServiceName): void {
-    const { instanceId, clock, log, onBlame } = this.#options;
-    if (!this.homesOf(service).includes(instanceId)) return;
+  /** Blames what the crashes of a service show, and lifts what they do not show any more. */
+  #derive(service: ServiceName): void {
+    const { log, onBlame } = this.#options;
     const { isNew, lifted } = this.suspects.deriveBlame(service);
     if (isNew) log.warn({ ...this.#describe(service) }, 'requests end upstreams');
     if (isNew) onBlame?.();
     this.#sendLifted(service, lifted);
+  }
+
+  /** As the home of a service, blames what its crashes show, and informs all instances of any change. */
+  #announce(service: ServiceName): void {
+    const { instanceId, clock } = this.#options;
+    if (!this.homesOf(service).includes(instanceId)) return;
+    this.#derive(service);
     const recent = this.#announcing.get(service);
     if (recent !== undefined) {
       recent.hasNews = true;
@@ -480,12 +492,14 @@
     isByOperator = false,
   ): void {
     if (lifted.length === 0) return;
+    this.#options.log.info({ service, lifted, isByOperator }, 'blame lifted');
     const blames = lifted.slice(0, maxInMessage.blames).map((features) => [...features]);
     for (const peer of this.#options.peers())
       this.#send(peer, { kind: 'blameLifted', service, blames, isByOperator });
   }
 
   #receiveLifted({ service, blames, isByOperator }: FleetMessageOf<'blameLifted'>): void {
+    this.#options.log.info({ service, lifted: blames, isByOperator }, 'blame lifted by a peer');
     for (const features of blames) {
       if (isByOperator) this.suspects.recordLifted(service, features);
       else this.suspects.blamed.remove(service, features);
--- a/packages/routing/src/SuspectFeatures/index.ts
+++ b/packages/routing/src/SuspectFeatures/index.ts
@@ -317,10 +317,9 @@
     return highest;
   }
 
-  /** Queries whether a request may be sent now; the result is reported by {@link finishAttempt}. */
+  /** Queries, after {@link deriveBlame}, whether a request may be sent now; the result is reported by {@link finishAttempt}. */
   requestAttempt(question: SuspectAttemptRequest): SuspectDecision {
     const { service, content, parts, attempt, candidates } = question;
-    this.deriveBlame(service);
     if (this.blamed.find(service, [content, ...parts]) !== undefined)
       return { verdict: 'quarantined' };
     const contentCrashes = this.crashCountOf(service, [content]);
--- a/packages/routing/src/SuspectFeatures/test.ts
+++ b/packages/routing/src/SuspectFeatures/test.ts
@@ -27,6 +27,7 @@
   }
 
   attempt(name: string, one = guilty): string {
+    this.suspects.deriveBlame(service);
     return this.suspects.requestAttempt({ ...one, attempt: name, candidates }).verdict;
   }
 
