--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -26,18 +26,30 @@
 ava_status=$?
 tests_passed=$(grep -c '^ok ' .run/tests.tap)
 tests_failed=$(grep -c '^not ok ' .run/tests.tap)
+# A test whose file and quoted title stand in one line of KNOWN-RED.txt is passed over, and printed.
+is_known_red() {
+  local file=${1%% › test › *}
+  grep -F -- "${file// › //}/test.js" KNOWN-RED.txt | grep -qF -- "\"${1#* › test › }\""
+}
+known_failed=0
+while IFS= read -r name; do
+  is_known_red "$name" || continue
+  echo "known red, failed: $name"
+  known_failed=$((known_failed + 1))
+done < <(sed -n 's/^not ok [0-9]* - //p' .run/tests.tap)
 grep -A 40 '^not ok ' .run/tests.tap
 # A test file that crashes or hangs fails the run without a test of its own.
 if [ "$ava_status" -ne 0 ] && [ "$tests_failed" -eq 0 ]; then
   tail -40 .run/tests.tap
   tests_failed=1
 fi
-# Known failures are passed over and said aloud.
+tests_failed=$((tests_failed - known_failed))
 if [ -s KNOWN-RED.txt ]; then
   echo "known and not mended:"
   cat KNOWN-RED.txt
 fi
 passed=$((passed + tests_passed))
 failed=$((failed + tests_failed))
+echo "known red, failed: $known_failed"
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
