--- a/packages/callers/src/RequestQuarantine/index.ts
+++ b/packages/callers/src/RequestQuarantine/index.ts
@@ -17,9 +17,7 @@
   RegisteredQuarantine,
 } from '@acaciacrank/fleet';
 import {
-  endsToIsolate,
   rankByKey,
-  repliesMs,
   SuspectFeatures,
   type ServiceBlame,
   type SuspectAttemptRequest,
@@ -27,6 +25,7 @@
   type SuspectRequest,
 } from '@acaciacrank/routing';
 import { CrashReporter } from '../_lib/CrashReporter/index.js';
+import { SuspectAnnouncer } from '../_lib/SuspectAnnouncer/index.js';
 
 /** Options of {@link RequestQuarantine}. */
 export interface RequestQuarantineOptions {
@@ -95,11 +94,9 @@
 /** Number of instances that know of the crashes at a service: its home and one that can take its place. */
 const homeCount = 2;
 /** Limits on the items of one message. */
-const maxInMessage = { parts: 64, candidates: 32, features: 256, blames: 64 };
+const maxInMessage = { parts: 64, candidates: 32, blames: 64 } as const;
 /** Maximum number of registered crashes that are remembered. */
 const maxKnownCrashes = 4_096;
-/** Time between two announcements of a home, in milliseconds: each crash is reported by many instances. */
-const announceIntervalMs = 20;
 /** Timeout of a home's reply, in milliseconds. */
 const replyTimeoutMs = 200;
 /** Time between two questions while another attempt is under way, and for how long they are asked, in ms. */
@@ -119,12 +116,9 @@
   readonly #options: RequestQuarantineOptions;
   readonly #subscriptions: readonly Disposable[];
   readonly #reporter: CrashReporter;
+  readonly #announcer: SuspectAnnouncer;
   /** Crashes that other instances have registered in the store, by instance, run and upstream. */
   readonly #knownCrashes = new Set<string>();
-  /** What was last announced, by service. */
-  readonly #announced = new Map<ServiceName, string>();
-  /** Services of which an announcement was sent a moment ago, and whether there is news since. */
-  readonly #announcing = new Map<ServiceName, { hasNews: boolean }>();
   /** Attempts of this instance that run apart from other suspects. */
   readonly #isolated = new Map<string, IsolatedAttempt>();
   #attemptCount = 0;
@@ -133,6 +127,16 @@
     this.#options = options;
     const { clock, links, rpc } = options;
     this.suspects = new SuspectFeatures(clock);
+    this.#announcer = new SuspectAnnouncer({
+      suspects: this.suspects,
+      clock,
+      sendToAll: (message) => {
+        for (const peer of options.peers()) this.#send(peer, message);
+      },
+      onDue: (service) => {
+        this.#announce(service);
+      },
+    });
     this.#reporter = new CrashReporter({
       ...options,
       homesOf: (service) => this.homesOf(service),
@@ -146,7 +150,7 @@
     this.#subscriptions = [
       rpc.answer('crashReport', ({ report }) => {
         this.#addReport(report);
-        const { blames, suspects, questions } = this.#describe(report.service);
+        const { blames, suspects, questions } = this.#announcer.describe(report.service);
         return { kind: 'crashReport', blames, suspects, questions };
       }),
       links.subscribe((message, from) => {
@@ -156,7 +160,11 @@
         const question = { service, content, parts, attempt, candidates };
         const decision = this.#decide(question);
         this.#announce(service);
-        return { kind: 'suspectAttempt', ...decision, blames: this.#describeBlames(service) };
+        return {
+          kind: 'suspectAttempt',
+          ...decision,
+          blames: this.#announcer.describeBlames(service),
+        };
       }),
     ];
   }
@@ -259,7 +267,8 @@
       if (this.homesOf(service).includes(peer))
         this.#reporter.forward(peer, this.suspects.reportsOf(service));
     for (const service of new Set(this.suspects.blamed.all().map((blame) => blame.service)))
-      if (this.homesOf(service).includes(instanceId)) this.#send(peer, this.#describe(service));
+      if (this.homesOf(service).includes(instanceId))
+        this.#send(peer, this.#announcer.describe(service));
   }
 
   /** What this instance registers in the store, for instances that no peer reaches or that start. */
@@ -439,51 +448,17 @@
   #derive(service: ServiceName): void {
     const { log, onBlame } = this.#options;
     const { isNew, lifted } = this.suspects.deriveBlame(service);
-    if (isNew) log.warn({ ...this.#describe(service) }, 'requests end upstreams');
+    if (isNew) log.warn({ ...this.#announcer.describe(service) }, 'requests end upstreams');
     if (isNew) onBlame?.();
     this.#sendLifted(service, lifted);
   }
 
   /** As the home of a service, blames what its crashes show, and informs all instances of any change. */
   #announce(service: ServiceName): void {
-    const { instanceId, clock } = this.#options;
+    const { instanceId } = this.#options;
     if (!this.homesOf(service).includes(instanceId)) return;
     this.#derive(service);
-    const recent = this.#announcing.get(service);
-    if (recent !== undefined) {
-      recent.hasNews = true;
-      return;
-    }
-    this.#sendAnnouncement(service);
-    const current = { hasNews: false };
-    this.#announcing.set(service, current);
-    clock.schedule(announceIntervalMs, () => {
-      this.#announcing.delete(service);
-      if (current.hasNews) this.#announce(service);
-    });
-  }
-
-  #sendAnnouncement(service: ServiceName): void {
-    const message = this.#describe(service);
-    const features = message.blames.map((blame) => blame.features);
-    const { suspects, questions } = message;
-    const state = JSON.stringify([
-      features,
-      suspects,
-      questions,
-      this.suspects.crashCount(service),
-    ]);
-    const hasNothing = features.length + suspects.length + questions.length === 0;
-    if (state === this.#announced.get(service)) return;
-    if (hasNothing && !this.#announced.has(service)) return;
-    if (hasNothing) this.#announced.delete(service);
-    else this.#announced.set(service, state);
-    for (const peer of this.#options.peers()) this.#send(peer, message);
-    if (suspects.length + questions.length === 0) return;
-    this.suspects.recordAsked(service);
-    this.#options.clock.schedule(repliesMs, () => {
-      this.#announce(service);
-    });
+    this.#announcer.announce(service);
   }
 
   #sendLifted(
@@ -510,28 +485,6 @@
     const { instanceId, links } = this.#options;
     if (to !== instanceId) links.send(to, message);
   }
-
-  /** What is blamed at a service, and what is suspect there after several crashes. */
-  #describe(service: ServiceName): FleetMessageOf<'crashSuspects'> {
-    const suspects = [...this.suspects.suspectsOf(service)]
-      .filter(([, crashCount]) => crashCount >= endsToIsolate)
-      .slice(0, maxInMessage.features)
-      .map(([feature, crashCount]) => ({ feature, crashCount }));
-    const questions = this.suspects.questionsOf(service).slice(0, maxInMessage.features);
-    const blames = this.#describeBlames(service);
-    return { kind: 'crashSuspects', service, blames, suspects, questions: [...questions] };
-  }
-
-  #describeBlames(service: ServiceName): FleetMessageOf<'crashSuspects'>['blames'] {
-    const nowMs = this.#options.clock.monotonicMs();
-    return this.suspects.blamed
-      .witnessed()
-      .filter((blame) => blame.service === service)
-      .slice(0, maxInMessage.blames)
-      .map(({ features, crashCount, sinceMs }: ServiceBlame) => {
-        return { features: [...features], crashCount, ageMs: Math.max(0, nowMs - sinceMs) };
-      });
-  }
 }
 
 function toRegisteredBlame({ service, features, crashCount }: ServiceBlame): RegisteredBlame {
