BUDGET: an instance lifts only the blame that it has found itself

Blame of a whole request was lifted, at all instances, by any that derived blame and knew of fewer than three crashes under it: a second home that had missed a report, or one that had just started and got the blame, but not the crashes.

Contents are now lifted as parts are: only those that the instance blamed by its own crashes, once these do not show it any more. Test: red before.

--- a/packages/routing/src/SuspectFeatures/index.ts
+++ b/packages/routing/src/SuspectFeatures/index.ts
@@ -100,6 +100,8 @@
   readonly askedMs: Map<FeatureId, number[]>;
   /** Sets of parts that were blamed here by these crashes. */
   readonly blamedParts: Map<string, readonly FeatureId[]>;
+  /** Contents that were blamed here by these crashes. */
+  readonly blamedContents: Set<FeatureId>;
   /** Derived from the above; undefined after a change. */
   attribution: CrashAttribution | undefined;
 }
@@ -245,12 +247,11 @@
     const sinceMs = this.#clock.monotonicMs();
     let isNew = false;
     for (const blame of blames) isNew = this.blamed.add({ ...blame, service, sinceMs }) || isNew;
-    const contents = contentsOf(evidence)
-      .filter((content) => (suspects.get(content) ?? 0) < maxEndsPerRequest)
-      .map((content) => [content]);
-    const lifted = [...contents, ...takeExcused(evidence, partBlames)].filter((features) =>
-      this.blamed.remove(service, features),
-    );
+    const excused = [
+      ...takeExcusedContents(evidence, blames, suspects),
+      ...takeExcusedParts(evidence, partBlames),
+    ];
+    const lifted = excused.filter((features) => this.blamed.remove(service, features));
     return { isNew, lifted };
   }
 
@@ -375,6 +376,7 @@
       told: new Map(),
       askedMs: new Map(),
       blamedParts: new Map(),
+      blamedContents: new Set(),
       attribution: undefined,
     }));
   }
@@ -416,12 +418,26 @@
   return { upstreamId, atMs, requests: [], isolatedContent: undefined };
 }
 
-function contentsOf({ crashes }: ServiceEvidence): readonly FeatureId[] {
-  return crashes.flatMap(({ requests }) => requests.map(({ content }) => content));
+/** Records which contents are blamed now; returns, once, those that were and whose crashes do not show it any more. */
+function takeExcusedContents(
+  { crashes, blamedContents }: ServiceEvidence,
+  blames: readonly Blame[],
+  suspects: ReadonlyMap<FeatureId, number>,
+): readonly (readonly FeatureId[])[] {
+  const contents = new Set(
+    crashes.flatMap(({ requests }) => requests.map(({ content }) => content)),
+  );
+  for (const { features } of blames)
+    for (const feature of features) if (contents.has(feature)) blamedContents.add(feature);
+  const excused = [...blamedContents].filter(
+    (content) => contents.has(content) && (suspects.get(content) ?? 0) < maxEndsPerRequest,
+  );
+  for (const content of excused) blamedContents.delete(content);
+  return excused.map((content) => [content]);
 }
 
 /** Records what is blamed now; returns, once, the sets of parts that were blamed and whose crashes others explain. */
-function takeExcused(
+function takeExcusedParts(
   { crashes, blamedParts }: ServiceEvidence,
   blames: readonly Blame[],
 ): readonly (readonly FeatureId[])[] {
--- a/packages/routing/src/SuspectFeatures/test.ts
+++ b/packages/routing/src/SuspectFeatures/test.ts
@@ -200,6 +200,16 @@
   t.not(scene.attempt('one/3', request('sound', 'd4')), 'quarantined');
 });
 
+// Guards against an instance that knows of fewer crashes, as one that has just started, and lifts what a peer blames.
+test('what only a peer has found is not lifted for the crashes that are known here', async (t) => {
+  const scene = new Scene();
+  scene.suspects.blamed.addTold({ service, features: [guilty.content], crashCount: 3, sinceMs: 0 });
+  scene.crash(guilty, 'u1', 1_000);
+  await scene.confirm();
+  t.deepEqual(scene.suspects.deriveBlame(service).lifted, []);
+  t.is(scene.attempt('one/1'), 'quarantined');
+});
+
 // Guards against blame that other instances keep, although a request with all of it was answered.
 test('an answer to an attempt reports what it lifts', async (t) => {
   const scene = new Scene();
