--- a/packages/callers/src/RequestQuarantine/index.ts
+++ b/packages/callers/src/RequestQuarantine/index.ts
@@ -159,7 +159,7 @@
       rpc.answer('suspectAttempt', ({ service, content, parts, attempt, candidates }) => {
         const question = { service, content, parts, attempt, candidates };
         const decision = this.#decide(question);
-        this.#announce(service);
+        this.#announceDerived(service);
         return {
           kind: 'suspectAttempt',
           ...decision,
@@ -262,13 +262,11 @@
 
   /** Informs a peer of all that is blamed, as when it becomes live, and of the crashes of services whose home it is. */
   sendAllTo(peer: InstanceId): void {
-    const { instanceId } = this.#options;
     for (const service of this.suspects.services)
       if (this.homesOf(service).includes(peer))
         this.#reporter.forward(peer, this.suspects.reportsOf(service));
     for (const service of new Set(this.suspects.blamed.all().map((blame) => blame.service)))
-      if (this.homesOf(service).includes(instanceId))
-        this.#send(peer, this.#announcer.describe(service));
+      if (this.#isHomeOf(service)) this.#send(peer, this.#announcer.describe(service));
   }
 
   /** What this instance registers in the store, for instances that no peer reaches or that start. */
@@ -337,7 +335,7 @@
     }
     const decision = this.#decide({ ...request, attempt, candidates: choice });
     this.suspects.recordAsked(service);
-    this.#announce(service);
+    this.#announceDerived(service);
     return { decision, home: instanceId };
   }
 
@@ -455,19 +453,27 @@
 
   /** As the home of a service, blames what its crashes show, and informs all instances of any change. */
   #announce(service: ServiceName): void {
-    const { instanceId } = this.#options;
-    if (!this.homesOf(service).includes(instanceId)) return;
+    if (!this.#isHomeOf(service)) return;
     this.#derive(service);
     this.#announcer.announce(service);
   }
 
+  /** As the home of a service, informs all instances of any change, after {@link RequestQuarantine.#derive}. */
+  #announceDerived(service: ServiceName): void {
+    if (this.#isHomeOf(service)) this.#announcer.announce(service);
+  }
+
+  #isHomeOf(service: ServiceName): boolean {
+    return this.homesOf(service).includes(this.#options.instanceId);
+  }
+
   #sendLifted(
     service: ServiceName,
     lifted: readonly (readonly FeatureId[])[],
     isByOperator = false,
   ): void {
     if (lifted.length === 0) return;
-    this.#options.log.info({ service, lifted, isByOperator }, 'blame lifted');
+    if (!isByOperator) this.#options.log.info({ service, lifted }, 'blame lifted');
     const blames = lifted.slice(0, maxInMessage.blames).map((features) => [...features]);
     for (const peer of this.#options.peers())
       this.#send(peer, { kind: 'blameLifted', service, blames, isByOperator });
--- a/packages/callers/src/_lib/CrashReporter/index.ts
+++ b/packages/callers/src/_lib/CrashReporter/index.ts
@@ -123,10 +123,8 @@
     service,
     upstreamId,
     ageMs: Math.max(0, nowMs - atMs),
-    requests: requests
-      .slice(0, maxRequests)
-      .map(({ content, parts, sentMs, isIsolated = false }) => {
-        return { content, parts: [...parts], sentAgeMs: Math.max(0, nowMs - sentMs), isIsolated };
-      }),
+    requests: requests.map(({ content, parts, sentMs, isIsolated = false }) => {
+      return { content, parts: [...parts], sentAgeMs: Math.max(0, nowMs - sentMs), isIsolated };
+    }),
   };
 }
--- a/packages/standins/src/failures/queryOfDeath/test.ts
+++ b/packages/standins/src/failures/queryOfDeath/test.ts
@@ -31,17 +31,21 @@
   };
 }
 
-// Guards against a prompt that ends one engine after another while its caller repeats it under new keys.
-test('a prompt ends at most three engines, however often it is repeated', async (t) => {
-  const ended = new Set<string>();
-  let isDeadly = true;
+/** Whether engines end under the next request, and those that have. */
+interface MortalState {
+  isDeadly: boolean;
+  readonly ended: Set<string>;
+}
+
+/** Creates a fleet of one instance whose engines end while the state says so. */
+async function createMortalFleet(engines: number, state: MortalState) {
   const fleet = await createLocalFleet({
     document,
-    engines: engineCount,
+    engines,
     wrap: (parts) => {
       const clients = new FaultyUpstreams(parts.clients, ({ engineId }) => {
-        if (!isDeadly) return undefined;
-        ended.add(engineId);
+        if (!state.isDeadly) return undefined;
+        state.ended.add(engineId);
         clients.endedEngines.add(engineId);
         return { kind: 'dies', afterTokens: 0 };
       });
@@ -50,6 +54,13 @@
   });
   const [local] = fleet.instances;
   if (local === undefined) throw new Error('there is no instance');
+  return { fleet, local };
+}
+
+// Guards against a prompt that ends one engine after another while its caller repeats it under new keys.
+test('a prompt ends at most three engines, however often it is repeated', async (t) => {
+  const engines = { isDeadly: true, ended: new Set<string>() };
+  const { fleet, local } = await createMortalFleet(engineCount, engines);
   const ask = async (key: string, content: string) => {
     let hasEnd = false;
     for await (const frame of local.instance.chat.run(
@@ -62,36 +73,21 @@
   for (let repeat = 0; repeat < engineCount; repeat += 1) {
     await fleet.clock.runUntil(ask(`deadly-${repeat}`, deadlyText).catch(() => undefined));
   }
-  isDeadly = false;
-  t.true(ended.size >= 1 && ended.size <= 3, `${ended.size} ended`);
+  engines.isDeadly = false;
+  t.true(engines.ended.size >= 1 && engines.ended.size <= 3, `${engines.ended.size} ended`);
   t.true(await fleet.clock.runUntil(ask('other', 'how long does broth boil?')));
   await fleet[Symbol.asyncDispose]();
 });
 
 // Guards against a message that ends one engine after another, since no two of the prompts that begin with it are alike.
 test('a message that prompts share ends a bounded number of engines', async (t) => {
-  const ended = new Set<string>();
-  let isDeadly = false;
-  const fleet = await createLocalFleet({
-    document,
-    engines: 16,
-    wrap: (parts) => {
-      const clients = new FaultyUpstreams(parts.clients, ({ engineId }) => {
-        if (!isDeadly) return undefined;
-        ended.add(engineId);
-        clients.endedEngines.add(engineId);
-        return { kind: 'dies', afterTokens: 0 };
-      });
-      return { ...parts, clients };
-    },
-  });
-  const [local] = fleet.instances;
-  if (local === undefined) throw new Error('there is no instance');
+  const engines = { isDeadly: false, ended: new Set<string>() };
+  const { fleet, local } = await createMortalFleet(16, engines);
   const ask = async (key: string, context: string) => {
     const call = chatCall(key, `the question ${key}`);
     const shared = ['be brief', context].map((content) => ({ role: 'system' as const, content }));
     const messages = [...shared, ...call.messages];
-    isDeadly = context === deadlyText;
+    engines.isDeadly = context === deadlyText;
     let hasEnd = false;
     for await (const frame of local.instance.chat.run(
       { ...call, messages },
@@ -107,7 +103,7 @@
     const isAnswered = await fleet.clock.runUntil(ask(`sound-${repeat}`, `context ${repeat % 2}`));
     if (isAnswered) answered += 1;
   }
-  t.true(ended.size >= 1 && ended.size <= 8, `${ended.size} ended`);
+  t.true(engines.ended.size >= 1 && engines.ended.size <= 8, `${engines.ended.size} ended`);
   t.is(answered, 20);
   await fleet[Symbol.asyncDispose]();
 });
