Review, case 4: a machine in touch acts on a desired state that is out of date

Cause: in a zone of six machines or more, two watch the store for the others, and one that the store has fallen silent for goes on answering that nothing has changed until its watch times out. Two runs of the script before that could not start, since a port was taken; ports are now chosen below the ephemeral range.

--- a/review/lib/SystemUnderTest.mjs
+++ b/review/lib/SystemUnderTest.mjs
@@ -6,6 +6,7 @@
 import { dirname, join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
+import { SilencingProxy } from './SilencingProxy.mjs';
 import { StoreStandIn } from './StoreStandIn.mjs';
 
 const projectRoot = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
@@ -23,21 +24,41 @@
   return words;
 }
 
+function zoneInTurn(index) {
+  return zones[index % zones.length];
+}
+
+/**
+ * Ports of processes that start later lie below those that the kernel gives to outgoing channels, so that none of these
+ * takes one meanwhile.
+ */
+const portRange = { first: 20_000, count: 12_000 };
+let nextPort = Math.floor(Math.random() * portRange.count);
+
+/** Finds free ports, each one only once. */
 async function freePorts(count) {
-  const servers = await Promise.all(
-    Array.from({ length: count }, async () => {
-      const server = createServer();
-      await new Promise((resolve) => server.listen(0, '127.0.0.1', resolve));
-      return server;
-    }),
-  );
-  const ports = servers.map((server) => server.address().port);
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  const ports = [];
+  while (ports.length < count) {
+    nextPort = (nextPort + 1) % portRange.count;
+    const port = portRange.first + nextPort;
+    if (await isFree(port)) ports.push(port);
+  }
   return ports;
 }
 
-/** The settings of DEPLOY.md with the bounds of site refugio-reservas. */
-function settingsText({ name, zone, ports, storePort }) {
+function isFree(port) {
+  const server = createServer();
+  return new Promise((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
+}
+
+/** Bounds that differ between the deployments; by default those of site refugio-reservas. */
+const smallSite = { stableWindowMs: 3_000, ackMs: 4_000, drainMs: 2_000, configMs: 2_000 };
+
+/** The settings of DEPLOY.md with the bounds of a site. */
+function settingsText({ name, zone, ports, storePort, bounds }) {
   const [front, ready, directory, fleet] = ports;
   return `nodeName = "${name}"
 role = "entry"
@@ -74,13 +95,13 @@
 [bounds]
 seedLagS = 3
 reuseAfterS = 2
-stableWindowMs = 3000
-ackMs = 4000
+stableWindowMs = ${bounds.stableWindowMs}
+ackMs = ${bounds.ackMs}
 catchUpS = 4
-drainMs = 2000
+drainMs = ${bounds.drainMs}
 graceS = 8
 lossSlackMs = 200
-configMs = 2000
+configMs = ${bounds.configMs}
 rollbackSlackMs = 250
 maxStretchMs = 5000
 strictRevoke = false
@@ -106,10 +127,12 @@
 
 /** One process of the system. */
 class InstanceProcess {
-  constructor(name, directory, command, env, frontPort, readyPort) {
+  constructor({ name, zone, proxy, directory, command, env, ports }) {
     this.name = name;
-    this.frontPort = frontPort;
-    this.readyPort = readyPort;
+    this.zone = zone;
+    /** Its proxy before the store; undefined if it has none. */
+    this.proxy = proxy;
+    [this.frontPort, this.readyPort] = ports;
     this.hasExited = false;
     const [program, ...words] = command;
     const log = openSync(join(directory, `${name}.log`), 'a');
@@ -148,7 +171,7 @@
   store = new StoreStandIn();
   instances = [];
   #directory = mkdtempSync(join(tmpdir(), 'review-'));
-  #storePort;
+  #proxies = [];
 
   constructor() {
     // Also ends what was started if the case takes too long or fails.
@@ -158,7 +181,7 @@
   }
 
   /** Writes a desired state with one tenant. */
-  configure({ routes, services, prepaid = 1_000_000_000 }) {
+  configure({ routes, services, prepaid = 1_000_000_000, version = 7 }) {
     const limits = {
       headerBytes: 16_384,
       maxBodyBytes: 4_194_304,
@@ -166,7 +189,7 @@
       idleTimeoutMs: 15_000,
     };
     const tenants = [{ name: 'hule930', apiKeys: [apiKey], priority: 1, prepaid }];
-    this.store.put('config', 'main', { version: 7, routes, services, limits, tenants });
+    this.store.put('config', 'main', { version, routes, services, limits, tenants });
   }
 
   /** Registers a server as PROTOCOL.md says. */
@@ -176,18 +199,28 @@
     this.store.put('servers', id, spec);
   }
 
-  async start(count) {
-    this.#storePort = await this.store.listen();
+  /**
+   * Starts instances and waits until they are ready.
+   *
+   * @param count - number of instances
+   * @param options - `bounds` of the site, `zoneOf(index)`, and whether each reaches the store through a proxy of its own
+   */
+  async start(count, { bounds = smallSite, zoneOf = zoneInTurn, hasProxies = false } = {}) {
+    const port = await this.store.listen();
     for (let index = 0; index < count; index += 1) {
       const ports = await freePorts(5);
-      const name = `front-${zones[index % zones.length]}-1`;
-      const zone = zones[index % zones.length];
+      const zone = zoneOf(index);
+      const number = 1 + this.instances.filter((one) => one.zone === zone).length;
+      const name = `front-${zone}-${number}`;
       const file = join(this.#directory, `${name}.toml`);
-      writeFileSync(file, settingsText({ name, zone, ports, storePort: this.#storePort }));
-      const command = commandOf(ports[4]);
+      const proxy = hasProxies ? new SilencingProxy(port) : undefined;
+      if (proxy !== undefined) this.#proxies.push(proxy);
+      const storePort = proxy === undefined ? port : await proxy.listen();
+      writeFileSync(file, settingsText({ name, zone, ports, storePort, bounds }));
+      const options = { name, zone, proxy, directory: this.#directory };
       const env = { ACACIACRANK_BOOT: file };
       this.instances.push(
-        new InstanceProcess(name, this.#directory, command, env, ports[0], ports[1]),
+        new InstanceProcess({ ...options, command: commandOf(ports[4]), env, ports }),
       );
     }
     const untilMs = performance.now() + 20_000;
@@ -206,6 +239,7 @@
     for (const instance of this.instances) instance.signal('SIGKILL');
     await Promise.all(this.instances.map(({ exited }) => exited));
     this.store.close();
+    for (const proxy of this.#proxies) proxy.close();
     if (process.env.KEEP === '1') process.stderr.write(`logs in ${this.#directory}\n`);
     else rmSync(this.#directory, { recursive: true, force: true });
   }
