--- a/review/lib/StoreStandIn.mjs
+++ b/review/lib/StoreStandIn.mjs
@@ -10,6 +10,12 @@
   #server = createServer((request, response) => void this.#answer(request, response));
   /** The epoch in `Store-Era`; undefined for a store that sends none. */
   era;
+  /** How old the answers to calls with `staleOk` are, in milliseconds. */
+  staleMs = 0;
+  /** Whether it answers 503 to all calls. */
+  isAway = false;
+  /** Its objects after each change of the last seconds. */
+  #past = [];
 
   async listen() {
     await new Promise((resolve) => this.#server.listen(0, '127.0.0.1', resolve));
@@ -43,14 +49,33 @@
     this.#record(kind, { ...object, metadata }, true);
   }
 
-  /** The objects of a kind. */
-  list(kind) {
-    return [...this.#objects]
+  /** The objects of a kind, by default as they are now. */
+  list(kind, objects = this.#objects) {
+    return [...objects]
       .filter(([key]) => key.startsWith(`${kind}/`))
       .map(([, object]) => object)
       .sort((one, other) => (one.metadata.name < other.metadata.name ? -1 : 1));
   }
 
+  /** Copies all objects, for {@link restore}. */
+  copy() {
+    return {
+      revision: this.#revision,
+      objects: new Map(this.#objects),
+      history: [...this.#history],
+    };
+  }
+
+  /** Comes back from a copy, with the next epoch; what was written since is gone, and revisions go back. */
+  restore(copy) {
+    this.#revision = copy.revision;
+    this.#objects = new Map(copy.objects);
+    this.#history = [...copy.history];
+    this.#past = [];
+    this.era += 1;
+    for (const wake of this.#waiting) wake();
+  }
+
   close() {
     for (const wake of this.#waiting) wake();
     this.#server.closeAllConnections();
@@ -58,6 +83,11 @@
   }
 
   #record(kind, object, deleted) {
+    if (this.staleMs > 0) {
+      const atMs = performance.now();
+      this.#past = this.#past.filter((one) => atMs - one.atMs < 10_000);
+      this.#past.push({ atMs, revision: this.#revision, objects: new Map(this.#objects) });
+    }
     this.#history.push({ kind, object, deleted });
     for (const wake of this.#waiting) wake();
   }
@@ -74,10 +104,12 @@
       if (this.era !== undefined) headers['store-era'] = String(this.era);
       response.writeHead(status, headers).end(value === undefined ? '' : JSON.stringify(value));
     };
+    if (this.isAway) return send(503);
     if (root !== 'objects') return send(404);
     if (request.method === 'GET' && name === '') {
       if (searchParams.has('watch')) return this.#watch(kind, searchParams, response, send);
-      return send(200, { items: this.list(kind), hasMore: false, currentRev: this.#revision });
+      const { objects, revision } = searchParams.has('staleOk') ? this.#stale() : this.copy();
+      return send(200, { items: this.list(kind, objects), hasMore: false, currentRev: revision });
     }
     const key = `${kind}/${name === '' ? body.metadata.name : name}`;
     const known = this.#objects.get(key);
@@ -98,8 +130,16 @@
     return send(200, this.put(kind, name, body.spec));
   }
 
+  /** The state that calls with `staleOk` see. */
+  #stale() {
+    const untilMs = performance.now() - this.staleMs;
+    return this.#past.findLast(({ atMs }) => atMs <= untilMs) ?? this.#past[0] ?? this.copy();
+  }
+
   async #watch(kind, query, response, send) {
     const since = Number(query.get('watch'));
+    const { era } = this;
+    if (since > this.#revision) return send(410);
     const untilMs = performance.now() + Math.min(30_000, Number(query.get('waitTimeMs') ?? 0));
     let isGone = false;
     response.once('close', () => {
@@ -107,6 +147,8 @@
       for (const wake of this.#waiting) wake();
     });
     for (;;) {
+      // A watch from before a restore is cut off.
+      if (this.era !== era || this.isAway) return response.destroy();
       const events = this.#history
         .filter((entry) => entry.kind === kind && entry.object.metadata.revision > since)
         .map(({ object, deleted }) => ({ object, deleted }));
--- a/review/lib/SystemUnderTest.mjs
+++ b/review/lib/SystemUnderTest.mjs
@@ -58,7 +58,7 @@
 const smallSite = { stableWindowMs: 3_000, ackMs: 4_000, drainMs: 2_000, configMs: 2_000 };
 
 /** The settings of DEPLOY.md with the bounds of a site. */
-function settingsText({ name, zone, ports, storePort, bounds }) {
+function settingsText({ name, zone, ports, storePort, bounds, isFirstStart }) {
   const [front, ready, directory, fleet] = ports;
   return `nodeName = "${name}"
 role = "entry"
@@ -69,7 +69,7 @@
 region = "antioquia"
 portRange = [${fleet},${fleet}]
 seeds = []
-bootstrap = true
+bootstrap = ${isFirstStart}
 lossCounted = false
 discovery = "platform"
 entry = "directory"
@@ -166,12 +166,21 @@
   }
 }
 
+async function waitUntilReady(instance, untilMs) {
+  while (!(await instance.isReady())) {
+    if (performance.now() > untilMs || instance.hasExited)
+      throw new Error(`${instance.name} is not ready`);
+    await sleep(20);
+  }
+}
+
 /** The store, the instances and a temporary folder for their settings and logs. */
 export class SystemUnderTest {
   store = new StoreStandIn();
   instances = [];
   #directory = mkdtempSync(join(tmpdir(), 'review-'));
   #proxies = [];
+  #storePort;
 
   constructor() {
     // Also ends what was started if the case takes too long or fails.
@@ -181,14 +190,14 @@
   }
 
   /** Writes a desired state with one tenant. */
-  configure({ routes, services, prepaid = 1_000_000_000, version = 7 }) {
+  configure({ routes, services, tenant = 'hule930', prepaid = 1_000_000_000, version = 7 }) {
     const limits = {
       headerBytes: 16_384,
       maxBodyBytes: 4_194_304,
       headerTimeoutMs: 3_000,
       idleTimeoutMs: 15_000,
     };
-    const tenants = [{ name: 'hule930', apiKeys: [apiKey], priority: 1, prepaid }];
+    const tenants = [{ name: tenant, apiKeys: [apiKey], priority: 1, prepaid }];
     this.store.put('config', 'main', { version, routes, services, limits, tenants });
   }
 
@@ -206,35 +215,39 @@
    * @param options - `bounds` of the site, `zoneOf(index)`, and whether each reaches the store through a proxy of its own
    */
   async start(count, { bounds = smallSite, zoneOf = zoneInTurn, hasProxies = false } = {}) {
-    const port = await this.store.listen();
+    this.#storePort = await this.store.listen();
     for (let index = 0; index < count; index += 1) {
-      const ports = await freePorts(5);
-      const zone = zoneOf(index);
-      const number = 1 + this.instances.filter((one) => one.zone === zone).length;
-      const name = `front-${zone}-${number}`;
-      const file = join(this.#directory, `${name}.toml`);
-      const proxy = hasProxies ? new SilencingProxy(port) : undefined;
+      const proxy = hasProxies ? new SilencingProxy(this.#storePort) : undefined;
       if (proxy !== undefined) this.#proxies.push(proxy);
-      const storePort = proxy === undefined ? port : await proxy.listen();
-      writeFileSync(file, settingsText({ name, zone, ports, storePort, bounds }));
-      const options = { name, zone, proxy, directory: this.#directory };
-      const env = { ACACIACRANK_BOOT: file };
-      this.instances.push(
-        new InstanceProcess({ ...options, command: commandOf(ports[4]), env, ports }),
-      );
+      await this.#launch({ bounds, zone: zoneOf(index), proxy, isFirstStart: true });
     }
     const untilMs = performance.now() + 20_000;
-    for (const instance of this.instances) {
-      while (!(await instance.isReady())) {
-        if (performance.now() > untilMs || instance.hasExited)
-          throw new Error(`${instance.name} is not ready`);
-        await sleep(50);
-      }
-    }
+    for (const instance of this.instances) await waitUntilReady(instance, untilMs);
     // Traffic starts a while after the machines do; DEPLOY.md says 12 s, the fleet needs about one.
     await sleep(2_500);
   }
 
+  /** Adds a machine while the others run, and waits until it is ready. */
+  async add(zone) {
+    const instance = await this.#launch({ bounds: smallSite, zone, isFirstStart: false });
+    await waitUntilReady(instance, performance.now() + 20_000);
+    return instance;
+  }
+
+  async #launch({ bounds, zone, proxy, isFirstStart }) {
+    const ports = await freePorts(5);
+    const number = 1 + this.instances.filter((one) => one.zone === zone).length;
+    const name = `front-${zone}-${number}`;
+    const file = join(this.#directory, `${name}.toml`);
+    const storePort = proxy === undefined ? this.#storePort : await proxy.listen();
+    writeFileSync(file, settingsText({ name, zone, ports, storePort, bounds, isFirstStart }));
+    const env = { ACACIACRANK_BOOT: file };
+    const options = { name, zone, proxy, directory: this.#directory, env, ports };
+    const instance = new InstanceProcess({ ...options, command: commandOf(ports[4]) });
+    this.instances.push(instance);
+    return instance;
+  }
+
   async stop() {
     for (const instance of this.instances) instance.signal('SIGKILL');
     await Promise.all(this.instances.map(({ exited }) => exited));
