REFUSED: a response is used only once it is known whose it is

Cause: Attempt.onHead acted on what a response says (X-Not-Executed, 421, a peer's refusal) before it compared the request id. An upstream that sends a refusal a second time, late, thereby refused the next request on that connection, which it ran.

Evidence: the step foreignResponse in the request's log line and the counter foreignResponses by reason and upstream; the id in the response rules out that the upstream refused the request itself.

Change: findForeignReason decides before any reader. A foreign response leaves the outcome open: 502, or a retry of what may be repeated. Responses to relayed requests name the request, so that a peer's refusal is checked too. The run check takes no response with an id for its report, and opens the connection anew: before, each later response of that connection went to the request after its own. The own path's clients compare the id where the upstream echoes it.

--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -16,7 +16,11 @@
 import { SilenceProbes, type RetryShare } from '@acaciacrank/routing';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Relay } from '../_lib/Relay/index.js';
-import { relayedByHeader, relayRefusedHeader } from '../_lib/relayProtocol/index.js';
+import {
+  relayedByHeader,
+  relayRefusedHeader,
+  relayRequestHeader,
+} from '../_lib/relayProtocol/index.js';
 import { Dispatch, type DispatchDependencies } from '../_lib/Dispatch/index.js';
 import { CallerDisconnect } from '../_lib/CallerDisconnect/index.js';
 import { PrefillTimeModels } from '../_lib/PrefillTimeModels/index.js';
@@ -316,13 +320,19 @@
       // incomplete.
       cutResponse(response, this.#options.clock);
     } else {
-      if (peerRefusals.has(error.kind) && relayedBy(response.req) !== undefined)
-        response.setHeader(relayRefusedHeader, error.kind);
+      if (relayedBy(response.req) !== undefined) this.#addRelayHeaders(response, error);
       writeError(response, error, this.#options.random, { retryAfterStepMs });
     }
     return error.kind;
   }
 
+  /** Says which request the error answers, and whether another peer may take it. */
+  #addRelayHeaders(response: ServerResponse, { kind }: RouterError): void {
+    const { requestId } = this.#options.codec.readRequestHead(response.req.headers);
+    if (requestId !== undefined) response.setHeader(relayRequestHeader, requestId);
+    if (peerRefusals.has(kind)) response.setHeader(relayRefusedHeader, kind);
+  }
+
   #logRequest(
     response: ServerResponse,
     trace: RequestTrace,
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -14,7 +14,14 @@
 import type { ForwardCodec, RawHeaders } from '../../ForwardCodec/index.js';
 import type { ReceivedStatement } from '../applyStatement/index.js';
 import type { AttemptResult, SupersededResult } from '../AttemptResult/index.js';
-import { checkResponse, isEventStream, lengthOf } from '../checkResponse/index.js';
+import {
+  checkSuccess,
+  findForeignReason,
+  ForeignResponseError,
+  isEventStream,
+  lengthOf,
+  type ForeignReason,
+} from '../checkResponse/index.js';
 import { checkRun, type RunCheck } from '../checkRun/index.js';
 import { BodyCollector } from '../BodyCollector/index.js';
 import {
@@ -33,6 +40,7 @@
   parseOrigin,
   relayOriginHeader,
   relayRefusedHeader,
+  relayRequestHeader,
   relayUpstreamHeader,
 } from '../relayProtocol/index.js';
 import { responseHeaders } from '../responseHeaders/index.js';
@@ -65,6 +73,8 @@
    * relayed it.
    */
   onStatement: (received: ReceivedStatement, relayedFrom?: UpstreamId) => void;
+  /** Called if a response arrives that is not known to be the one to the request. */
+  onForeignResponse: (reason: ForeignReason) => void;
   /** Whether upstreams of the service run several versions of their software. */
   isMixed: boolean;
   /** Whether the upstream's record may be out of date, since the store cannot be followed. */
@@ -267,9 +277,11 @@
     const { call, codec, upstream } = this.#options;
     const { status, headers, isFramed } = response;
     if (this.#connection !== undefined) this.#connection.isEndExpected = !isFramed;
+    const head = codec.readResponseHead(status, headers);
+    // Whose response it is comes before all that it states.
+    this.#checkOwner(head, response);
     const isBounded = call.route.kind !== 'stream' && lengthOf(headers) > 0;
     this.#responseProgress.recordHead({ isBounded });
-    const head = codec.readResponseHead(status, headers);
     this.#recheckConnection();
     const isSuccess = status >= 200 && status < 300;
     if (isSuccess && call.route.kind === 'stream' && !isEventStream(headers))
@@ -286,7 +298,7 @@
       this.#collect(() => ({ kind: 'notRun', status, isWrongUpstream, backoffMs }));
       return;
     }
-    checkResponse(head, call, isSuccess);
+    if (isSuccess) checkSuccess(head);
     if (isSuccess && call.route.kind === 'stream') {
       const onBegin = () => {
         this.#beginStream(headers);
@@ -305,6 +317,25 @@
     }
   }
 
+  /**
+   * Guards against acting on a response to another request; this one has an unknown outcome then.
+   *
+   * @throws ForeignResponseError if the response is not known to be the one to this request
+   */
+  #checkOwner(head: ResponseHead, { status, headers }: UpstreamResponseHead): void {
+    const { requestId } = this.#options.call.head;
+    const isFirstOnConnection = this.#connection?.isFirstRequest === true;
+    const isRelayed = this.#options.relayedBy !== undefined;
+    const relayedId = isRelayed ? rawHeaderValue(headers, relayRequestHeader) : undefined;
+    const named = { requestId: relayedId ?? head.requestId };
+    const reason = findForeignReason(named, { requestId, isFirstOnConnection });
+    if (reason === undefined) return;
+    const { isNotRun } = head;
+    this.#options.call.trace.add('foreignResponse', { reason, status, isNotRun });
+    this.#options.onForeignResponse(reason);
+    throw new ForeignResponseError(reason);
+  }
+
   override onData(chunk: Buffer): Promise<void> | undefined {
     this.#responseProgress.recordPayload(chunk.byteLength);
     const handling = this.#bodyHandling;
@@ -445,14 +476,11 @@
     return { method, path, headers, body: call.body };
   }
 
-  /**
-   * Guards against the statement of another upstream at a reused address, and against one in a late response to
-   * an earlier request.
-   */
+  /** Guards against the statement of another upstream at a reused address. */
   #receiveStatement(head: ResponseHead, headers: RawHeaders, isSuccess: boolean): void {
-    const { requestId, isSigned, isWrongUpstream, statement } = head;
-    const { call, clock, onStatement, relayedBy } = this.#options;
-    if (isWrongUpstream || (requestId !== undefined && requestId !== call.head.requestId)) return;
+    const { isSigned, isWrongUpstream, statement } = head;
+    const { clock, onStatement, relayedBy } = this.#options;
+    if (isWrongUpstream) return;
     const receivedMs = clock.monotonicMs();
     const sentMs = this.#inFlightRequest?.sentMs ?? receivedMs;
     const relayedFrom = rawHeaderValue(headers, relayUpstreamHeader) as UpstreamId;
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -267,6 +267,9 @@
       onStatement: (received) => {
         upstreams.applyStatement(upstream, received);
       },
+      onForeignResponse: (reason) => {
+        this.#dependencies.metrics.count('foreignResponses', `${reason}/${upstream.id}`);
+      },
       inactivityTimeoutMs: this.#inactivityTimeoutMs,
     });
   }
--- a/packages/forwarding/src/_lib/Relay/index.ts
+++ b/packages/forwarding/src/_lib/Relay/index.ts
@@ -178,6 +178,9 @@
       onStatement: (received, relayedFrom) => {
         this.#applyStatement(received, relayedFrom);
       },
+      onForeignResponse: (reason) => {
+        this.#dependencies.metrics.count('foreignResponses', `${reason}/${peer.id}`);
+      },
       inactivityTimeoutMs,
     });
   }
--- a/packages/forwarding/src/_lib/UpstreamConnection/index.ts
+++ b/packages/forwarding/src/_lib/UpstreamConnection/index.ts
@@ -44,6 +44,8 @@
   #wasReset = false;
   #socket: Socket | undefined;
   #openCount = 0;
+  /** How often it had been opened when the request in progress began. */
+  #openCountBefore = 0;
   /** Number of bytes that came while no request was in progress. */
   #idleBytes = 0;
   #onRead: ((bytes: number) => void) | undefined;
@@ -101,6 +103,11 @@
     return this.#openCount;
   }
 
+  /** Whether the request in progress is the first one since the connection was opened. */
+  get isFirstRequest(): boolean {
+    return this.#openCount > this.#openCountBefore;
+  }
+
   /**
    * Reports bytes of the response to a request, those of its framing included, once they have been parsed.
    *
@@ -110,6 +117,7 @@
   watch(onRead: (bytes: number) => void): Disposable {
     this.#onRead = onRead;
     this.#idleBytes = 0;
+    this.#openCountBefore = this.#openCount;
     return {
       [Symbol.dispose]: () => {
         this.#onRead = undefined;
@@ -117,7 +125,12 @@
     };
   }
 
-  /** Closes the connection immediately. */
+  /** Closes what is open; the next request opens it anew. */
+  reset(): void {
+    this.#socket?.destroy();
+  }
+
+  /** Closes the connection immediately, for good. */
   destroy(): void {
     this.client.destroy().catch(() => {
       // The connection is unusable in either case.
--- a/packages/forwarding/src/_lib/checkRun/index.ts
+++ b/packages/forwarding/src/_lib/checkRun/index.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@acaciacrank/base';
+import type { Dispatcher } from 'undici';
 import type { ForwardCodec } from '../../ForwardCodec/index.js';
 import { BodyCollector } from '../BodyCollector/index.js';
 import type { UpstreamConnection } from '../UpstreamConnection/index.js';
@@ -40,7 +41,7 @@
 export async function checkRun(
   connection: UpstreamConnection,
   startedAtMs: number | undefined,
-  codec: Pick<ForwardCodec, 'runReportPath' | 'readRunStart'>,
+  codec: RunReportCodec,
   { clock, signal: abortSignal, timeoutMs }: CheckRunOptions,
 ): Promise<RunCheckResult> {
   const timeout = new AbortController();
@@ -66,9 +67,9 @@
     });
     const collector = new BodyCollector(maxBytes);
     for await (const chunk of answer.body as AsyncIterable<Buffer>) collector.add(chunk);
-    if (answer.statusCode !== 200) return notStated(`status ${answer.statusCode}`);
-    const reported = codec.readRunStart(collector.body.toString('utf8'));
-    if (reported === undefined) return notStated('not in the answer');
+    const isReport = answer.statusCode === 200 && !namesRequest(answer, codec);
+    const reported = isReport ? codec.readRunStart(collector.body.toString('utf8')) : undefined;
+    if (reported === undefined) return rejectAnswer(connection, answer, codec);
     if (startedAtMs === undefined) return notStated('not in the record');
     return { check: reported === startedAtMs ? 'same' : 'other' };
   } catch (thrown) {
@@ -77,6 +78,31 @@
   }
 }
 
+type RunReportCodec = Pick<ForwardCodec, 'runReportPath' | 'readRunStart' | 'readResponseHead'>;
+
+/**
+ * Guards against a late response to an earlier request in place of the report: the report would then be taken for the
+ * response to the next request, and each response for that to the one after it.
+ */
+function rejectAnswer(
+  connection: UpstreamConnection,
+  answer: Dispatcher.ResponseData,
+  codec: RunReportCodec,
+): RunCheckResult {
+  const isForeign = namesRequest(answer, codec);
+  if (isForeign || !connection.isFirstRequest) connection.reset();
+  if (isForeign) return notStated('a response to a different request');
+  const { statusCode } = answer;
+  return notStated(statusCode === 200 ? 'not in the answer' : `status ${statusCode}`);
+}
+
+/** The report is asked for without a request id, so that a response with one belongs to another request. */
+function namesRequest({ statusCode, headers }: Dispatcher.ResponseData, codec: RunReportCodec) {
+  const rawHeaders = Object.entries(headers).flatMap(([name, value]) => [name, String(value)]);
+  const { requestId = '' } = codec.readResponseHead(statusCode, rawHeaders);
+  return requestId !== '';
+}
+
 function notStated(why: string): RunCheckResult {
   return { check: 'notStated', why };
 }
--- a/packages/forwarding/src/_lib/checkRun/test.ts
+++ b/packages/forwarding/src/_lib/checkRun/test.ts
@@ -1,6 +1,8 @@
 import { blockEventLoop, SystemClock } from '@acaciacrank/base';
+import { rawHeaderValue } from '@acaciacrank/callers';
 import test, { type ExecutionContext } from 'ava';
 import { createServer, type AddressInfo, type Socket } from 'node:net';
+import { emptyStatement } from '../splitStatement/index.js';
 import { UpstreamConnection } from '../UpstreamConnection/index.js';
 import { checkRun } from './index.js';
 
@@ -8,6 +10,11 @@
 const codec = {
   runReportPath: '/report',
   readRunStart: (report: string) => (JSON.parse(report) as { born?: number }).born,
+  readResponseHead: (_status: number, headers: readonly string[]) => {
+    const requestId = rawHeaderValue(headers, 'x-request-id');
+    const statement = emptyStatement;
+    return { requestId, isSigned: false, isNotRun: false, isWrongUpstream: false, statement };
+  },
 };
 
 /** Connects to an upstream that answers with a start once, and then again and again with the rest. */
@@ -83,3 +90,14 @@
   await blockEventLoop(700);
   t.deepEqual(await result, { check: 'same' });
 });
+
+// Guards against a late response to an earlier request that is taken for the report: each response on the connection
+// would then be given to the request after its own.
+test('a response with a request id is no report, and its connection is not used again', async (t) => {
+  const late = 'HTTP/1.1 503 Full\r\nX-Request-Id: earlier\r\nContent-Length: 0\r\n\r\n';
+  const connection = await connectTo(t, late);
+  const { check, why } = await checkRun(connection, 7, codec, options);
+  t.is(check, 'notStated');
+  t.is(why, 'a response to a different request');
+  t.false(connection.isOpen);
+});
--- a/packages/forwarding/src/_lib/relayProtocol/index.ts
+++ b/packages/forwarding/src/_lib/relayProtocol/index.ts
@@ -14,6 +14,8 @@
 export const relayOriginHeader = 'acaciacrank-origin';
 /** Present on a refusal that another peer need not give: this one cannot take requests or reaches no upstream. */
 export const relayRefusedHeader = 'acaciacrank-relay-refused';
+/** Id of the relayed request in each response to it, whether the response is the upstream's or the peer's own. */
+export const relayRequestHeader = 'acaciacrank-relayed-request';
 
 /** All of them; a codec removes them from what it passes on. */
 export const relayHeaders: ReadonlySet<string> = new Set([
@@ -21,6 +23,7 @@
   relayUpstreamHeader,
   relayOriginHeader,
   relayRefusedHeader,
+  relayRequestHeader,
 ]);
 
 const originSchema = z.tuple([
--- a/packages/forwarding/src/_lib/responseHeaders/index.ts
+++ b/packages/forwarding/src/_lib/responseHeaders/index.ts
@@ -2,18 +2,25 @@
 import type { ForwardCodec, RawHeaders } from '../../ForwardCodec/index.js';
 import type { PlainResponse } from '../AttemptResult/index.js';
 import type { ForwardCall } from '../ForwardCall/index.js';
-import { formatOrigin, relayOriginHeader, relayUpstreamHeader } from '../relayProtocol/index.js';
+import {
+  formatOrigin,
+  relayOriginHeader,
+  relayRequestHeader,
+  relayUpstreamHeader,
+} from '../relayProtocol/index.js';
 import { delimitByConnectionClose } from '../StreamRelay/index.js';
 
 /** Creates the headers of a response to a caller, or to the peer that relays the caller's request. */
 export function responseHeaders(
-  call: Pick<ForwardCall, 'relayedBy' | 'progress'>,
+  call: Pick<ForwardCall, 'relayedBy' | 'progress' | 'head'>,
   codec: ForwardCodec,
   upstreamHeaders: RawHeaders,
   upstreamId: UpstreamId | undefined,
 ): string[] {
   const headers = codec.callerHeaders(upstreamHeaders);
   if (call.relayedBy === undefined) return headers;
+  const { requestId } = call.head;
+  if (requestId !== undefined) headers.push(relayRequestHeader, requestId);
   if (upstreamId !== undefined) headers.push(relayUpstreamHeader, upstreamId);
   const { origin } = call.progress;
   if (origin !== undefined) headers.push(relayOriginHeader, formatOrigin(origin));
--- a/packages/upstreams/src/HttpEngineClient/index.ts
+++ b/packages/upstreams/src/HttpEngineClient/index.ts
@@ -6,6 +6,7 @@
 import { ConnectionPool } from '../_lib/ConnectionPool/index.js';
 import { engineStateSchema, orderOutcomeSchema } from '../_lib/orderSchemas/index.js';
 import { loadReportSchema } from '../_lib/loadReportSchema/index.js';
+import { checkRequestId, requestIdHeader } from '../_lib/checkRequestId/index.js';
 import { isConnectFailure } from '../_lib/isConnectFailure/index.js';
 import { readBackoffMs } from '../readBackoffMs/index.js';
 import { controlRequestTimeoutMs, readJson } from '../_lib/readJson/index.js';
@@ -75,7 +76,9 @@
     signal: AbortSignal,
   ): AsyncIterable<EngineFrame> {
     const body = JSON.stringify(generateRequest);
-    const answer = await this.#open('POST', '/v1/generate', signal, body);
+    const { requestId } = generateRequest;
+    const answer = await this.#open('POST', '/v1/generate', signal, { body, requestId });
+    checkRequestId(answer, requestId, 'upstreamFailed');
     if (answer.statusCode !== 200) {
       discard(answer);
       // Only these statuses mean that nothing runs: a 500 or 504 may follow after the request was
@@ -97,7 +100,8 @@
     // The pool's other connections may be as dead as the one on which the stream broke off.
     this.#pool.retire();
     const path = `/v1/streams/${encodeURIComponent(requestId)}?offset=${offset}`;
-    const answer = await this.#open('GET', path, signal);
+    const answer = await this.#open('GET', path, signal, { requestId });
+    checkRequestId(answer, requestId, 'upstreamFailed');
     if (answer.statusCode !== 200) {
       discard(answer);
       const kind = unknownStreamStatuses.has(answer.statusCode) ? 'notFound' : 'upstreamFailed';
@@ -129,7 +133,9 @@
   }
 
   override async order(orderRequest: OrderRequest, signal: AbortSignal): Promise<OrderOutcome> {
-    const answer = await this.#open('POST', '/v1/orders', signal, JSON.stringify(orderRequest));
+    const answer = await this.#open('POST', '/v1/orders', signal, {
+      body: JSON.stringify(orderRequest),
+    });
     if (answer.statusCode === 200) {
       return orderOutcomeSchema.parse(JSON.parse(await readText(answer.body)));
     }
@@ -154,14 +160,17 @@
     method: 'GET' | 'POST' | 'DELETE',
     path: string,
     signal: AbortSignal,
-    body?: string,
+    { body, requestId }: { body?: string; requestId?: RequestId } = {},
   ): Promise<Dispatcher.ResponseData> {
     try {
       return await request(`${this.#url}${path}`, {
         dispatcher: this.#pool.dispatcher,
         method,
         signal,
-        headers: { 'content-type': 'application/json' },
+        headers: {
+          'content-type': 'application/json',
+          ...(requestId === undefined ? {} : { [requestIdHeader]: requestId }),
+        },
         ...(body === undefined ? {} : { body }),
       });
     } catch (error) {
--- a/packages/upstreams/src/HttpServiceClient/index.ts
+++ b/packages/upstreams/src/HttpServiceClient/index.ts
@@ -3,6 +3,7 @@
 import { ServiceClient } from '../ServiceClient/index.js';
 import { ConnectionPool } from '../_lib/ConnectionPool/index.js';
 import { loadReportSchema } from '../_lib/loadReportSchema/index.js';
+import { checkRequestId, requestIdHeader } from '../_lib/checkRequestId/index.js';
 import { isConnectFailure } from '../_lib/isConnectFailure/index.js';
 import { readJson } from '../_lib/readJson/index.js';
 import type { LoadReport, ServiceResponse, ServiceRequest } from '../types.js';
@@ -35,6 +36,7 @@
   ): Promise<ServiceResponse> {
     try {
       const answer = await this.#send(serviceRequest, signal);
+      checkRequestId(answer, serviceRequest.requestId, 'outcomeUnknown');
       return {
         status: answer.statusCode,
         headers: definedHeaders(answer),
@@ -63,7 +65,7 @@
       dispatcher: this.#pool.dispatcher,
       method: serviceRequest.method as 'GET',
       signal,
-      headers: { ...serviceRequest.headers, 'x-request-id': serviceRequest.requestId },
+      headers: { ...serviceRequest.headers, [requestIdHeader]: serviceRequest.requestId },
       ...(hasBody ? { body: serviceRequest.body } : {}),
     });
   }
--- a/packages/upstreams/src/HttpServiceClient/test.ts
+++ b/packages/upstreams/src/HttpServiceClient/test.ts
@@ -211,3 +211,19 @@
   await clock.advance(5_000);
   t.like(await reading, { kind: 'upstreamUnavailable' });
 });
+
+/** A refusal of an earlier request that arrives a second time, with more behind it on the connection. */
+const lateRefusal = 'HTTP/1.1 503 Full\r\nx-request-id: earlier\r\ncontent-length: 0\r\n\r\n';
+
+// Guards against a claim that nothing ran, or an answer, that belongs to an earlier request.
+test('a response to an earlier request leaves the outcome open, on calls and on streams', async (t) => {
+  const peer = await startPeer(t, (socket) => socket.write(lateRefusal + okAnswer));
+  const { url } = peer;
+  const clock = new ManualClock();
+  await using service = new HttpServiceClient({ url, clock });
+  const called = await t.throwsAsync(service.call(confirmation, noSignal()));
+  t.like(called, { kind: 'outcomeUnknown', ran: 'unknown' });
+  await using engine = new HttpEngineClient({ url, clock });
+  const generated = await t.throwsAsync(firstFrame(engine.generate(generation, noSignal())));
+  t.like(generated, { kind: 'upstreamFailed', ran: 'unknown' });
+});
