TWICE: one rule for every send after the first

Cause: whether a request may be sent again was decided in five places, each by conditions of its own; that for a failed answer forgot whether the request may run twice. Streams that may not be resumed took the same way. Without an upstream in reach the route's limit was skipped, and sends by peers did not count against it.

Change: decideResend in routing (what is known of the sends, kind of request, sends so far, limit), by which retries, hedges of both request paths and relays go; Attempt asks it before it sends, and throws for a request that may have run and must not run twice. A relay tells its peer how many upstreams are left. Refusals are counted as retriesRefused mayHaveRun.

--- a/packages/callers/src/ServiceDispatch/index.ts
+++ b/packages/callers/src/ServiceDispatch/index.ts
@@ -1,10 +1,23 @@
 import { RouterError, toRouterError, type ClassName, type ServiceName } from '@acaciacrank/base';
-import { HedgedAttempts, resultRanks, SilenceProbes, type Upstream } from '@acaciacrank/routing';
+import {
+  combineKnowledge,
+  decideResend,
+  HedgedAttempts,
+  mayHaveRun,
+  resultRanks,
+  SilenceProbes,
+  type RunKnowledge,
+  type Upstream,
+} from '@acaciacrank/routing';
 import { readBackoffMs, type ServiceResponse, type ServiceRequest } from '@acaciacrank/upstreams';
 import { HedgeSchedule } from '../_lib/HedgeSchedule/index.js';
 import { rankOfResult, ServiceAttempt, type ServiceResult } from '../_lib/ServiceAttempt/index.js';
 import { toPossiblyRunError } from '../_lib/toPossiblyRunError/index.js';
-import { UpstreamPicker, type UpstreamPickerOptions } from '../_lib/UpstreamPicker/index.js';
+import {
+  maxUpstreamsTried,
+  UpstreamPicker,
+  type UpstreamPickerOptions,
+} from '../_lib/UpstreamPicker/index.js';
 import type { RequestFeatures, RequestQuarantine } from '../RequestQuarantine/index.js';
 import { SuspectTracker } from '../_lib/SuspectTracker/index.js';
 import { abortReason, untilAborted } from '../_lib/untilAborted/index.js';
@@ -38,8 +51,8 @@
 
 /** What is known about the call across all upstreams tried. */
 interface CallOutcome {
-  /** Whether an upstream may have run it; if so, no error reports it as `notRun`. */
-  mayHaveRun: boolean;
+  /** Whether it has run where it was sent; if it may have, no error reports it as `notRun`. */
+  knowledge: RunKnowledge;
 }
 
 /** A call with what follows it across all upstreams tried. */
@@ -76,7 +89,7 @@
     const picker = new UpstreamPicker(this.#options, { ...task, dueMs: task.answerDueMs });
     const { features, answerDueMs: dueMs } = task;
     const tracker = new SuspectTracker({ ...this.#options, features, dueMs });
-    const outcome: CallOutcome = { mayHaveRun: false };
+    const outcome: CallOutcome = { knowledge: 'notSent' };
     let last: ServiceResult | undefined;
     for (;;) {
       const upstream = await tracker.next(picker);
@@ -84,14 +97,17 @@
       if (last !== undefined) await this.#backOff(picker.triedUpstreams, signal);
       last = await this.#attempt(upstream, { task, picker, tracker, outcome, signal });
       if (rankOfResult(last) === resultRanks.final) break;
-      if (signal.aborted || (outcome.mayHaveRun && !task.isRepeatable)) break;
+      if (signal.aborted) break;
+      const sends = { sends: picker.triedUpstreams, maxSends: maxUpstreamsTried };
+      const { isRepeatable } = task;
+      if (decideResend({ isRepeatable, ...outcome, ...sends }) !== 'send') break;
     }
     if (last?.kind === 'answer') return last.answer;
     const error =
       last?.kind === 'failed'
         ? last.error
         : new RouterError('upstreamUnavailable', `no live upstream of ${task.service}`);
-    throw outcome.mayHaveRun ? toPossiblyRunError(error) : error;
+    throw mayHaveRun(outcome.knowledge) ? toPossiblyRunError(error) : error;
   }
 
   #backOff(triedUpstreams: number, signal: AbortSignal): Promise<void> {
@@ -109,7 +125,7 @@
     const records: Promise<void>[] = [];
     const attempts = new HedgedAttempts<ServiceAttempt, ServiceResult>({
       onEnded: ({ contender, result }) => {
-        outcome.mayHaveRun ||= mayHaveRun(result);
+        outcome.knowledge = combineKnowledge(outcome.knowledge, knowledgeOf(result));
         records.push(recordResult(tracker, contender.upstream, result));
       },
       rankOf: rankOfResult,
@@ -211,9 +227,10 @@
   else if (result.kind === 'failed') tracker.recordNotRun();
 }
 
-/** Whether the upstream may have run the call. */
-function mayHaveRun(result: ServiceResult): boolean {
-  return result.kind === 'failed' ? result.error.ran !== 'notRun' : true;
+/** What a result shows of whether the upstream has run the call; a superseded one may have. */
+function knowledgeOf(result: ServiceResult): RunKnowledge {
+  if (result.kind === 'answer') return 'ran';
+  return result.kind === 'failed' ? result.error.ran : 'unknown';
 }
 
 function notSent(error: RouterError): RouterError {
--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -13,11 +13,12 @@
 } from '@acaciacrank/base';
 import { ByteBudget, CallerWriter, readBody, writeError } from '@acaciacrank/callers';
 import type { PrepaidAccounts, ReserveOutcome } from '@acaciacrank/ledger';
-import { SilenceProbes, type RetryShare } from '@acaciacrank/routing';
+import { mayHaveRun, SilenceProbes, type RetryShare } from '@acaciacrank/routing';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Relay } from '../_lib/Relay/index.js';
 import {
   relayedByHeader,
+  relayMaxSendsHeader,
   relayRefusedHeader,
   relayRequestHeader,
 } from '../_lib/relayProtocol/index.js';
@@ -175,8 +176,9 @@
     if (!this.#options.isAccepting())
       throw new RouterError('instanceLeaving', 'the instance is shutting down');
     const { head } = summary;
-    const route = routes.match(request.headers.host ?? '', request.url ?? '/');
-    if (route === undefined) throw new RouterError('notFound', 'no route matches host and path');
+    const found = routes.match(request.headers.host ?? '', request.url ?? '/');
+    if (found === undefined) throw new RouterError('notFound', 'no route matches host and path');
+    const route = limitSends(found, request);
     summary.routeName = route.name;
     const account = accountFor(routes, route, head.key);
     summary.accountId = account?.accountId;
@@ -200,8 +202,9 @@
       disconnect: new CallerDisconnect(response),
       trace,
       progress: {
-        mayHaveRun: false,
+        knowledge: 'notSent',
         sendCount: 0,
+        peerSendCount: 0,
         endedCount: 0,
         events: 0,
         peerEvents: 0,
@@ -366,6 +369,13 @@
   return Array.isArray(value) ? value[0] : value;
 }
 
+/** A peer that relays a request may have sent it before, so that fewer upstreams are left of those that the route allows. */
+function limitSends(route: Route, request: IncomingMessage): Route {
+  const told = Number(request.headers[relayMaxSendsHeader]);
+  if (relayedBy(request) === undefined || !Number.isSafeInteger(told)) return route;
+  return { ...route, maxUpstreams: Math.min(route.maxUpstreams, Math.max(0, told)) };
+}
+
 /** What the log line needs to know about a request; undefined until known. */
 interface RequestSummary {
   readonly head: RequestHead;
@@ -403,7 +413,7 @@
 function countUsedTokens({ progress, service }: ForwardCall, tokens: TokenDemand): number {
   if (progress.sendCount === 0) return 0;
   const events = progress.events - progress.peerEvents;
-  if (events === 0 && !progress.mayHaveRun) return 0;
+  if (events === 0 && !mayHaveRun(progress.knowledge)) return 0;
   const perEvent = service.engine?.tokensPerEvent ?? 1;
   return tokens.promptTokens + Math.min(tokens.maxOutputTokens, events * perEvent);
 }
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -10,7 +10,13 @@
   type UpstreamId,
 } from '@acaciacrank/base';
 import { rawHeaderValue } from '@acaciacrank/callers';
-import { livedOnMs, needsRunCheck, ResponseProgress, type UpstreamRun } from '@acaciacrank/routing';
+import {
+  livedOnMs,
+  needsRunCheck,
+  ResponseProgress,
+  type ResendDecision,
+  type UpstreamRun,
+} from '@acaciacrank/routing';
 import type { ForwardCodec, RawHeaders } from '../../ForwardCodec/index.js';
 import type { ReceivedStatement } from '../applyStatement/index.js';
 import type { AttemptResult, SupersededResult } from '../AttemptResult/index.js';
@@ -81,11 +87,15 @@
   isRecordStale: boolean;
   /** Id of this instance if the target is a peer that is to relay the request. */
   relayedBy?: InstanceId;
+  /** Number of upstreams to which that peer may send the request. */
+  maxPeerSends?: number;
   /**
-   * Returns whether the request may still be sent, asked once the connection is known to lead to the right run;
-   * another attempt may have been sent since this one began. By default it may.
+   * Decides whether the request may be sent, called once the connection is known to lead to the right run; another
+   * attempt may have been sent since this one began.
    */
-  mayBeSent?: () => boolean;
+  decideSend: () => ResendDecision;
+  /** Called when the request is sent. */
+  onSent?: () => void;
   /** Called before anything of a stream is passed on to the caller; other attempts of the request end then. */
   onProgress: () => void;
   /** Called once, when an event arrives {@link livedOnMs} or more after the first one. */
@@ -184,8 +194,13 @@
       if (check === 'other') return { kind: 'notSent', reason: anotherRun, isOtherRun: true };
       if (check === 'unproven' && this.#isResumption)
         return { kind: 'notSent', reason: 'it is not known which run the upstream is' };
-      if (this.#options.mayBeSent?.() === false)
+      const decision = this.#options.decideSend();
+      // Whoever starts an attempt has asked before; this is the last place to keep a request from running twice.
+      if (decision === 'mayHaveRun')
+        throw new RouterError('internal', 'the request may have run, and must not run twice');
+      if (decision === 'routeLimit')
         return { kind: 'superseded', wasSent: false, wasSilent: false };
+      this.#options.onSent?.();
       if (check !== undefined) upstream.recordSent(inFlightRequest);
       this.#startInactivityTimer(this.#options.inactivityTimeoutMs);
       const exchange = new Exchange(connection.client, this.#createRequest(), this);
@@ -455,6 +470,7 @@
 
   #createRequest() {
     const { call, clock, upstream, codec, fetchFrom, relayedBy } = this.#options;
+    const { maxPeerSends: maxSends = call.route.maxUpstreams } = this.#options;
     const { request } = call;
     const remainingMs = call.deadlineMs - clock.monotonicMs();
     const common = {
@@ -471,7 +487,7 @@
             priority: undefined,
             fetchFrom,
           })
-        : codec.relayHeaders(request.rawHeaders, { ...common, origin, relayedBy });
+        : codec.relayHeaders(request.rawHeaders, { ...common, origin, relayedBy, maxSends });
     const { method = 'GET', url: path = '/' } = request;
     return { method, path, headers, body: call.body };
   }
--- a/packages/forwarding/src/_lib/AttemptResult/index.ts
+++ b/packages/forwarding/src/_lib/AttemptResult/index.ts
@@ -2,6 +2,7 @@
  * How one request at one upstream can end.
  */
 import type { RawHeaders } from '../../ForwardCodec/index.js';
+import type { RunKnowledge } from '@acaciacrank/routing';
 import type { NoAnswerReason } from '../NoAnswerError/index.js';
 
 /** Responses with this status or above report a failure, which may be specific to one upstream. */
@@ -81,3 +82,26 @@
 export function noAnswerOf(result: AttemptResult): NoAnswerReason | undefined {
   return 'noAnswer' in result ? result.noAnswer : undefined;
 }
+
+/** Whether the request may have reached the upstream. */
+export function wasSent(result: AttemptResult): boolean {
+  if ('wasSent' in result) return result.wasSent;
+  return result.kind !== 'notSent';
+}
+
+/** What the result of one attempt shows of whether the request has run there. */
+export function knowledgeOf(result: AttemptResult): RunKnowledge {
+  switch (result.kind) {
+    case 'answer':
+    case 'streamed':
+    case 'relayed':
+      return 'ran';
+    case 'notSent':
+    case 'notRun':
+      return result.kind;
+    case 'broken':
+      return 'unknown';
+    default:
+      return result.wasSent ? 'unknown' : 'notSent';
+  }
+}
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -2,7 +2,14 @@
  * Sends a request to one upstream after another until it succeeds or no retry is possible.
  */
 import { RouterError, toRouterError, type UpstreamId } from '@acaciacrank/base';
-import { livedOnMs, type PrefillTimeModel } from '@acaciacrank/routing';
+import {
+  combineKnowledge,
+  livedOnMs,
+  mayHaveRun,
+  type PrefillTimeModel,
+  type ResendDecision,
+  type ResendRefusal,
+} from '@acaciacrank/routing';
 import type { ForwardCodec } from '../../ForwardCodec/index.js';
 import type { ReachMonitor } from '../../ReachMonitor/index.js';
 import type { RelayPeers } from '../../RelayPeers/index.js';
@@ -11,12 +18,14 @@
 import { Attempt, type AttemptOptions } from '../Attempt/index.js';
 import {
   firstServerError,
+  knowledgeOf,
   noAnswerOf,
+  wasSent,
   type AttemptResult,
   type PlainResponse,
 } from '../AttemptResult/index.js';
 import { CallFeatures } from '../CallFeatures/index.js';
-import { isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
+import { decideSend, isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
 import {
   HedgePermits,
   type HedgePermit,
@@ -57,15 +66,15 @@
 /** Maximum number of prompt parts in a line of the log. */
 const maxTracedParts = 8;
 
-/** Why a request is sent to no further upstream: its route, no other upstream, or the retry budget. */
-type RetryRefusal = 'routeLimit' | 'noUpstream' | 'budget';
+/** Why a request is sent to no further upstream: the rule of sends, no other upstream, or the retry budget. */
+type RetryRefusal = ResendRefusal | 'noUpstream' | 'budget';
 
 /** The request at one upstream, or at peers that send it on. */
 interface DispatchContender extends Contender {
   /** Undefined for peers. */
   readonly upstream: Upstream | undefined;
-  /** Whether it counts against the upstreams that the route allows, and has not ended. */
-  readonly isUnderWay: boolean;
+  /** Number of upstreams at which it is under way, or may be if a peer sends it. */
+  readonly sendsUnderWay: number;
   /** Whether nothing has arrived from it for a while. */
   readonly isSilent: boolean;
 }
@@ -131,7 +140,8 @@
   /** Asks peers once; where none takes the request, a doubt whether upstreams are reached refuses nothing. */
   async #relay(): Promise<boolean> {
     this.#wasRelayed = true;
-    if (await new Relay(this.#dependencies, this.#call).run()) return true;
+    const relay = new Relay(this.#dependencies, this.#call, { sends: this.#sends });
+    if (await relay.run()) return true;
     if (this.#dependencies.reach.reach.state === 'unreached') throw this.#createUnavailableError();
     return false;
   }
@@ -149,7 +159,7 @@
     const admitting = quarantine.admit({ features: this.#features, candidates, deadlineMs });
     const suspect = await admitting.catch((thrown: unknown) => {
       const { kind, message, ran } = toRouterError(thrown);
-      throw progress.mayHaveRun && ran === 'notRun'
+      throw mayHaveRun(progress.knowledge) && ran === 'notRun'
         ? new RouterError('upstreamFailed', message)
         : new RouterError(kind, message);
     });
@@ -171,10 +181,8 @@
     { suspect, permit }: { suspect?: SuspectAttempt | undefined; permit?: HedgePermit } = {},
   ): DispatchContender {
     const attempt: Attempt = this.#createAttempt(pick, {
-      mayBeSent: () => {
-        const mayBeSent = this.#sendsUnderWay < this.#call.route.maxUpstreams;
-        if (mayBeSent) permit?.recordSent();
-        return mayBeSent;
+      onSent: () => {
+        permit?.recordSent();
       },
       onProgress: () => {
         permit?.recordProgress();
@@ -196,8 +204,8 @@
         permit?.end(wasSent(result));
         return result;
       }),
-      get isUnderWay() {
-        return attempt.isUnderWay;
+      get sendsUnderWay() {
+        return attempt.isUnderWay ? 1 : 0;
       },
       get isSilent() {
         return attempt.isSilent;
@@ -237,7 +245,7 @@
 
   #createAttempt(
     pick: UpstreamPick,
-    callbacks: Pick<AttemptOptions, 'mayBeSent' | 'onProgress' | 'onSilent' | 'onLivedOn'>,
+    callbacks: Pick<AttemptOptions, 'onSent' | 'onProgress' | 'onSilent' | 'onLivedOn'>,
   ): Attempt {
     const { upstream, fetchFrom, prefill } = pick;
     const { clock, codec, retries, upstreams, responseMemory } = this.#dependencies;
@@ -249,6 +257,7 @@
     if (upstream.statements.backoff.recordSend()) upstreams.reportBackoffEnded(upstream);
     return new Attempt({
       ...callbacks,
+      decideSend: () => this.#decideSend(),
       clock,
       codec,
       call,
@@ -275,11 +284,22 @@
   }
 
   /** Number of upstreams that the request was sent to, those included at which it is under way. */
-  get #sendsUnderWay(): number {
+  get #sends(): number {
     const { progress } = this.#call;
     // What was lost with upstreams that ended does not count against the request, within bounds.
     const countedSends = progress.sendCount - Math.min(progress.endedCount, maxUncountedEnds);
-    return countedSends + [...this.#attempts.running].filter((one) => one.isUnderWay).length;
+    return countedSends + progress.peerSendCount + this.#sendsUnderWay;
+  }
+
+  get #sendsUnderWay(): number {
+    let sends = 0;
+    for (const contender of this.#attempts.running) sends += contender.sendsUnderWay;
+    return sends;
+  }
+
+  /** Whether the request may be sent once more, by whichever path. */
+  #decideSend(): ResendDecision {
+    return decideSend(this.#call, { sends: this.#sends, isUnderWay: this.#sendsUnderWay > 0 });
   }
 
   /** Sends the request to a further upstream, or through a peer, beside the silent one, if that is allowed. */
@@ -291,7 +311,7 @@
     const permit = this.#permits.request({
       upstream,
       lateMs,
-      sends: this.#sendsUnderWay,
+      sends: this.#sends,
       endCount: this.#dependencies.quarantine.crashCountOf(this.#features),
       onRoom: () => {
         this.#hedgeAgain();
@@ -308,18 +328,22 @@
 
   /** Lets a peer send the request on beside attempts from which nothing arrives, since no upstream is reached. */
   #relayBeside(): void {
-    if (!this.#mustRelay || !isRepeatable(this.#call) || this.#attempts.running.size === 0) return;
+    if (!this.#mustRelay || this.#attempts.running.size === 0) return;
+    if (this.#decideSend() !== 'send') return;
     const retry = this.#dependencies.retries.takeRetry(this.#call.service.name);
     if (retry === undefined) return;
     this.#wasRelayed = true;
     const relay = new Relay(this.#dependencies, this.#call, {
+      sends: this.#sends,
       onProgress: () => {
         this.#attempts.recordProgress(contender);
       },
     });
     const contender: DispatchContender = {
       upstream: undefined,
-      isUnderWay: false,
+      get sendsUnderWay() {
+        return relay.sendsUnderWay;
+      },
       isSilent: false,
       ended: relay.run().then((isServed) => {
         if (isServed) return { kind: 'relayed' };
@@ -394,7 +418,7 @@
     const { progress, trace } = this.#call;
     const { upstream } = contender;
     trace.add(result.kind, { upstreamId: upstream?.id, ...describeResult(result) });
-    progress.mayHaveRun ||= mayHaveRun(result);
+    progress.knowledge = combineKnowledge(progress.knowledge, knowledgeOf(result));
     if (upstream === undefined) return;
     if (result.kind === 'notSent' && result.isOtherRun !== true)
       this.#chooser.recordUnsent(upstream);
@@ -426,14 +450,14 @@
         throw this.#createUnavailableError();
       case 'broken':
       case 'superseded':
-        if (isRepeatable(call) && this.#tryTakeRetry()) return false;
+        if (this.#tryTakeRetry()) return false;
         throw new RouterError(
           isRepeatable(call) ? 'upstreamFailed' : 'outcomeUnknown',
           result.kind === 'broken' ? result.reason : 'all attempts were aborted',
         );
       case 'deadline':
         throw new RouterError('deadlineExceeded', 'the deadline of the request has passed', {
-          ran: call.progress.sendCount > 0 || call.progress.mayHaveRun ? 'unknown' : 'notRun',
+          ran: this.#mayHaveRun ? 'unknown' : 'notRun',
         });
       case 'callerGone':
         throw new RouterError('cancelled', 'the caller disconnected');
@@ -457,15 +481,20 @@
     writePlainHead(this.#call, result, callerHeaders);
   }
 
+  get #mayHaveRun(): boolean {
+    const { sendCount, knowledge } = this.#call.progress;
+    return sendCount > 0 || mayHaveRun(knowledge);
+  }
+
   /**
-   * Whether the request may be sent to another upstream. Checks the route's limit and the available
+   * Whether the request may be sent to another upstream. Checks whether it may be sent again at all, and the available
    * upstreams, and takes one retry from the service's retry budget.
    */
   #tryTakeRetry(): boolean {
     const { service } = this.#call;
+    const decision = this.#decideSend();
+    if (decision !== 'send') return this.#refuseRetry(decision);
     if (this.#mustRelay) return this.#dependencies.retries.tryRetry(service.name);
-    if (this.#sendsUnderWay >= this.#call.route.maxUpstreams)
-      return this.#refuseRetry('routeLimit');
     if (!this.#chooser.hasNext) return this.#refuseRetry('noUpstream');
     if (!this.#dependencies.retries.tryRetry(service.name)) return this.#refuseRetry('budget');
     this.#call.trace.add('repeat');
@@ -509,15 +538,3 @@
     upstreams.reportEjected(upstream);
   }
 }
-
-/** Whether the request may have reached the upstream. */
-function wasSent(result: AttemptResult): boolean {
-  if ('wasSent' in result) return result.wasSent;
-  return result.kind !== 'notSent';
-}
-
-/** Whether an upstream may have run the request, as far as the result of one attempt tells. */
-function mayHaveRun(result: AttemptResult): boolean {
-  if (result.kind === 'answer' || result.kind === 'broken') return true;
-  return 'wasSent' in result && result.wasSent;
-}
--- a/packages/forwarding/src/_lib/ForwardCall/index.ts
+++ b/packages/forwarding/src/_lib/ForwardCall/index.ts
@@ -2,7 +2,12 @@
  * A caller's request while an instance processes it.
  */
 import type { CallerWriter } from '@acaciacrank/callers';
-import type { UpstreamRun } from '@acaciacrank/routing';
+import {
+  decideResend,
+  type ResendDecision,
+  type RunKnowledge,
+  type UpstreamRun,
+} from '@acaciacrank/routing';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { RequestHead, ForwardAccount, Route, ServiceTraits } from '../../types.js';
 import type { CallerDisconnect } from '../CallerDisconnect/index.js';
@@ -32,10 +37,12 @@
 
 /** Progress of a request. */
 export interface CallProgress {
-  /** Whether an upstream may have run the request, or may still run it. */
-  mayHaveRun: boolean;
+  /** What is known of whether the request has run where it was sent. */
+  knowledge: RunKnowledge;
   /** Number of upstreams that the request was sent to. */
   sendCount: number;
+  /** Number of upstreams to which peers may have sent it for this instance. */
+  peerSendCount: number;
   /** Number of upstreams that ended while they ran it. */
   endedCount: number;
   /** Number of events relayed to the caller, including events whose write failed. */
@@ -52,3 +59,21 @@
 export function isRepeatable({ route }: ForwardCall): boolean {
   return route.kind === 'repeatable' || (route.kind === 'stream' && route.isResumable);
 }
+
+/** What {@link decideSend} goes by apart from the request itself. */
+export interface SendState {
+  /** Number of upstreams that the request was sent to, those included at which it is under way. */
+  readonly sends: number;
+  /** Whether it is under way anywhere. */
+  readonly isUnderWay: boolean;
+}
+
+/** Decides whether a request may be sent now, to an upstream or to a peer; see {@link decideResend}. */
+export function decideSend(call: ForwardCall, { sends, isUnderWay }: SendState): ResendDecision {
+  return decideResend({
+    isRepeatable: isRepeatable(call),
+    knowledge: isUnderWay ? 'unknown' : call.progress.knowledge,
+    sends,
+    maxSends: call.route.maxUpstreams,
+  });
+}
--- a/packages/forwarding/src/_lib/Relay/index.ts
+++ b/packages/forwarding/src/_lib/Relay/index.ts
@@ -9,7 +9,7 @@
   type UpstreamId,
 } from '@acaciacrank/base';
 import { rawHeaderValue } from '@acaciacrank/callers';
-import type { RetryShare } from '@acaciacrank/routing';
+import { mayHaveRun, type ResendDecision, type RetryShare } from '@acaciacrank/routing';
 import type { ForwardCodec } from '../../ForwardCodec/index.js';
 import type { RelayPeers } from '../../RelayPeers/index.js';
 import type { StreamAffinity } from '../../StreamAffinity/index.js';
@@ -21,7 +21,7 @@
   type AttemptResult,
   type PlainResponse,
 } from '../AttemptResult/index.js';
-import { isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
+import { decideSend, isRepeatable, type ForwardCall } from '../ForwardCall/index.js';
 import { HedgedAttempts, type Contender, type EndedContender } from '../HedgedAttempts/index.js';
 import { relayUpstreamHeader } from '../relayProtocol/index.js';
 import { recordStreamBegin } from '../recordStreamBegin/index.js';
@@ -49,6 +49,8 @@
 
 /** Options of {@link Relay}. */
 export interface RelayOptions {
+  /** Number of upstreams that this instance has sent the request to, by itself or through peers; 0 by default. */
+  sends?: number;
   /**
    * Called before anything that a peer gives is passed on to the caller. If it is there, the relay runs beside attempts
    * of this instance, and only an upstream's own answer counts against them.
@@ -59,6 +61,8 @@
 /** The request at one peer. */
 interface PeerContender extends Contender {
   readonly peer: Upstream;
+  /** Number of upstreams to which the peer may send it. */
+  readonly maxSends: number;
 }
 
 /**
@@ -69,6 +73,7 @@
   readonly #dependencies: RelayDependencies;
   readonly #call: ForwardCall;
   readonly #onProgress: (() => void) | undefined;
+  readonly #sends: number;
   readonly #asked = new Set<InstanceId>();
   readonly #attempts = new HedgedAttempts<PeerContender>({
     onEnded: (ended) => {
@@ -77,16 +82,26 @@
     hasBegun: () => this.#call.progress.events > 0,
   });
   #hasSent = false;
+  /** Number of upstreams to which peers that have failed may have sent it. */
+  #peerSends = 0;
   #isSuperseded = false;
 
   constructor(
     dependencies: RelayDependencies,
     call: ForwardCall,
-    { onProgress }: RelayOptions = {},
+    { sends = 0, onProgress }: RelayOptions = {},
   ) {
     this.#dependencies = dependencies;
     this.#call = call;
     this.#onProgress = onProgress;
+    this.#sends = sends;
+  }
+
+  /** Number of upstreams to which peers may be sending the request. */
+  get sendsUnderWay(): number {
+    let sends = 0;
+    for (const { maxSends } of this.#attempts.running) sends += maxSends;
+    return sends;
   }
 
   /**
@@ -117,13 +132,16 @@
   /** Sends the request to another peer; undefined if there is none left. */
   #startNext(): PeerContender | undefined {
     if (this.#isSuperseded || this.#asked.size >= maxPeers) return undefined;
+    const maxSends = this.#nextMaxSends;
+    if (maxSends === 0) return undefined;
     const peer = this.#dependencies.relayPeers.choose(this.#asked);
     if (peer === undefined) return undefined;
-    const attempt: Attempt = this.#createAttempt(peer, () => {
+    const attempt: Attempt = this.#createAttempt(peer, maxSends, () => {
       this.#recordProgress(contender);
     });
     const contender: PeerContender = {
       peer,
+      maxSends,
       ended: attempt.run(),
       supersede: () => {
         attempt.supersede();
@@ -132,9 +150,26 @@
     return contender;
   }
 
+  /** Number of upstreams that the request was or may have been sent to. */
+  get #allSends(): number {
+    return this.#sends + this.#peerSends + this.sendsUnderWay;
+  }
+
+  #decideSend(): ResendDecision {
+    const isUnderWay = this.#attempts.running.size > 0;
+    return decideSend(this.#call, { sends: this.#allSends, isUnderWay });
+  }
+
+  /** Number of upstreams to which the next peer may send the request; a part is kept for a further peer. */
+  get #nextMaxSends(): number {
+    if (this.#decideSend() !== 'send') return 0;
+    const left = this.#call.route.maxUpstreams - this.#allSends;
+    return isRepeatable(this.#call) ? Math.ceil(left / 2) : left;
+  }
+
   /** Asks another peer beside the silent one, if that is allowed. */
   #hedge(): void {
-    if (this.#asked.size >= maxPeers || !isRepeatable(this.#call)) return;
+    if (this.#asked.size >= maxPeers || this.#decideSend() !== 'send') return;
     const retry = this.#dependencies.retries.takeRetry(this.#call.service.name);
     if (retry === undefined) return;
     const next = this.#startNext();
@@ -147,7 +182,7 @@
     this.#onProgress?.();
   }
 
-  #createAttempt(peer: Upstream, onProgress: () => void): Attempt {
+  #createAttempt(peer: Upstream, maxSends: number, onProgress: () => void): Attempt {
     const { clock, codec, relayPeers, responseMemory } = this.#dependencies;
     const { route, trace } = this.#call;
     this.#asked.add(instanceIdOf(peer));
@@ -165,6 +200,9 @@
       isMixed: false,
       isRecordStale: false,
       relayedBy: relayPeers.instanceId,
+      maxPeerSends: maxSends,
+      // Decided when the peer was chosen.
+      decideSend: () => 'send',
       fetchFrom: undefined,
       prefill: undefined,
       onProgress,
@@ -186,14 +224,17 @@
   }
 
   /** Records the end of one attempt, whether or not others continue. */
-  #recordEnd({ contender: { peer }, result }: EndedContender<PeerContender>): void {
+  #recordEnd({ contender, result }: EndedContender<PeerContender>): void {
+    const { peer, maxSends } = contender;
     const { relayPeers, metrics } = this.#dependencies;
     const { trace, progress } = this.#call;
     trace.add(result.kind, { peer: peer.id, ...('reason' in result && { reason: result.reason }) });
     metrics.count('relayed', result.kind);
     const isOutrun = result.kind === 'superseded' && result.wasSilent;
     if (result.kind === 'broken' || (result.kind === 'superseded' && result.wasSent)) {
-      progress.mayHaveRun = true;
+      progress.knowledge = 'unknown';
+      progress.peerSendCount += maxSends;
+      this.#peerSends += maxSends;
       this.#hasSent = true;
     }
     if (result.kind === 'notRun') relayPeers.passOver(instanceIdOf(peer), 'refused');
@@ -233,7 +274,7 @@
         );
       case 'deadline':
         throw new RouterError('deadlineExceeded', 'the deadline of the request has passed', {
-          ran: result.wasSent || progress.mayHaveRun ? 'unknown' : 'notRun',
+          ran: result.wasSent || mayHaveRun(progress.knowledge) ? 'unknown' : 'notRun',
         });
       case 'callerGone':
         throw new RouterError('cancelled', 'the caller disconnected');
@@ -241,7 +282,7 @@
   }
 
   #tryTakeRetry(): boolean {
-    if (!isRepeatable(this.#call)) return false;
+    if (this.#decideSend() !== 'send') return false;
     return this.#dependencies.retries.tryRetry(this.#call.service.name);
   }
 
--- a/packages/forwarding/src/_lib/createUnavailableError/index.ts
+++ b/packages/forwarding/src/_lib/createUnavailableError/index.ts
@@ -1,4 +1,5 @@
 import { RouterError, type Metrics } from '@acaciacrank/base';
+import { mayHaveRun } from '@acaciacrank/routing';
 import type { ForwardCall } from '../ForwardCall/index.js';
 import type { Upstream } from '../Upstream/index.js';
 import { createVersionGoneError } from '../versionErrors/index.js';
@@ -22,7 +23,7 @@
   metrics: Metrics,
 ): RouterError {
   const reason = `no upstream of ${service.name} could take the request`;
-  if (progress.mayHaveRun) return new RouterError('upstreamFailed', reason);
+  if (mayHaveRun(progress.knowledge)) return new RouterError('upstreamFailed', reason);
   if (progress.origin !== undefined && usable.length === 0) {
     return createVersionGoneError(progress.origin);
   }
--- a/packages/forwarding/src/_lib/relayProtocol/index.ts
+++ b/packages/forwarding/src/_lib/relayProtocol/index.ts
@@ -16,6 +16,8 @@
 export const relayRefusedHeader = 'acaciacrank-relay-refused';
 /** Id of the relayed request in each response to it, whether the response is the upstream's or the peer's own. */
 export const relayRequestHeader = 'acaciacrank-relayed-request';
+/** Number of upstreams to which the peer may send the request; without it, as many as the route allows. */
+export const relayMaxSendsHeader = 'acaciacrank-max-sends';
 
 /** All of them; a codec removes them from what it passes on. */
 export const relayHeaders: ReadonlySet<string> = new Set([
@@ -24,6 +26,7 @@
   relayOriginHeader,
   relayRefusedHeader,
   relayRequestHeader,
+  relayMaxSendsHeader,
 ]);
 
 const originSchema = z.tuple([
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -17,7 +17,12 @@
 export * from './_lib/PromptPartLocations/index.js';
 export * from './ForwardHandler/index.js';
 export * from './createForwardServer/index.js';
-export { relayedByHeader, relayHeaders, relayOriginHeader } from './_lib/relayProtocol/index.js';
+export {
+  relayedByHeader,
+  relayHeaders,
+  relayMaxSendsHeader,
+  relayOriginHeader,
+} from './_lib/relayProtocol/index.js';
 export * from './StreamAffinity/index.js';
 export * from './_lib/collectBody/index.js';
 export { MeteredSocket } from './_lib/MeteredSocket/index.js';
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -227,6 +227,8 @@
   readonly origin: string | undefined;
   /** Id of this instance. */
   readonly relayedBy: InstanceId;
+  /** Number of upstreams to which the peer may send the request. */
+  readonly maxSends: number;
 }
 
 /** What an instance sends to an upstream in addition to the caller's headers. */
--- a/packages/routing/src/decideHedge/index.ts
+++ b/packages/routing/src/decideHedge/index.ts
@@ -1,4 +1,5 @@
 import { endsToIsolate } from '../attributeCrashes/index.js';
+import { decideResend } from '../decideResend/index.js';
 import type { ServiceSilence } from '../measureSilence/index.js';
 
 /** What is known when a request has waited for its upstream in vain. */
@@ -56,9 +57,11 @@
  */
 export function decideHedge(evidence: HedgeEvidence): HedgeDecision {
   const { isRepeatable, endCount, sends, maxSends, hasCandidate, silence, probes } = evidence;
-  if (!isRepeatable) return 'notRepeatable';
+  // Nothing is known of the request that is under way.
+  const resend = decideResend({ isRepeatable, knowledge: 'unknown', sends, maxSends });
+  if (resend === 'mayHaveRun') return 'notRepeatable';
   if (endCount >= endsToIsolate) return 'suspect';
-  if (sends >= maxSends) return 'routeLimit';
+  if (resend === 'routeLimit') return 'routeLimit';
   const known = silence();
   const isPanic = isServiceSilent(known);
   const maxProbes = Math.max(1, maxProbesPerSpeaking * known.speaking);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -22,6 +22,7 @@
 export * from './OutlierDetector/index.js';
 export * from './RetryShare/index.js';
 export * from './decideHedge/index.js';
+export * from './decideResend/index.js';
 export * from './HedgedAttempts/index.js';
 export * from './SilenceProbes/index.js';
 export * from './divideRate/index.js';
