--- a/packages/callers/src/CallerWriter/index.ts
+++ b/packages/callers/src/CallerWriter/index.ts
@@ -24,12 +24,25 @@
 export class CallerWriter {
   readonly #response: ServerResponse;
   readonly #options: CallerWriterOptions;
+  #hasHead = false;
 
   constructor(response: ServerResponse, options: CallerWriterOptions) {
     this.#response = response;
     this.#options = options;
   }
 
+  /** Writes the head of a response whose body follows in parts, unless it has been written. */
+  begin(status: number, headers: readonly string[]): void {
+    if (this.#hasHead) return;
+    this.#hasHead = true;
+    this.writeHead(status, headers);
+  }
+
+  /** Writes the head. Callers of HTTP/1.1 get chunks then, the last of which says that the body is whole. */
+  protected writeHead(status: number, headers: readonly string[]): void {
+    this.#response.writeHead(status, [...headers]);
+  }
+
   /** Writes part of the response; resolves when more can be written or the connection is closed. */
   async write(part: string | Uint8Array): Promise<void> {
     await this.writeNow(part);
--- a/packages/callers/src/createCallerServer/index.ts
+++ b/packages/callers/src/createCallerServer/index.ts
@@ -26,6 +26,7 @@
 import { ByteBudget, type HeldBytes } from '../ByteBudget/index.js';
 import { CallerWriter } from '../CallerWriter/index.js';
 import { endToEndHeaders } from '../endToEndHeaders/index.js';
+import { contentLengthOf } from '../contentLengthOf/index.js';
 import { readBody } from '../readBody/index.js';
 import { errorBody, writeError } from '../writeError/index.js';
 import type { ChatHandler } from '../ChatHandler/index.js';
@@ -302,22 +303,18 @@
   const answer = await context.services.run(call, createCloseSignal(response));
   held.add(answer.body.byteLength);
   const headers: OutgoingHttpHeaders = endToEndHeaders(answer.headers);
-  const length = contentLengthOf(answer, request.method);
+  const { 'content-length': declared } = answer.headers;
+  const length = contentLengthOf({
+    status: answer.status,
+    declaredLength: typeof declared === 'string' ? declared : undefined,
+    bodyBytes: answer.body.byteLength,
+    method: request.method,
+  });
   if (length !== undefined) headers['content-length'] = length;
   response.writeHead(answer.status, headers);
   await createWriter(context, response).end(answer.body);
 }
 
-/**
- * A response to HEAD declares the length of the omitted body; 204 and 304 responses have no body.
- */
-function contentLengthOf(answer: ServiceResponse, method: string | undefined): string | undefined {
-  const { 'content-length': declaredLength } = answer.headers;
-  if (method === 'HEAD') return typeof declaredLength === 'string' ? declaredLength : undefined;
-  if (answer.status === 204 || answer.status === 304) return undefined;
-  return String(answer.body.byteLength);
-}
-
 function forwardedHeaders(request: IncomingMessage): Record<string, string> {
   const entries = Object.entries(endToEndHeaders(request.headers));
   return Object.fromEntries(entries.map(([name, value]) => [name, String(value)]));
@@ -375,6 +372,11 @@
 }
 
 function writeJson(response: ServerResponse, status: number, body: unknown): void {
-  response.writeHead(status, { 'content-type': 'application/json' });
-  response.end(JSON.stringify(body));
+  const text = JSON.stringify(body);
+  const contentLength = Buffer.byteLength(text);
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': contentLength,
+  });
+  response.end(text);
 }
--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -13,6 +13,8 @@
 export * from './readBody/index.js';
 export * from './ByteBudget/index.js';
 export * from './CallerWriter/index.js';
+export * from './WholeResponseWriter/index.js';
+export * from './contentLengthOf/index.js';
 export * from './writeError/index.js';
 export * from './endToEndHeaders/index.js';
 export * from './RequestQuarantine/index.js';
--- a/packages/callers/src/writeError/index.ts
+++ b/packages/callers/src/writeError/index.ts
@@ -52,7 +52,12 @@
 ): void {
   const stepMs = options.retryAfterStepMs ?? millisecondsInSecond;
   const body = errorBody(error, random);
-  const headers: Record<string, string> = { 'content-type': 'application/json' };
+  const text = JSON.stringify(body);
+  const contentLength = String(Buffer.byteLength(text));
+  const headers: Record<string, string> = {
+    'content-type': 'application/json',
+    'content-length': contentLength,
+  };
   const { retryAfterMs } = body.error;
   if (retryAfterMs !== null) {
     headers['retry-after'] = String(
@@ -62,5 +67,5 @@
   // The rest of a refused body is not read, so the connection is closed after the response.
   if (!response.req.complete) headers.connection = 'close';
   response.writeHead(error.httpStatus, headers);
-  response.end(JSON.stringify(body));
+  response.end(text);
 }
--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -11,7 +11,13 @@
   type Random,
   type UpstreamId,
 } from '@acaciacrank/base';
-import { ByteBudget, CallerWriter, readBody, writeError } from '@acaciacrank/callers';
+import {
+  ByteBudget,
+  CallerWriter,
+  readBody,
+  WholeResponseWriter,
+  writeError,
+} from '@acaciacrank/callers';
 import type { PrepaidAccounts, ReserveOutcome } from '@acaciacrank/ledger';
 import { mayHaveRun, SilenceProbes, type RetryShare } from '@acaciacrank/routing';
 import type { IncomingMessage, ServerResponse } from 'node:http';
@@ -39,7 +45,6 @@
 import type { RelayPeers } from '../RelayPeers/index.js';
 import type { RequestQuarantine } from '@acaciacrank/callers';
 import type { StreamAffinity } from '../StreamAffinity/index.js';
-import { cutResponse } from '../_lib/cutResponse/index.js';
 import { bindResumption } from '../_lib/bindResumption/index.js';
 import type { RouteTable } from '../RouteTable/index.js';
 import type {
@@ -191,7 +196,7 @@
     return {
       request,
       response,
-      writer: this.#createWriter(response),
+      writer: this.#createWriter(request, response),
       head,
       route,
       service: this.#chooseService(routes, route),
@@ -214,12 +219,14 @@
     };
   }
 
-  #createWriter(response: ServerResponse): CallerWriter {
+  #createWriter({ httpVersion }: IncomingMessage, response: ServerResponse): CallerWriter {
     const { clock, metrics } = this.#options;
     const onStall = () => {
       metrics.count('stalledCallers');
     };
-    return new CallerWriter(response, { clock, stallLimitMs: callerStallTimeoutMs, onStall });
+    const options = { clock, stallLimitMs: callerStallTimeoutMs, onStall };
+    if (httpVersion === '1.0') return new WholeResponseWriter(response, options);
+    return new CallerWriter(response, options);
   }
 
   #chooseService(routes: RouteTable, route: Route): ServiceTraits {
@@ -319,9 +326,9 @@
     if (response.destroyed || error.kind === 'cancelled') {
       response.destroy();
     } else if (response.headersSent) {
-      // Part of the response has been sent, so only closing the connection shows that it is
-      // incomplete.
-      cutResponse(response, this.#options.clock);
+      // Part of the response has been sent. All responses have a length or chunks, so that closing the connection
+      // shows that it is incomplete.
+      response.destroy();
     } else {
       if (relayedBy(response.req) !== undefined) this.#addRelayHeaders(response, error);
       writeError(response, error, this.#options.random, { retryAfterStepMs });
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -9,7 +9,7 @@
   type InstanceId,
   type UpstreamId,
 } from '@acaciacrank/base';
-import { rawHeaderValue } from '@acaciacrank/callers';
+import { hasNoBody, rawHeaderValue } from '@acaciacrank/callers';
 import {
   livedOnMs,
   needsRunCheck,
@@ -47,6 +47,7 @@
   relayOriginHeader,
   relayRefusedHeader,
   relayRequestHeader,
+  relayUnframedHeader,
   relayUpstreamHeader,
 } from '../relayProtocol/index.js';
 import { responseHeaders } from '../responseHeaders/index.js';
@@ -112,6 +113,7 @@
   readonly openCount: number;
 }
 
+const unprovenEnd = 'the response of the peer ended with its connection';
 const anotherRun = 'the upstream is another run than that of its record';
 /** How long an upstream may take to say which run it is until another one is asked, in milliseconds. */
 const runCheckPatienceMs = 300;
@@ -158,6 +160,11 @@
   /** Whether the caller has not yet taken what the upstream sent last. */
   #isCallerBehind = false;
   #wasNoAnswer = false;
+  /**
+   * Whether the end of the connection is the end of the response. By the protocol it is that of an upstream; a peer
+   * frames all that it sends, and closes its connections in good order also when it is killed.
+   */
+  #isProvenWhole = true;
   readonly #responseProgress: ResponseProgress;
   readonly #heldBytes: ReadBody;
 
@@ -292,6 +299,8 @@
     const { call, codec, upstream } = this.#options;
     const { status, headers, isFramed } = response;
     if (this.#connection !== undefined) this.#connection.isEndExpected = !isFramed;
+    this.#isProvenWhole =
+      isFramed || this.#options.relayedBy === undefined || hasNoBody(status, call.request.method);
     const head = codec.readResponseHead(status, headers);
     // Whose response it is comes before all that it states.
     this.#checkOwner(head, response);
@@ -328,7 +337,9 @@
       this.#bodyHandling = { kind: 'relay', relay };
     } else {
       if (lengthOf(headers) > maxBodyBytes) throw new NoAnswerError('bodyBytes');
-      this.#collect((body) => ({ kind: 'answer', status, headers, body, isFramed }));
+      const isUnframed = rawHeaderValue(headers, relayUnframedHeader) !== undefined;
+      const isOwnFramed = isFramed && !(isUnframed && this.#options.relayedBy !== undefined);
+      this.#collect((body) => ({ kind: 'answer', status, headers, body, isFramed: isOwnFramed }));
     }
   }
 
@@ -418,18 +429,13 @@
     const handling = this.#bodyHandling;
     if (handling === undefined)
       return { kind: 'broken', reason: 'the response has no head', isConnectionLost: false };
+    if (!this.#isProvenWhole)
+      return { kind: 'broken', reason: unprovenEnd, isConnectionLost: true };
     if (handling.kind === 'collect') return handling.result(handling.collector.body);
-    return handling.relay.finish()
-      ? {
-          kind: 'streamed',
-          longestGapMs: Math.round(longestGapMs),
-          isEmpty: handling.relay.isEmpty,
-        }
-      : {
-          kind: 'broken',
-          reason: 'the stream ended in the middle of an event',
-          isConnectionLost: true,
-        };
+    const reason = handling.relay.finish();
+    if (reason !== undefined) return { kind: 'broken', reason, isConnectionLost: true };
+    const { isEmpty } = handling.relay;
+    return { kind: 'streamed', longestGapMs: Math.round(longestGapMs), isEmpty };
   }
 
   #collect(result: (body: Buffer) => AttemptResult): void {
--- a/packages/forwarding/src/_lib/AttemptResult/index.ts
+++ b/packages/forwarding/src/_lib/AttemptResult/index.ts
@@ -75,6 +75,7 @@
   readonly status: number;
   readonly headers: RawHeaders;
   readonly body: Buffer;
+  /** Whether the upstream stated where the body ends, other than by closing the connection. */
   readonly isFramed: boolean;
 }
 
--- a/packages/forwarding/src/_lib/HedgedAttempts/test.ts
+++ b/packages/forwarding/src/_lib/HedgedAttempts/test.ts
@@ -27,8 +27,8 @@
   kind: 'answer',
   status: 500,
   headers: [],
-  body: Buffer.alloc(0),
   isFramed: true,
+  body: Buffer.alloc(0),
 };
 
 function start(hasBegun = false) {
--- a/packages/forwarding/src/_lib/StreamRelay/index.ts
+++ b/packages/forwarding/src/_lib/StreamRelay/index.ts
@@ -2,7 +2,6 @@
  * Relays a stream of events from an upstream to the caller.
  */
 import { RouterError } from '@acaciacrank/base';
-import type { ServerResponse } from 'node:http';
 import { EventBuffer } from '../EventBuffer/index.js';
 import type { UpstreamResponseHead } from '../Exchange/index.js';
 import type { ForwardCall } from '../ForwardCall/index.js';
@@ -63,35 +62,32 @@
     return this.#buffer.heldBytes;
   }
 
-  /** Ends the stream; returns whether its last event is complete. */
-  finish(): boolean {
-    if (this.#buffer.hasPartialEvent) return false;
+  /**
+   * Ends the stream.
+   *
+   * @returns why it has been broken off; undefined if it is whole, as far as the upstream's response shows
+   */
+  finish(): string | undefined {
+    if (this.#buffer.hasPartialEvent) return 'the stream ended in the middle of an event';
+    if (!this.#options.head.isFramed && this.#isBareStart)
+      return 'the stream ended with its connection before its first event';
     this.#ensureHead();
-    return true;
+    return undefined;
+  }
+
+  /** Whether nothing of the whole stream has come, from this upstream or another one before. */
+  get #isBareStart(): boolean {
+    const { progress, head } = this.#options.call;
+    return progress.events === 0 && head.resumeAfter === undefined;
   }
 
   #ensureHead(): void {
     const { call, head, callerHeaders } = this.#options;
-    const { response } = call;
-    if (response.headersSent) return;
-    if (!head.isFramed) delimitByConnectionClose(response);
-    response.writeHead(head.status, callerHeaders());
+    if (call.response.headersSent) return;
+    call.writer.begin(head.status, callerHeaders());
   }
 }
 
-/**
- * Ends the response to the caller by closing the connection, as the upstream did.
- *
- * Guards against an upstream that crashes while sending a response without a length: the operating
- * system closes its connection in an orderly way, so that the truncated response looks complete.
- * With a content length or chunked encoding this instance would confirm that it is complete. With a
- * close-delimited response the caller knows exactly as much as it would from the upstream itself.
- */
-export function delimitByConnectionClose(response: ServerResponse): void {
-  response.shouldKeepAlive = false;
-  response.useChunkedEncodingByDefault = false;
-}
-
 /**
  * Checks that events follow each other, and the last one before them.
  *
--- a/packages/forwarding/src/_lib/relayProtocol/index.ts
+++ b/packages/forwarding/src/_lib/relayProtocol/index.ts
@@ -18,6 +18,8 @@
 export const relayRequestHeader = 'acaciacrank-relayed-request';
 /** Number of upstreams to which the peer may send the request; without it, as many as the route allows. */
 export const relayMaxSendsHeader = 'acaciacrank-max-sends';
+/** Present on a response whose body the upstream has given no length; the peer has stated that of what it received. */
+export const relayUnframedHeader = 'acaciacrank-unframed';
 
 /** All of them; a codec removes them from what it passes on. */
 export const relayHeaders: ReadonlySet<string> = new Set([
@@ -27,6 +29,7 @@
   relayRefusedHeader,
   relayRequestHeader,
   relayMaxSendsHeader,
+  relayUnframedHeader,
 ]);
 
 const originSchema = z.tuple([
--- a/packages/forwarding/src/_lib/responseHeaders/index.ts
+++ b/packages/forwarding/src/_lib/responseHeaders/index.ts
@@ -1,4 +1,6 @@
 import type { UpstreamId } from '@acaciacrank/base';
+import type { ServerResponse } from 'node:http';
+import { contentLengthOf, rawHeaderValue } from '@acaciacrank/callers';
 import type { ForwardCodec, RawHeaders } from '../../ForwardCodec/index.js';
 import type { PlainResponse } from '../AttemptResult/index.js';
 import type { ForwardCall } from '../ForwardCall/index.js';
@@ -6,9 +8,9 @@
   formatOrigin,
   relayOriginHeader,
   relayRequestHeader,
+  relayUnframedHeader,
   relayUpstreamHeader,
 } from '../relayProtocol/index.js';
-import { delimitByConnectionClose } from '../StreamRelay/index.js';
 
 /** Creates the headers of a response to a caller, or to the peer that relays the caller's request. */
 export function responseHeaders(
@@ -27,13 +29,45 @@
   return headers;
 }
 
-/** Writes the head of a plain response, with the length of the body if the upstream framed it. */
+/**
+ * Maximum size of a body that the operating system takes together with its head, so that a process that is killed has
+ * sent all of it or nothing, in bytes.
+ */
+const maxAtomicBytes = 16_384;
+
+/**
+ * Writes the head of a plain response.
+ *
+ * Guards against a part that looks like a whole in two ways. A body without a length ends with its connection, also
+ * where this process is killed while it sends it, so that a response states its length. But where an upstream has
+ * stated none, it may have been killed itself, and with a length this instance would confirm what nobody knows: its
+ * response ends with the connection, as that of the upstream did, if it is sent at once. A peer that relays the response
+ * is told so.
+ */
 export function writePlainHead(
-  { response }: Pick<ForwardCall, 'response'>,
-  { status, body, isFramed }: PlainResponse,
+  { response, request, relayedBy }: Pick<ForwardCall, 'response' | 'request' | 'relayedBy'>,
+  { status, headers, body, isFramed }: PlainResponse,
   callerHeaders: readonly string[],
 ): void {
-  if (!isFramed) delimitByConnectionClose(response);
-  const length = isFramed ? ['content-length', String(body.byteLength)] : [];
-  response.writeHead(status, [...callerHeaders, ...length]);
+  const isUnframed = !isFramed && body.byteLength <= maxAtomicBytes;
+  if (isUnframed && relayedBy === undefined) {
+    delimitByConnectionClose(response);
+    response.writeHead(status, [...callerHeaders]);
+    return;
+  }
+  const length = contentLengthOf({
+    status,
+    declaredLength: rawHeaderValue(headers, 'content-length'),
+    bodyBytes: body.byteLength,
+    method: request.method,
+  });
+  const lengthHeader = length === undefined ? [] : ['content-length', length];
+  const unframedHeader = isUnframed ? [relayUnframedHeader, '1'] : [];
+  response.writeHead(status, [...callerHeaders, ...lengthHeader, ...unframedHeader]);
+}
+
+/** Ends a response by closing the connection. */
+function delimitByConnectionClose(response: ServerResponse): void {
+  response.shouldKeepAlive = false;
+  response.useChunkedEncodingByDefault = false;
 }
--- a/packages/soak/src/_lib/InstanceProcess/index.ts
+++ b/packages/soak/src/_lib/InstanceProcess/index.ts
@@ -1,6 +1,7 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { openSync, closeSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
 import { cutFileVariable, cutModule, type UpstreamCut } from '../UpstreamCut/index.js';
 
 /** Ports that an instance listens on: for callers, readiness, the directory and links between instances. */
@@ -14,8 +15,6 @@
 /** Options of {@link InstanceProcess}. */
 export interface InstanceProcessOptions {
   readonly name: string;
-  /** Path of the program to run. */
-  readonly program: string;
   readonly ports: InstancePorts;
   /** Port at which this instance connects to the store. */
   readonly storePort: number;
@@ -25,6 +24,11 @@
   readonly upstreamCut: UpstreamCut;
 }
 
+/** Path of the program under test, as built in this workspace. */
+const program = fileURLToPath(import.meta.resolve('@acaciacrank/platform')).replace(
+  /index\.js$/,
+  'bin.js',
+);
 /** Time limit for a graceful shutdown; after it the process is killed. */
 export const stopLimitMs = 8_000;
 /** Bounds that are written to the settings of the instances and that the checks assume. */
@@ -64,7 +68,7 @@
 
   /** Starts the process; its output is appended to its log file. */
   start(): void {
-    const { program, directory, name, upstreamCut } = this.#options;
+    const { directory, name, upstreamCut } = this.#options;
     const log = openSync(join(directory, `${name}.log`), 'a');
     const settings = ['--settings', this.#settingsPath];
     const child = spawn(process.execPath, ['--import', cutModule, program, ...settings], {
--- /dev/null
+++ b/packages/soak/src/_lib/ProcessFixture/index.ts
@@ -0,0 +1,89 @@
+/**
+ * Test fixture: real programs as processes of their own, between scripted upstreams and the test as their caller.
+ */
+import { DisposableStore, SystemClock } from '@acaciacrank/base';
+import { MemoryPlatform } from '@acaciacrank/store';
+import { mkdtemp, rm } from 'node:fs/promises';
+import { createServer, type Socket } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { buildSoakConfiguration } from '../buildSoakConfiguration/index.js';
+import { FakeStore } from '../FakeStore/index.js';
+import { findFreePorts } from '../findFreePorts/index.js';
+import { InstanceProcess } from '../InstanceProcess/index.js';
+import { closeServer, listenOnLoopback } from '../listenOnLoopback/index.js';
+import { UpstreamCut } from '../UpstreamCut/index.js';
+import { waitUntilReady } from '../waitUntilReady/index.js';
+
+/** Called with each request head that a scripted upstream receives. */
+export type RawUpstreamScript = (socket: Socket, head: string) => void;
+
+const portsPerInstance = 4;
+
+/** Instances with their store; dispose of it after the test. */
+export class ProcessFixture implements AsyncDisposable {
+  readonly platform = new MemoryPlatform(new SystemClock());
+  readonly instances: InstanceProcess[] = [];
+  readonly upstreamCuts: UpstreamCut[] = [];
+  readonly upstreamPorts: number[] = [];
+  readonly #owned = new DisposableStore();
+  readonly #store = this.#owned.add(new FakeStore(this.platform, () => 0.5));
+
+  /** Starts a scripted upstream and writes its record. */
+  async addUpstream(service: string, script: RawUpstreamScript): Promise<void> {
+    const sockets = new Set<Socket>();
+    const server = createServer((socket) => {
+      sockets.add(socket);
+      socket.on('error', () => undefined);
+      socket.on('data', (bytes) => {
+        script(socket, bytes.toString('latin1'));
+      });
+    });
+    const port = await listenOnLoopback(server);
+    this.#owned.add({
+      [Symbol.asyncDispose]: async () => {
+        for (const socket of sockets) socket.destroy();
+        await closeServer(server);
+      },
+    });
+    this.upstreamPorts.push(port);
+    const address = `127.0.0.1:${port}`;
+    const record = { service, address, zone: 'here', slots: 64, state: 'ready', version: 'v1' };
+    this.platform.write(`servers/u${this.upstreamPorts.length}`, record, { kind: 'none' });
+  }
+
+  /** Starts instances and waits until they are ready. */
+  async start(count: number): Promise<void> {
+    this.platform.write('config/main', buildSoakConfiguration(1), { kind: 'none' });
+    const storePort = await this.#store.listen();
+    const directory = await mkdtemp(join(tmpdir(), 'acaciacrank-'));
+    this.#owned.add({
+      [Symbol.asyncDispose]: () => rm(directory, { recursive: true, force: true }),
+    });
+    const freePorts = await findFreePorts(portsPerInstance * count);
+    for (let index = 0; index < count; index += 1) {
+      const [front = 0, ready = 0, directoryPort = 0, fleet = 0] = freePorts.splice(
+        0,
+        portsPerInstance,
+      );
+      const name = `instance-${index}`;
+      const upstreamCut = new UpstreamCut(join(directory, `${name}.cut`));
+      this.upstreamCuts.push(upstreamCut);
+      const instance = new InstanceProcess({
+        name,
+        ports: { front, ready, directory: directoryPort, fleet },
+        storePort,
+        directory,
+        upstreamCut,
+      });
+      this.instances.push(instance);
+      instance.start();
+    }
+    await Promise.all(this.instances.map((instance) => waitUntilReady(instance)));
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await Promise.all(this.instances.map((instance) => instance.end()));
+    await this.#owned.dispose();
+  }
+}
--- a/packages/soak/src/_lib/SoakEnvironment/index.ts
+++ b/packages/soak/src/_lib/SoakEnvironment/index.ts
@@ -2,7 +2,6 @@
 import { MemoryPlatform, type PlatformCopy } from '@acaciacrank/store';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { fileURLToPath } from 'node:url';
 import type { SoakOptions } from '../../types.js';
 import { buildSoakConfiguration } from '../buildSoakConfiguration/index.js';
 import { FakeStore } from '../FakeStore/index.js';
@@ -11,6 +10,7 @@
 import { findFreePorts } from '../findFreePorts/index.js';
 import { InstanceProcess } from '../InstanceProcess/index.js';
 import { UpstreamCut } from '../UpstreamCut/index.js';
+import { waitUntilReady } from '../waitUntilReady/index.js';
 import type { Observations } from '../Observations/index.js';
 
 /** A fake upstream and the fault proxy through which instances reach it. */
@@ -36,20 +36,12 @@
   readonly now: () => number;
 }
 
-/** Path of the program under test, as built in this workspace. */
-const program = fileURLToPath(import.meta.resolve('@acaciacrank/platform')).replace(
-  /index\.js$/,
-  'bin.js',
-);
 /** Ports for callers, readiness, the directory and links between instances. */
 const portsPerInstance = 4;
 /** Number of upstreams by service. */
 const upstreamsPerService = { app: 3, records: 2, lm: 3 } as const;
-/**
- * Time between readiness of all instances and the start of the load, time limit for an instance to become
- * ready, and timeout of one readiness request.
- */
-const startupTimes = { settleMs: 1_500, timeoutMs: 20_000, responseTimeoutMs: 2_000 } as const;
+/** Time between readiness of all instances and the start of the load, in milliseconds. */
+const settleMs = 1_500;
 /** Interval between copies of the store and their number, for {@link SoakEnvironment.restoreStore}. */
 const copyTimes = { intervalMs: 500, count: 41 } as const;
 /** Time for which a draining upstream keeps serving before it is removed. */
@@ -107,7 +99,6 @@
       const process = new InstanceProcess({
         name: `instance-${index}`,
         upstreamCut,
-        program,
         ports: { front, ready, directory: directoryPort, fleet },
         storePort: await storeProxy.listen(),
         directory,
@@ -124,7 +115,7 @@
         clearInterval(copying);
       },
     });
-    await sleep(startupTimes.settleMs);
+    await sleep(settleMs);
   }
 
   /** Milliseconds from the start of the run. */
@@ -273,22 +264,3 @@
     this.#platform.write(`servers/${id}`, record, { kind: 'none' });
   }
 }
-
-async function waitUntilReady(process: InstanceProcess): Promise<void> {
-  const deadlineMs = performance.now() + startupTimes.timeoutMs;
-  let reason = 'it did not answer';
-  while (performance.now() < deadlineMs) {
-    try {
-      const signal = AbortSignal.timeout(startupTimes.responseTimeoutMs);
-      const response = await fetch(`http://127.0.0.1:${process.ports.ready}/readiness`, { signal });
-      if (response.ok) return;
-      reason = `it answered ${response.status}`;
-    } catch (thrown) {
-      // The instance does not listen yet.
-      reason = String((thrown as Error).cause ?? thrown);
-    }
-    await sleep(50);
-  }
-  const { timeoutMs: waitedMs } = startupTimes;
-  throw new Error(`instance not ready within ${waitedMs} ms: ${reason}; ${process.stateSummary}`);
-}
