CONFIG: a relay's reply says how old what it rests on is

Cause: a relay replied "current" up to 5,000 ms after the store's last response; a constant beside a bound that the deployment sets.

Change: a reply carries its age; who asks adds up ages and waits and reads the store itself before the limit is used up. Relays watch in turns short enough that this does not happen while the store responds. Counted: relayedWatches by outcome, relayedAgeMs.

--- a/packages/callers/src/createCallerServer/index.ts
+++ b/packages/callers/src/createCallerServer/index.ts
@@ -13,7 +13,6 @@
   type Random,
 } from '@acaciacrank/base';
 import type { ListedInstance } from '@acaciacrank/store';
-import type { ServiceResponse } from '@acaciacrank/upstreams';
 import { randomUUID } from 'node:crypto';
 import {
   createServer,
--- a/packages/fleet/src/messageSchemas/index.ts
+++ b/packages/fleet/src/messageSchemas/index.ts
@@ -224,6 +224,8 @@
     kind: z.literal('storeChanges'),
     prefix: z.string().max(256),
     sinceRevision: nonNegativeInteger,
+    /** How long the peer waits for a change, in milliseconds; absent from earlier releases. */
+    waitMs: z.number().nonnegative().max(60_000).optional(),
   }),
 ]);
 
@@ -285,6 +287,8 @@
     isCurrent: z.boolean(),
     changes: z.array(storeChangeSchema).max(maxUpstreams),
     revision: nonNegativeInteger,
+    /** Time since the store itself last responded to the peer, in milliseconds; absent from earlier releases. */
+    ageMs: z.number().nonnegative().optional(),
   }),
   /** The peer could not handle the request. */
   z.object({ kind: z.literal('failed'), reason: z.string().max(512) }),
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -181,6 +181,10 @@
       metrics,
       instanceId: settings.instanceId,
       liveInDomain: () => this.fleet.liveInDomain,
+      limitMsOf: (prefix) =>
+        prefix === this.#configuration.prefix
+          ? settings.configurationLimitMs
+          : settings.drainLimitMs,
     });
     this.#configurationFollower = this.#configuration.createFollower(
       this.#relayedStore,
--- a/packages/forwarding/src/RelayedObjectStore/index.ts
+++ b/packages/forwarding/src/RelayedObjectStore/index.ts
@@ -24,19 +24,26 @@
   instanceId: InstanceId;
   /** The live instances of the own failure domain, including this one. */
   liveInDomain: () => readonly InstanceId[];
+  /** Returns within how long a change under a prefix must take effect here, in milliseconds. */
+  limitMsOf: (prefix: string) => number;
 }
 
 /** How long a relay waits for a change before it replies without one, in milliseconds. */
-const relayWaitMs = 1_000;
+const relayWaitMs = { min: 100, max: 1_000 } as const;
 /** How much longer the reply may take, in milliseconds; instances of a domain are a few ms apart. */
-const relayMarginMs = 300;
+const relayMarginMs = 150;
 /** How long a relay that failed is not asked again, in milliseconds. */
 const relayFailureMs = 2_000;
-/**
- * Age of the last response of the store up to which a relay replies, in milliseconds. A watch without
- * changes takes a few seconds; after that its connection may have gone silent.
- */
-const maxConfirmationAgeMs = 5_000;
+/** Time reserved for reading the store itself once what is known may be out of date, in milliseconds. */
+const directReadMs = 700;
+/** The part of a limit for which a relay that watches the store may collect changes before it watches again. */
+const maxBatchShare = 0.2;
+/** How much sooner than needed a relay's watch ends, in milliseconds: the time of the call itself. */
+const watchMarginMs = 100;
+/** Largest age that is recorded, in milliseconds. */
+const maxRecordedAgeMs = 60_000;
+/** Shortest watch of a relay, in milliseconds. Each watch is a call that is charged for. */
+const minRelayWatchMs = 500;
 
 interface WatchedPrefix {
   readonly log: ChangeLog;
@@ -44,14 +51,23 @@
   confirmedAtMs: number;
 }
 
+/** Changes that a relay replied with, and how long before its reply the store had confirmed them. */
+interface RelayedChanges {
+  readonly changes: StoreChanges;
+  readonly ageMs: number;
+}
+
 /**
  * A store that is watched through a peer: in a large failure domain two instances watch the store, and the
  * others ask them.
  *
  * Guards against calls that grow with the fleet: each change costs one call of each watching instance, and
- * each instance would make one every few seconds without any change. An instance watches the store itself
- * as soon as its relay does not reply, or replies that it is not up to date. So a change is missed for no
- * longer than a reply takes, also when the links are cut or the relays are gone.
+ * each instance would make one every few seconds without any change.
+ *
+ * Guards against a relay that has lost the store without noticing it: each reply says how long ago the store has
+ * confirmed what it rests on. An instance adds up that age and its own waits, and reads the store itself before the time
+ * is used up within which a change must take effect; so it does where a relay does not reply. Relays watch in turns short
+ * enough that this does not happen while the store responds.
  */
 export class RelayedObjectStore extends ObjectStore implements Disposable {
   readonly #options: RelayedObjectStoreOptions;
@@ -61,14 +77,19 @@
   readonly #subscription: Disposable;
   /** Prefixes whose last watch went through a peer. */
   readonly #relayedPrefixes = new Set<string>();
+  /** For each prefix, until when the store has confirmed what this instance knows, on the monotonic clock. */
+  readonly #knownAtMs = new Map<string, number>();
 
   constructor(options: RelayedObjectStoreOptions) {
     super();
     this.#options = options;
-    this.#subscription = options.rpc.answer('storeChanges', async ({ prefix, sinceRevision }) => ({
-      kind: 'storeChanges',
-      ...(await this.#replyTo(prefix, sinceRevision)),
-    }));
+    this.#subscription = options.rpc.answer('storeChanges', async (request) => {
+      const { prefix, sinceRevision, waitMs = relayWaitMs.max } = request;
+      return {
+        kind: 'storeChanges',
+        ...(await this.#replyTo(prefix, sinceRevision, Math.min(waitMs, relayWaitMs.max))),
+      };
+    });
   }
 
   /**
@@ -100,6 +121,7 @@
     const confirmedAtMs = this.#options.clock.monotonicMs();
     this.#prefixes.get(prefix)?.log.wake();
     this.#prefixes.set(prefix, { log: new ChangeLog(snapshot.revision), confirmedAtMs });
+    this.#knownAtMs.set(prefix, confirmedAtMs);
     return snapshot;
   }
 
@@ -115,10 +137,15 @@
     this.#relayedPrefixes.delete(prefix);
     if (relayed !== undefined) {
       this.#relayedPrefixes.add(prefix);
-      this.#record(prefix, sinceRevision, relayed, -Infinity);
-      return relayed;
+      this.#knownAtMs.set(prefix, this.#options.clock.monotonicMs() - relayed.ageMs);
+      this.#record(prefix, sinceRevision, relayed.changes, -Infinity);
+      return relayed.changes;
     }
-    return this.#watchDirectly(prefix, sinceRevision, signal, options);
+    // What is known may be too old by now, so that the store responds at once.
+    const isImmediate = options.isImmediate === true || relay !== undefined;
+    const maxWaitMs = this.#isRelay ? this.#relayWatchMs(prefix) : Infinity;
+    const direct = { ...options, isImmediate, maxWaitMs };
+    return this.#watchDirectly(prefix, sinceRevision, signal, direct);
   }
 
   [Symbol.dispose](): void {
@@ -135,7 +162,9 @@
     const { store, clock } = this.#options;
     try {
       const watched = await store.watch(prefix, sinceRevision, signal, options);
-      this.#record(prefix, sinceRevision, watched, clock.monotonicMs());
+      const nowMs = clock.monotonicMs();
+      this.#knownAtMs.set(prefix, nowMs);
+      this.#record(prefix, sinceRevision, watched, nowMs);
       return watched;
     } catch (thrown) {
       this.#markUnconfirmed(prefix);
@@ -143,10 +172,29 @@
     }
   }
 
+  /** Age of what is known of a prefix from which the store itself must be read, in milliseconds. */
+  #maxAgeMs(prefix: string): number {
+    return Math.max(0, this.#options.limitMsOf(prefix) - directReadMs);
+  }
+
+  /** How long a relay watches the store without a change, so that others need not read it themselves. */
+  #relayWatchMs(prefix: string): number {
+    const batchMs = maxBatchShare * this.#options.limitMsOf(prefix);
+    return Math.max(minRelayWatchMs, this.#maxAgeMs(prefix) - batchMs - watchMarginMs);
+  }
+
+  get #relays(): readonly InstanceId[] {
+    return chooseRelays(this.#options.liveInDomain());
+  }
+
+  get #isRelay(): boolean {
+    return this.#relays.includes(this.#options.instanceId);
+  }
+
   /** The relay to ask; undefined if this instance is to watch the store itself. */
   #chooseRelay(): InstanceId | undefined {
-    const { instanceId, liveInDomain, clock } = this.#options;
-    const relays = chooseRelays(liveInDomain());
+    const { instanceId, clock } = this.#options;
+    const relays = this.#relays;
     if (relays.includes(instanceId)) return undefined;
     const nowMs = clock.monotonicMs();
     const usable = relays.filter((id) => nowMs >= (this.#failedUntilMs.get(id) ?? -Infinity));
@@ -157,34 +205,48 @@
     return ranked[0]?.id;
   }
 
-  /** Asks a relay for changes; undefined if it does not reply or is not up to date. */
+  /** Asks a relay for changes; undefined if it does not reply in time, or what it replies is too old. */
   async #watchThrough(
     relay: InstanceId,
     prefix: string,
     sinceRevision: number,
-  ): Promise<StoreChanges | undefined> {
+  ): Promise<RelayedChanges | undefined> {
     const { rpc, clock, metrics } = this.#options;
-    const request = { kind: 'storeChanges', prefix, sinceRevision } as const;
+    const waitMs = this.#waitMsAtRelay(prefix);
+    const request = { kind: 'storeChanges', prefix, sinceRevision, waitMs } as const;
+    let why = 'noReply';
     try {
-      const reply = await rpc.ask(relay, request, { timeoutMs: relayWaitMs + relayMarginMs });
-      if (reply.isCurrent) {
+      const reply = await rpc.ask(relay, request, { timeoutMs: waitMs + relayMarginMs });
+      const { ageMs = Infinity } = reply;
+      metrics.record('relayedAgeMs', prefix, Math.min(ageMs, maxRecordedAgeMs));
+      if (reply.isCurrent && ageMs <= this.#maxAgeMs(prefix)) {
         metrics.count('relayedWatches', 'answered');
         const changes = reply.changes.map((change) => ({ object: undefined, ...change }));
-        return { changes, revision: Math.max(sinceRevision, reply.revision) };
+        const revision = Math.max(sinceRevision, reply.revision);
+        return { changes: { changes, revision }, ageMs };
       }
+      why = reply.isCurrent ? 'tooOld' : 'notCurrent';
     } catch {
       // The store is watched directly instead.
     }
-    metrics.count('relayedWatches', 'failed');
+    metrics.count('relayedWatches', why);
     this.#failedUntilMs.set(relay, clock.monotonicMs() + relayFailureMs);
     return undefined;
   }
 
-  async #replyTo(prefix: string, sinceRevision: number) {
+  /** How long a relay may wait for a change until what this instance knows is too old, in milliseconds. */
+  #waitMsAtRelay(prefix: string): number {
+    const knownAtMs = this.#knownAtMs.get(prefix) ?? -Infinity;
+    const ageMs = this.#options.clock.monotonicMs() - knownAtMs;
+    const leftMs = this.#maxAgeMs(prefix) - ageMs - relayMarginMs;
+    return Math.round(Math.min(relayWaitMs.max, Math.max(relayWaitMs.min, leftMs)));
+  }
+
+  async #replyTo(prefix: string, sinceRevision: number, waitMs: number) {
     const notCurrent = { isCurrent: false, changes: [], revision: 0 };
     const before = this.#currentChanges(prefix, sinceRevision);
     if (before === undefined) return notCurrent;
-    if (before.changes.length === 0) await this.#waitForChanges(prefix);
+    if (before.changes.length === 0) await this.#waitForChanges(prefix, waitMs);
     const watched = this.#currentChanges(prefix, sinceRevision);
     return watched === undefined ? notCurrent : { isCurrent: true, ...watched };
   }
@@ -193,13 +255,13 @@
     const watched = this.#prefixes.get(prefix);
     if (watched === undefined) return undefined;
     const ageMs = this.#options.clock.monotonicMs() - watched.confirmedAtMs;
-    const changes = ageMs > maxConfirmationAgeMs ? undefined : watched.log.since(sinceRevision);
-    return changes === undefined ? undefined : { ...changes, changes: [...changes.changes] };
+    const changes = ageMs === Infinity ? undefined : watched.log.since(sinceRevision);
+    return changes === undefined ? undefined : { ...changes, changes: [...changes.changes], ageMs };
   }
 
-  async #waitForChanges(prefix: string): Promise<void> {
+  async #waitForChanges(prefix: string, waitMs: number): Promise<void> {
     const ended = new AbortController();
-    const timer = this.#options.clock.schedule(relayWaitMs, () => {
+    const timer = this.#options.clock.schedule(waitMs, () => {
       ended.abort();
     });
     await this.#prefixes.get(prefix)?.log.waitForChanges(ended.signal);
--- a/packages/store/src/MemoryPlatform/index.ts
+++ b/packages/store/src/MemoryPlatform/index.ts
@@ -4,6 +4,7 @@
 import { composeVersion, epochOf, revisionOf } from '../storeVersion/index.js';
 import type {
   ListedInstance,
+  WatchOptions,
   StoreChange,
   StoreChanges,
   StoreSnapshot,
@@ -231,12 +232,17 @@
 export interface PlatformLink {
   /** Whether the platform is unreachable. */
   isDown: boolean;
+  /** Whether the platform keeps silent, on calls and watches that wait too; false by default. */
+  isSilent?: boolean;
   /** Latency of each call, in milliseconds. */
   delayMs: number;
   /** Number of upcoming writes that take effect but whose response is lost. */
   responsesToLose: number;
 }
 
+/** How long a client waits for a response that does not come, beyond the wait of a watch, in milliseconds. */
+const silentCallMs = 600;
+
 /** In-process object store of one client. */
 export class MemoryObjectStore extends ObjectStore {
   readonly link: PlatformLink = { isDown: false, delayMs: 0, responsesToLose: 0 };
@@ -292,12 +298,16 @@
     prefix: string,
     sinceRevision: number,
     signal: AbortSignal,
+    { isImmediate = false, maxWaitMs = Infinity }: WatchOptions = {},
   ): Promise<StoreChanges> {
-    await this.#applyFaults();
+    const waitMs = isImmediate ? 0 : Math.min(maxWaitMs, this.#watchWaitMs);
+    const untilMs = this.#clock.monotonicMs() + waitMs + silentCallMs;
+    if (this.link.isSilent !== true) await this.#applyFaults();
     const since = revisionOf(sinceRevision);
     if (since > 0) this.#requireEpoch(sinceRevision);
-    const watched = await this.#platform.watch(prefix, since, this.#watchWaitMs, signal);
-    if (this.link.isDown) throw createUnavailableError();
+    const watched = await this.#platform.watch(prefix, since, waitMs, signal);
+    if (this.link.isSilent === true) await this.#clock.sleep(untilMs - this.#clock.monotonicMs());
+    if (this.link.isDown || this.link.isSilent === true) throw createUnavailableError();
     this.#observeEpoch();
     if (since > 0) this.#requireEpoch(sinceRevision);
     const changes = watched.changes.map(({ key, revision, object }) => ({
@@ -310,7 +320,8 @@
 
   async #applyFaults(): Promise<void> {
     if (this.link.delayMs > 0) await this.#clock.sleep(this.link.delayMs);
-    if (this.link.isDown) throw createUnavailableError();
+    if (this.link.isSilent === true) await this.#clock.sleep(silentCallMs);
+    if (this.link.isDown || this.link.isSilent === true) throw createUnavailableError();
   }
 
   #respond(result: WriteResult): WriteResult {
--- a/packages/store/src/types.ts
+++ b/packages/store/src/types.ts
@@ -33,6 +33,8 @@
 export interface WatchOptions {
   /** Respond at once, with or without changes; shows whether the store is available again. */
   isImmediate?: boolean;
+  /** The longest time that the watch waits for a change, in milliseconds; by default as long as the store's client does. */
+  maxWaitMs?: number;
 }
 
 /** Options of a snapshot. */
