--- a/packages/callers/src/createCallerServer/index.ts
+++ b/packages/callers/src/createCallerServer/index.ts
@@ -26,6 +26,8 @@
 import { CallerWriter } from '../CallerWriter/index.js';
 import { endToEndHeaders } from '../endToEndHeaders/index.js';
 import { contentLengthOf } from '../contentLengthOf/index.js';
+import { guardRequests, type RequestHandler } from '../guardRequests/index.js';
+import { parseTarget, type RequestTarget } from '../parseTarget/index.js';
 import { readBody } from '../readBody/index.js';
 import { errorBody, writeError } from '../writeError/index.js';
 import type { ChatHandler } from '../ChatHandler/index.js';
@@ -118,17 +120,17 @@
     limits,
     bodies: new ByteBudget(limits.maxHeldBytes),
   };
-  const server = createServer(serverOptions(limits), (request, response) => {
-    // A write that races with the caller's disconnect fails here; the close event aborts the
-    // request.
-    response.on('error', () => undefined);
+  const handle: RequestHandler = (request, response) =>
     route(context, request, response).catch((thrown: unknown) => {
       const error = toRouterError(thrown);
       options.metrics.count('refused', error.kind);
       if (!response.headersSent) writeError(response, error, context.random);
       else response.destroy();
     });
-  });
+  const countFailure = () => {
+    options.metrics.count('failedHandlers', 'callers');
+  };
+  const server = createServer(serverOptions(limits), guardRequests(handle, countFailure));
   server.maxConnections = limits.maxConnections;
   server.maxHeadersCount = limits.maxHeaders;
   server.on('drop', () => {
@@ -158,13 +160,13 @@
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
-  const url = new URL(request.url ?? '/', 'http://instance');
-  if (url.pathname === '/health') {
+  const { path, query } = parseTarget(request.url);
+  if (path === '/health') {
     writeJson(response, context.isAccepting() ? 200 : 503, { accepting: context.isAccepting() });
     return;
   }
-  if (url.pathname === '/directory') {
-    const near = url.searchParams.get('near') ?? undefined;
+  if (path === '/directory') {
+    const near = new URLSearchParams(query).get('near') ?? undefined;
     writeJson(response, 200, context.directory(accountKeyOf(request), near));
     return;
   }
@@ -173,15 +175,15 @@
       'instanceLeaving',
       'this instance is leaving and accepts no new requests',
     );
-  if (url.pathname === '/v1/chat/completions' && request.method === 'POST') {
+  if (path === '/v1/chat/completions' && request.method === 'POST') {
     await answerChat(context, request, response);
     return;
   }
-  if (url.pathname.startsWith('/services/')) {
-    await answerService(context, url, request, response);
+  if (path.startsWith('/services/')) {
+    await answerService(context, { path, query }, request, response);
     return;
   }
-  throw new RouterError('notFound', `no resource at ${url.pathname}`);
+  throw new RouterError('notFound', `no resource at ${path}`);
 }
 
 async function answerChat(
@@ -283,11 +285,11 @@
 
 async function answerService(
   context: ServerContext,
-  url: URL,
+  target: RequestTarget,
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
-  const [, , service = '', ...rest] = url.pathname.split('/');
+  const [, , service = '', ...rest] = target.path.split('/');
   const identity = identityOf(request);
   const held = trackHeldBytes(context, response);
   const body = await readBody(request, context.limits.maxBodyBytes, held);
@@ -295,7 +297,7 @@
     ...identity,
     service,
     method: request.method ?? 'GET',
-    path: `/${rest.join('/')}${url.search}`,
+    path: `/${rest.join('/')}${target.query}`,
     headers: forwardedHeaders(request),
     body,
   };
--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -15,6 +15,8 @@
 export * from './CallerWriter/index.js';
 export * from './WholeResponseWriter/index.js';
 export * from './contentLengthOf/index.js';
+export * from './guardRequests/index.js';
+export * from './parseTarget/index.js';
 export * from './writeError/index.js';
 export * from './endToEndHeaders/index.js';
 export * from './RequestQuarantine/index.js';
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -270,7 +270,12 @@
     const onBadRequest = () => {
       metrics.count('badRequests');
     };
-    this.#server = createForwardServer({ handler: this.#handler, onBadRequest });
+    const onHandlerFailed = (thrown: unknown) => {
+      metrics.count('failedHandlers', 'forward');
+      log.error({ error: toRouterError(thrown).fullStack }, 'request handler failed');
+    };
+    const handler = this.#handler;
+    this.#server = createForwardServer({ handler, onBadRequest, onHandlerFailed });
   }
 
   /**
--- a/packages/forwarding/src/createForwardServer/index.ts
+++ b/packages/forwarding/src/createForwardServer/index.ts
@@ -1,3 +1,4 @@
+import { guardRequests } from '@acaciacrank/callers';
 import { createServer, type Server } from 'node:http';
 import type { ForwardHandler } from '../ForwardHandler/index.js';
 import type { CallerLimits } from '../types.js';
@@ -5,6 +6,8 @@
 /** Options of {@link createForwardServer}. */
 export interface CreateForwardServerOptions {
   handler: Pick<ForwardHandler, 'handle'>;
+  /** Called with what the handler throws; it is a defect. */
+  onHandlerFailed: (thrown: unknown) => void;
   /** Called for bytes that are not a valid HTTP request. */
   onBadRequest: () => void;
 }
@@ -23,17 +26,15 @@
  * @returns a server that does not listen yet
  *
  * @example
- * createForwardServer({ handler, onBadRequest }).listen(8080, '10.0.0.5');
+ * createForwardServer({ handler, onBadRequest, onHandlerFailed }).listen(8080, '10.0.0.5');
  */
 export function createForwardServer(options: CreateForwardServerOptions): Server {
   const server = createServer(
     { maxHeaderSize: maxHeaderBytes, requestTimeout: requestTimeoutMs },
-    (request, response) => {
-      // A write after the caller disconnected raises this error; the close event ends the
-      // processing.
-      response.on('error', () => undefined);
-      void options.handler.handle(request, response);
-    },
+    guardRequests(
+      (request, response) => options.handler.handle(request, response),
+      options.onHandlerFailed,
+    ),
   );
   server.on('clientError', (_error, socket) => {
     options.onBadRequest();
--- a/packages/soak/src/_lib/InstanceProcess/index.ts
+++ b/packages/soak/src/_lib/InstanceProcess/index.ts
@@ -66,6 +66,11 @@
     return `${name} ${state}, exited ${this.#exits.length} times (codes or signals: ${this.#exits.join(', ')})`;
   }
 
+  /** How often the process has exited. */
+  get exitCount(): number {
+    return this.#exits.length;
+  }
+
   /** Starts the process; its output is appended to its log file. */
   start(): void {
     const { directory, name, upstreamCut } = this.#options;
