Headers of a relay are believed from instances only

Change: a relayed request carries a link key of the peer or of the relaying instance, which only instances know; without it these headers mean nothing. A request that claims to be relayed is still never relayed again, so that none goes round between instances that do not know each other's keys yet.

--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -6,6 +6,7 @@
   type Clock,
   type ErrorKind,
   type FailureDomainId,
+  type InstanceId,
   type Log,
   type Metrics,
   type Random,
@@ -24,6 +25,7 @@
 import { Relay } from '../_lib/Relay/index.js';
 import {
   relayedByHeader,
+  relayKeyHeader,
   relayMaxSendsHeader,
   relayRefusedHeader,
   relayRequestHeader,
@@ -75,6 +77,8 @@
   relayPeers: RelayPeers;
   affinity: StreamAffinity;
   ownDomain: FailureDomainId;
+  /** Whether a key is one that only this instance and the given peer know: the link key of either. */
+  isPeerKey: (peer: InstanceId, key: string) => boolean;
   /** Whether new requests are accepted; false in the final phase of a shutdown. */
   isAccepting: () => boolean;
   /** Whether connections are closed after their next response. */
@@ -183,7 +187,8 @@
     const { head } = summary;
     const found = routes.match(request.headers.host ?? '', request.url ?? '/');
     if (found === undefined) throw new RouterError('notFound', 'no route matches host and path');
-    const route = limitSends(found, request);
+    const relayedBy = this.#relayedBy(request);
+    const route = relayedBy === undefined ? found : limitSends(found, request);
     summary.routeName = route.name;
     const account = accountFor(routes, route, head.key);
     summary.accountId = account?.accountId;
@@ -202,7 +207,7 @@
       service: this.#chooseService(routes, route),
       account,
       body,
-      relayedBy: relayedBy(request),
+      relayedBy,
       deadlineMs: trace.receivedMs + waitMs,
       disconnect: new CallerDisconnect(response),
       trace,
@@ -330,12 +335,19 @@
       // shows that it is incomplete.
       response.destroy();
     } else {
-      if (relayedBy(response.req) !== undefined) this.#addRelayHeaders(response, error);
+      if (this.#relayedBy(response.req) !== undefined) this.#addRelayHeaders(response, error);
       writeError(response, error, this.#options.random, { retryAfterStepMs });
     }
     return error.kind;
   }
 
+  /** Returns the instance that relays a request; undefined if its caller sent it here, whatever it claims. */
+  #relayedBy({ headers }: IncomingMessage): string | undefined {
+    const { [relayKeyHeader]: key, [relayedByHeader]: peer } = headers;
+    if (typeof key !== 'string' || typeof peer !== 'string') return undefined;
+    return this.#options.isPeerKey(peer as InstanceId, key) ? peer : undefined;
+  }
+
   /** Says which request the error answers, and whether another peer may take it. */
   #addRelayHeaders(response: ServerResponse, { kind }: RouterError): void {
     const { requestId } = this.#options.codec.readRequestHead(response.req.headers);
@@ -370,16 +382,10 @@
   'upstreamsUnreached',
 ]);
 
-/** Returns the instance that relays a request; undefined if its caller sent it here. */
-function relayedBy({ headers }: IncomingMessage): string | undefined {
-  const value = headers[relayedByHeader];
-  return Array.isArray(value) ? value[0] : value;
-}
-
 /** A peer that relays a request may have sent it before, so that fewer upstreams are left of those that the route allows. */
 function limitSends(route: Route, request: IncomingMessage): Route {
   const told = Number(request.headers[relayMaxSendsHeader]);
-  if (relayedBy(request) === undefined || !Number.isSafeInteger(told)) return route;
+  if (!Number.isSafeInteger(told)) return route;
   return { ...route, maxUpstreams: Math.min(route.maxUpstreams, Math.max(0, told)) };
 }
 
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -31,6 +31,7 @@
 import { createDrainFollower } from '../_lib/createDrainFollower/index.js';
 import { createUpstreamFollower } from '../_lib/createUpstreamFollower/index.js';
 import { DirectoryLog } from '../_lib/DirectoryLog/index.js';
+import { isSameSecret } from '../_lib/isSameSecret/index.js';
 import { planShutdown } from '../_lib/planShutdown/index.js';
 import { ReachMonitor } from '../ReachMonitor/index.js';
 import { RelayPeers } from '../RelayPeers/index.js';
@@ -261,6 +262,7 @@
       relayPeers: this.#createRelayPeers(),
       affinity: this.affinity,
       ownDomain: settings.failureDomain,
+      isPeerKey: (peer, key) => this.#isPeerKey(peer, key),
       isAccepting: () => this.#phase !== 'refusing',
       isLeaving: () => this.#phase !== 'running',
       random,
@@ -506,7 +508,16 @@
     const { clock, random, settings } = this.#options;
     const { instanceId } = settings;
     const peers = () => this.fleet.usablePeers;
-    return this.#disposables.add(new RelayPeers({ clock, random, instanceId, peers }));
+    // A peer that is known by its link only, not yet by its registration, knows the key of this instance.
+    const keyOf = (peer: InstanceId) => this.fleet.linkKeyOf(peer) ?? this.#linkKey;
+    return this.#disposables.add(new RelayPeers({ clock, random, instanceId, peers, keyOf }));
+  }
+
+  /** Whether a key is the link key of this instance, or the one that a peer has registered. */
+  #isPeerKey(peer: InstanceId, key: string): boolean {
+    const registered = this.fleet.linkKeyOf(peer);
+    if (registered !== undefined && isSameSecret(key, registered)) return true;
+    return isSameSecret(key, this.#linkKey);
   }
 
   #createAffinity(): StreamAffinity {
--- a/packages/forwarding/src/RelayPeers/index.ts
+++ b/packages/forwarding/src/RelayPeers/index.ts
@@ -1,5 +1,7 @@
 import type { Clock, InstanceId, Random, ServiceName, UpstreamId } from '@acaciacrank/base';
 import type { CallerInstance } from '../InstanceFleet/index.js';
+import type { IncomingMessage } from 'node:http';
+import { relayedByHeader } from '../_lib/relayProtocol/index.js';
 import { Upstream } from '../_lib/Upstream/index.js';
 
 /** Options of {@link RelayPeers}. */
@@ -9,6 +11,8 @@
   instanceId: InstanceId;
   /** The other instances that accept requests. */
   peers: () => readonly CallerInstance[];
+  /** Returns a key that only this instance and a peer know. */
+  keyOf: (peer: InstanceId) => string;
 }
 
 /** For how long a peer that cannot be reached, or reaches no upstream itself, is passed over, in ms. */
@@ -32,9 +36,17 @@
     return this.#options.instanceId;
   }
 
-  /** Whether a request may be relayed: there are peers, and none relays it already. */
-  canRelay({ relayedBy }: { readonly relayedBy: string | undefined }): boolean {
-    return relayedBy === undefined && this.#options.peers().length > 0;
+  /** Returns a key that only this instance and a peer know, by which the peer believes the headers of a relay. */
+  keyOf(peer: InstanceId): string {
+    return this.#options.keyOf(peer);
+  }
+
+  /**
+   * Whether a request may be relayed: there are peers, and none relays it already. One that only claims to be relayed
+   * is not relayed either, so that no request goes round between instances that do not know each other's keys yet.
+   */
+  canRelay({ request }: { readonly request: Pick<IncomingMessage, 'headers'> }): boolean {
+    return request.headers[relayedByHeader] === undefined && this.#options.peers().length > 0;
   }
 
   /**
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -90,6 +90,8 @@
   relayedBy?: InstanceId;
   /** Number of upstreams to which that peer may send the request. */
   maxPeerSends?: number;
+  /** The key that proves to that peer that an instance relays the request. */
+  relayKey?: string | undefined;
   /**
    * Decides whether the request may be sent, called once the connection is known to lead to the right run; another
    * attempt may have been sent since this one began.
@@ -476,7 +478,7 @@
 
   #createRequest() {
     const { call, clock, upstream, codec, fetchFrom, relayedBy } = this.#options;
-    const { maxPeerSends: maxSends = call.route.maxUpstreams } = this.#options;
+    const { maxPeerSends: maxSends = call.route.maxUpstreams, relayKey } = this.#options;
     const { request } = call;
     const remainingMs = call.deadlineMs - clock.monotonicMs();
     const common = {
@@ -493,7 +495,13 @@
             priority: undefined,
             fetchFrom,
           })
-        : codec.relayHeaders(request.rawHeaders, { ...common, origin, relayedBy, maxSends });
+        : codec.relayHeaders(request.rawHeaders, {
+            ...common,
+            origin,
+            relayedBy,
+            maxSends,
+            relayKey,
+          });
     const { method = 'GET', url: path = '/' } = request;
     return { method, path, headers, body: call.body };
   }
--- a/packages/forwarding/src/_lib/Relay/index.ts
+++ b/packages/forwarding/src/_lib/Relay/index.ts
@@ -201,6 +201,7 @@
       isRecordStale: false,
       relayedBy: relayPeers.instanceId,
       maxPeerSends: maxSends,
+      relayKey: relayPeers.keyOf(instanceIdOf(peer)),
       // Decided when the peer was chosen.
       decideSend: () => 'send',
       fetchFrom: undefined,
--- a/packages/forwarding/src/_lib/relayProtocol/index.ts
+++ b/packages/forwarding/src/_lib/relayProtocol/index.ts
@@ -8,6 +8,11 @@
 
 /** Id of the instance that relays the request; the peer does not relay it again. */
 export const relayedByHeader = 'acaciacrank-relayed-by';
+/**
+ * The link key of the peer or of the relaying instance, which only instances know. Without it the headers of a relay are
+ * a caller's and mean nothing.
+ */
+export const relayKeyHeader = 'acaciacrank-relay-key';
 /** Id of the upstream that the response comes from. */
 export const relayUpstreamHeader = 'acaciacrank-upstream';
 /** The run of the upstream that began the stream: in a request that continues with it, and in its response. */
@@ -30,6 +35,7 @@
   relayRequestHeader,
   relayMaxSendsHeader,
   relayUnframedHeader,
+  relayKeyHeader,
 ]);
 
 const originSchema = z.tuple([
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -20,6 +20,7 @@
 export {
   relayedByHeader,
   relayHeaders,
+  relayKeyHeader,
   relayMaxSendsHeader,
   relayOriginHeader,
 } from './_lib/relayProtocol/index.js';
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -229,6 +229,8 @@
   readonly relayedBy: InstanceId;
   /** Number of upstreams to which the peer may send the request. */
   readonly maxSends: number;
+  /** A key that only this instance and the peer know. */
+  readonly relayKey: string | undefined;
 }
 
 /** What an instance sends to an upstream in addition to the caller's headers. */
