BUDGET: a run that links have shown counts as a holder before a restore

Change: the restore witness also remembers the runs that it hears of over links, and waits for them as for listed ones.

Tests of RestoreWitness: a run known by links only leaves nobody to witness; one of long before is not waited for.

--- a/packages/fleet/src/RestoreWitness/index.ts
+++ b/packages/fleet/src/RestoreWitness/index.ts
@@ -36,8 +36,8 @@
  * returned.
  *
  * Each run writes again what it held and reports that in its registration. A run that was there during the
- * whole time that can be lost has seen every other run of that time. Once all of those have reported, it
- * witnesses that nothing is unknown, and one witness suffices. A run that ended within that time never
+ * whole time that can be lost has seen every other run of that time, in the store's list or over links. Once all of
+ * those have reported, it witnesses that nothing is unknown, and one witness suffices. A run that ended within that time never
  * reports, so there is no witness then: what it may have held stays withheld.
  */
 export class RestoreWitness {
@@ -105,6 +105,16 @@
     if (this.#mayWitness && isComplete) this.#ownWitnessedEpoch = epoch;
   }
 
+  /**
+   * Records a run that is heard of over links.
+   *
+   * Guards against a run that took grants and ended before any list showed it: a list may be seconds old, and after a
+   * restore from a copy that lacks the run's registration none ever shows it.
+   */
+  recordRun(runId: string): void {
+    this.#lastSeenMs.set(runId, this.#options.clock.monotonicMs());
+  }
+
   #startAccounting(runs: readonly RegisteredRun[], nowMs: number): void {
     const lostSinceMs = nowMs - this.#options.maxCopyAgeMs;
     this.#mayWitness = this.#listingSinceMs <= lostSinceMs;
--- a/packages/fleet/src/RestoreWitness/test.ts
+++ b/packages/fleet/src/RestoreWitness/test.ts
@@ -85,3 +85,23 @@
   witness.applyRuns(4, [run('a', 1)]);
   t.is(witness.firstEpoch, 1);
 });
+
+// Guards against granting again what a run held that no list has ever shown: it was heard of over links only.
+test('a run that was heard of over links and ended before any list showed it leaves nobody to witness', async (t) => {
+  const { witness, list, own } = await startWitness([run('a', 1)], 40);
+  witness.recordRun('short run');
+  await list(1, [run('a', 1)], 2);
+  own.accountedEpoch = 2;
+  await list(2, [run('a', 2)], 20);
+  t.deepEqual(witness.pendingRuns, ['short run']);
+  t.false(witness.isAccounted(2));
+});
+
+test('a run that was heard of over links long before the restore is not waited for', async (t) => {
+  const { witness, list, own } = await startWitness([run('a', 1)], 40);
+  witness.recordRun('short run');
+  await list(1, [run('a', 1)], 60);
+  own.accountedEpoch = 2;
+  await list(2, [run('a', 2)]);
+  t.true(witness.isAccounted(2));
+});
--- a/packages/forwarding/src/InstanceFleet/index.ts
+++ b/packages/forwarding/src/InstanceFleet/index.ts
@@ -68,6 +68,14 @@
  */
 const staleListMs = 7_000;
 
+/** States of a member that runs, or did until just now. */
+const runningStates: ReadonlySet<Member['state']> = new Set([
+  'starting',
+  'live',
+  'suspect',
+  'leaving',
+]);
+
 /** How long the list of instances that share rate limits is used before it is derived again, in ms. */
 const rateSharingTtlMs = 100;
 
@@ -365,6 +373,8 @@
       (members) => {
         membershipLog.update(members);
         livePeerWatcher.update(members);
+        for (const { life, state } of members)
+          if (life !== '' && runningStates.has(state)) this.restores.recordRun(life);
       },
       (error) => {
         log.error({ err: error }, 'member stream failed');
