--- a/packages/callers/src/RequestQuarantine/index.ts
+++ b/packages/callers/src/RequestQuarantine/index.ts
@@ -99,7 +99,7 @@
 const maxKnownCrashes = 4_096;
 /** Timeout of a home's reply, in milliseconds. */
 const replyTimeoutMs = 200;
-/** Time between two questions while another attempt is under way, and for how long they are asked, in ms. */
+/** Time between two questions while another attempt is under way, and for how long they are queried, in ms. */
 const busyPoll = { intervalMs: 100, limitMs: 1_000 } as const;
 
 /**
--- a/packages/callers/src/ServiceDispatch/index.ts
+++ b/packages/callers/src/ServiceDispatch/index.ts
@@ -44,7 +44,7 @@
 
 /** Base of the jittered exponential backoff before a retry, in milliseconds. */
 const retryBackoffMs = 50;
-/** Minimum time that an upstream gets to respond until another one is asked, in milliseconds. */
+/** Minimum time that an upstream gets to respond until another one is tried, in milliseconds. */
 const minAnswerTimeoutMs = 250;
 /** Counted against an upstream that was silent until another one had answered. */
 const outrun = new RouterError('upstreamFailed', 'another upstream has answered first');
@@ -116,7 +116,7 @@
   }
 
   /**
-   * Sends the call to an upstream, and to others beside it while no answer comes, if it may run twice. Returns the
+   * Sends the call to an upstream, and to others beside it while no answer arrives, if it may run twice. Returns the
    * first answer, or the failure that says most once all have failed.
    */
   async #attempt(upstream: Upstream, call: CallUnderWay): Promise<ServiceResult> {
--- a/packages/callers/src/WholeResponseWriter/index.ts
+++ b/packages/callers/src/WholeResponseWriter/index.ts
@@ -14,7 +14,7 @@
 /**
  * Holds what is written until the response ends, and writes it with its length.
  *
- * Guards against a part that looks like a whole: a caller of HTTP/1.0 knows no chunks, so that the end of the
+ * Guards against a part that looks like a whole: a caller of HTTP/1.0 does not support chunks, so that the end of the
  * connection would end the body, also where this process is killed.
  *
  * @example
--- a/packages/fleet/src/ConfigurationGossip/index.ts
+++ b/packages/fleet/src/ConfigurationGossip/index.ts
@@ -85,7 +85,7 @@
    * Reads an object of a newer configuration from a peer.
    *
    * @param digest - identifies the object; the caller must verify the text against it
-   * @returns the text; undefined when the peers that were asked do not have the object
+   * @returns the text; undefined when the peers that were queried do not have the object
    * @throws RouterError `peerUnavailable` when none of them replied, or no peer is known to have a
    *   newer configuration
    */
--- a/packages/fleet/src/FleetRpc/index.ts
+++ b/packages/fleet/src/FleetRpc/index.ts
@@ -136,7 +136,7 @@
   }
 
   /**
-   * Accepts a reply only from the peer that was asked: ids are sequential, so another peer could
+   * Accepts a reply only from the peer that was queried: ids are sequential, so another peer could
    * guess them.
    */
   #handleReply(message: FleetMessageOf<'reply'>, from: InstanceId): void {
--- a/packages/fleet/src/Membership/index.ts
+++ b/packages/fleet/src/Membership/index.ts
@@ -55,7 +55,7 @@
 
 /** Number of peers that an instance sends heartbeats to, independent of the size of the fleet. */
 export const monitoredPeerCount = 4;
-/** Number of members that are asked to probe a peer that did not acknowledge a heartbeat. */
+/** Number of members that are requested to probe a peer that did not acknowledge a heartbeat. */
 const indirectProbePeers = 3;
 /** Maximum number of changed records in one message. */
 const maxUpdateRecords = 5;
@@ -529,7 +529,7 @@
   }
 }
 
-/** Whether the member is expected to reply, so that it can be asked to probe another one. */
+/** Whether the member is expected to reply, so that it can be requested to probe another one. */
 function canRelayProbes({ state }: Member): boolean {
   return state === 'live' || state === 'leaving' || state === 'starting';
 }
--- a/packages/fleet/src/_lib/FrameSocket/test.ts
+++ b/packages/fleet/src/_lib/FrameSocket/test.ts
@@ -23,7 +23,7 @@
   return heapUsed + external;
 }
 
-// Guards against memory that grows while a peer that was refused goes on sending.
+// Guards against memory that grows while a peer that was refused continues to send.
 test('frames of a refused peer are not held', async (t) => {
   const server = new WebSocketServer({ host: '127.0.0.1', port: 0 });
   t.teardown(() => {
--- a/packages/forwarding/src/FleetPrepaidPeers/index.ts
+++ b/packages/forwarding/src/FleetPrepaidPeers/index.ts
@@ -33,7 +33,7 @@
  */
 const storeTimeoutMs = 100;
 /**
- * How long a peer that did not reply is not asked again, in milliseconds: somewhat longer than it
+ * How long a peer that did not reply is not queried again, in milliseconds: somewhat longer than it
  * takes to detect a dead connection.
  */
 const unreachableMs = 2_000;
--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -132,7 +132,7 @@
   }
 
   /**
-   * Whether requests were recently refused because the store could not be asked for tokens.
+   * Whether requests were recently refused because the store could not be queried for tokens.
    *
    * Guards against callers that stay with an instance that is partitioned from the store and has
    * used up its tokens, while other instances can grant some: requests are refused at one instance
--- a/packages/forwarding/src/InstanceFleet/index.ts
+++ b/packages/forwarding/src/InstanceFleet/index.ts
@@ -92,7 +92,7 @@
  * The instances of the fleet as seen by this one.
  *
  * The store lists the registered instances; the connections between instances show which of them
- * are live. Only the connections decide where callers are sent and which instances are asked for
+ * are live. Only the connections decide where callers are sent and which instances are queried for
  * tokens, so that this works while the store is unavailable to all or some instances. Quantities
  * that are divided by the number of instances count every instance that may be live according to
  * either source.
--- a/packages/forwarding/src/PeerUpstreamSync/index.ts
+++ b/packages/forwarding/src/PeerUpstreamSync/index.ts
@@ -12,11 +12,11 @@
   drains: DomainDrains;
   /** Whether this instance currently gets no updates about upstreams from the store. */
   isStoreUnavailable: () => boolean;
-  /** The peers that may be asked. */
+  /** The peers that may be queried. */
   peers: () => readonly InstanceId[];
 }
 
-/** Interval at which a peer is asked while the store is unavailable here, in milliseconds. */
+/** Interval at which a peer is queried while the store is unavailable here, in milliseconds. */
 const askIntervalMs = 1_000;
 
 /**
@@ -68,7 +68,7 @@
       table.mergeFromPeer(reply.records);
       if (reply.drainedDomains !== undefined) drains.replaceAll(reply.drainedDomains);
     } catch {
-      // A random peer is asked again at the next interval.
+      // A random peer is queried again at the next interval.
     }
   }
 }
--- a/packages/forwarding/src/RelayedObjectStore/index.ts
+++ b/packages/forwarding/src/RelayedObjectStore/index.ts
@@ -32,7 +32,7 @@
 const relayWaitMs = { min: 100, max: 1_000 } as const;
 /** How much longer the reply may take, in milliseconds; instances of a domain are a few ms apart. */
 const relayMarginMs = 150;
-/** How long a relay that failed is not asked again, in milliseconds. */
+/** How long a relay that failed is not queried again, in milliseconds. */
 const relayFailureMs = 2_000;
 /** Time reserved for reading the store itself once what is known may be out of date, in milliseconds. */
 const directReadMs = 700;
--- a/packages/forwarding/src/RouteTable/index.ts
+++ b/packages/forwarding/src/RouteTable/index.ts
@@ -18,7 +18,7 @@
 
   /**
    * @param configuration - the configuration
-   * @param nowMs - when it comes into force, on the monotonic clock
+   * @param nowMs - when it takes effect, on the monotonic clock
    * @param previous - the table that it replaces
    */
   constructor(configuration: ForwardConfiguration, nowMs = 0, previous?: RouteTable) {
--- a/packages/forwarding/src/StreamAffinity/index.ts
+++ b/packages/forwarding/src/StreamAffinity/index.ts
@@ -35,7 +35,7 @@
 
 /** Number of instances that are informed which run began a stream: one of them may end at the same time as the teller. */
 const homeCount = 2;
-/** Number of instances that are asked: where a home is gone, another one comes after it in the asker's view. */
+/** Number of instances that are queried: where a home is gone, another one follows it in the asker's view. */
 const askedCount = 3;
 /** How long origins are collected before they are informed, in milliseconds; who ends loses those not told yet. */
 const batchDelayMs = 50;
@@ -43,8 +43,8 @@
 /**
  * Keeps streams at the software version that began them, whichever instance their callers return to.
  *
- * Who passes on the first event of a stream remembers the run that sent it, and tells the homes of the stream: the
- * instances next to its key on a hash ring. Who is asked to continue with a stream that it does not know asks the homes.
+ * Who passes on the first event of a stream remembers the run that sent it, and informs the homes of the stream: the
+ * instances next to its key on a hash ring. Who is requested to continue with a stream that it does not know asks the homes.
  * A stream costs two entries in batched messages, however many instances there are. One that has been passed on to
  * its end is informed as well: its caller may not have received it.
  */
--- a/packages/forwarding/src/_lib/ActiveConfiguration/index.ts
+++ b/packages/forwarding/src/_lib/ActiveConfiguration/index.ts
@@ -18,7 +18,7 @@
 export interface ActiveConfigurationOptions {
   clock: Clock;
   codec: ForwardCodec;
-  /** Called with each configuration that comes into force. */
+  /** Called with each configuration that takes effect. */
   onApplied: (table: RouteTable) => void;
   log: Log;
   metrics: Metrics;
--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -117,7 +117,7 @@
 
 const unprovenEnd = 'the response of the peer ended with its connection';
 const anotherRun = 'the upstream is another run than that of its record';
-/** How long an upstream may take to say which run it is until another one is asked, in milliseconds. */
+/** How long an upstream may take to say which run it is until another one is tried, in milliseconds. */
 const runCheckPatienceMs = 300;
 
 /** From this size on an event that is not complete counts with the bodies that are being read, in bytes. */
--- a/packages/forwarding/src/_lib/AttemptResult/index.ts
+++ b/packages/forwarding/src/_lib/AttemptResult/index.ts
@@ -36,7 +36,7 @@
   readonly kind: 'superseded';
   /** Whether the request may have reached the upstream. */
   readonly wasSent: boolean;
-  /** Whether nothing had come from the upstream for so long that another one was asked. */
+  /** Whether nothing had come from the upstream for so long that another one was tried. */
   readonly wasSilent: boolean;
   /** Why what the upstream sent is no answer, if it is none. */
   readonly noAnswer?: NoAnswerReason | undefined;
--- a/packages/forwarding/src/_lib/Dispatch/index.ts
+++ b/packages/forwarding/src/_lib/Dispatch/index.ts
@@ -379,7 +379,7 @@
     return this.#dependencies.models.get(this.#call.service.name);
   }
 
-  /** How long to wait for an upstream until its silence is reported, and another one is asked if that is allowed. */
+  /** How long to wait for an upstream until its silence is reported, and another one is tried if that is allowed. */
   get #inactivityTimeoutMs(): number {
     const { route } = this.#call;
     if (route.kind === 'stream') return Math.max(upstreamInactivityMs, 2 * route.targetLatencyMs);
--- a/packages/forwarding/src/_lib/Relay/index.ts
+++ b/packages/forwarding/src/_lib/Relay/index.ts
@@ -44,7 +44,7 @@
 
 /** Number of peers that are requested one request at most. */
 const maxPeers = 3;
-/** Where a peer sends nothing for this long, and some target latencies, another one is asked if the request is repeatable. */
+/** Where a peer sends nothing for this long, and some target latencies, another one is tried if the request is repeatable. */
 const peerInactivity = { baseMs: 500, targetLatencies: 3 } as const;
 
 /** Options of {@link Relay}. */
--- a/packages/forwarding/src/_lib/ResponseMemory/test.ts
+++ b/packages/forwarding/src/_lib/ResponseMemory/test.ts
@@ -69,7 +69,7 @@
   t.false(await isPending(waiting));
 });
 
-// Guards against giving up a sound body over a slow link that goes on.
+// Guards against giving up a sound body over a slow link that continues.
 test('a body that grows is waited for', async (t) => {
   const { memory, clock } = createMemory();
   const growing = open(memory);
--- a/packages/forwarding/src/_lib/Upstream/index.ts
+++ b/packages/forwarding/src/_lib/Upstream/index.ts
@@ -420,7 +420,7 @@
     return inFlightRequest;
   }
 
-  /** Records that a request is sent only now, since the upstream was asked for its run before. */
+  /** Records that a request is sent only now, since the upstream was queried for its run before. */
   recordSent(inFlightRequest: InFlightRequest): void {
     inFlightRequest.sentMs = this.#clock.monotonicMs();
     inFlightRequest.lastReceivedActiveMs = this.#clock.activeMs();
--- a/packages/forwarding/src/_lib/bindResumption/test.ts
+++ b/packages/forwarding/src/_lib/bindResumption/test.ts
@@ -69,7 +69,7 @@
   await t.throwsAsync(bind(table, clock, { resumedAttempt: 'lost' }));
 });
 
-// Guards against a stream that goes on at the service to which its route has moved meanwhile.
+// Guards against a stream that continues at the service to which its route has moved meanwhile.
 test('a route that has moved proves nothing until streams from before have ended', async (t) => {
   const clock = new ManualClock();
   const elsewhere = { ...route, targets: [{ service: 'other' as ServiceName, weight: 1 }] };
--- a/packages/forwarding/src/_lib/checkResponse/index.ts
+++ b/packages/forwarding/src/_lib/checkResponse/index.ts
@@ -62,7 +62,7 @@
 }
 
 /**
- * Checks that a success comes from an upstream.
+ * Checks that a success originates from an upstream.
  *
  * @throws RouterError `upstreamFailed` if not
  */
--- a/packages/forwarding/src/_lib/checkRun/index.ts
+++ b/packages/forwarding/src/_lib/checkRun/index.ts
@@ -32,7 +32,7 @@
  *
  * @param connection - the connection, without any other request in progress
  * @param startedAtMs - the start of the run that the record names
- * @param codec - how the deployment's upstreams are asked
+ * @param codec - how the deployment's upstreams are queried
  * @param options - for how long
  *
  * @example
@@ -96,7 +96,7 @@
   return notStated(statusCode === 200 ? 'not in the answer' : `status ${statusCode}`);
 }
 
-/** The report is asked for without a request id, so that a response with one belongs to another request. */
+/** The report is requested without a request id, so that a response with one belongs to another request. */
 function namesRequest({ statusCode, headers }: Dispatcher.ResponseData, codec: RunReportCodec) {
   const rawHeaders = Object.entries(headers).flatMap(([name, value]) => [name, String(value)]);
   const { requestId = '' } = codec.readResponseHead(statusCode, rawHeaders);
--- a/packages/forwarding/src/_lib/pickUpstream/test.ts
+++ b/packages/forwarding/src/_lib/pickUpstream/test.ts
@@ -54,7 +54,7 @@
   return pick?.upstream === other ? (pick.fetchFrom ?? 'nowhere') : 'the holder itself';
 }
 
-// Guards against an engine that goes on from what another version of its software has cached.
+// Guards against an engine that continues from what another version of its software has cached.
 test('parts of a prompt are copied only from an engine with the same software', (t) => {
   t.is(copySource(createEngine('e1', 'v1'), createEngine('e2', 'v1')), '10.0.0.1:80');
   t.is(copySource(createEngine('e1', 'v1'), createEngine('e2', 'v1.2')), 'nowhere');
--- a/packages/forwarding/src/_lib/relayProtocol/index.ts
+++ b/packages/forwarding/src/_lib/relayProtocol/index.ts
@@ -13,7 +13,7 @@
  * a caller's and mean nothing.
  */
 export const relayKeyHeader = 'acaciacrank-relay-key';
-/** Id of the upstream that the response comes from. */
+/** Id of the upstream that the response originates from. */
 export const relayUpstreamHeader = 'acaciacrank-upstream';
 /** The run of the upstream that began the stream: in a request that continues with it, and in its response. */
 export const relayOriginHeader = 'acaciacrank-origin';
--- a/packages/forwarding/src/_lib/versionErrors/index.ts
+++ b/packages/forwarding/src/_lib/versionErrors/index.ts
@@ -1,7 +1,7 @@
 import { RouterError } from '@acaciacrank/base';
 import type { UpstreamRun } from '@acaciacrank/routing';
 
-/** Returns the error for a stream of which no instance that can be asked knows what began it. */
+/** Returns the error for a stream of which no instance that can be queried knows what began it. */
 export function createVersionUnknownError(): RouterError {
   return new RouterError('streamVersionUnknown', 'it is not known which version began the stream');
 }
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -212,7 +212,7 @@
   readonly isSigned: boolean;
   /** Whether the upstream states that it did not run the request and never will. */
   readonly isNotRun: boolean;
-  /** Whether the response comes from a different upstream than the one addressed. */
+  /** Whether the response originates from a different upstream than the one addressed. */
   readonly isWrongUpstream: boolean;
   readonly statement: UpstreamStatement;
 }
--- a/packages/ledger/src/BudgetLedger/index.ts
+++ b/packages/ledger/src/BudgetLedger/index.ts
@@ -65,7 +65,7 @@
   groupCommitMs?: number;
   /** How long {@link BudgetLedger.reserve} waits for tokens, in milliseconds. */
   reserveTimeoutMs?: number;
-  /** How long to wait for the store before peers are asked, in milliseconds. */
+  /** How long to wait for the store before peers are queried, in milliseconds. */
   askPeersAfterMs?: number;
   /** The maximum number of requests per page that are reserved or wait to be billed. */
   maxOpenRequestsPerPage?: number;
--- a/packages/ledger/src/PrepaidAccount/index.ts
+++ b/packages/ledger/src/PrepaidAccount/index.ts
@@ -587,7 +587,7 @@
   /**
    * Returns idle borrowed tokens to the home.
    *
-   * Tokens that are returned to a crashed home are lost to the account. Therefore the home is asked
+   * Tokens that are returned to a crashed home are lost to the account. Therefore the home is queried
    * first, and gets the tokens only right after it has responded.
    */
   async #returnToHome(keptTokens: number): Promise<void> {
--- a/packages/operators/src/ConfigurationWatcher/index.ts
+++ b/packages/operators/src/ConfigurationWatcher/index.ts
@@ -369,7 +369,7 @@
     let isRefreshed = true;
     try {
       await this.refresh();
-      // A successful read ends a problem without a version; others end when a version comes into force.
+      // A successful read ends a problem without a version; others end when a version takes effect.
       if (this.#problem?.version === undefined) this.#problem = undefined;
     } catch (error) {
       isRefreshed = false;
--- a/packages/operators/src/rollbackVersion/index.ts
+++ b/packages/operators/src/rollbackVersion/index.ts
@@ -14,7 +14,7 @@
 /**
  * Puts the content of an earlier version in force again, as a new version.
  *
- * All its objects are loaded first, so that no version comes into force that instances cannot load.
+ * All its objects are loaded first, so that no version takes effect that instances cannot load.
  *
  * @param store - the platform's object store
  * @param clock - used for timestamps and the back-off
--- a/packages/router/src/Directory/index.ts
+++ b/packages/router/src/Directory/index.ts
@@ -74,7 +74,7 @@
    *
    * The platform's list lags, so membership takes precedence: a listed instance that is dead or
    * leaving is omitted, and an unlisted one from which messages arrive is included. A suspected
-   * instance comes last: most suspected instances are alive, and moving an account to another
+   * instance is last: most suspected instances are alive, and moving an account to another
    * instance costs its grants and cached prefixes.
    *
    * @param accountId - client account of the caller
--- a/packages/routing/src/OverloadBackoff/test.ts
+++ b/packages/routing/src/OverloadBackoff/test.ts
@@ -50,7 +50,7 @@
   t.is(backoff.waitMs, 0);
 });
 
-// Guards against a recovery that goes on although the upstream refused again.
+// Guards against a recovery that continues although the upstream refused again.
 test('a backoff in the recovery begins anew', async (t) => {
   const { clock, backoff } = setUp();
   backoff.extend(500);
--- a/packages/routing/src/StreamOrigins/test.ts
+++ b/packages/routing/src/StreamOrigins/test.ts
@@ -20,7 +20,7 @@
   t.is(origins.get(stream), undefined);
 });
 
-// Guards against a stream that goes on at the wrong one of two versions, since two attempts used one id.
+// Guards against a stream that continues at the wrong one of two versions, since two attempts used one id.
 test('a key under which two versions began streams has no known version', (t) => {
   const origins = new StreamOrigins({ clock: new ManualClock() });
   origins.record(stream, run);
--- a/packages/routing/src/SuspectFeatures/index.ts
+++ b/packages/routing/src/SuspectFeatures/index.ts
@@ -73,7 +73,7 @@
  * its suspect parts, in milliseconds.
  */
 const attemptTimeoutMs = { content: 20_000, parts: 5_000 } as const;
-/** Number of times that are remembered at which all instances were asked about a feature. */
+/** Number of times that are remembered at which all instances were queried about a feature. */
 const maxQuestions = 8;
 /** Maximum number of crashes of a service that count, and of requests in each. */
 const maxCrashes = 64;
@@ -96,7 +96,7 @@
   readonly others: Set<FeatureId>;
   /** Suspects that peers have found, with the number of crashes. */
   readonly told: Map<FeatureId, { readonly crashCount: number; readonly untilMs: number }>;
-  /** When all instances were asked about answers to requests with a feature, in order. */
+  /** When all instances were queried about answers to requests with a feature, in order. */
   readonly askedMs: Map<FeatureId, number[]>;
   /** Sets of parts that were blamed here by these crashes. */
   readonly blamedParts: Map<string, readonly FeatureId[]>;
@@ -212,7 +212,7 @@
     evidence.attribution = undefined;
   }
 
-  /** Records that all instances are asked now about answers to requests with what is suspect or in question. */
+  /** Records that all instances are queried now about answers to requests with what is suspect or in question. */
   recordAsked(service: ServiceName): void {
     const evidence = this.#services.get(service);
     if (evidence === undefined) return;
--- a/packages/routing/src/SuspectFeatures/test.ts
+++ b/packages/routing/src/SuspectFeatures/test.ts
@@ -31,7 +31,7 @@
     return this.suspects.requestAttempt({ ...one, attempt: name, candidates }).verdict;
   }
 
-  /** All instances are asked about the crashes so far, and reply. */
+  /** All instances are queried about the crashes so far, and reply. */
   async confirm(): Promise<void> {
     await this.clock.advance(10_000);
     this.suspects.recordAsked(service);
--- a/packages/routing/src/VersionHistory/test.ts
+++ b/packages/routing/src/VersionHistory/test.ts
@@ -19,7 +19,7 @@
   t.is(history.soleVersion(service, [undefined], 20_000), undefined);
 });
 
-// Guards against a stream that goes on at the version that has replaced the one that began it.
+// Guards against a stream that continues at the version that has replaced the one that began it.
 test('a version that is gone counts for the whole time', async (t) => {
   const { clock, history } = create();
   await clock.advance(20_000);
--- a/packages/routing/src/attributeCrashes/index.ts
+++ b/packages/routing/src/attributeCrashes/index.ts
@@ -25,7 +25,7 @@
   readonly hasOthers: (feature: FeatureId) => boolean;
   /**
    * Up to when all instances have said whether a request with the feature was answered, on the monotonic clock; negative
-   * infinity if they were not asked.
+   * infinity if they were not queried.
    */
   readonly answeredUpToMs: (feature: FeatureId) => number;
 }
--- a/packages/routing/src/decideBodyMemory/index.ts
+++ b/packages/routing/src/decideBodyMemory/index.ts
@@ -29,7 +29,7 @@
  *
  * Where memory is short, the largest is read and the others wait, so that sound bodies end one after the other and
  * none is given up. One gives way for the others if it continues beyond its fair size or time, or if its upstream is
- * suspect: the largest, not whichever comes last.
+ * suspect: the largest, not whichever is last.
  *
  * @param bodies - the bodies that are being read
  * @param bounds - their bounds
--- a/packages/routing/src/decideBodyMemory/test.ts
+++ b/packages/routing/src/decideBodyMemory/test.ts
@@ -23,7 +23,7 @@
   t.deepEqual(decideBodyMemory([sized(17)], bounds, 0), { kind: 'end', body: sized(17) });
 });
 
-// Guards against a body without end that takes the room of all others, whoever comes last.
+// Guards against a body without end that takes the room of all others, whoever is last.
 test('the largest gives way beyond its fair size, or when others have waited for it', (t) => {
   t.deepEqual(decideBodyMemory([sized(9), sized(4)], bounds, 0), { kind: 'end', body: sized(9) });
   const bodies = [sized(7), sized(6)];
--- a/packages/soak/src/_lib/SoakEnvironment/index.ts
+++ b/packages/soak/src/_lib/SoakEnvironment/index.ts
@@ -196,7 +196,7 @@
 
   /**
    * Adds two engines of a new version, and lets one of the others start again under its id with that version; its
-   * record tells that later. The two leave at the end.
+   * record states that later. The two leave at the end.
    */
   async mixVersions(durationMs: number): Promise<void> {
     this.#versionCount += 1;
--- a/packages/soak/src/_lib/StatementCheck/index.ts
+++ b/packages/soak/src/_lib/StatementCheck/index.ts
@@ -8,7 +8,7 @@
   readonly onViolation: (invariant: InvariantName, what: string) => void;
 }
 
-/** A call that an instance was asked to forward. */
+/** A call that an instance was requested to forward. */
 interface StartedCall {
   readonly instance: number;
   readonly sentAtMs: number;
--- a/packages/soak/src/failures/endedProcess/test.ts
+++ b/packages/soak/src/failures/endedProcess/test.ts
@@ -131,7 +131,7 @@
   });
 }
 
-// Guards against a part that looks whole to a caller who knows no chunks.
+// Guards against a part that looks whole to a caller who does not support chunks.
 test.serial(
   'a stream for a caller of HTTP/1.0 does not look whole where its process is killed',
   async (t) => {
--- a/packages/soak/src/runSoak/test.ts
+++ b/packages/soak/src/runSoak/test.ts
@@ -88,7 +88,7 @@
   t.is(report.faults['storeRestored'], 2);
 });
 
-// Guards against instances that use an upstream which has said that it leaves, while the store tells nothing.
+// Guards against instances that use an upstream which has said that it leaves, while the store reports nothing.
 test.serial('upstreams that say in responses that they leave get no new requests', async (t) => {
   const leave = { kind: 'leaveUpstream', durationMs: 6_000 } as const;
   const faults = [
@@ -102,7 +102,7 @@
   t.deepEqual(report.violations, []);
 });
 
-// Guards against instances that keep sending to an upstream which has asked them for a backoff.
+// Guards against instances that keep sending to an upstream which has requested a backoff of them.
 test.serial('overloaded upstreams get no requests in the backoff that they ask for', async (t) => {
   const overload = { kind: 'overloadUpstream', durationMs: 6_000 } as const;
   const faults = [
@@ -170,7 +170,7 @@
   t.true(report.failed < 0.02 * report.requests, `${report.failed} of ${report.requests} failed`);
 });
 
-// Guards against load that goes on to upstreams without room: each that falls over moves its load to the next.
+// Guards against load that continues to upstreams without room: each that falls over moves its load to the next.
 test.serial('upstreams that say that they are brittle do not fall over', async (t) => {
   const faults = [{ kind: 'brittleService', atMs: 2_000, durationMs: 12_000, target: 0 }] as const;
   const changes = { faults, instances: 4, durationMs: 15_000, requestsPerSecond: 300 };
--- a/packages/soak/src/types.ts
+++ b/packages/soak/src/types.ts
@@ -125,7 +125,7 @@
   /** The store rejects watches with 410, as if their history were gone. */
   | 'storeForgets'
   /**
-   * The store answers every request with 503, then comes back from a copy that is up to 20 s old; the
+   * The store answers every request with 503, then returns from a copy that is up to 20 s old; the
    * operator and the upstreams write again what is theirs.
    */
   | 'storeRestored'
@@ -181,7 +181,7 @@
   readonly requestsPerSecond: number;
   /** Directory for the settings files and logs of the processes. */
   readonly directory: string;
-  /** Whether the store also comes back from older copies. */
+  /** Whether the store also returns from older copies. */
   readonly hasRestores?: boolean;
   /** Replaces the faults that are generated from the seed. */
   readonly faults?: readonly PlannedFault[];
--- a/packages/standins/src/LocalGrantNetwork/index.ts
+++ b/packages/standins/src/LocalGrantNetwork/index.ts
@@ -55,7 +55,7 @@
     return [...this.#handlers.keys()].filter((other) => other !== instanceId);
   }
 
-  /** Sends a request to one peer; undefined if the request or response is lost or the response comes too late. */
+  /** Sends a request to one peer; undefined if the request or response is lost or the response arrives too late. */
   async ask<Result>(
     from: InstanceId,
     to: InstanceId,
--- a/packages/standins/src/configuration/acceptance/test.ts
+++ b/packages/standins/src/configuration/acceptance/test.ts
@@ -89,7 +89,7 @@
   t.is((await readManifest(store, 'kapiti')).version, 2);
 });
 
-// As above; in addition, another operator's change comes into force before the confirming read.
+// As above; in addition, another operator's change takes effect before the confirming read.
 test('a write whose response is lost is confirmed by a read after a later version', async (t) => {
   const { clock, openStore, accept } = setUp();
   const [store, otherStore] = [openStore(), openStore()];
--- a/packages/standins/src/failures/anyRestore/test.ts
+++ b/packages/standins/src/failures/anyRestore/test.ts
@@ -104,7 +104,7 @@
   }
 }
 
-// Guards against an account that spends more than it prepaid: the store comes back from copies up to
+// Guards against an account that spends more than it prepaid: the store returns from copies up to
 // 20 s old, again and again, while instances die, are cut off and have writes executed late.
 test('an account never spends more than it prepaid over any restores of the store', async (t) => {
   const property = fc.asyncProperty(
--- a/packages/standins/src/failures/storeRelay/test.ts
+++ b/packages/standins/src/failures/storeRelay/test.ts
@@ -119,7 +119,7 @@
   },
 };
 
-// Guards against a change that comes too late where a relay has lost the store without noticing: until its watch
+// Guards against a change that arrives too late where a relay has lost the store without noticing: until its watch
 // times out, it takes what it knows for current.
 for (const silentCount of [1, 2, 3]) {
   test(`a change is seen in time by others while the store is silent for ${silentCount} of eight`, async (t) => {
@@ -161,7 +161,7 @@
   end(watchers);
 });
 
-// Guards against a change that comes too late where a failure domain grows to a size at which relays are used.
+// Guards against a change that arrives too late where a failure domain grows to a size at which relays are used.
 test('a change is seen in time while a failure domain grows to six', async (t) => {
   const { simulation, watchers } = await startFleet(5);
   simulation.start('a5');
--- a/packages/standins/src/failures/streams/test.ts
+++ b/packages/standins/src/failures/streams/test.ts
@@ -171,7 +171,7 @@
   const [engine] = [...fleet.clients.engines.values()] as [StandinEngine];
   const received = receive(first, chatCall('k1'));
   await fleet.clock.advance(400);
-  // The next token comes after 2,000 times the usual gap of 20 ms.
+  // The next token follows after 2,000 times the usual gap of 20 ms.
   engine.slowFactor = 2_000;
   await fleet.clock.advance(1_000);
   engine.slowFactor = 1;
--- a/packages/store/src/types.ts
+++ b/packages/store/src/types.ts
@@ -8,7 +8,7 @@
   readonly key: string;
   /**
    * Rises with each write of this key, also when it is deleted and written again, and when the store
-   * comes back from an older copy; see `composeVersion`.
+   * returns from an older copy; see `composeVersion`.
    */
   readonly version: number;
   readonly value: unknown;
