--- a/packages/soak/src/_lib/ProcessFixture/index.ts
+++ b/packages/soak/src/_lib/ProcessFixture/index.ts
@@ -54,6 +54,19 @@
 
   /** Starts instances and waits until they are ready. */
   async start(count: number): Promise<void> {
+    await this.#launch(count);
+    await Promise.all(this.instances.map((instance) => waitUntilReady(instance)));
+  }
+
+  /** Starts one instance with a given port for callers, without waiting until it is ready. */
+  async startWithoutWaiting({ callers }: { callers: number }): Promise<InstanceProcess> {
+    await this.#launch(1, callers);
+    const [instance] = this.instances;
+    if (instance === undefined) throw new Error('no instance was started');
+    return instance;
+  }
+
+  async #launch(count: number, callersPort?: number): Promise<void> {
     this.platform.write('config/main', buildSoakConfiguration(1), { kind: 'none' });
     const storePort = await this.#store.listen();
     const directory = await mkdtemp(join(tmpdir(), 'acaciacrank-'));
@@ -71,7 +84,7 @@
       this.upstreamCuts.push(upstreamCut);
       const instance = new InstanceProcess({
         name,
-        ports: { front, ready, directory: directoryPort, fleet },
+        ports: { front: callersPort ?? front, ready, directory: directoryPort, fleet },
         storePort,
         directory,
         upstreamCut,
@@ -79,7 +92,6 @@
       this.instances.push(instance);
       instance.start();
     }
-    await Promise.all(this.instances.map((instance) => waitUntilReady(instance)));
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
