--- a/packages/forwarding/src/_lib/checkRun/test.ts
+++ b/packages/forwarding/src/_lib/checkRun/test.ts
@@ -84,7 +84,7 @@
 }
 
 // Guards against an instance that stood still, and does not know which run an upstream is that told it meanwhile.
-test('a report that comes while the process stands still is read', async (t) => {
+test.serial('a report that comes while the process stands still is read', async (t) => {
   const connection = await connectTo(t, 'HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{"born":7}');
   const result = checkRun(connection, 7, codec, { ...options, timeoutMs: 300 });
   await blockEventLoop(700);
