Own path: the quarantine is consulted after the last allowed upstream

Since the one rule for resending the dispatch ended at its limit of upstreams before it had consulted the quarantine. It ends there only for what may have run and must not run twice; the picker keeps the limit.

The forwarded path, which the platform's program runs, is not changed.

--- a/packages/callers/src/ServiceDispatch/index.ts
+++ b/packages/callers/src/ServiceDispatch/index.ts
@@ -100,7 +100,8 @@
       if (signal.aborted) break;
       const sends = { sends: picker.triedUpstreams, maxSends: maxUpstreamsTried };
       const { isRepeatable } = task;
-      if (decideResend({ isRepeatable, ...outcome, ...sends }) !== 'send') break;
+      // Whether an upstream is left is for the picker to say, after the quarantine has been consulted.
+      if (decideResend({ isRepeatable, ...outcome, ...sends }) === 'mayHaveRun') break;
     }
     if (last?.kind === 'answer') return last.answer;
     const error =
