--- a/packages/soak/src/_lib/ProcessFixture/index.ts
+++ b/packages/soak/src/_lib/ProcessFixture/index.ts
@@ -29,8 +29,18 @@
   readonly #owned = new DisposableStore();
   readonly #store = this.#owned.add(new FakeStore(this.platform, () => 0.5));
 
-  /** Starts a scripted upstream and writes its record. */
-  async addUpstream(service: string, script: RawUpstreamScript): Promise<void> {
+  /**
+   * Starts a scripted upstream and writes its record.
+   *
+   * @param service - name of its service
+   * @param script - answers its requests
+   * @param openWay - starts what stands between it and the instances, and returns its port; nothing by default
+   */
+  async addUpstream(
+    service: string,
+    script: RawUpstreamScript,
+    openWay = (port: number) => Promise.resolve(port),
+  ): Promise<void> {
     const sockets = new Set<Socket>();
     const server = createServer((socket) => {
       sockets.add(socket);
@@ -46,12 +56,18 @@
         await closeServer(server);
       },
     });
-    this.upstreamPorts.push(port);
-    const address = `127.0.0.1:${port}`;
+    const wayPort = await openWay(port);
+    this.upstreamPorts.push(wayPort);
+    const address = `127.0.0.1:${wayPort}`;
     const record = { service, address, zone: 'here', slots: 64, state: 'ready', version: 'v1' };
     this.platform.write(`servers/u${this.upstreamPorts.length}`, record, { kind: 'none' });
   }
 
+  /** Disposes of something with the fixture. */
+  own<T extends Disposable | AsyncDisposable>(disposable: T): T {
+    return this.#owned.add(disposable);
+  }
+
   /** Starts instances and waits until they are ready. */
   async start(count: number): Promise<void> {
     await this.#launch(count);
