GONE: a request that is given up is dropped with a reset of its connection

What callers saw: nothing; an upstream ran a request after its caller had left and the way to it was back. Cause: an attempt that is given up ended its connection in good order, and the kernel delivers what it still holds, or sends again, before that end. Ruled out: a reset of every destroyed socket; answered connections still end in good order (tested).

--- /dev/null
+++ b/packages/base/src/ConnectTimeoutError/index.ts
@@ -0,0 +1,13 @@
+/** A connection did not come about in time; no byte was sent. */
+export class ConnectTimeoutError extends Error {
+  readonly code = 'ETIMEDOUT';
+  readonly syscall = 'connect';
+
+  /**
+   * @param address - where it should have led
+   * @param timeoutMs - how long it may take, in milliseconds
+   */
+  constructor(address: string, timeoutMs: number) {
+    super(`no connection to ${address} within ${timeoutMs} ms`);
+  }
+}
--- a/packages/upstreams/src/_lib/ConnectionPool/index.ts
+++ b/packages/upstreams/src/_lib/ConnectionPool/index.ts
@@ -1,8 +1,13 @@
 /**
  * A connection pool for one upstream.
  */
-import { millisecondsInSecond, type Clock } from '@acaciacrank/base';
-import { Agent, type Dispatcher } from 'undici';
+import {
+  AbortableSocket,
+  ConnectTimeoutError,
+  millisecondsInSecond,
+  type Clock,
+} from '@acaciacrank/base';
+import { Agent, type buildConnector, type Dispatcher } from 'undici';
 
 /** Options of {@link ConnectionPool}. */
 export interface ConnectionPoolOptions {
@@ -17,6 +22,10 @@
 const maxKeepAliveMs = 15 * millisecondsInSecond;
 /** Timeout for establishing a connection, in milliseconds. */
 const connectTimeoutMs = 2 * millisecondsInSecond;
+/** After how long without bytes the operating system probes a connection, in milliseconds. */
+const probeDelayMs = 60 * millisecondsInSecond;
+/** Port of a URL that names none. */
+const defaultPort = 80;
 /**
  * Minimum age of a pool before it is replaced, in milliseconds: a younger one has only new
  * connections.
@@ -38,7 +47,7 @@
 
   constructor(options: ConnectionPoolOptions) {
     this.#options = options;
-    this.#agent = createAgent(options.connections);
+    this.#agent = createAgent(options);
     // The first pool may be replaced at any time, even if the clock starts at 0.
     this.#openedMs = -minPoolAgeMs;
   }
@@ -54,7 +63,7 @@
     if (nowMs - this.#openedMs < minPoolAgeMs) return;
     const old = this.#agent;
     this.#openedMs = nowMs;
-    this.#agent = createAgent(this.#options.connections);
+    this.#agent = createAgent(this.#options);
     this.#retired.add(old);
     void old
       .close()
@@ -68,13 +77,39 @@
 }
 
 /** Sets timeouts for connecting and idling only; a request is bounded by whoever sends it. */
-function createAgent(connections: number): Agent {
+function createAgent({ clock, connections }: ConnectionPoolOptions): Agent {
   return new Agent({
     connections,
     bodyTimeout: 0,
     headersTimeout: 0,
     keepAliveTimeout: keepAliveMs,
     keepAliveMaxTimeout: maxKeepAliveMs,
-    connect: { timeout: connectTimeoutMs },
+    connect: (options, callback) => {
+      connect(clock, options, callback);
+    },
   });
 }
+
+/** Opens a connection whose request is dropped when it is aborted. */
+function connect(
+  clock: Clock,
+  { hostname, port }: buildConnector.Options,
+  callback: buildConnector.Callback,
+): void {
+  const socket = new AbortableSocket();
+  const timer = clock.scheduleActive(connectTimeoutMs, () => {
+    socket.destroy(new ConnectTimeoutError(`${hostname}:${port}`, connectTimeoutMs));
+  });
+  const fail = (error: Error) => {
+    timer[Symbol.dispose]();
+    callback(error, null);
+  };
+  socket.once('error', fail);
+  socket.once('connect', () => {
+    timer[Symbol.dispose]();
+    socket.off('error', fail);
+    callback(null, socket);
+  });
+  socket.setNoDelay(true).setKeepAlive(true, probeDelayMs);
+  socket.connect({ host: hostname, port: Number(port || defaultPort) });
+}
