Odd entries: an entry that names no usable upstream is left out, and why is said

What callers saw: payments answered 502 outcomeUnknown that were never sent. An entry with port 70000 was taken for an upstream; each request that chose it failed with 'Invalid URL' as if it might have run. Cause: the entry's fields were checked for their type only. One line for each batch says which records are left out and what is wrong, five at most; the counter unreadableUpstreams stays. A record that turns odd counts as gone until it is valid.

--- a/packages/forwarding/src/ForwardCodec/index.ts
+++ b/packages/forwarding/src/ForwardCodec/index.ts
@@ -34,8 +34,17 @@
    */
   abstract readConfiguration(stored: StoredObject): ForwardConfiguration;
 
-  /** Parses an upstream record; returns undefined if it does not describe a usable upstream. */
-  abstract readUpstream(stored: StoredObject): UpstreamRecord | undefined;
+  /**
+   * Parses an upstream record.
+   *
+   * @param stored - the record, which any writer may have left in any form
+   * @param onProblem - called with what is wrong with a record that cannot be used
+   * @returns undefined if it does not describe a usable upstream
+   */
+  abstract readUpstream(
+    stored: StoredObject,
+    onProblem?: (problem: string) => void,
+  ): UpstreamRecord | undefined;
 
   /** Parses when the run of an upstream started from its report, in milliseconds since 1970; undefined if not stated. */
   abstract readRunStart(report: string): number | undefined;
--- a/packages/forwarding/src/_lib/createUpstreamFollower/index.ts
+++ b/packages/forwarding/src/_lib/createUpstreamFollower/index.ts
@@ -18,6 +18,16 @@
   random: Random;
 }
 
+/** Maximum number of records in one line of the log. */
+const maxLoggedRecords = 5;
+
+/** A record that cannot be used. */
+interface LeftOutRecord {
+  readonly key: string;
+  readonly version: number;
+  readonly problem: string;
+}
+
 /**
  * Creates the follower that keeps the table of upstreams equal to their records in the store.
  *
@@ -29,13 +39,17 @@
  */
 export function createUpstreamFollower(options: CreateUpstreamFollowerOptions): ObjectFollower {
   const { store, clock, codec, table, batchDelayMs, log, metrics, random } = options;
-  const read = (stored: StoredObject) => {
-    const record = codec.readUpstream(stored);
-    if (record === undefined) {
+  const leftOut: LeftOutRecord[] = [];
+  const read = (stored: StoredObject) =>
+    codec.readUpstream(stored, (problem) => {
       metrics.count('unreadableUpstreams');
-      log.warn({ key: stored.key, version: stored.version }, 'upstream record left out');
-    }
-    return record;
+      if (leftOut.length >= maxLoggedRecords) leftOut.shift();
+      leftOut.push({ key: stored.key, version: stored.version, problem });
+    });
+  /** One line for all records of a call, which may be a thousand. */
+  const logLeftOut = () => {
+    if (leftOut.length === 0) return;
+    log.warn({ records: leftOut.splice(0) }, 'upstream records left out');
   };
   const idOf = (key: string) => key.slice(codec.upstreamPrefix.length) as UpstreamId;
   return new ObjectFollower({
@@ -47,11 +61,14 @@
     maxRetryMs: maxFollowerRetryMs,
     onSnapshot: ({ objects }) => {
       table.replaceAll(objects.map(read).filter((record) => record !== undefined));
+      logLeftOut();
     },
     onChange: ({ key, object }) => {
       const record = object === undefined ? undefined : read(object);
+      // A record that cannot be read any more names no upstream to use, as if it were gone.
       if (record === undefined) table.remove(idOf(key));
       else table.put(record);
+      logLeftOut();
     },
     onLost: (error) => {
       table.markStoreUnavailable();
