Odd entries: a value nested deeply ends no instance, one odd part hides no others

What callers saw: instances ended; one without the store followed no upstream at all. Cause: JSON text is parsed at any depth, but what passes it on is recursive. An instance that watches the store for its failure domain encoded the value for its peers; the error was thrown in a promise that nobody waits for, which ends the process. Besides, a list, a batch of changes or a peer's reply was refused as a whole for one part that did not match.

--- a/packages/fleet/src/FleetLinks/index.ts
+++ b/packages/fleet/src/FleetLinks/index.ts
@@ -9,8 +9,8 @@
   readonly #handlers = new Set<FleetMessageHandler>();
 
   /**
-   * Sends a message without waiting for it to arrive. A message to a peer that cannot be reached,
-   * or whose queue is full, is dropped and counted.
+   * Sends a message without waiting for it to arrive. A message to a peer that cannot be reached, or whose queue is
+   * full, is dropped and counted; so is one that cannot be encoded. It must not throw.
    *
    * @param to - the peer
    */
--- a/packages/fleet/src/WsFleetLinks/index.ts
+++ b/packages/fleet/src/WsFleetLinks/index.ts
@@ -130,7 +130,8 @@
 
   override send(to: InstanceId, message: FleetMessage): void {
     const peer = this.#getOrAddPeer(to);
-    const frame = encodeFrame(message);
+    const frame = this.#encode(message);
+    if (frame === undefined) return;
     if (peer.socket?.isOpen === true) this.#sendNow(peer.socket, frame);
     else if (peer.queue.length >= maxQueuedMessages)
       this.#count('linkMessagesDropped', 'queueFull');
@@ -141,6 +142,16 @@
     }
   }
 
+  /** Guards against a value from outside, nested too deeply to be encoded, that ends the process of whoever passes it on. */
+  #encode(message: FleetMessage): Uint8Array | undefined {
+    try {
+      return encodeFrame(message);
+    } catch {
+      this.#count('linkMessagesDropped', 'unencodable');
+      return undefined;
+    }
+  }
+
   override setPeers(peers: readonly FleetPeer[]): void {
     const listedIds = new Set(peers.map(({ id }) => id));
     for (const { id, fleetUrl } of peers) {
--- a/packages/fleet/src/WsFleetLinks/test.ts
+++ b/packages/fleet/src/WsFleetLinks/test.ts
@@ -10,6 +10,7 @@
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
 import { setImmediate } from 'node:timers/promises';
 import type { FleetMessage } from '../types.js';
+import { decodeMessage, encodeFrame } from '../encodeMessage/index.js';
 import { WsFleetLinks } from './index.js';
 
 const a = 'a' as InstanceId;
@@ -232,3 +233,39 @@
   await clock.advance(100);
   t.is(first.metrics.counter('linksSilent') + second.metrics.counter('linksSilent'), 0);
 });
+
+// Guards against a value of the store that ends the process of each instance that passes it on.
+test('a message that cannot be encoded is dropped and counted', async (t) => {
+  const owned = new DisposableStore();
+  const { links, metrics } = await openEndpoint(owned, new ManualClock(), a);
+  const value: unknown = JSON.parse('['.repeat(100_000) + ']'.repeat(100_000));
+  const change = { key: 'k', revision: 1, object: { key: 'k', version: 1, value } };
+  const reply = {
+    kind: 'storeChanges' as const,
+    isCurrent: true,
+    changes: [change],
+    revision: 1,
+  };
+  t.notThrows(() => {
+    links.send(b, { kind: 'reply', askId: 1, reply });
+  });
+  t.is(metrics.counter('linkMessagesDropped', 'unencodable'), 1);
+  await owned.dispose();
+});
+
+// Guards against one odd record of a peer that hides all others from an instance without the store.
+test('an odd record among those of a peer is left out', (t) => {
+  const record = {
+    id: 'u1',
+    service: 'app',
+    ip: '10.0.0.1',
+    port: 80,
+    failureDomain: 'z',
+    slots: 4,
+    state: 'live',
+  };
+  const odd = [{ ...record, port: 70_000 }, { ...record, slots: Infinity }, null, 'text', {}];
+  const reply = { kind: 'upstreams', isCurrent: true, records: [...odd, record] };
+  const message = decodeMessage(encodeFrame({ kind: 'reply', askId: 1, reply }));
+  t.like(message, { reply: { records: [record] } });
+});
--- a/packages/fleet/src/messageSchemas/index.ts
+++ b/packages/fleet/src/messageSchemas/index.ts
@@ -23,9 +23,19 @@
 const maxDrainedDomains = 256;
 /** Maximum length of the version of an upstream's software. */
 const maxVersionLength = 64;
+const maxPort = 65_535;
 const nonNegativeInteger = z.number().int().nonnegative();
 const failureDomainId = z.string().max(64) as unknown as z.ZodType<FailureDomainId>;
 
+/** Those parts of an array that match a schema: one odd part does not hide the others. */
+function readableOf<Part>(schema: z.ZodType<Part>, maxParts: number) {
+  return z
+    .array(z.unknown())
+    .max(maxParts)
+    .transform((parts) => parts.map((part) => schema.safeParse(part).data))
+    .transform((parts) => parts.filter((part) => part !== undefined));
+}
+
 /** Identifies a budget in the ledger. */
 const budgetSchema = z.object({
   accountId: z.string().max(256) as unknown as z.ZodType<AccountId>,
@@ -63,7 +73,7 @@
   id: z.string().max(256) as unknown as z.ZodType<UpstreamId>,
   service: z.string().max(256) as unknown as z.ZodType<ServiceName>,
   ip: z.string().max(64),
-  port: nonNegativeInteger,
+  port: nonNegativeInteger.min(1).max(maxPort),
   failureDomain: failureDomainId,
   slots: z.number().positive(),
   state: z.enum(['live', 'leaving']),
@@ -277,7 +287,7 @@
   z.object({
     kind: z.literal('upstreams'),
     isCurrent: z.boolean(),
-    records: z.array(upstreamSchema).max(maxUpstreams),
+    records: readableOf(upstreamSchema, maxUpstreams),
     /** Failure domains whose upstreams get no new requests; absent from earlier releases. */
     drainedDomains: z.array(failureDomainId).max(maxDrainedDomains).optional(),
   }),
--- a/packages/soak/src/_lib/FakeStore/index.ts
+++ b/packages/soak/src/_lib/FakeStore/index.ts
@@ -18,6 +18,8 @@
 /** Serves an in-memory store over HTTP and simulates its failures. */
 export class FakeStore implements AsyncDisposable {
   mode: StoreMode = 'normal';
+  /** Texts that its responses hold in place of these strings, for what `JSON.stringify` does not write. */
+  readonly rawTexts = new Map<string, string>();
   readonly #random: Random;
   readonly #storeServer: Server;
   readonly #server: Server;
@@ -51,9 +53,20 @@
   }
 
   #forward(request: IncomingMessage, response: ServerResponse): void {
+    if (this.rawTexts.size > 0) this.#insertRawTexts(response);
     this.#storeServer.emit('request', request, response);
   }
 
+  #insertRawTexts(response: ServerResponse): void {
+    const end = response.end.bind(response) as (body?: string) => ServerResponse;
+    response.end = (body?: unknown) => {
+      if (typeof body !== 'string') return end();
+      let text = body;
+      for (const [known, raw] of this.rawTexts) text = text.replaceAll(JSON.stringify(known), raw);
+      return end(text);
+    };
+  }
+
   /** Executes some writes at once or with a delay and sends no response to them; serves the others. */
   #loseResponse(request: IncomingMessage, response: ServerResponse): void {
     if (this.#random() > lostResponses.share) {
--- a/packages/soak/src/_lib/ProcessFixture/index.ts
+++ b/packages/soak/src/_lib/ProcessFixture/index.ts
@@ -27,7 +27,7 @@
   readonly upstreamCuts: UpstreamCut[] = [];
   readonly upstreamPorts: number[] = [];
   readonly #owned = new DisposableStore();
-  readonly #store = this.#owned.add(new FakeStore(this.platform, () => 0.5));
+  readonly store = this.#owned.add(new FakeStore(this.platform, () => 0.5));
 
   /**
    * Starts a scripted upstream and writes its record.
@@ -89,7 +89,7 @@
 
   async #launch(count: number, callersPort?: number): Promise<void> {
     this.platform.write('config/main', buildSoakConfiguration(1), { kind: 'none' });
-    const storePort = await this.#store.listen();
+    const storePort = await this.store.listen();
     const directory = await mkdtemp(join(tmpdir(), 'acaciacrank-'));
     this.#owned.add({
       [Symbol.asyncDispose]: () => rm(directory, { recursive: true, force: true }),
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -6,6 +6,7 @@
 export * from './StoreEpochs/index.js';
 export * from './restoreBounds/index.js';
 export * from './ObjectStore/index.js';
+export * from './isDeeperThan/index.js';
 export * from './InstanceList/index.js';
 export * from './MemoryPlatform/index.js';
 export * from './StoredInstanceList/index.js';
