--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -9,7 +9,7 @@
 export * from './SystemClock/index.js';
 export * from './ManualClock/index.js';
 export * from './blockEventLoop/index.js';
-export * from './AbortableSocket/index.js';
+export * from './ClientSocket/index.js';
 export * from './ConnectTimeoutError/index.js';
 export * from './InactivityTimer/index.js';
 export * from './DisposableStore/index.js';
--- a/packages/forwarding/src/_lib/MeteredSocket/index.ts
+++ b/packages/forwarding/src/_lib/MeteredSocket/index.ts
@@ -1,4 +1,4 @@
-import { AbortableSocket } from '@acaciacrank/base';
+import { ClientSocket } from '@acaciacrank/base';
 
 /** Size of the parts in which bytes are handed to the parser, in bytes. */
 const maxPartBytes = 16_384;
@@ -9,7 +9,7 @@
  * Guards against the work and memory of a parser that is given many thousand header fields or chunks at once: whoever
  * counts the parts can end the connection between two of them.
  */
-export class MeteredSocket extends AbortableSocket {
+export class MeteredSocket extends ClientSocket {
   readonly #onParsed: (bytes: number) => void;
   #unreportedBytes = 0;
 
--- a/packages/soak/src/failures/oddEntries/test.ts
+++ b/packages/soak/src/failures/oddEntries/test.ts
@@ -88,59 +88,73 @@
 }
 
 // Guards against one entry that ends instance after instance, or keeps them from following the others.
-test.serial('odd entries among the upstreams end no instance, and hide no other entry', async (t) => {
-  const fixture = new ProcessFixture();
-  await using _fixture = fixture;
-  const callers = new DepartingCallers();
-  const addUpstreams = async () => {
-    for (const service of ['app', 'lm']) await fixture.addUpstream(service, callers.script);
-  };
-  addOddEntries(fixture, 'early');
-  await addUpstreams();
-  await fixture.start(instanceCount);
-  await sleep(spreadMs);
-  await checkAllServe(t, fixture, callers, 'at the start');
+test.serial(
+  'odd entries among the upstreams end no instance, and hide no other entry',
+  async (t) => {
+    const fixture = new ProcessFixture();
+    await using _fixture = fixture;
+    const callers = new DepartingCallers();
+    const addUpstreams = async () => {
+      for (const service of ['app', 'lm']) await fixture.addUpstream(service, callers.script);
+    };
+    addOddEntries(fixture, 'early');
+    await addUpstreams();
+    await fixture.start(instanceCount);
+    await sleep(spreadMs);
+    await checkAllServe(t, fixture, callers, 'at the start');
 
-  const later = new DepartingCallers();
-  addOddEntries(fixture, 'late');
-  for (const service of ['app', 'lm']) await fixture.addUpstream(service, later.script);
-  removeUpstreams(fixture, 1, 2);
-  await sleep(spreadMs);
-  await checkAllServe(t, fixture, later, 'in one batch with valid ones');
+    const later = new DepartingCallers();
+    addOddEntries(fixture, 'late');
+    for (const service of ['app', 'lm']) await fixture.addUpstream(service, later.script);
+    removeUpstreams(fixture, 1, 2);
+    await sleep(spreadMs);
+    await checkAllServe(t, fixture, later, 'in one batch with valid ones');
 
-  const last = new DepartingCallers();
-  addOddEntries(fixture, 'many', { entries: smallOddEntries, copies: copiesOfMany });
-  for (const service of ['app', 'lm']) await fixture.addUpstream(service, last.script);
-  removeUpstreams(fixture, 3, 4);
-  await sleep(spreadMs);
-  await checkAllServe(t, fixture, last, 'a thousand of them');
-});
+    const last = new DepartingCallers();
+    addOddEntries(fixture, 'many', { entries: smallOddEntries, copies: copiesOfMany });
+    for (const service of ['app', 'lm']) await fixture.addUpstream(service, last.script);
+    removeUpstreams(fixture, 3, 4);
+    await sleep(spreadMs);
+    await checkAllServe(t, fixture, last, 'a thousand of them');
+  },
+);
 
 // Guards against requests at an upstream whose next entry cannot be read, and against one that stays away after that.
-test.serial('an upstream whose entry turns odd gets no requests until it is valid again', async (t) => {
-  const fixture = new ProcessFixture();
-  await using _fixture = fixture;
-  const first = new DepartingCallers();
-  const second = new DepartingCallers();
-  await fixture.addUpstream('app', first.script);
-  await fixture.start(1);
-  await sleep(500);
-  const port = fixture.instances[0]?.ports.front ?? 0;
-  const valid = fixture.platform.read('servers/u1')?.value;
-  fixture.platform.write('servers/u1', { ...usual, address: '127.0.0.1:70000' }, { kind: 'none' });
-  await fixture.addUpstream('app', second.script);
-  await sleep(spreadMs);
-  for (const text of await second.callMany(callsPerInstance, {
-    port,
-    path: '/pay/',
-    waitMs: 2_900,
-  }))
-    t.true(isWhole(text), text.slice(0, 300));
-  t.deepEqual([first.arrivalCount, second.arrivalCount], [0, callsPerInstance]);
-  fixture.platform.write('servers/u1', valid, { kind: 'none' });
-  removeUpstreams(fixture, 2, 2);
-  await sleep(spreadMs);
-  for (const text of await first.callMany(callsPerInstance, { port, path: '/pay/', waitMs: 2_900 }))
-    t.true(isWhole(text), text.slice(0, 300));
-  t.is(first.arrivalCount, callsPerInstance);
-});
+test.serial(
+  'an upstream whose entry turns odd gets no requests until it is valid again',
+  async (t) => {
+    const fixture = new ProcessFixture();
+    await using _fixture = fixture;
+    const first = new DepartingCallers();
+    const second = new DepartingCallers();
+    await fixture.addUpstream('app', first.script);
+    await fixture.start(1);
+    await sleep(500);
+    const port = fixture.instances[0]?.ports.front ?? 0;
+    const valid = fixture.platform.read('servers/u1')?.value;
+    fixture.platform.write(
+      'servers/u1',
+      { ...usual, address: '127.0.0.1:70000' },
+      { kind: 'none' },
+    );
+    await fixture.addUpstream('app', second.script);
+    await sleep(spreadMs);
+    for (const text of await second.callMany(callsPerInstance, {
+      port,
+      path: '/pay/',
+      waitMs: 2_900,
+    }))
+      t.true(isWhole(text), text.slice(0, 300));
+    t.deepEqual([first.arrivalCount, second.arrivalCount], [0, callsPerInstance]);
+    fixture.platform.write('servers/u1', valid, { kind: 'none' });
+    removeUpstreams(fixture, 2, 2);
+    await sleep(spreadMs);
+    for (const text of await first.callMany(callsPerInstance, {
+      port,
+      path: '/pay/',
+      waitMs: 2_900,
+    }))
+      t.true(isWhole(text), text.slice(0, 300));
+    t.is(first.arrivalCount, callsPerInstance);
+  },
+);
--- a/packages/upstreams/src/HttpServiceClient/test.ts
+++ b/packages/upstreams/src/HttpServiceClient/test.ts
@@ -227,3 +227,14 @@
   const generated = await t.throwsAsync(firstFrame(engine.generate(generation, noSignal())));
   t.like(generated, { kind: 'upstreamFailed', ran: 'unknown' });
 });
+
+// Guards against a part of a response that is taken for the whole, since it has no length.
+test('a response without a length that ends with a reset is not whole', async (t) => {
+  const peer = await startPeer(t, (socket) => {
+    socket.write('HTTP/1.1 200 OK\r\n\r\na part');
+    setTimeout(() => socket.resetAndDestroy(), 30);
+  });
+  await using client = new HttpServiceClient({ url: peer.url, clock: new ManualClock() });
+  const call = client.call(confirmation, new AbortController().signal);
+  await t.throwsAsync(call, { message: /connection to the service broke/ });
+});
--- a/packages/upstreams/src/_lib/ConnectionPool/index.ts
+++ b/packages/upstreams/src/_lib/ConnectionPool/index.ts
@@ -2,7 +2,7 @@
  * A connection pool for one upstream.
  */
 import {
-  AbortableSocket,
+  ClientSocket,
   ConnectTimeoutError,
   millisecondsInSecond,
   type Clock,
@@ -96,7 +96,7 @@
   { hostname, port }: buildConnector.Options,
   callback: buildConnector.Callback,
 ): void {
-  const socket = new AbortableSocket();
+  const socket = new ClientSocket();
   const timer = clock.scheduleActive(connectTimeoutMs, () => {
     socket.destroy(new ConnectTimeoutError(`${hostname}:${port}`, connectTimeoutMs));
   });
