GONE: a connection that waited to be accepted is late; the soak checks callers that leave

What callers saw: nothing; up to half a second after an instance that stood still was back, and in crowds, requests were still sent whose callers had left. Change: ConnectionBacklog, at both servers for callers: while one connection is accepted in each turn, each may have waited since the first; the first request of one that may have waited over 150 ms waits for a read of its end. A turn without a connection shows that none waits.

--- a/packages/callers/src/createCallerServer/index.ts
+++ b/packages/callers/src/createCallerServer/index.ts
@@ -25,6 +25,7 @@
 } from 'node:http';
 import { ByteBudget, type HeldBytes } from '../ByteBudget/index.js';
 import { CallerWriter } from '../CallerWriter/index.js';
+import { ConnectionBacklog } from '../ConnectionBacklog/index.js';
 import { endToEndHeaders } from '../endToEndHeaders/index.js';
 import { contentLengthOf } from '../contentLengthOf/index.js';
 import { guardRequests, type RequestHandler } from '../guardRequests/index.js';
@@ -102,6 +103,7 @@
   readonly random: Random;
   readonly bodies: ByteBudget;
   readonly sendGate: SendGate;
+  readonly connections: ConnectionBacklog;
 }
 
 /**
@@ -123,6 +125,7 @@
     limits,
     bodies: new ByteBudget(limits.maxHeldBytes),
     sendGate: new SendGate({ clock, metrics: options.metrics }),
+    connections: new ConnectionBacklog(clock),
   };
   const handle: RequestHandler = (request, response) =>
     route(context, request, response).catch((thrown: unknown) => {
@@ -135,6 +138,7 @@
     options.metrics.count('failedHandlers', 'callers');
   };
   const server = createServer(serverOptions(limits), guardRequests(handle, countFailure));
+  context.connections.watch(server);
   server.maxConnections = limits.maxConnections;
   server.maxHeadersCount = limits.maxHeaders;
   server.on('drop', () => {
@@ -360,7 +364,8 @@
   const closed = createCloseSignal(request, response);
   const held = trackHeldBytes(context, response);
   const body = await readBody(request, context.limits.maxBodyBytes, held);
-  if (context.sendGate.isLate) await context.sendGate.enter();
+  const isLate = context.connections.takeLate(request.socket) || context.sendGate.isLate;
+  if (isLate) await context.sendGate.enter({ isLate });
   if (closed.aborted) throw new RouterError('cancelled', 'the caller left before it was read');
   return { body, held, closed };
 }
--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -13,6 +13,7 @@
 export * from './readBody/index.js';
 export * from './ByteBudget/index.js';
 export * from './CallerWriter/index.js';
+export * from './ConnectionBacklog/index.js';
 export * from './WholeResponseWriter/index.js';
 export * from './contentLengthOf/index.js';
 export * from './guardRequests/index.js';
--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -15,6 +15,7 @@
 import {
   ByteBudget,
   CallerWriter,
+  ConnectionBacklog,
   readBody,
   WholeResponseWriter,
   writeError,
@@ -106,6 +107,8 @@
 
 /** Handles callers' requests by forwarding them to upstreams. */
 export class ForwardHandler {
+  /** The connections of callers. */
+  readonly connections: ConnectionBacklog;
   readonly #options: ForwardHandlerOptions;
   readonly #bodyBudget = new ByteBudget(maxBufferedBytes);
   readonly #dispatchDependencies: DispatchDependencies;
@@ -116,6 +119,7 @@
   constructor(options: ForwardHandlerOptions) {
     this.#options = options;
     this.#sendGate = new SendGate(options);
+    this.connections = new ConnectionBacklog(options.clock);
     const models = new PrefillTimeModels((service, fit) => {
       options.log.info({ service, ...fit }, 'engines learnt');
     });
@@ -166,7 +170,8 @@
       using buffered = this.#bodyBudget.open();
       const limit = this.#options.routes()?.configuration.limits.bodyBytes ?? defaultMaxBodyBytes;
       const body = await readBody(request, limit, buffered);
-      if (this.#sendGate.isLate) await this.#waitForReads(disconnect, trace);
+      const isLate = this.connections.takeLate(request.socket) || this.#sendGate.isLate;
+      if (isLate) await this.#waitForReads(disconnect, trace);
       call = this.#admit({ request, response, disconnect, body, trace }, summary);
       const informing = this.#options.untilInformed();
       if (informing !== undefined) await informing;
@@ -183,7 +188,7 @@
   /** Guards against work for a caller whose departure has not been read. */
   async #waitForReads(disconnect: CallerDisconnect, trace: RequestTrace): Promise<void> {
     const unreadMs = Math.round(this.#options.clock.unreadMs());
-    await this.#sendGate.enter();
+    await this.#sendGate.enter({ isLate: true });
     trace.add('lateRead', { unreadMs, isGone: disconnect.isGone });
     if (disconnect.isGone) throw new RouterError('cancelled', 'the caller left before it was read');
   }
--- a/packages/forwarding/src/createForwardServer/index.ts
+++ b/packages/forwarding/src/createForwardServer/index.ts
@@ -5,7 +5,7 @@
 
 /** Options of {@link createForwardServer}. */
 export interface CreateForwardServerOptions {
-  handler: Pick<ForwardHandler, 'handle'>;
+  handler: Pick<ForwardHandler, 'handle' | 'connections'>;
   /** Called with what the handler throws; it is a defect. */
   onHandlerFailed: (thrown: unknown) => void;
   /** Called for bytes that are not a valid HTTP request. */
@@ -36,6 +36,7 @@
       options.onHandlerFailed,
     ),
   );
+  options.handler.connections.watch(server);
   server.on('clientError', (_error, socket) => {
     options.onBadRequest();
     if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n');
--- a/packages/routing/src/SendGate/index.ts
+++ b/packages/routing/src/SendGate/index.ts
@@ -37,11 +37,15 @@
     return this.#options.clock.unreadMs() > maxUnreadMs;
   }
 
-  /** Returns what to wait for before a request is sent or other work is done for it; undefined for nothing. */
-  enter(): Promise<void> | undefined {
+  /**
+   * Returns what to wait for before a request is sent or other work is done for it; undefined for nothing.
+   *
+   * @param isLate - whether the request is known to have waited long; by default whether the instance is late
+   */
+  enter({ isLate = this.isLate }: { readonly isLate?: boolean } = {}): Promise<void> | undefined {
+    if (!isLate) return undefined;
     const { clock, metrics } = this.#options;
     const unreadMs = clock.unreadMs();
-    if (unreadMs <= maxUnreadMs) return undefined;
     metrics.record('lateReadMs', 'held', unreadMs);
     return new Promise((resolve) => {
       this.#waiting.push(resolve);
--- a/packages/soak/src/_lib/DepartingCallers/index.ts
+++ b/packages/soak/src/_lib/DepartingCallers/index.ts
@@ -102,10 +102,10 @@
   }
 
   /** Sends several requests, a few milliseconds apart. */
-  callMany(count: number, call: DepartingCall): Promise<string[]> {
+  callMany(count: number, call: DepartingCall, everyMs = 5): Promise<string[]> {
     return Promise.all(
       Array.from({ length: count }, async (_, index) => {
-        await sleep(5 * index);
+        await sleep(everyMs * index);
         return this.call(call);
       }),
     );
--- a/packages/soak/src/_lib/FakeUpstream/index.ts
+++ b/packages/soak/src/_lib/FakeUpstream/index.ts
@@ -111,6 +111,7 @@
     }
     observations.noteArrival(service, id, this.drainingSinceMs);
     observations.soundAnswers.noteArrival(ownId, id);
+    observations.departures.noteArrival(ownId, id);
     observations.limits.noteArrival(ownId);
     observations.statements.noteArrival(ownId, id, this.drainingSinceMs !== undefined);
     if (this.backoffMs !== undefined) {
--- a/packages/soak/src/_lib/LoadGenerator/index.ts
+++ b/packages/soak/src/_lib/LoadGenerator/index.ts
@@ -1,5 +1,6 @@
 import type { Random } from '@acaciacrank/base';
 import { Agent, request, type IncomingMessage } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { InjectedDefect } from '../../types.js';
 import type { CallOutcome, Observations } from '../Observations/index.js';
 import {
@@ -45,6 +46,10 @@
 const quarantineKind = 'requestQuarantined';
 /** Share of calls to which the load generator applies an injected defect; `refuseAll` applies to all. */
 const defectShare = 0.2;
+/** Every so many calls, the caller leaves without its answer after one of these times, in milliseconds. */
+const departures = { everyCalls: 11, waitsMs: [8, 25, 90, 280] } as const;
+/** How late the defect `sendLate` sends a request, in milliseconds. */
+const lateSendMs = 900;
 const promptTokens = 400;
 const outputTokens = 60;
 
@@ -110,6 +115,10 @@
     // Every second request is for the same as others of its kind.
     const item = this.#callCount % 2 === 0 ? 'x' : `x-${this.#callCount}`;
     const target = { port, path: `${kind.path}${item}`, method: kind.method, headers };
+    if (this.#callCount % departures.everyCalls === 0) {
+      await this.#sendAndLeave(target, id);
+      return;
+    }
     const isDefective = injectedDefect === 'refuseAll' || random() < defectShare;
     const response = isDefective
       ? await this.#sendWithDefect(target, kind, injectedDefect)
@@ -129,6 +138,31 @@
     });
   }
 
+  /** Sends one request on a connection of its own, and closes that before the answer, unless it comes sooner. */
+  async #sendAndLeave({ port, path, method, headers }: RequestTarget, id: string): Promise<void> {
+    const { departures: check } = this.#options.observations;
+    const round = Math.floor(this.#callCount / departures.everyCalls);
+    const waitMs = departures.waitsMs[round % departures.waitsMs.length] ?? 0;
+    const isLate = this.#options.injectedDefect === 'sendLate';
+    if (isLate) check.noteDeparture(id);
+    if (isLate) await sleep(lateSendMs);
+    await new Promise<void>((resolve) => {
+      const options = { host: '127.0.0.1', port, path, method, headers, agent: false } as const;
+      const outgoing = request(options, (incoming) => {
+        incoming.on('error', () => undefined).on('end', resolve);
+        incoming.resume();
+      });
+      outgoing.on('error', () => undefined);
+      outgoing.on('close', resolve);
+      outgoing.end(method === 'POST' ? 'a body' : undefined);
+      setTimeout(() => {
+        if (outgoing.destroyed) return;
+        if (!isLate) check.noteDeparture(id);
+        outgoing.destroy();
+      }, waitMs);
+    });
+  }
+
   /** Sends one request and returns the response that an instance with the defect would give. */
   async #sendWithDefect(
     target: RequestTarget,
--- a/packages/soak/src/_lib/Observations/index.ts
+++ b/packages/soak/src/_lib/Observations/index.ts
@@ -7,6 +7,7 @@
 import { BrittleCheck } from '../BrittleCheck/index.js';
 import { ReachCheck } from '../ReachCheck/index.js';
 import { VersionCheck } from '../VersionCheck/index.js';
+import { DepartureCheck } from '../DepartureCheck/index.js';
 import { SoundAnswerCheck } from '../SoundAnswerCheck/index.js';
 import { StatementCheck } from '../StatementCheck/index.js';
 import { DirectoryCheck } from '../DirectoryCheck/index.js';
@@ -76,6 +77,7 @@
   readonly brittle: BrittleCheck;
   readonly versions: VersionCheck;
   readonly soundAnswers: SoundAnswerCheck;
+  readonly departures: DepartureCheck;
   readonly #now: () => number;
   readonly #runs = new Map<string, UpstreamRuns>();
   readonly #refusedAtMs = new Map<string, number>();
@@ -95,6 +97,7 @@
     const onViolation = (invariant: InvariantName, what: string) => {
       this.#addViolation(invariant, what);
     };
+    this.departures = new DepartureCheck({ now, onViolation });
     this.directoryCheck = new DirectoryCheck({ now, onViolation });
     this.limits = new LimitCheck({ now, onViolation });
     this.statements = new StatementCheck({ now, onViolation });
@@ -119,6 +122,7 @@
   /** Records for the checks of single upstreams that responses of one may be late or lost. */
   noteUpstreamDisturbance(upstream: string, durationMs: number): void {
     this.limits.noteDisturbance(upstream, durationMs);
+    this.departures.noteUpstreamDisturbance(upstream, durationMs);
     this.statements.noteUpstreamDisturbance(upstream, durationMs);
   }
 
--- a/packages/soak/src/failures/departedCallers/test.ts
+++ b/packages/soak/src/failures/departedCallers/test.ts
@@ -9,6 +9,8 @@
 import { ProcessFixture } from '../../_lib/ProcessFixture/index.js';
 
 const callCount = 30;
+/** As many connections as may wait to be accepted. */
+const crowdSize = 700;
 const settleMs = 1_000;
 /** Time in which what is under way reaches its upstream, in milliseconds. */
 const arrivalWaitMs = 800;
@@ -90,6 +92,20 @@
   checkSends(t, callers, fixture);
 });
 
+// Guards against connections that are accepted one in each turn of the event loop, long after a pause.
+test.serial('a crowd that waited to be accepted is sent nowhere once it has left', async (t) => {
+  const { fixture, callers, port } = await startFleet(1);
+  await using _fixture = fixture;
+  const paused = pause(fixture, 1_300);
+  await sleep(50);
+  const call = { port, path: '/pay/', waitMs: 250, budgetMs: 3_000 };
+  void callers.callMany(crowdSize, call, 1);
+  await paused;
+  await sleep(2 * arrivalWaitMs);
+  t.true(callers.departureCount >= crowdSize);
+  checkSends(t, callers, fixture);
+});
+
 // Guards against the same on connections that have served other requests before.
 test.serial(
   'an instance that stood still sends nothing for callers that leave kept connections',
--- a/packages/soak/src/runSoak/index.ts
+++ b/packages/soak/src/runSoak/index.ts
@@ -173,6 +173,7 @@
       served: count('served'),
       refused: count('refused', 'spent'),
       failed: count('failed', 'cut'),
+      left: this.#observations.departures.departureCount,
       ...this.#observations.versions.counts,
       faults: this.#injector.counts,
       violations,
--- a/packages/soak/src/runSoak/test.ts
+++ b/packages/soak/src/runSoak/test.ts
@@ -72,6 +72,25 @@
   t.true(report.served > 0.5 * report.requests);
 });
 
+// Guards against instances that stood still and send requests on whose callers have left meanwhile.
+test.serial('callers that leave while instances pause cost no late send', async (t) => {
+  const pause = { kind: 'pause', durationMs: 1_300 } as const;
+  const faults = [
+    { ...pause, atMs: 1_500, target: 0 },
+    { ...pause, atMs: 2_000, target: 1 },
+    { ...pause, atMs: 5_000, target: 2 },
+    { kind: 'cutFromUpstreams', atMs: 8_000, durationMs: 3_000, target: 1 },
+    { ...pause, atMs: 9_000, target: 1 },
+    { ...pause, atMs: 13_500, target: 0, durationMs: 700 },
+    { ...pause, atMs: 14_300, target: 0, durationMs: 700 },
+  ] as const;
+  const changes = { faults, instances: 3, durationMs: 16_000, requestsPerSecond: 160 };
+  const report = await runSoak(optionsFor('departures', changes));
+  t.deepEqual(report.violations, []);
+  // Those who are answered sooner do not leave.
+  t.true(report.left > 30, `${report.left} callers left`);
+});
+
 // Guards against limits, draining upstreams and versions that are forgotten with what the store lost.
 test.serial('a store that comes back from older copies violates no invariant', async (t) => {
   const restore = { kind: 'storeRestored', durationMs: 800 } as const;
@@ -273,6 +292,7 @@
   ['killForStop', 'plannedStop', singleFault('stop')],
   ['nameGone', 'goneInstance', { ...singleFault('powerOff', 9_000), durationMs: 10_500 }],
   ['hideLive', 'liveInstance', { faults: [] }],
+  ['sendLate', 'departedCaller', { faults: [], durationMs: 4_000 }],
   ['refuseAll', 'served', { faults: [] }],
 ];
 
--- a/packages/soak/src/types.ts
+++ b/packages/soak/src/types.ts
@@ -37,6 +37,8 @@
   | 'brittleUpstream'
   /** No request at a sound upstream, paused ones included, is ended by an instance before its deadline. */
   | 'soundAnswer'
+  /** No request reaches an upstream long after its caller has left. */
+  | 'departedCaller'
   /** No stream has events of two software versions, over all tries of its caller, and nearly all taken up go on. */
   | 'softwareVersion'
   /** A graceful shutdown cuts off no request. */
@@ -93,6 +95,8 @@
   | 'hideVersion'
   /** Resets the connections of paused upstreams, as if the instances had given them up. */
   | 'cutPaused'
+  /** Sends some requests long after their callers have left. */
+  | 'sendLate'
   /** Kills the process instead of stopping it gracefully. */
   | 'killForStop'
   /** Lists all instances in every directory response. */
@@ -197,6 +201,8 @@
   readonly served: number;
   readonly refused: number;
   readonly failed: number;
+  /** Number of callers that left without their answers. */
+  readonly left: number;
   /** Number of streams that callers left and took up elsewhere, and of those that went on. */
   readonly takenUp: number;
   readonly wentOn: number;
