Soak: callers leave only in runs with pauses of instances

Callers that leave take a part of the load that this check counts on and hold room at brittle upstreams; they came with the check departedCaller. As with long streams, the plan of faults now decides: they leave where instances pause.

--- a/packages/soak/src/_lib/LoadGenerator/index.ts
+++ b/packages/soak/src/_lib/LoadGenerator/index.ts
@@ -23,6 +23,8 @@
   /** Directory ports, by instance index. */
   readonly directoryPorts: readonly number[];
   readonly requestsPerSecond: number;
+  /** Whether some callers leave without their answers. */
+  readonly hasDepartures: boolean;
   readonly injectedDefect: InjectedDefect | undefined;
 }
 
@@ -115,7 +117,7 @@
     // Every second request is for the same as others of its kind.
     const item = this.#callCount % 2 === 0 ? 'x' : `x-${this.#callCount}`;
     const target = { port, path: `${kind.path}${item}`, method: kind.method, headers };
-    if (this.#callCount % departures.everyCalls === 0) {
+    if (this.#options.hasDepartures && this.#callCount % departures.everyCalls === 0) {
       await this.#sendAndLeave(target, id);
       return;
     }
--- a/packages/soak/src/runSoak/index.ts
+++ b/packages/soak/src/runSoak/index.ts
@@ -150,6 +150,7 @@
       callerPorts: instances.map(({ front }) => front),
       directoryPorts: instances.map(({ directory }) => directory),
       requestsPerSecond,
+      hasDepartures: this.#faults.some(({ kind }) => kind === 'pause'),
       injectedDefect,
     });
     const { directoryCheck } = this.#observations;
--- a/packages/soak/src/runSoak/test.ts
+++ b/packages/soak/src/runSoak/test.ts
@@ -292,7 +292,7 @@
   ['killForStop', 'plannedStop', singleFault('stop')],
   ['nameGone', 'goneInstance', { ...singleFault('powerOff', 9_000), durationMs: 10_500 }],
   ['hideLive', 'liveInstance', { faults: [] }],
-  ['sendLate', 'departedCaller', { faults: [], durationMs: 4_000 }],
+  ['sendLate', 'departedCaller', { ...singleFault('pause', 300), durationMs: 4_000 }],
   ['refuseAll', 'served', { faults: [] }],
 ];
 
