--- a/packages/soak/src/_lib/InstanceProcess/index.ts
+++ b/packages/soak/src/_lib/InstanceProcess/index.ts
@@ -22,6 +22,14 @@
   readonly directory: string;
   /** Cuts the process off from upstreams. */
   readonly upstreamCut: UpstreamCut;
+  /** The machine that the settings describe; none by default. */
+  readonly machine?: MachineLimits | undefined;
+}
+
+/** What a process may use of its machine. */
+export interface MachineLimits {
+  readonly memoryMb: number;
+  readonly maxFds: number;
 }
 
 /** Path of the program under test, as built in this workspace. */
@@ -39,6 +47,9 @@
   budgetSlack: 58,
 } as const;
 
+/** Options of the processes in deploy/system.toml. */
+const deployedHeapOptions = ['--max-old-space-size=128', '--max-semi-space-size=4'];
+
 /** Tolerance that checks add to a time limit, since a busy test machine causes delays. */
 export const toleranceMs = 1_500;
 
@@ -71,6 +82,11 @@
     return readFileSync(this.#logPath, 'utf8').split('\n');
   }
 
+  /** Id of the process; undefined while it is not running. */
+  get pid(): number | undefined {
+    return this.#child?.pid;
+  }
+
   /** How often the process has exited. */
   get exitCount(): number {
     return this.#exits.length;
@@ -78,10 +94,11 @@
 
   /** Starts the process; its output is appended to its log file. */
   start(): void {
-    const { upstreamCut } = this.#options;
+    const { upstreamCut, machine } = this.#options;
     const log = openSync(this.#logPath, 'a');
     const settings = ['--settings', this.#settingsPath];
-    const child = spawn(process.execPath, ['--import', cutModule, program, ...settings], {
+    const heap = machine === undefined ? [] : deployedHeapOptions;
+    const child = spawn(process.execPath, [...heap, '--import', cutModule, program, ...settings], {
       stdio: ['ignore', log, log],
       env: { ...process.env, [cutFileVariable]: upstreamCut.file },
     });
@@ -139,7 +156,8 @@
   }
 }
 
-function renderSettings({ name, ports, storePort }: InstanceProcessOptions): string {
+function renderSettings(options: InstanceProcessOptions): string {
+  const { name, ports, storePort, machine } = options;
   return `nodeName = "${name}"
 zone = "here"
 portRange = [${ports.fleet}, ${ports.fleet}]
@@ -154,6 +172,7 @@
 budgetWindowS = ${bounds.budgetWindowMs / 1_000}
 budgetSlack = ${bounds.budgetSlack}
 ttl_max_s = 5
+${machine === undefined ? '' : `[limits]\nmemoryMb = ${machine.memoryMb}\nmaxFds = ${machine.maxFds}`}
 [platform]
 address = "127.0.0.1:${storePort}"
 `;
--- a/packages/soak/src/_lib/ProcessFixture/index.ts
+++ b/packages/soak/src/_lib/ProcessFixture/index.ts
@@ -10,7 +10,7 @@
 import { buildSoakConfiguration } from '../buildSoakConfiguration/index.js';
 import { FakeStore } from '../FakeStore/index.js';
 import { findFreePorts } from '../findFreePorts/index.js';
-import { InstanceProcess } from '../InstanceProcess/index.js';
+import { InstanceProcess, type MachineLimits } from '../InstanceProcess/index.js';
 import { closeServer, listenOnLoopback } from '../listenOnLoopback/index.js';
 import { UpstreamCut } from '../UpstreamCut/index.js';
 import { waitUntilReady } from '../waitUntilReady/index.js';
@@ -28,6 +28,12 @@
   readonly upstreamPorts: number[] = [];
   readonly #owned = new DisposableStore();
   readonly store = this.#owned.add(new FakeStore(this.platform, () => 0.5));
+  readonly #machine: MachineLimits | undefined;
+
+  /** @param machine - what the settings of the instances say of their machines; nothing by default */
+  constructor(machine?: MachineLimits) {
+    this.#machine = machine;
+  }
 
   /**
    * Starts a scripted upstream and writes its record.
@@ -109,6 +115,7 @@
         storePort,
         directory,
         upstreamCut,
+        machine: this.#machine,
       });
       this.instances.push(instance);
       instance.start();
--- /dev/null
+++ b/packages/soak/src/failures/floods/callers/test.ts
@@ -0,0 +1,70 @@
+/**
+ * Crowds of clients that keep no limit, at the port for callers.
+ */
+import test from 'ava';
+import { accounts, host } from '../../../_lib/buildSoakConfiguration/index.js';
+import type { Flood } from '../../../_lib/FloodingClients/index.js';
+import { playFlood } from '../../../_lib/playFlood/index.js';
+
+const machine = { memoryMb: 160, maxFds: 512 };
+const connections = 100;
+
+const key = `Authorization: Bearer ${accounts[0]?.key ?? ''}\r\n`;
+const head = (line: string, fields = '') => `${line} HTTP/1.1\r\nHost: ${host}\r\n${fields}\r\n`;
+const bodyHead = head('POST /pay/x', `${key}X-Request-Id: b\r\nTransfer-Encoding: chunked\r\n`);
+const largeChunkBytes = 60 * 1_024;
+const largeChunk = `${largeChunkBytes.toString(16)}\r\n${'x'.repeat(largeChunkBytes)}\r\n`;
+
+const floods: readonly Flood[] = [
+  { name: 'large chunks without an end', start: bodyHead, repeated: largeChunk, times: 16 },
+  {
+    name: 'chunks of one byte without an end',
+    start: bodyHead,
+    repeated: '1\r\nx\r\n',
+    times: 24_000,
+  },
+  {
+    name: 'requests ahead without headers',
+    start: '',
+    repeated: 'GET / HTTP/1.1\r\n\r\n',
+    times: 70_000,
+  },
+  { name: 'requests ahead to a route', start: '', repeated: head('GET /read/x'), times: 26_000 },
+  {
+    name: 'requests ahead to a host without routes',
+    start: '',
+    repeated: 'GET / HTTP/1.1\r\nHost: none.example\r\n\r\n',
+    times: 40_000,
+  },
+  {
+    name: 'whole requests ahead with a key',
+    start: '',
+    repeated: head('GET /read/x', `${key}X-Request-Id: a\r\n`),
+    times: 1_200,
+  },
+  { name: 'heads without an end', start: 'GET /', repeated: 'x', times: 16_000 },
+].map((flood) => ({ ...flood, connections }));
+
+// Guards against clients that make an instance hold more than its machine has.
+for (const flood of floods) {
+  test.serial(`an instance bears ${flood.name}`, async (t) => {
+    const outcome = await playFlood('front', flood, machine);
+    t.log(outcome);
+    t.is(outcome.exitCount, 0);
+    t.true(outcome.peakMb <= machine.memoryMb, `${outcome.peakMb} MiB`);
+    t.true(outcome.maxDescriptors <= machine.maxFds, `${outcome.maxDescriptors} descriptors`);
+    t.is(outcome.statusBeside, 200);
+    t.is(outcome.statusAfter, 200);
+  });
+}
+
+// Guards against connections that take all descriptors of an instance, so that it reaches neither its store nor upstreams.
+test.serial('an instance bears connections that send nothing', async (t) => {
+  const idle = { name: 'connections', connections: 600, start: '', repeated: '', times: 0 };
+  const outcome = await playFlood('front', idle, machine);
+  t.log(outcome);
+  t.is(outcome.exitCount, 0);
+  t.true(outcome.maxDescriptors <= machine.maxFds, `${outcome.maxDescriptors} descriptors`);
+  t.is(outcome.statusBeside, 200);
+  t.is(outcome.statusAfter, 200);
+});
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -24,6 +24,10 @@
 mkdir -p .run
 npx --no-install ava --tap >.run/tests.tap
 ava_status=$?
+# These measure the memory of a process: one at a time, apart from the others.
+npx --no-install ava --config floods.config.js --tap >>.run/tests.tap
+floods_status=$?
+[ "$ava_status" -ne 0 ] || ava_status=$floods_status
 tests_passed=$(grep -c '^ok ' .run/tests.tap)
 tests_failed=$(grep -c '^not ok ' .run/tests.tap)
 # A test whose file and quoted title stand in one line of KNOWN-RED.txt is passed over, and printed.
