--- /dev/null
+++ b/packages/base/src/ClientConnections/index.ts
@@ -0,0 +1,266 @@
+/**
+ * What the connections of clients make a server hold, and which of them are closed when it is too much.
+ */
+import type { Clock } from '../Clock/index.js';
+
+/** Bounds of what clients can make one server hold. */
+export interface ClientLimits {
+  /** Number of connections. */
+  readonly maxConnections: number;
+  /** Number of unanswered requests of one connection. */
+  readonly maxRequestsAhead: number;
+  /** Number of unanswered requests of all connections. */
+  readonly maxRequests: number;
+  /** Size of all request heads that have not been received whole, in bytes. */
+  readonly maxHeadBytes: number;
+  /** How long a client may read nothing of a response that is complete, in milliseconds. */
+  readonly stallTimeoutMs: number;
+}
+
+/** Why the connection of a client was closed. */
+export type ClientCloseReason =
+  | 'tooManyConnections'
+  | 'tooManyRequestsAhead'
+  | 'tooManyRequests'
+  | 'tooManyHeadBytes'
+  | 'responseNotRead';
+
+/** The part of a socket that is needed here. */
+export interface ClientSocketLike {
+  readonly bytesRead: number;
+  readonly bytesWritten: number;
+  readonly writableLength: number;
+  destroy(): unknown;
+}
+
+/** The part of a response that is needed here. */
+export interface ClientResponseLike {
+  readonly writableEnded: boolean;
+  readonly writableFinished: boolean;
+}
+
+/** One connection of a client. */
+interface Connection {
+  readonly socket: ClientSocketLike;
+  /** Responses that are not sent whole, in the order of their requests. */
+  readonly responses: Set<ClientResponseLike>;
+  /** Bytes that had been read when its last request began. */
+  bytesReadBefore: number;
+  /** Bytes that had been sent, and since when there are no more, while a complete response waits for its client. */
+  stall: { readonly sentBytes: number; readonly sinceMs: number } | undefined;
+  isClosing: boolean;
+}
+
+/** Options of {@link ClientConnections}. */
+export interface ClientConnectionsOptions {
+  readonly limits: ClientLimits;
+  readonly clock: Pick<Clock, 'monotonicMs'>;
+  /** Called once for each connection that is closed. */
+  readonly onClosed: (reason: ClientCloseReason) => void;
+}
+
+/**
+ * Bounds what the clients of one server hold of its memory and descriptors.
+ *
+ * Guards against clients that keep no limit: past a bound a connection is closed rather than read later, since what waits
+ * in the kernel counts as memory too. Those that hold most for their part go first: connections without any request, then
+ * idle ones, then those with several unanswered requests; so a client with one request at a time is served beside them.
+ * Addresses do not count, since many clients may share one.
+ *
+ * @example
+ * connections.add(socket);
+ * if (!connections.beginRequest(socket)) connections.close(socket, 'tooManyRequestsAhead');
+ */
+export class ClientConnections {
+  readonly #options: ClientConnectionsOptions;
+  readonly #all = new Map<ClientSocketLike, Connection>();
+  /** Connections without any request so far, the oldest first. */
+  readonly #fresh = new Set<Connection>();
+  /** Connections between two requests, the one that has been idle for longest first. */
+  readonly #idle = new Set<Connection>();
+  /** Connections with unanswered requests. */
+  readonly #busy = new Set<Connection>();
+  /** Those of them with several, the first to have had them first. */
+  readonly #ahead = new Set<Connection>();
+  /** Number of connections that are being closed; they are in none of the sets. */
+  #closingCount = 0;
+  #requestCount = 0;
+
+  constructor(options: ClientConnectionsOptions) {
+    this.#options = options;
+  }
+
+  /** Number of connections. */
+  get connectionCount(): number {
+    return this.#all.size;
+  }
+
+  /** Number of requests whose responses are not sent whole. */
+  get requestCount(): number {
+    return this.#requestCount;
+  }
+
+  /** Whether there is room for the requests that have begun; the last one is to be refused otherwise. */
+  get hasRoom(): boolean {
+    return this.#requestCount <= this.#options.limits.maxRequests;
+  }
+
+  /** Adds a connection that was accepted; another one, or this one if all are in use, is closed if there are too many. */
+  add(socket: ClientSocketLike): void {
+    const { maxConnections } = this.#options.limits;
+    if (this.#openCount >= maxConnections) this.#makeRoom();
+    const connection: Connection = {
+      socket,
+      responses: new Set(),
+      bytesReadBefore: socket.bytesRead,
+      stall: undefined,
+      isClosing: false,
+    };
+    this.#all.set(socket, connection);
+    this.#fresh.add(connection);
+    if (this.#openCount > maxConnections) this.#close(connection, 'tooManyConnections');
+  }
+
+  /** Removes a connection that is closed. */
+  remove(socket: ClientSocketLike): void {
+    const connection = this.#all.get(socket);
+    if (connection === undefined) return;
+    this.#all.delete(socket);
+    if (connection.isClosing) this.#closingCount -= 1;
+    else this.#removeFromSets(connection);
+    this.#requestCount -= connection.responses.size;
+    connection.responses.clear();
+  }
+
+  /**
+   * Records that the head of a request was received.
+   *
+   * @returns false if its connection is to be closed, since too many of its requests are unanswered
+   */
+  beginRequest(socket: ClientSocketLike): boolean {
+    const connection = this.#all.get(socket);
+    if (connection === undefined || connection.isClosing) return false;
+    connection.bytesReadBefore = socket.bytesRead;
+    return connection.responses.size < this.#options.limits.maxRequestsAhead;
+  }
+
+  /** Records the response to a request that has begun. */
+  addResponse(socket: ClientSocketLike, response: ClientResponseLike): void {
+    const connection = this.#all.get(socket);
+    if (connection === undefined) return;
+    connection.responses.add(response);
+    this.#requestCount += 1;
+    if (connection.isClosing) return;
+    if (connection.responses.size > 1) this.#ahead.add(connection);
+    else this.#setBusy(connection);
+    if (!this.hasRoom) this.#closeAhead(connection);
+  }
+
+  /** Records that a response was sent whole, or is given up. */
+  removeResponse(socket: ClientSocketLike, response: ClientResponseLike): void {
+    const connection = this.#all.get(socket);
+    if (connection?.responses.delete(response) !== true) return;
+    this.#requestCount -= 1;
+    connection.stall = undefined;
+    if (connection.isClosing) return;
+    if (connection.responses.size <= 1) this.#ahead.delete(connection);
+    if (connection.responses.size > 0) return;
+    this.#busy.delete(connection);
+    this.#idle.add(connection);
+  }
+
+  /** Responses of a connection that are not sent whole. */
+  responsesOf(socket: ClientSocketLike): readonly ClientResponseLike[] {
+    return [...(this.#all.get(socket)?.responses ?? [])];
+  }
+
+  /** Closes a connection for a reason. */
+  close(socket: ClientSocketLike, reason: ClientCloseReason): void {
+    const connection = this.#all.get(socket);
+    if (connection !== undefined) this.#close(connection, reason);
+  }
+
+  /** Closes connections whose clients do not read, and those with the most of a head if all heads are too large. */
+  check(): void {
+    const nowMs = this.#options.clock.monotonicMs();
+    for (const connection of this.#busy) this.#checkStall(connection, nowMs);
+    this.#checkHeads();
+  }
+
+  #setBusy(connection: Connection): void {
+    this.#fresh.delete(connection);
+    this.#idle.delete(connection);
+    this.#busy.add(connection);
+  }
+
+  #makeRoom(): void {
+    const victim = firstOf(this.#fresh) ?? firstOf(this.#idle) ?? firstOf(this.#ahead);
+    if (victim !== undefined) this.#close(victim, 'tooManyConnections');
+  }
+
+  /** The last connection is left alone if it is the only one with several: then its request alone is refused. */
+  #closeAhead(last: Connection): void {
+    const victim = firstOf(this.#ahead);
+    if (victim !== undefined && victim !== last) this.#close(victim, 'tooManyRequests');
+  }
+
+  #checkStall(connection: Connection, nowMs: number): void {
+    const { socket, responses, stall } = connection;
+    const [response] = responses;
+    const isWaiting = response?.writableEnded === true && !response.writableFinished;
+    const sentBytes = socket.bytesWritten - socket.writableLength;
+    if (!isWaiting) connection.stall = undefined;
+    else if (stall?.sentBytes !== sentBytes) connection.stall = { sentBytes, sinceMs: nowMs };
+    else if (nowMs - stall.sinceMs >= this.#options.limits.stallTimeoutMs)
+      this.#close(connection, 'responseNotRead');
+  }
+
+  #checkHeads(): void {
+    const { maxHeadBytes } = this.#options.limits;
+    let totalBytes = 0;
+    for (const connection of this.#withoutRequests()) totalBytes += headBytesOf(connection);
+    if (totalBytes <= maxHeadBytes) return;
+    for (const connection of [...this.#withoutRequests()]) {
+      const headBytes = headBytesOf(connection);
+      if (headBytes > 0) this.#close(connection, 'tooManyHeadBytes');
+      totalBytes -= headBytes;
+      if (totalBytes <= maxHeadBytes) return;
+    }
+  }
+
+  *#withoutRequests(): Iterable<Connection> {
+    yield* this.#fresh;
+    yield* this.#idle;
+  }
+
+  get #openCount(): number {
+    return this.#all.size - this.#closingCount;
+  }
+
+  /** Its requests count until its socket is closed. */
+  #close(connection: Connection, reason: ClientCloseReason): void {
+    if (connection.isClosing) return;
+    connection.isClosing = true;
+    this.#closingCount += 1;
+    this.#removeFromSets(connection);
+    this.#options.onClosed(reason);
+    connection.socket.destroy();
+  }
+
+  #removeFromSets(connection: Connection): void {
+    this.#fresh.delete(connection);
+    this.#idle.delete(connection);
+    this.#busy.delete(connection);
+    this.#ahead.delete(connection);
+  }
+}
+
+/** Bytes of a head that is not complete, at most. */
+function headBytesOf({ socket, bytesReadBefore }: Connection): number {
+  return socket.bytesRead - bytesReadBefore;
+}
+
+function firstOf(connections: ReadonlySet<Connection>): Connection | undefined {
+  const [first] = connections;
+  return first;
+}
--- /dev/null
+++ b/packages/base/src/createBoundedServer/test.ts
@@ -0,0 +1,133 @@
+import test, { type ExecutionContext } from 'ava';
+import type { RequestListener, ServerResponse } from 'node:http';
+import { connect, type AddressInfo, type Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { ClientConnections, type ClientCloseReason } from '../ClientConnections/index.js';
+import { ManualClock } from '../ManualClock/index.js';
+import { createBoundedServer } from './index.js';
+
+const limits = {
+  maxConnections: 10,
+  maxRequestsAhead: 3,
+  maxRequests: 5,
+  maxHeadBytes: 10_000,
+  stallTimeoutMs: 10_000,
+};
+const plain = 'GET /x HTTP/1.1\r\nHost: h\r\n\r\n';
+
+async function listen(t: ExecutionContext, listener: RequestListener) {
+  const reasons: ClientCloseReason[] = [];
+  const onClosed = (reason: ClientCloseReason) => reasons.push(reason);
+  const connections = new ClientConnections({ limits, clock: new ManualClock(), onClosed });
+  const server = createBoundedServer({ connections }, listener);
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  t.teardown(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+  const open = () => {
+    const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+    socket.on('error', () => undefined);
+    t.teardown(() => socket.destroy());
+    return socket;
+  };
+  return { open, connections, reasons };
+}
+
+async function readAll(socket: Socket): Promise<string> {
+  let text = '';
+  socket.on('data', (bytes) => {
+    text += bytes.toString('latin1');
+  });
+  await new Promise((resolve) => socket.once('close', resolve));
+  return text;
+}
+
+// Guards against thousands of requests of one read, each of which is parsed and begun.
+for (const [name, head] of [
+  ['with a host', plain],
+  ['that Node answers by itself', 'GET /x HTTP/1.1\r\n\r\n'],
+  ['to connect', 'CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n'],
+] as const) {
+  test(`requests ahead ${name} are parsed up to the limit only`, async (t) => {
+    let began = 0;
+    const { open, connections } = await listen(t, () => {
+      began += 1;
+    });
+    const socket = open();
+    socket.write(head.repeat(1_000));
+    await readAll(socket);
+    t.true(began <= limits.maxRequestsAhead, `${began}`);
+    await sleep(20);
+    t.is(connections.connectionCount, 0);
+    t.is(connections.requestCount, 0);
+  });
+}
+
+test('requests that follow each other are not limited', async (t) => {
+  const { open, reasons } = await listen(t, (_request, response) => response.end('fine'));
+  const socket = open();
+  let answers = 0;
+  await new Promise<void>((resolve) => {
+    socket.on('data', (bytes) => {
+      answers += bytes.toString('latin1').split('HTTP/1.1 200').length - 1;
+      if (answers === 50) resolve();
+      else socket.write(plain);
+    });
+    socket.write(plain);
+  });
+  t.deepEqual(reasons, []);
+});
+
+// Guards against work that continues for a request whose response waits behind another one when its client leaves.
+test('all responses of a connection that closes are closed', async (t) => {
+  const closed: string[] = [];
+  let began = 0;
+  const { open } = await listen(t, (request, response) => {
+    began += 1;
+    response.once('close', () => closed.push(request.url ?? ''));
+  });
+  const socket = open();
+  socket.write('GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n');
+  while (began < 2) await sleep(5);
+  socket.destroy();
+  while (closed.length < 2) await sleep(5);
+  t.deepEqual(closed.sort(), ['/a', '/b']);
+});
+
+// Guards against an error that ends the process: a response is written after its connection has closed.
+test('a response that is written after the close of its connection does no harm', async (t) => {
+  const responses: ServerResponse[] = [];
+  const { open } = await listen(t, (_request, response) => {
+    responses.push(response);
+  });
+  const socket = open();
+  socket.write(plain.repeat(2));
+  while (responses.length < 2) await sleep(5);
+  socket.destroy();
+  await sleep(20);
+  for (const response of responses) response.writeHead(200).end('late');
+  await sleep(20);
+  t.pass();
+});
+
+test('a request for which there is no room is refused, and its client told when to come back', async (t) => {
+  const { open } = await listen(t, () => undefined);
+  for (let count = 0; count < limits.maxRequests; count += 1) open().write(plain);
+  await sleep(50);
+  const socket = open();
+  socket.write(plain);
+  t.regex(await readAll(socket), /^HTTP\/1.1 503 [^]*retry-after: 1\r\n/);
+});
+
+test('a request for another protocol is answered as any other if none is served', async (t) => {
+  const { open } = await listen(t, (_request, response) => response.end('fine'));
+  const socket = open();
+  socket.write(
+    'GET /x HTTP/1.1\r\nHost: h\r\nConnection: upgrade, close\r\nUpgrade: websocket\r\n\r\n',
+  );
+  socket.setTimeout(300, () => socket.destroy());
+  t.regex(await readAll(socket), /^HTTP\/1.1 200 /);
+});
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -28,3 +28,7 @@
 export * from './digestText/index.js';
 export * from './StateStream/index.js';
 export * from './withTimeout/index.js';
+export * from './ClientConnections/index.js';
+export * from './createBoundedServer/index.js';
+export * from './ClosedClients/index.js';
+export * from './readMachineLimits/index.js';
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -54,3 +54,4 @@
 export * from './needsRunCheck/index.js';
 export * from './ResponseProgress/index.js';
 export * from './decideBodyMemory/index.js';
+export * from './planClientLimits/index.js';
