--- a/packages/fleet/src/WsFleetLinks/index.ts
+++ b/packages/fleet/src/WsFleetLinks/index.ts
@@ -1,13 +1,20 @@
 import {
+  bytesInMebibyte,
+  ClientConnections,
+  createBoundedServer,
   DisposableStore,
+  millisecondsInSecond,
   RouterError,
+  type ClientCloseReason,
+  type ClientLimits,
   type Clock,
   type InstanceId,
   type Log,
   type Metrics,
   type Random,
 } from '@acaciacrank/base';
-import type { AddressInfo } from 'node:net';
+import type { IncomingMessage, Server } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
 import { WebSocket, WebSocketServer } from 'ws';
 import { FleetLinks } from '../FleetLinks/index.js';
 import { FrameSocket } from '../_lib/FrameSocket/index.js';
@@ -39,18 +46,43 @@
   connectMs?: number;
   /** Returns the key that authenticates this instance to a peer; undefined to use `keys`. */
   keyOf?: (peer: InstanceId) => string | undefined;
+  /** Limits of what connections may hold; {@link defaultLinkLimits} by default. */
+  limits?: LinkLimits;
+  /** Called for each connection that is closed past a limit. */
+  onClosed?: (reason: ClientCloseReason) => void;
 }
 
+/** Limits of the connections that others open. */
+export interface LinkLimits extends ClientLimits {
+  /** Number of connections of authenticated peers. Up to `maxConnections` others may be in their handshake. */
+  readonly maxPeers: number;
+}
+
+/** Limits for a machine with 256 MiB of memory. */
+export const defaultLinkLimits: LinkLimits = {
+  maxConnections: 32,
+  maxRequestsAhead: 4,
+  maxRequests: 32,
+  maxHeadBytes: 2 * bytesInMebibyte,
+  stallTimeoutMs: 10 * millisecondsInSecond,
+  maxPeers: 1_024,
+};
+
+/** Timeouts of the HTTP requests that open links, in milliseconds. */
+const httpTimeouts = { headersTimeout: 3_000, requestTimeout: 3_000 } as const;
+/** What a connection may send before its peer is authenticated, in bytes: some hundred are needed. */
+const maxHandshakeBytes = 8_192;
+
 /** Maximum message size, in bytes: fits an object of the store with room to spare. */
 const maxMessageBytes = 2 * 1_048_576;
 /** Maximum number of messages that wait for a connection to one peer. */
 const maxQueuedMessages = 128;
 /** Maximum bytes buffered in one connection; beyond that, messages are dropped. */
 const maxBufferedBytes = 4 * 1_048_576;
-/** Maximum number of connections accepted from peers at a time. */
-const maxAcceptedConnections = 1_024;
 /** Bounds of the exponential back-off between connection attempts, in milliseconds. */
 const backOffMs = { initial: 100, max: 1_000 };
+/** HTTP status for a request at the port of links that opens none. */
+const upgradeRequiredStatus = 426;
 /** WebSocket close code for a peer that failed authentication. */
 const refusedCloseCode = 4_401;
 
@@ -76,6 +108,10 @@
   readonly #options: Required<WsFleetLinksOptions>;
   readonly #peers = new Map<InstanceId, Peer>();
   readonly #sockets = new Set<FrameSocket>();
+  /** Connections whose peers are not authenticated yet, the oldest first. */
+  readonly #handshakes = new Set<FrameSocket>();
+  /** Number of connections of authenticated peers that they have opened. */
+  #acceptedPeerCount = 0;
   readonly #owned = new DisposableStore();
   readonly #stop = new AbortController();
 
@@ -87,6 +123,8 @@
       idleMs: 60_000,
       connectMs: 3_000,
       keyOf: () => undefined,
+      limits: defaultLinkLimits,
+      onClosed: () => undefined,
       ...options,
     };
   }
@@ -99,19 +137,18 @@
    * @throws Error when the address is in use
    */
   async listen(address: { ip: string; port: number }): Promise<number> {
-    const server = new WebSocketServer({
-      host: address.ip,
-      port: address.port,
+    const webSockets = new WebSocketServer({
+      noServer: true,
       maxPayload: maxMessageBytes,
       perMessageDeflate: false,
     });
-    server.on('connection', (socket) => {
-      if (server.clients.size > maxAcceptedConnections) socket.terminate();
-      else void this.#acceptConnection(this.#createFrameSocket(socket));
+    webSockets.on('connection', (socket, request) => {
+      this.#accept(this.#createFrameSocket(socket), request.socket);
     });
+    const server = this.#createServer(webSockets);
     await new Promise<void>((resolve, reject) => {
-      server.once('listening', resolve);
       server.once('error', reject);
+      server.listen(address.port, address.ip, resolve);
     });
     server.on('error', (error) => {
       this.#options.log.warn({ err: error }, 'fleet port failed');
@@ -119,10 +156,11 @@
     this.#owned.add({
       [Symbol.asyncDispose]: () =>
         new Promise<void>((resolve) => {
-          for (const client of server.clients) client.terminate();
+          for (const client of webSockets.clients) client.terminate();
           server.close(() => {
             resolve();
           });
+          server.closeAllConnections();
         }),
     });
     return (server.address() as AddressInfo).port;
@@ -240,17 +278,64 @@
     return true;
   }
 
+  /** Creates the server on which peers open links; any other request is answered that it should be one. */
+  #createServer(webSockets: WebSocketServer): Server {
+    const connections = new ClientConnections(this.#options);
+    return createBoundedServer(
+      {
+        connections,
+        server: httpTimeouts,
+        upgrade: (request: IncomingMessage, socket, head) => {
+          webSockets.handleUpgrade(request, socket, head, (webSocket) => {
+            webSockets.emit('connection', webSocket, request);
+          });
+        },
+      },
+      (_request, response) => {
+        response.writeHead(upgradeRequiredStatus, { connection: 'close' }).end();
+      },
+    );
+  }
+
+  /** Closes the oldest connection in its handshake if there are too many: that of a peer takes some milliseconds. */
+  #accept(frameSocket: FrameSocket, socket: Socket): void {
+    const { limits, onClosed } = this.#options;
+    const [oldest] = this.#handshakes;
+    if (oldest !== undefined && this.#handshakes.size >= limits.maxConnections) {
+      onClosed('tooManyConnections');
+      oldest[Symbol.dispose]();
+      this.#handshakes.delete(oldest);
+    }
+    if (this.#acceptedPeerCount >= limits.maxPeers) {
+      onClosed('tooManyConnections');
+      frameSocket[Symbol.dispose]();
+      this.#sockets.delete(frameSocket);
+      return;
+    }
+    void this.#acceptConnection(frameSocket, socket);
+  }
+
   /** Performs the handshake on an accepted connection and reads its messages. */
-  async #acceptConnection(frameSocket: FrameSocket): Promise<void> {
+  async #acceptConnection(frameSocket: FrameSocket, socket: Socket): Promise<void> {
     let from: InstanceId;
+    this.#handshakes.add(frameSocket);
+    const bound = limitReceivedBytes(socket, maxHandshakeBytes, () => {
+      this.#options.onClosed('tooManyHeadBytes');
+      frameSocket[Symbol.dispose]();
+    });
     try {
       from = await acceptHandshake(frameSocket, this.#options, this.#options.clock);
     } catch (error) {
       this.#closeFailedConnection(frameSocket, error);
       return;
+    } finally {
+      bound[Symbol.dispose]();
+      this.#handshakes.delete(frameSocket);
     }
     this.#setConnection(this.#getOrAddPeer(from), frameSocket);
+    this.#acceptedPeerCount += 1;
     await this.#readMessages(from, frameSocket);
+    this.#acceptedPeerCount -= 1;
   }
 
   #setConnection(peer: Peer, frameSocket: FrameSocket): void {
@@ -307,6 +392,18 @@
   }
 }
 
+/** Calls back once a socket has received more than some bytes, unless disposed of before. */
+function limitReceivedBytes(socket: Socket, maxBytes: number, onExcess: () => void): Disposable {
+  const startBytes = socket.bytesRead;
+  const check = () => {
+    if (socket.bytesRead - startBytes <= maxBytes) return;
+    socket.off('data', check);
+    onExcess();
+  };
+  socket.prependListener('data', check);
+  return { [Symbol.dispose]: () => void socket.off('data', check) };
+}
+
 function waitUntilOpen(socket: WebSocket): Promise<void> {
   return new Promise((resolve, reject) => {
     socket.once('open', resolve);
--- a/packages/fleet/src/WsFleetLinks/test.ts
+++ b/packages/fleet/src/WsFleetLinks/test.ts
@@ -269,3 +269,40 @@
   const message = decodeMessage(encodeFrame({ kind: 'reply', askId: 1, reply }));
   t.like(message, { reply: { records: [record] } });
 });
+
+/** Opens a connection as a stranger does, up to the end of the WebSocket's handshake. */
+async function connectStranger(port: number): Promise<Socket> {
+  const socket = connect(port, '127.0.0.1');
+  socket.on('error', () => undefined);
+  const fields = 'Upgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Version: 13\r\n';
+  const key = 'Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n';
+  socket.write(`GET / HTTP/1.1\r\nHost: h\r\n${fields}${key}\r\n`);
+  await new Promise((resolve) => socket.once('data', resolve));
+  socket.resume();
+  return socket;
+}
+
+// Guards against memory that strangers take before they have shown any proof.
+test('a stranger may send little, and many strangers do not keep a peer away', async (t) => {
+  const owned = new DisposableStore();
+  const clock = new ManualClock();
+  const first = await openEndpoint(owned, clock, a);
+  const second = await openEndpoint(owned, clock, b);
+  const loud = await connectStranger(second.port);
+  const mask = Buffer.alloc(4);
+  const header = Buffer.from([0x82, 0xff, 0, 0, 0, 0, 0, 0x10, 0, 0]);
+  let isClosed = false;
+  loud.once('close', () => {
+    isClosed = true;
+  });
+  loud.write(Buffer.concat([header, mask, Buffer.alloc(60_000)]));
+  await waitUntil(() => isClosed);
+  const strangers: Socket[] = [];
+  for (let count = 0; count < 40; count += 1) strangers.push(await connectStranger(second.port));
+  setPeersOfBoth(first, second);
+  first.links.send(b, configurationChanged(7));
+  await waitUntil(() => second.versions.length > 0);
+  t.deepEqual(second.versions, [7]);
+  for (const stranger of strangers) stranger.destroy();
+  await owned.dispose();
+});
--- a/packages/fleet/src/_lib/FrameSocket/index.ts
+++ b/packages/fleet/src/_lib/FrameSocket/index.ts
@@ -52,6 +52,7 @@
     this.#lastReceivedAtMs = options.clock.activeMs();
     this.#lastFrameAtMs = this.#lastReceivedAtMs;
     socket.on('message', (data) => {
+      if (this.#isClosed) return;
       this.#markReceived();
       this.#lastFrameAtMs = this.#lastReceivedAtMs;
       if (this.#isClosing) {
