--- a/packages/base/src/errorKinds/index.ts
+++ b/packages/base/src/errorKinds/index.ts
@@ -82,6 +82,12 @@
     retryAfterMs: undefined,
     remedy: 'Send a smaller body.',
   },
+  requestTimeout: {
+    httpStatus: 408,
+    ran: 'notRun',
+    retryAfterMs: undefined,
+    remedy: 'Send the whole request before its time budget has passed.',
+  },
   overloaded: {
     httpStatus: 429,
     ran: 'notRun',
--- /dev/null
+++ b/packages/callers/src/BodyMemory/index.ts
@@ -0,0 +1,135 @@
+/**
+ * Bounds the total memory used by request and response bodies.
+ */
+import { RouterError } from '@acaciacrank/base';
+
+/** Number of bodies in very small chunks that are received at a time; each may take much of the processor's time. */
+const maxFragmentedBodies = 8;
+
+/**
+ * Counts the bytes held for bodies.
+ *
+ * Guards against many callers that each send a body within the size limit, slowly or not to its end: together they
+ * would exhaust the instance's memory. Where there is no room, the body that has been incomplete for longest gives way,
+ * since an ordinary one is whole soon; it is refused as `overloaded`, and its request does not run.
+ */
+export class BodyMemory {
+  readonly #maxBytes: number;
+  /** Bodies that are not complete, the oldest first. */
+  readonly #incomplete = new Map<HeldBytes, (error: RouterError) => void>();
+  /** Those of them that arrive in very small chunks, the first to have done so first. */
+  readonly #fragmented = new Set<HeldBytes>();
+  #heldBytes = 0;
+
+  constructor(maxBytes: number) {
+    this.#maxBytes = maxBytes;
+  }
+
+  get heldBytes(): number {
+    return this.#heldBytes;
+  }
+
+  /** Starts counting for one HTTP exchange; dispose of the result when the exchange has ended. */
+  open(): HeldBytes {
+    return new HeldBytes(this);
+  }
+
+  /** Adds bytes to the total; a negative number subtracts. */
+  count(bytes: number): void {
+    this.#heldBytes += bytes;
+  }
+
+  /** Records that a body is incomplete; `onGiveWay` is called if it gives way to another. */
+  addIncomplete(held: HeldBytes, onGiveWay: (error: RouterError) => void): void {
+    if (!this.#incomplete.has(held)) this.#incomplete.set(held, onGiveWay);
+  }
+
+  /** Records that a body is complete, or is not read any more. */
+  removeIncomplete(held: HeldBytes): void {
+    this.#incomplete.delete(held);
+    this.#fragmented.delete(held);
+  }
+
+  /** Records that a body arrives in very small chunks; the one that has for longest gives way if there are too many. */
+  addFragmented(held: HeldBytes): void {
+    this.#fragmented.add(held);
+    const [oldest] = this.#fragmented;
+    if (oldest !== undefined && this.#fragmented.size > maxFragmentedBodies) this.#giveWay(oldest);
+  }
+
+  /**
+   * Makes room for more bytes.
+   *
+   * @throws RouterError `overloaded` if this many more bytes would exceed the limit
+   */
+  makeRoom(bytes: number, keep: HeldBytes): void {
+    while (this.#heldBytes + bytes > this.#maxBytes) {
+      const [oldest] = this.#incomplete.keys();
+      if (oldest === undefined || oldest === keep) throw createOverloadedError();
+      this.#giveWay(oldest);
+    }
+  }
+
+  #giveWay(held: HeldBytes): void {
+    const onGiveWay = this.#incomplete.get(held);
+    held[Symbol.dispose]();
+    onGiveWay?.(createOverloadedError());
+  }
+}
+
+/** The bytes that one HTTP exchange holds in a {@link BodyMemory}. */
+export class HeldBytes implements Disposable {
+  readonly #memory: BodyMemory;
+  #bytes = 0;
+
+  constructor(memory: BodyMemory) {
+    this.#memory = memory;
+  }
+
+  /**
+   * Counts part of a request body.
+   *
+   * @throws RouterError `overloaded` if it would exceed the limit
+   */
+  take(bytes: number): void {
+    this.#memory.makeRoom(bytes, this);
+    this.add(bytes);
+  }
+
+  /**
+   * Counts a response body. It is in memory already, so it is never refused itself, but leaves less
+   * room for further request bodies.
+   */
+  add(bytes: number): void {
+    this.#bytes += bytes;
+    this.#memory.count(bytes);
+  }
+
+  /** Lets the body give way to others until {@link endReading}. */
+  beginReading(onGiveWay: (error: RouterError) => void): void {
+    this.#memory.addIncomplete(this, onGiveWay);
+  }
+
+  /** Records that the body arrives in very small chunks. */
+  recordFragmented(): void {
+    this.#memory.addFragmented(this);
+  }
+
+  /** The body is complete, or is not read any more. */
+  endReading(): void {
+    this.#memory.removeIncomplete(this);
+  }
+
+  [Symbol.dispose](): void {
+    this.endReading();
+    this.#memory.count(-this.#bytes);
+    this.#bytes = 0;
+  }
+}
+
+function createOverloadedError(): RouterError {
+  return new RouterError(
+    'overloaded',
+    'the memory limit for request and response bodies is reached',
+  );
+}
--- /dev/null
+++ b/packages/callers/src/BodyMemory/test.ts
@@ -0,0 +1,52 @@
+import test from 'ava';
+import type { RouterError } from '@acaciacrank/base';
+import { BodyMemory } from './index.js';
+
+function openIncomplete(memory: BodyMemory, bytes: number) {
+  const held = memory.open();
+  const errors: RouterError[] = [];
+  held.beginReading((error) => errors.push(error));
+  held.take(bytes);
+  return { held, errors };
+}
+
+// Guards against bodies that stop short of their end and refuse those of all others.
+test('the body that has been incomplete for longest gives way to another', (t) => {
+  const memory = new BodyMemory(100);
+  const [first, second] = [openIncomplete(memory, 40), openIncomplete(memory, 40)];
+  memory.open().take(30);
+  t.deepEqual(
+    [first, second].map(({ errors }) => errors.map(({ kind }) => kind)),
+    [['overloaded'], []],
+  );
+  t.is(memory.heldBytes, 70);
+});
+
+test('a complete body does not give way', (t) => {
+  const memory = new BodyMemory(100);
+  const { held, errors } = openIncomplete(memory, 80);
+  held.endReading();
+  t.throws(() => memory.open().take(30), { message: /memory limit/ });
+  t.is(errors.length, 0);
+  held[Symbol.dispose]();
+  t.is(memory.heldBytes, 0);
+});
+
+test('a body that needs more than all others hold is refused itself', (t) => {
+  const memory = new BodyMemory(100);
+  const { held } = openIncomplete(memory, 60);
+  t.throws(() => {
+    held.take(60);
+  });
+});
+
+// Guards against the time that bodies in very small chunks take, all of them together.
+test('bodies in very small chunks are few at a time', (t) => {
+  const memory = new BodyMemory(1_000);
+  const bodies = Array.from({ length: 9 }, () => openIncomplete(memory, 1));
+  for (const { held } of bodies) held.recordFragmented();
+  t.deepEqual(
+    bodies.map(({ errors }) => errors.length),
+    [1, 0, 0, 0, 0, 0, 0, 0, 0],
+  );
+});
--- a/packages/callers/src/WholeResponseWriter/index.ts
+++ b/packages/callers/src/WholeResponseWriter/index.ts
@@ -1,10 +1,17 @@
 import { bytesInMebibyte, RouterError } from '@acaciacrank/base';
 import type { ServerResponse } from 'node:http';
+import type { HeldBytes } from '../BodyMemory/index.js';
 import { CallerWriter, type CallerWriterOptions } from '../CallerWriter/index.js';
 
 /** Maximum size of a body that is held, in bytes. */
 const maxHeldBytes = 4 * bytesInMebibyte;
 
+/** Options of {@link WholeResponseWriter}. */
+export interface WholeResponseWriterOptions extends CallerWriterOptions {
+  /** Counts the memory of the body. */
+  readonly held: HeldBytes;
+}
+
 /** The head of a response that is held. */
 interface HeldHead {
   readonly status: number;
@@ -18,17 +25,19 @@
  * connection would end the body, also where this process is killed.
  *
  * @example
- * const writer = new WholeResponseWriter(response, { clock, stallLimitMs, onStall });
+ * const writer = new WholeResponseWriter(response, { clock, stallLimitMs, onStall, held });
  */
 export class WholeResponseWriter extends CallerWriter {
   readonly #response: ServerResponse;
+  readonly #held: HeldBytes;
   #head: HeldHead | undefined;
   #parts: Buffer[] = [];
   #bytes = 0;
 
-  constructor(response: ServerResponse, options: CallerWriterOptions) {
+  constructor(response: ServerResponse, options: WholeResponseWriterOptions) {
     super(response, options);
     this.#response = response;
+    this.#held = options.held;
   }
 
   protected override writeHead(status: number, headers: readonly string[]): void {
@@ -46,6 +55,7 @@
     this.#bytes += bytes.byteLength;
     if (this.#bytes > maxHeldBytes)
       throw new RouterError('upstreamFailed', 'the stream is too large for a caller of HTTP/1.0');
+    this.#held.add(bytes.byteLength);
     this.#parts.push(bytes);
     return undefined;
   }
--- a/packages/callers/src/createCallerServer/index.ts
+++ b/packages/callers/src/createCallerServer/index.ts
@@ -1,29 +1,33 @@
 import {
   bytesInKibibyte,
   bytesInMebibyte,
+  ClientConnections,
+  createBoundedServer,
   toRouterError,
   millisecondsInSecond,
   parseId,
   RouterError,
   SystemClock,
   type BudgetId,
+  type ClientCloseReason,
+  type ClientLimits,
   type ClassName,
   type Clock,
   type Metrics,
   type Random,
 } from '@acaciacrank/base';
-import { SendGate } from '@acaciacrank/routing';
+import { planClientLimits, SendGate } from '@acaciacrank/routing';
 import type { ListedInstance } from '@acaciacrank/store';
 import { randomUUID } from 'node:crypto';
 import {
-  createServer,
   type IncomingMessage,
   type OutgoingHttpHeaders,
+  type RequestListener,
   type Server,
   type ServerOptions,
   type ServerResponse,
 } from 'node:http';
-import { ByteBudget, type HeldBytes } from '../ByteBudget/index.js';
+import { BodyMemory, type HeldBytes } from '../BodyMemory/index.js';
 import { CallerWriter } from '../CallerWriter/index.js';
 import { ConnectionBacklog } from '../ConnectionBacklog/index.js';
 import { endToEndHeaders } from '../endToEndHeaders/index.js';
@@ -31,7 +35,7 @@
 import { guardRequests, type RequestHandler } from '../guardRequests/index.js';
 import { parseTarget, type RequestTarget } from '../parseTarget/index.js';
 import { readBody } from '../readBody/index.js';
-import { errorBody, writeError } from '../writeError/index.js';
+import { createOverloadError, errorBody, writeError } from '../writeError/index.js';
 import type { ChatHandler } from '../ChatHandler/index.js';
 import { parseChatCall } from '../parseChatCall/index.js';
 import type { ServiceHandler } from '../ServiceHandler/index.js';
@@ -58,6 +62,8 @@
   isAccepting: () => boolean;
   /** Overrides of {@link defaultCallerLimits}. */
   limits?: Partial<CallerLimits>;
+  /** Called for each connection that is closed past a limit. */
+  onClosed?: (reason: ClientCloseReason) => void;
   /** Used for stall timeouts. */
   clock?: Clock;
   /** Source of the jitter in retry times. */
@@ -65,8 +71,7 @@
 }
 
 /** Limits on the resources that callers can use. */
-export interface CallerLimits {
-  readonly maxConnections: number;
+export interface CallerLimits extends Omit<ClientLimits, 'stallTimeoutMs'> {
   readonly maxHeaderBytes: number;
   readonly maxHeaders: number;
   /** Largest request body, in bytes. */
@@ -83,13 +88,12 @@
   readonly stallLimitMs: number;
 }
 
-/** Limits for an instance with 256 MiB of memory. */
+/** Limits for a machine with 256 MiB of memory. */
 export const defaultCallerLimits: CallerLimits = {
-  maxConnections: 10_000,
+  ...planClientLimits({ memoryBytes: 256 * bytesInMebibyte, descriptors: 10_000 }).callers,
   maxHeaderBytes: 16 * bytesInKibibyte,
   maxHeaders: 100,
   maxBodyBytes: bytesInMebibyte,
-  maxHeldBytes: 64 * bytesInMebibyte,
   headersLimitMs: 10 * millisecondsInSecond,
   requestLimitMs: 30 * millisecondsInSecond,
   idleLimitMs: 5 * millisecondsInSecond,
@@ -101,9 +105,9 @@
   readonly limits: CallerLimits;
   readonly clock: Clock;
   readonly random: Random;
-  readonly bodies: ByteBudget;
+  readonly bodies: BodyMemory;
   readonly sendGate: SendGate;
-  readonly connections: ConnectionBacklog;
+  readonly backlog: ConnectionBacklog;
 }
 
 /**
@@ -123,9 +127,9 @@
     clock,
     random,
     limits,
-    bodies: new ByteBudget(limits.maxHeldBytes),
+    bodies: new BodyMemory(limits.maxHeldBytes),
     sendGate: new SendGate({ clock, metrics: options.metrics }),
-    connections: new ConnectionBacklog(clock),
+    backlog: new ConnectionBacklog(clock),
   };
   const handle: RequestHandler = (request, response) =>
     route(context, request, response).catch((thrown: unknown) => {
@@ -137,13 +141,21 @@
   const countFailure = () => {
     options.metrics.count('failedHandlers', 'callers');
   };
-  const server = createServer(serverOptions(limits), guardRequests(handle, countFailure));
-  context.connections.watch(server);
-  server.maxConnections = limits.maxConnections;
-  server.maxHeadersCount = limits.maxHeaders;
-  server.on('drop', () => {
-    options.metrics.count('connectionsDropped');
+  const connections = new ClientConnections({
+    limits: { ...limits, stallTimeoutMs: limits.stallLimitMs },
+    clock,
+    onClosed: options.onClosed ?? (() => undefined),
   });
+  const refuse: RequestListener = (_request, response) => {
+    options.metrics.count('refused', 'overloaded');
+    writeError(response, createOverloadError(), random);
+  };
+  const server = createBoundedServer(
+    { connections, refuse, server: serverOptions(limits) },
+    guardRequests(handle, countFailure),
+  );
+  context.backlog.watch(server);
+  server.maxHeadersCount = limits.maxHeaders;
   return server;
 }
 
@@ -363,8 +375,10 @@
 ): Promise<ReceivedCall> {
   const closed = createCloseSignal(request, response);
   const held = trackHeldBytes(context, response);
-  const body = await readBody(request, context.limits.maxBodyBytes, held);
-  const isLate = context.connections.takeLate(request.socket) || context.sendGate.isLate;
+  const { maxBodyBytes: maxBytes, requestLimitMs: timeoutMs } = context.limits;
+  const { clock } = context;
+  const body = await readBody(request, { maxBytes, held, clock, timeoutMs });
+  const isLate = context.backlog.takeLate(request.socket) || context.sendGate.isLate;
   if (isLate) await context.sendGate.enter({ isLate });
   if (closed.aborted) throw new RouterError('cancelled', 'the caller left before it was read');
   return { body, held, closed };
--- a/packages/callers/src/readBody/index.ts
+++ b/packages/callers/src/readBody/index.ts
@@ -1,41 +1,64 @@
 /**
  * Reads a request body up to a size limit.
  */
-import { RouterError } from '@acaciacrank/base';
+import { RouterError, type Clock } from '@acaciacrank/base';
 import type { IncomingMessage } from 'node:http';
-import type { HeldBytes } from '../ByteBudget/index.js';
+import type { HeldBytes } from '../BodyMemory/index.js';
+import { BodyBuffer } from '../_lib/BodyBuffer/index.js';
+
+/** Options of {@link readBody}. */
+export interface ReadBodyOptions {
+  /** Largest body allowed, in bytes. */
+  readonly maxBytes: number;
+  /** Counts the memory that the body takes. */
+  readonly held: HeldBytes;
+  readonly clock: Pick<Clock, 'schedule'>;
+  /** Time limit for the whole body, in milliseconds: after it the request cannot be answered in time. */
+  readonly timeoutMs: number;
+}
 
 /**
- * Reads the whole body. The server's request timeout bounds how long this takes.
+ * Reads the whole body.
  *
  * @param request - the request to read from
- * @param maxBytes - largest body allowed
- * @param held - counts the bytes held in memory
- * @throws RouterError `tooLarge` as soon as `content-length` or the body exceeds the limit,
- * `overloaded`, or `badRequest` if the body is truncated; the request has not run in any of these
- * cases
+ * @param options - bounds of the body
+ * @throws RouterError `tooLarge` as soon as `content-length` or the body exceeds the limit, `overloaded`,
+ * `requestTimeout`, or `badRequest` if the body is truncated; the request has not run in any of these cases
+ *
+ * @example
+ * const body = await readBody(request, { maxBytes: 4_194_304, held, clock, timeoutMs: 3_000 });
  */
 export async function readBody(
   request: IncomingMessage,
-  maxBytes: number,
-  held: HeldBytes,
+  options: ReadBodyOptions,
 ): Promise<Buffer> {
   const declaredBytes = Number(request.headers['content-length'] ?? 0);
-  if (declaredBytes > maxBytes) throw tooLarge(maxBytes);
-  const chunks = await readChunks(request, maxBytes, held);
-  const [first] = chunks;
-  return chunks.length === 1 && first !== undefined ? first : Buffer.concat(chunks);
+  if (declaredBytes > options.maxBytes) throw tooLarge(options.maxBytes);
+  const body = new BodyBuffer();
+  let timer: Disposable | undefined;
+  try {
+    await receive(request, body, options, (expire) => {
+      timer = options.clock.schedule(options.timeoutMs, expire);
+    });
+  } finally {
+    timer?.[Symbol.dispose]();
+    options.held.endReading();
+  }
+  return body.toBuffer();
 }
 
-/** Collects the chunks by events: an asynchronous iterator costs several times as much for a short body. */
-function readChunks(
+/**
+ * Collects the chunks by events: an asynchronous iterator costs several times as much for a short body.
+ *
+ * @param startTimer - called with what ends the wait, if the body is not whole once its first part has been read
+ */
+function receive(
   request: IncomingMessage,
-  maxBytes: number,
-  held: HeldBytes,
-): Promise<Buffer[]> {
+  body: BodyBuffer,
+  { maxBytes, held }: ReadBodyOptions,
+  startTimer: (expire: () => void) => void,
+): Promise<void> {
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
     const fail = (error: Error) => {
       request.off('data', onData);
       request.pause();
@@ -46,31 +69,33 @@
       fail(new RouterError('badRequest', 'the request body is truncated', options));
     };
     const onData = (chunk: Buffer) => {
-      bytes += chunk.byteLength;
-      if (bytes > maxBytes) {
-        fail(tooLarge(maxBytes));
-        return;
-      }
       try {
-        held.take(chunk.byteLength);
+        const allocatedBytes = body.append(chunk);
+        if (body.bytes > maxBytes) throw tooLarge(maxBytes);
+        held.take(allocatedBytes);
+        if (body.isFragmented && !request.complete) held.recordFragmented();
       } catch (error) {
         fail(error as Error);
-        return;
       }
-      chunks.push(chunk);
     };
     if (request.destroyed && !request.readableEnded) {
       failTruncated();
       return;
     }
     request.on('data', onData);
-    request.once('end', () => {
-      resolve(chunks);
-    });
+    request.once('end', resolve);
     request.once('error', failTruncated);
     request.once('close', () => {
       if (!request.complete) failTruncated();
     });
+    // What was read together with the head has been parsed by then.
+    process.nextTick(() => {
+      if (request.complete || request.destroyed) return;
+      held.beginReading(fail);
+      startTimer(() => {
+        fail(new RouterError('requestTimeout', 'the body did not arrive in time'));
+      });
+    });
   });
 }
 
--- a/packages/callers/src/writeError/index.ts
+++ b/packages/callers/src/writeError/index.ts
@@ -1,7 +1,7 @@
 /**
  * Error responses to callers.
  */
-import { millisecondsInSecond, type Random, type RouterError } from '@acaciacrank/base';
+import { millisecondsInSecond, RouterError, type Random } from '@acaciacrank/base';
 import type { ServerResponse } from 'node:http';
 
 /** Minimum width of the interval from which the jitter is drawn, in milliseconds. */
@@ -34,6 +34,11 @@
   };
 }
 
+/** The error for a request that an instance has no room for. */
+export function createOverloadError(): RouterError {
+  return new RouterError('overloaded', 'the limit for requests in progress is reached');
+}
+
 /** Options of {@link writeError}. */
 export interface WriteErrorOptions {
   /**
--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -13,12 +13,13 @@
   type UpstreamId,
 } from '@acaciacrank/base';
 import {
-  ByteBudget,
+  BodyMemory,
   CallerWriter,
   ConnectionBacklog,
   readBody,
   WholeResponseWriter,
   writeError,
+  type HeldBytes,
 } from '@acaciacrank/callers';
 import type { PrepaidAccounts, ReserveOutcome } from '@acaciacrank/ledger';
 import { mayHaveRun, SendGate, SilenceProbes, type RetryShare } from '@acaciacrank/routing';
@@ -33,13 +34,10 @@
 } from '../_lib/relayProtocol/index.js';
 import { Dispatch, type DispatchDependencies } from '../_lib/Dispatch/index.js';
 import { CallerDisconnect } from '../_lib/CallerDisconnect/index.js';
+import { LineBudget } from '../_lib/LineBudget/index.js';
 import { PrefillTimeModels } from '../_lib/PrefillTimeModels/index.js';
 import type { ForwardCall } from '../_lib/ForwardCall/index.js';
-import {
-  callerStallTimeoutMs,
-  maxBufferedBytes,
-  tokenReserveTimeoutMs,
-} from '../_lib/limits/index.js';
+import { callerStallTimeoutMs, tokenReserveTimeoutMs } from '../_lib/limits/index.js';
 import { PromptPartLocations } from '../_lib/PromptPartLocations/index.js';
 import { ResponseMemory } from '../_lib/ResponseMemory/index.js';
 import { RequestTrace } from '../_lib/RequestTrace/index.js';
@@ -80,6 +78,8 @@
   ownDomain: FailureDomainId;
   /** Whether a key is one that only this instance and the given peer know: the link key of either. */
   isPeerKey: (peer: InstanceId, key: string) => boolean;
+  /** Size of all request and response bodies that are held, at most, in bytes. */
+  maxHeldBytes: number;
   /** Whether new requests are accepted; false in the final phase of a shutdown. */
   isAccepting: () => boolean;
   /** Whether connections are closed after their next response. */
@@ -91,6 +91,8 @@
 
 /** Maximum size of a request body before a configuration is known, in bytes. */
 const defaultMaxBodyBytes = 1_048_576;
+/** Maximum time for receiving a request body, in milliseconds. */
+const maxBodyTimeoutMs = 30_000;
 /**
  * How long after a refusal the instance reports a shortage of tokens, in milliseconds: the
  * lifetime of one directory response.
@@ -102,6 +104,9 @@
  */
 const retryAfterStepMs = 100;
 
+/** Log lines a second for requests that name no route. */
+const maxUnroutedLinesPerSecond = 50;
+
 /** Maximum length of an id of a caller's attempt in the log. */
 const maxTracedIdLength = 64;
 
@@ -110,15 +115,18 @@
   /** The connections of callers. */
   readonly connections: ConnectionBacklog;
   readonly #options: ForwardHandlerOptions;
-  readonly #bodyBudget = new ByteBudget(maxBufferedBytes);
+  readonly #bodyMemory: BodyMemory;
   readonly #dispatchDependencies: DispatchDependencies;
   readonly #sendGate: SendGate;
+  readonly #unroutedLines: LineBudget;
   #underWay = 0;
   #tokenShortageUntilMs = -Infinity;
 
   constructor(options: ForwardHandlerOptions) {
     this.#options = options;
+    this.#bodyMemory = new BodyMemory(options.maxHeldBytes);
     this.#sendGate = new SendGate(options);
+    this.#unroutedLines = new LineBudget(options.clock, maxUnroutedLinesPerSecond);
     this.connections = new ConnectionBacklog(options.clock);
     const models = new PrefillTimeModels((service, fit) => {
       options.log.info({ service, ...fit }, 'engines learnt');
@@ -167,12 +175,11 @@
     let outcome = 'answered';
     let call: ForwardCall | undefined;
     try {
-      using buffered = this.#bodyBudget.open();
-      const limit = this.#options.routes()?.configuration.limits.bodyBytes ?? defaultMaxBodyBytes;
-      const body = await readBody(request, limit, buffered);
+      using held = this.#bodyMemory.open();
+      const body = await this.#readBody(request, head, held);
       const isLate = this.connections.takeLate(request.socket) || this.#sendGate.isLate;
       if (isLate) await this.#waitForReads(disconnect, trace);
-      call = this.#admit({ request, response, disconnect, body, trace }, summary);
+      call = this.#admit({ request, response, disconnect, body, held, trace }, summary);
       const informing = this.#options.untilInformed();
       if (informing !== undefined) await informing;
       await this.#serve(call);
@@ -185,6 +192,15 @@
     }
   }
 
+  /** A request whose body is not whole when its time budget ends can't be answered in time. */
+  #readBody(request: IncomingMessage, { budgetMs }: RequestHead, held: HeldBytes) {
+    const { clock } = this.#options;
+    const limits = this.#options.routes()?.configuration.limits;
+    const maxBytes = limits?.bodyBytes ?? defaultMaxBodyBytes;
+    const timeoutMs = Math.min(budgetMs ?? maxBodyTimeoutMs, maxBodyTimeoutMs);
+    return readBody(request, { maxBytes, held, clock, timeoutMs });
+  }
+
   /** Guards against work for a caller whose departure has not been read. */
   async #waitForReads(disconnect: CallerDisconnect, trace: RequestTrace): Promise<void> {
     const unreadMs = Math.round(this.#options.clock.unreadMs());
@@ -199,7 +215,7 @@
   }
 
   #admit(received: ReceivedCall, summary: RequestSummary): ForwardCall {
-    const { request, response, trace } = received;
+    const { request, trace } = received;
     const routes = this.#options.routes();
     if (routes === undefined) throw new RouterError('notReady', 'no configuration is known yet');
     if (!this.#options.isAccepting())
@@ -220,7 +236,7 @@
     trace.add('admitted', { route: route.name, version, waitMs, isUnreached, ...resumed });
     return {
       ...received,
-      writer: this.#createWriter(request, response),
+      writer: this.#createWriter(received),
       head,
       route,
       service: this.#chooseService(routes, route),
@@ -240,13 +256,14 @@
     };
   }
 
-  #createWriter({ httpVersion }: IncomingMessage, response: ServerResponse): CallerWriter {
+  #createWriter({ request, response, held }: ReceivedCall): CallerWriter {
     const { clock, metrics } = this.#options;
     const onStall = () => {
       metrics.count('stalledCallers');
     };
     const options = { clock, stallLimitMs: callerStallTimeoutMs, onStall };
-    if (httpVersion === '1.0') return new WholeResponseWriter(response, options);
+    if (request.httpVersion === '1.0')
+      return new WholeResponseWriter(response, { ...options, held });
     return new CallerWriter(response, options);
   }
 
@@ -383,6 +400,11 @@
     metrics.count('requests', outcome);
     metrics.record('requestMs', `${accountId}/${routeName}`, elapsedMs);
     const status = response.headersSent ? response.statusCode : 0;
+    // Requests that name no route may come from anybody.
+    if (summary.routeName === undefined && !this.#unroutedLines.take()) {
+      metrics.count('requestLinesLeftOut');
+      return;
+    }
     const { requestId } = head;
     log.info(
       { requestId, accountId, route: routeName, status, elapsedMs, outcome, steps: trace.steps },
@@ -406,7 +428,10 @@
 }
 
 /** A request that has been read. */
-type ReceivedCall = Pick<ForwardCall, 'request' | 'response' | 'disconnect' | 'body' | 'trace'>;
+type ReceivedCall = Pick<
+  ForwardCall,
+  'request' | 'response' | 'disconnect' | 'body' | 'held' | 'trace'
+>;
 
 /** What the log line needs to know about a request; undefined until known. */
 interface RequestSummary {
--- a/packages/forwarding/src/ForwardingInstance/index.ts
+++ b/packages/forwarding/src/ForwardingInstance/index.ts
@@ -1,18 +1,21 @@
 import {
+  ClosedClients,
   toRouterError,
   DisposableStore,
   withTimeout,
+  type ClientCloseReason,
   type Clock,
   type FailureDomainId,
   type InstanceId,
   type Log,
+  type MachineLimits,
   type Metrics,
   type Random,
   type ServiceName,
 } from '@acaciacrank/base';
 import { WsFleetLinks } from '@acaciacrank/fleet';
 import { PrepaidAccounts, type GrantEvent, type ProcessRun } from '@acaciacrank/ledger';
-import { RetryShare } from '@acaciacrank/routing';
+import { planClientLimits, RetryShare, type ClientLimitPlan } from '@acaciacrank/routing';
 import type { ObjectFollower, ObjectStore } from '@acaciacrank/store';
 import { randomBytes } from 'node:crypto';
 import type { Server } from 'node:http';
@@ -67,6 +70,8 @@
     /** Requests in any second beyond that. */
     readonly slack: number;
   };
+  /** What the process may use of its machine. */
+  readonly machine: MachineLimits;
   /** Whether the whole fleet starts for the first time, so that nothing was ever stored. */
   readonly isFirstStart: boolean;
   /** Maximum duration of a graceful shutdown, in milliseconds. */
@@ -144,6 +149,10 @@
   readonly drains: DomainDrains;
   readonly tokens: PrepaidAccounts;
   readonly fleet: InstanceFleet;
+  /** What clients may hold at each port. */
+  readonly clientLimits: ClientLimitPlan;
+  /** Connections of clients that were closed past a limit, at any port. */
+  readonly closedClients: ClosedClients;
   readonly #options: Required<ForwardingInstanceOptions>;
   readonly #disposables = new DisposableStore();
   /** For what many instances watch alike. */
@@ -171,6 +180,8 @@
     this.#options = { random: Math.random, ...options };
     const { clock, store, settings, codec, log, metrics, random } = this.#options;
     const processRun: ProcessRun = { instanceId: settings.instanceId, runId: options.runId };
+    this.clientLimits = planClientLimits(settings.machine);
+    this.closedClients = new ClosedClients({ clock, log, metrics });
     this.#directoryLog = new DirectoryLog(log, metrics);
     this.#configuration = this.#createConfiguration();
     this.#links = this.#createLinks();
@@ -263,6 +274,7 @@
       affinity: this.affinity,
       ownDomain: settings.failureDomain,
       isPeerKey: (peer, key) => this.#isPeerKey(peer, key),
+      maxHeldBytes: this.clientLimits.callers.maxHeldBytes,
       isAccepting: () => this.#phase !== 'refusing',
       isLeaving: () => this.#phase !== 'running',
       random,
@@ -276,8 +288,20 @@
       metrics.count('failedHandlers', 'forward');
       log.error({ error: toRouterError(thrown).fullStack }, 'request handler failed');
     };
-    const handler = this.#handler;
-    this.#server = createForwardServer({ handler, onBadRequest, onHandlerFailed });
+    this.#server = createForwardServer({
+      handler: this.#handler,
+      limits: this.clientLimits.callers,
+      clock,
+      random,
+      onClosed: (reason) => {
+        this.closedClients.record('callers', reason);
+      },
+      onRefused: () => {
+        metrics.count('requests', 'overloaded');
+      },
+      onBadRequest,
+      onHandlerFailed,
+    });
   }
 
   /**
@@ -594,7 +618,12 @@
       keys: [this.#linkKey],
       keyOf: (peer: InstanceId) => this.fleet.linkKeyOf(peer),
     };
-    return new WsFleetLinks({ ...identity, ...linkTimings, clock, random, metrics, log });
+    const onClosed = (reason: ClientCloseReason) => {
+      this.closedClients.record('fleet', reason);
+    };
+    const limits = this.clientLimits.fleet;
+    const shared = { clock, random, metrics, log };
+    return new WsFleetLinks({ ...identity, ...linkTimings, ...shared, limits, onClosed });
   }
 
   #createPrepaidPeers(): FleetPrepaidPeers {
--- a/packages/forwarding/src/_lib/ForwardCall/index.ts
+++ b/packages/forwarding/src/_lib/ForwardCall/index.ts
@@ -1,7 +1,7 @@
 /**
  * A caller's request while an instance processes it.
  */
-import type { CallerWriter } from '@acaciacrank/callers';
+import type { CallerWriter, HeldBytes } from '@acaciacrank/callers';
 import {
   decideResend,
   type ResendDecision,
@@ -23,6 +23,8 @@
   readonly service: ServiceTraits;
   readonly account: ForwardAccount | undefined;
   readonly body: Buffer;
+  /** Counts the memory of the bodies. */
+  readonly held: HeldBytes;
   /** Id of the instance that relays the request for its caller; undefined if the caller sent it here. */
   readonly relayedBy: string | undefined;
   /**
--- a/packages/forwarding/src/_lib/Relay/index.ts
+++ b/packages/forwarding/src/_lib/Relay/index.ts
@@ -253,7 +253,7 @@
   /** Handles the result of the attempts; returns whether the caller's request is complete. */
   async #handleResult(result: AttemptResult): Promise<boolean> {
     const { codec } = this.#dependencies;
-    const { writer, progress, response } = this.#call;
+    const { writer, progress, response, held } = this.#call;
     switch (result.kind) {
       case 'streamed':
         await writer.end();
@@ -268,6 +268,7 @@
           throw new RouterError('upstreamFailed', `the peer answered ${result.status}`);
         this.#onProgress?.();
         writePlainHead(this.#call, result, codec.callerHeaders(result.headers));
+        held.add(result.body.byteLength);
         await writer.end(result.body);
         return true;
       case 'notSent':
--- a/packages/forwarding/src/_lib/limits/index.ts
+++ b/packages/forwarding/src/_lib/limits/index.ts
@@ -58,8 +58,6 @@
  * a leaving upstream may still get requests, by the time that it takes to see the removal.
  */
 export const removedRecordGraceMs = 1_400;
-/** Total size of request bodies held in memory, in bytes: a small part of an instance's memory. */
-export const maxBufferedBytes = 64 * 1_048_576;
 /** How long a caller may read nothing while data is waiting for it, in milliseconds. */
 export const callerStallTimeoutMs = 10_000;
 /** Maximum size of one event in bytes; a longer run of bytes is not treated as an event stream. */
--- a/packages/router/src/createOperatorServer/index.ts
+++ b/packages/router/src/createOperatorServer/index.ts
@@ -1,15 +1,21 @@
 import {
   bytesInKibibyte,
+  bytesInMebibyte,
+  ClientConnections,
+  createBoundedServer,
   toRouterError,
   digestText,
   millisecondsInSecond,
   RouterError,
+  type ClientCloseReason,
+  type ClientLimits,
   type Clock,
   type FeatureId,
   type Metrics,
 } from '@acaciacrank/base';
+import { planClientLimits } from '@acaciacrank/routing';
 import { timingSafeEqual } from 'node:crypto';
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { InstanceStatus } from '../describeInstance/index.js';
 import { formatMetrics, type Gauge } from '@acaciacrank/base';
 import { formatStatusPage } from '../formatStatusPage/index.js';
@@ -25,11 +31,14 @@
   onDrain: () => void;
   /** Lifts the blame of a feature of requests at all instances; returns how many blames that lifts. */
   onLift: (feature: FeatureId) => number;
+  /** What clients may hold at this port; by default as on a machine with 256 MiB of memory. */
+  limits?: ClientLimits;
+  /** Called for each connection that is closed past a limit. */
+  onClosed?: (reason: ClientCloseReason) => void;
 }
 
 /** Limits of the port, which serves a few operators and a metrics scraper. */
 const bounds = {
-  connections: 64,
   headers: 64,
   headerBytes: 8 * bytesInKibibyte,
   bodyBytes: 4 * bytesInKibibyte,
@@ -37,6 +46,15 @@
   requestMs: 10 * millisecondsInSecond,
 } as const;
 
+const defaultLimits = planClientLimits({
+  memoryBytes: 256 * bytesInMebibyte,
+  descriptors: 4_096,
+}).status;
+
+function ignore(): void {
+  return undefined;
+}
+
 /** The request that lifts the blame of a feature. */
 const liftPath = /^POST \/lift\/([^/?]{1,256})$/;
 
@@ -57,7 +75,11 @@
  * createOperatorServer(options).listen(9090, '10.0.0.5');
  */
 export function createOperatorServer(options: CreateOperatorServerOptions): Server {
-  const server = createServer({ maxHeaderSize: bounds.headerBytes }, (request, response) => {
+  const settings = {
+    connections: new ClientConnections({ limits: defaultLimits, onClosed: ignore, ...options }),
+    server: { maxHeaderSize: bounds.headerBytes },
+  };
+  const server = createBoundedServer(settings, (request, response) => {
     limitBody(request);
     try {
       checkKey(options, request);
@@ -66,7 +88,6 @@
       writeError(response, thrown);
     }
   });
-  server.maxConnections = bounds.connections;
   server.maxHeadersCount = bounds.headers;
   server.headersTimeout = bounds.headersMs;
   server.requestTimeout = bounds.requestMs;
--- a/packages/router/src/instanceSettings/index.ts
+++ b/packages/router/src/instanceSettings/index.ts
@@ -39,6 +39,15 @@
         .max(2, 'write the key, or the new and the old one during a key rotation'),
     })
     .optional(),
+  /** What the process may use of its machine; by default what the operating system says. */
+  machine: z
+    .strictObject({
+      /** Memory, in MiB. */
+      memoryMb: z.number().positive().optional(),
+      /** Number of open descriptors. */
+      maxDescriptors: z.number().int().positive().optional(),
+    })
+    .optional(),
   /** Time limit of a planned stop, after which requests in progress are cut off, in milliseconds. */
   stopLimitMs: z.number().int().positive().default(600_000),
   platformUrl: z.url('write http://IP:PORT of the platform'),
--- a/packages/router/src/runInstance/index.ts
+++ b/packages/router/src/runInstance/index.ts
@@ -1,12 +1,18 @@
 import {
+  bytesInMebibyte,
+  ClosedClients,
   createLog,
   createRandom,
   DisposableStore,
   Metrics,
+  readMachineLimits,
   SystemClock,
+  type ClientPort,
+  type ClientCloseReason,
   type FailureDomainId,
   type InstanceId,
   type Log,
+  type MachineLimits,
 } from '@acaciacrank/base';
 import { createCallerServer } from '@acaciacrank/callers';
 import {
@@ -17,6 +23,7 @@
 } from '@acaciacrank/fleet';
 import { environmentList, environmentStore } from '@acaciacrank/operators';
 import { PlatformObjectStore } from '@acaciacrank/platform';
+import { planClientLimits, type ClientLimitPlan } from '@acaciacrank/routing';
 import { StoredInstanceList } from '@acaciacrank/store';
 import type { Server } from 'node:http';
 import { isIPv6, type AddressInfo } from 'node:net';
@@ -54,7 +61,16 @@
     level: settings.logLevel,
     fields: { instanceId: settings.instanceId, failureDomain: settings.failureDomain },
   });
-  const { instance, fleetUrl } = await createInstance(settings, owned, log);
+  const limits = planClientLimits(machineLimits(settings));
+  const metrics = new Metrics();
+  const closedClients = new ClosedClients({ clock: new SystemClock(), log, metrics });
+  const clients: Clients = {
+    limits,
+    onClosedAt: (port) => (reason) => {
+      closedClients.record(port, reason);
+    },
+  };
+  const { instance, fleetUrl } = await createInstance(settings, owned, { log, metrics, clients });
   const { promise: stopped, resolve: onStopped } = createPromise<StopResult>();
   const stop = async () => {
     const result = await instance.drain(settings.stopLimitMs);
@@ -63,7 +79,8 @@
     onStopped(result);
     return result;
   };
-  const callersPort = await listen(createCallersServer(instance), settings.callers, owned);
+  const callers = createCallersServer(instance, clients);
+  const callersPort = await listen(callers, settings.callers, owned);
   const { keyDigest } = settings.operators;
   const operators = createOperatorServer({
     clock: new SystemClock(),
@@ -72,10 +89,12 @@
     keyDigest,
     onDrain: () => void stop(),
     onLift: (feature) => instance.quarantine.lift(feature),
+    limits: limits.status,
+    onClosed: clients.onClosedAt('operators'),
   });
   const operatorsPort = await listen(operators, settings.operators, owned);
   await instance.start({ url: formatUrl('http', settings.callers.ip, callersPort), fleetUrl });
-  log.info({ callersPort, operatorsPort, fleetUrl }, 'listening');
+  log.info({ callersPort, operatorsPort, fleetUrl, limits }, 'listening');
   return {
     instance,
     callersPort,
@@ -86,13 +105,43 @@
   };
 }
 
-async function createInstance(settings: InstanceSettings, owned: DisposableStore, log: Log) {
+/** Limits of all ports, and what records connections that are closed past them. */
+interface Clients {
+  readonly limits: ClientLimitPlan;
+  readonly onClosedAt: (port: ClientPort) => (reason: ClientCloseReason) => void;
+}
+
+/** What the settings say of the machine, or else the operating system. */
+function machineLimits({ machine }: InstanceSettings): MachineLimits {
+  const found = readMachineLimits();
+  const { memoryMb, maxDescriptors } = machine ?? {};
+  return {
+    memoryBytes: memoryMb === undefined ? found.memoryBytes : memoryMb * bytesInMebibyte,
+    descriptors: maxDescriptors ?? found.descriptors,
+  };
+}
+
+interface InstanceDependencies {
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly clients: Clients;
+}
+
+async function createInstance(
+  settings: InstanceSettings,
+  owned: DisposableStore,
+  { log, metrics, clients }: InstanceDependencies,
+) {
   const clock = new SystemClock();
   const instanceId = settings.instanceId as InstanceId;
   const store = owned.add(new PlatformObjectStore({ url: settings.platformUrl, clock }));
-  const metrics = new Metrics();
   const random = createRandom(instanceSeed(instanceId, clock.wallMs()));
-  const { links, fleetUrl } = await openLinks(settings, owned, { clock, random, metrics, log });
+  const shared = { clock, random, metrics, log };
+  const { links, fleetUrl } = await openLinks(settings, owned, {
+    ...shared,
+    limits: clients.limits.fleet,
+    onClosed: clients.onClosedAt('fleet'),
+  });
   const instance = owned.add(
     new Instance({
       instanceId,
@@ -114,7 +163,7 @@
 async function openLinks(
   settings: InstanceSettings,
   owned: DisposableStore,
-  sharedOptions: Pick<WsFleetLinksOptions, 'clock' | 'random' | 'metrics' | 'log'>,
+  sharedOptions: Omit<WsFleetLinksOptions, 'instanceId' | 'environment' | 'keys'>,
 ): Promise<{ links: FleetLinks; fleetUrl: string }> {
   const { fleet, environment } = settings;
   if (fleet === undefined) return { links: new NoFleetLinks(), fleetUrl: '' };
@@ -126,7 +175,7 @@
   return { links, fleetUrl: formatUrl('ws', fleet.ip, port) };
 }
 
-function createCallersServer(instance: Instance): Server {
+function createCallersServer(instance: Instance, { limits, onClosedAt }: Clients): Server {
   const callers = createCallerServer({
     chat: instance.chat,
     services: instance.services,
@@ -134,6 +183,8 @@
     directory: (accountKey, nearFailureDomain) =>
       instance.findInstances(accountKey, nearFailureDomain),
     isAccepting: () => instance.isAccepting,
+    limits: limits.callers,
+    onClosed: onClosedAt('callers'),
   });
   callers.on('request', (request, response) => {
     const accountKey = /^Bearer (.+)$/.exec(request.headers.authorization ?? '')?.[1];
