--- a/packages/soak/src/_lib/FaultInjector/index.ts
+++ b/packages/soak/src/_lib/FaultInjector/index.ts
@@ -4,8 +4,10 @@
 import type { ResumingCaller } from '../ResumingCaller/index.js';
 import { BrittleRoom } from '../BrittleRoom/index.js';
 import { brittleRunsPerSlot, type FakeUpstream } from '../FakeUpstream/index.js';
-import { stopLimitMs } from '../InstanceProcess/index.js';
+import { FloodingClients } from '../FloodingClients/index.js';
+import { stopLimitMs, type InstanceProcess } from '../InstanceProcess/index.js';
 import type { Observations } from '../Observations/index.js';
+import { soakFloods } from '../soakFloods/index.js';
 import { pauseUpstreams } from '../pauseUpstreams/index.js';
 import type { SoakEnvironment } from '../SoakEnvironment/index.js';
 
@@ -160,6 +162,9 @@
       case 'deadlyPart':
         void this.#options.deadlyPartCaller().run(fault.target, fault.durationMs);
         return;
+      case 'floodInstance':
+        this.#flood(process, fault);
+        return;
       case 'changeConfiguration':
         environment.changeConfiguration();
         return;
@@ -168,6 +173,20 @@
     }
   }
 
+  /** The target chooses the flood after the instance. It is no disturbance: all others are to be served beside it. */
+  #flood(process: InstanceProcess, { target, durationMs }: PlannedFault): void {
+    const { environment, injectedDefect } = this.#options;
+    if (injectedDefect === 'abortProcess') process.signal('SIGABRT');
+    const choice = Math.floor(target / environment.instances.length) % soakFloods.length;
+    const flood = soakFloods[choice];
+    if (flood === undefined) return;
+    const clients = new FloodingClients(process.ports[flood.port]);
+    void clients.send(flood);
+    setTimeout(() => {
+      clients[Symbol.dispose]();
+    }, durationMs);
+  }
+
   /**
    * Cuts instances off from all upstreams. The target chooses the form of the cut, then whether one, two or all
    * instances are cut off, then from which instance on.
--- a/packages/soak/src/_lib/InstanceProcess/index.ts
+++ b/packages/soak/src/_lib/InstanceProcess/index.ts
@@ -26,6 +26,9 @@
   readonly machine?: MachineLimits | undefined;
 }
 
+/** The machine of the instances of a soak: the one that most deployments have. */
+export const soakMachine: MachineLimits = { memoryMb: 255, maxFds: 4_100 };
+
 /** What a process may use of its machine. */
 export interface MachineLimits {
   readonly memoryMb: number;
@@ -87,6 +90,11 @@
     return this.#child?.pid;
   }
 
+  /** Codes or signals of its exits so far. */
+  get exits(): readonly string[] {
+    return this.#exits;
+  }
+
   /** How often the process has exited. */
   get exitCount(): number {
     return this.#exits.length;
--- a/packages/soak/src/_lib/Observations/index.ts
+++ b/packages/soak/src/_lib/Observations/index.ts
@@ -1,6 +1,7 @@
 import type { InvariantName, Violation } from '../../types.js';
 import { accounts, movedRouteService, tokensPerEvent } from '../buildSoakConfiguration/index.js';
-import { bounds, toleranceMs } from '../InstanceProcess/index.js';
+import { bounds, soakMachine, toleranceMs } from '../InstanceProcess/index.js';
+import { MachineCheck } from '../MachineCheck/index.js';
 import { LimitCheck } from '../LimitCheck/index.js';
 import { DeadlyCheck } from '../DeadlyCheck/index.js';
 import { DeadlyPartCheck } from '../DeadlyPartCheck/index.js';
@@ -77,6 +78,7 @@
   readonly brittle: BrittleCheck;
   readonly versions: VersionCheck;
   readonly soundAnswers: SoundAnswerCheck;
+  readonly machines: MachineCheck;
   readonly departures: DepartureCheck;
   readonly #now: () => number;
   readonly #runs = new Map<string, UpstreamRuns>();
@@ -97,6 +99,7 @@
     const onViolation = (invariant: InvariantName, what: string) => {
       this.#addViolation(invariant, what);
     };
+    this.machines = new MachineCheck({ machine: soakMachine, onViolation });
     this.departures = new DepartureCheck({ now, onViolation });
     this.directoryCheck = new DirectoryCheck({ now, onViolation });
     this.limits = new LimitCheck({ now, onViolation });
--- a/packages/soak/src/_lib/SoakEnvironment/index.ts
+++ b/packages/soak/src/_lib/SoakEnvironment/index.ts
@@ -8,7 +8,7 @@
 import { FakeUpstream } from '../FakeUpstream/index.js';
 import { FaultProxy } from '../FaultProxy/index.js';
 import { findFreePorts } from '../findFreePorts/index.js';
-import { InstanceProcess } from '../InstanceProcess/index.js';
+import { InstanceProcess, soakMachine } from '../InstanceProcess/index.js';
 import { UpstreamCut } from '../UpstreamCut/index.js';
 import { waitUntilReady } from '../waitUntilReady/index.js';
 import type { Observations } from '../Observations/index.js';
@@ -102,6 +102,7 @@
         ports: { front, ready, directory: directoryPort, fleet },
         storePort: await storeProxy.listen(),
         directory,
+        machine: soakMachine,
       });
       this.instances.push({ process, storeProxy, upstreamCut });
       process.start();
--- a/packages/soak/src/_lib/planFaults/index.ts
+++ b/packages/soak/src/_lib/planFaults/index.ts
@@ -189,6 +189,30 @@
   return plan;
 }
 
+/** Floods take this long, and begin after each other at this mean interval, in milliseconds. */
+const floodTimesMs = { meanInterval: 6_000, duration: 1_500 } as const;
+
+/**
+ * Plans floods of clients that keep no limit, apart from the other faults.
+ *
+ * @param random - source of randomness of its own
+ * @param runDurationMs - duration of the run
+ *
+ * @example
+ * planFloods(createRandom(7), 60_000).length;
+ */
+export function planFloods(random: Random, runDurationMs: number): PlannedFault[] {
+  const { meanInterval, duration: durationMs } = floodTimesMs;
+  const plan: PlannedFault[] = [];
+  let atMs = meanInterval * random();
+  while (atMs < runDurationMs) {
+    const target = Math.floor(random() * 1_000);
+    plan.push({ kind: 'floodInstance', atMs: Math.round(atMs), durationMs, target });
+    atMs += meanInterval * 2 * random();
+  }
+  return plan;
+}
+
 function drawProfile(random: Random): FaultProfile {
   let remainingWeight = random() * faultProfiles.reduce((sum, { weight }) => sum + weight, 0);
   for (const profile of faultProfiles) {
--- a/packages/soak/src/runSoak/index.ts
+++ b/packages/soak/src/runSoak/index.ts
@@ -12,6 +12,7 @@
   planDeadlyParts,
   planDeadlyRequests,
   planFaults,
+  planFloods,
   planOverloads,
   planRestores,
   planVersionMixes,
@@ -36,6 +37,9 @@
   return await soak.run();
 }
 
+/** Interval of the looks at what the processes use, in milliseconds. */
+const machineCheckIntervalMs = 250;
+
 class Soak implements AsyncDisposable {
   readonly #options: SoakOptions;
   readonly #random: Random;
@@ -106,12 +110,18 @@
     const loadStartMs = this.#now();
     const loadAbort = new AbortController();
     const loadDone = this.#runLoad(loadAbort.signal);
+    const processes = this.#environment.instances.map(({ process }) => process);
+    const machineTimer = setInterval(() => {
+      this.#observations.machines.check(processes);
+    }, machineCheckIntervalMs);
     for (const fault of this.#faults) {
       await sleep(Math.max(0, loadStartMs + fault.atMs - this.#now()));
       await this.#injector.inject(fault);
     }
     await sleep(Math.max(0, loadStartMs + durationMs - this.#now()));
     loadAbort.abort();
+    clearInterval(machineTimer);
+    this.#observations.machines.check(processes);
     await loadDone;
     this.#observations.finish();
     return this.#report();
@@ -126,9 +136,9 @@
     const parts = planDeadlyParts(createRandom(seed + 6), durationMs);
     const mixes = planVersionMixes(createRandom(seed + 4), durationMs);
     const pauses = planPauses(createRandom(seed + 5), durationMs);
-    return [...faults, ...overloads, ...deadly, ...parts, ...mixes, ...pauses, ...restores].sort(
-      (a, b) => a.atMs - b.atMs,
-    );
+    const floods = planFloods(createRandom(seed + 7), durationMs);
+    const others = [...overloads, ...deadly, ...parts, ...mixes, ...pauses, ...floods];
+    return [...faults, ...others, ...restores].sort((a, b) => a.atMs - b.atMs);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
--- a/packages/soak/src/runSoak/test.ts
+++ b/packages/soak/src/runSoak/test.ts
@@ -293,6 +293,7 @@
   ['nameGone', 'goneInstance', { ...singleFault('powerOff', 9_000), durationMs: 10_500 }],
   ['hideLive', 'liveInstance', { faults: [] }],
   ['sendLate', 'departedCaller', { ...singleFault('pause', 300), durationMs: 4_000 }],
+  ['abortProcess', 'machineLimits', singleFault('floodInstance', 1_000)],
   ['refuseAll', 'served', { faults: [] }],
 ];
 
--- a/packages/soak/src/types.ts
+++ b/packages/soak/src/types.ts
@@ -47,6 +47,8 @@
   | 'goneInstance'
   /** Directories list every other instance that is ready. */
   | 'liveInstance'
+  /** No process ends by itself, or uses more memory or descriptors than its machine has. */
+  | 'machineLimits'
   /** Most requests are served while no fault is active. */
   | 'served';
 
@@ -103,6 +105,8 @@
   | 'nameGone'
   /** Lists only the queried instance in its directory response. */
   | 'hideLive'
+  /** Ends a process as if its memory had run out. */
+  | 'abortProcess'
   /** Reports every request as refused without sending it. */
   | 'refuseAll';
 
@@ -161,6 +165,8 @@
   | 'crashUpstream'
   /** Pauses some or all upstreams of a service: they stay connected, send and read nothing, then go on. */
   | 'pauseUpstreams'
+  /** Clients that keep no limit send what they like to one port of an instance, read nothing and stay for a while. */
+  | 'floodInstance'
   /** Writes a new configuration version. */
   | 'changeConfiguration';
 
