--- a/packages/base/src/ClientConnections/index.ts
+++ b/packages/base/src/ClientConnections/index.ts
@@ -23,6 +23,7 @@
   | 'tooManyRequestsAhead'
   | 'tooManyRequests'
   | 'tooManyHeadBytes'
+  | 'tooManyUnparsedBytes'
   | 'responseNotRead';
 
 /** The part of a socket that is needed here. */
@@ -46,7 +47,7 @@
   readonly socket: ClientSocketLike;
   /** Responses that are not sent whole, in the order of their requests. */
   readonly responses: Set<ClientResponseLike>;
-  /** Bytes that had been read when its last request began. */
+  /** Bytes that had been read when its last request ended. */
   bytesReadBefore: number;
   /** Bytes that had been sent, and since when there are no more, while a complete response waits for its client. */
   stall: { readonly sentBytes: number; readonly sinceMs: number } | undefined;
@@ -92,6 +93,15 @@
     this.#options = options;
   }
 
+  get clock(): Pick<Clock, 'monotonicMs'> {
+    return this.#options.clock;
+  }
+
+  /** Sockets of the connections that have no unanswered request. */
+  get withoutRequests(): readonly ClientSocketLike[] {
+    return [...this.#withoutRequests()].map(({ socket }) => socket);
+  }
+
   /** Number of connections. */
   get connectionCount(): number {
     return this.#all.size;
@@ -142,7 +152,6 @@
   beginRequest(socket: ClientSocketLike): boolean {
     const connection = this.#all.get(socket);
     if (connection === undefined || connection.isClosing) return false;
-    connection.bytesReadBefore = socket.bytesRead;
     return connection.responses.size < this.#options.limits.maxRequestsAhead;
   }
 
@@ -167,6 +176,7 @@
     if (connection.isClosing) return;
     if (connection.responses.size <= 1) this.#ahead.delete(connection);
     if (connection.responses.size > 0) return;
+    connection.bytesReadBefore = socket.bytesRead;
     this.#busy.delete(connection);
     this.#idle.add(connection);
   }
--- a/packages/base/src/ClientConnections/test.ts
+++ b/packages/base/src/ClientConnections/test.ts
@@ -158,6 +158,17 @@
   t.deepEqual(reasons, ['responseNotRead']);
 });
 
+// Guards against idle connections that are closed since the bodies of their requests are taken for heads.
+test('the body of a request that has ended is no head', (t) => {
+  const { connections, connect, reasons } = createRig();
+  const socket = connect();
+  const response = socket.begin();
+  socket.bytesRead = 1_000;
+  connections.removeResponse(socket, response);
+  connections.check();
+  t.deepEqual(reasons, []);
+});
+
 test('incomplete heads are bounded together, the oldest is closed', (t) => {
   const { connections, connect, reasons } = createRig();
   const [first, second, third] = [connect(), connect(), connect()];
--- a/packages/base/src/ConnectTimeoutError/index.ts
+++ b/packages/base/src/ConnectTimeoutError/index.ts
@@ -1,4 +1,4 @@
-/** A connection did not come about in time; no byte was sent. */
+/** A connection was not established in time; no byte was sent. */
 export class ConnectTimeoutError extends Error {
   readonly code = 'ETIMEDOUT';
   readonly syscall = 'connect';
--- a/packages/base/src/createBoundedServer/index.ts
+++ b/packages/base/src/createBoundedServer/index.ts
@@ -12,6 +12,8 @@
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import type { ClientConnections } from '../ClientConnections/index.js';
+import { bytesInMebibyte } from '../constants/index.js';
+import { ReadSlicer } from '../ReadSlicer/index.js';
 
 /** Takes over a connection whose client has asked for another protocol. */
 export type UpgradeListener = (request: IncomingMessage, socket: Duplex, head: Buffer) => void;
@@ -32,7 +34,11 @@
 const checkIntervalMs = 100;
 /** How often the server looks for clients that send too slowly, in milliseconds. */
 const timeoutCheckIntervalMs = 1_000;
-/** When a client that was refused for want of room may come back, in seconds. */
+/** Size of what was read while reads are sliced, and is not parsed, in bytes. */
+const maxUnparsedBytes = 4 * bytesInMebibyte;
+/** Number of chunks of one request from which on a read counts as expensive. */
+const expensiveChunks = 1_024;
+/** When a client that was refused for want of room may return, in seconds. */
 const retryAfterS = 1;
 
 /**
@@ -54,10 +60,17 @@
   listener: RequestListener,
 ): Server {
   const { connections, refuse = refuseForWantOfRoom, upgrade } = options;
+  const slicer = new ReadSlicer({
+    clock: connections.clock,
+    maxUnparsedBytes,
+    onExcess: (socket) => {
+      connections.close(socket, 'tooManyUnparsedBytes');
+    },
+  });
   const settings: ServerOptions = {
     connectionsCheckingInterval: timeoutCheckIntervalMs,
     ...options.server,
-    ...createMessageClasses(connections, upgrade !== undefined),
+    ...createMessageClasses({ connections, slicer, allowsUpgrades: upgrade !== undefined }),
   };
   const server = createServer(settings, (request, response) => {
     if (connections.hasRoom) listener(request, response);
@@ -65,6 +78,7 @@
   });
   server.on('connection', (socket: Socket) => {
     connections.add(socket);
+    if (slicer.isActive) slicer.slice(socket);
     socket.once('close', () => {
       endConnection(connections, socket);
     });
@@ -90,14 +104,18 @@
   return (request as CountedRequest).isBeyondLimit;
 }
 
-/**
- * Classes of the messages of one server, which count each request that is parsed, whoever answers it.
- *
- * @param allowsUpgrades - whether requests for another protocol are passed on as such
- */
-function createMessageClasses(connections: ClientConnections, allowsUpgrades: boolean) {
+interface MessageOptions {
+  readonly connections: ClientConnections;
+  readonly slicer: ReadSlicer;
+  /** Whether requests for another protocol are passed on as such. */
+  readonly allowsUpgrades: boolean;
+}
+
+/** Classes of the messages of one server, which count each request that is parsed, whoever answers it. */
+function createMessageClasses({ connections, slicer, allowsUpgrades }: MessageOptions) {
   class BoundedRequest extends IncomingMessage implements CountedRequest {
     readonly isBeyondLimit: boolean;
+    #chunkCount = 0;
     /** Whether the client asks for another protocol; set by the parser, also while the class above is constructed. */
     declare private isUpgradeWanted: boolean | null;
 
@@ -106,6 +124,14 @@
       this.isBeyondLimit = !connections.beginRequest(socket);
     }
 
+    /** Called by the parser with each chunk. */
+    override push(chunk: unknown): boolean {
+      this.#chunkCount += 1;
+      if (this.#chunkCount === expensiveChunks)
+        slicer.begin(connections.withoutRequests as Iterable<Socket>);
+      return super.push(chunk);
+    }
+
     /** Read by the parser once the head is complete: it stops there if this is true. */
     get upgrade(): boolean {
       if (this.isBeyondLimit) return true;
--- a/packages/base/src/createBoundedServer/test.ts
+++ b/packages/base/src/createBoundedServer/test.ts
@@ -1,4 +1,5 @@
 import test, { type ExecutionContext } from 'ava';
+import { createHash } from 'node:crypto';
 import type { RequestListener, ServerResponse } from 'node:http';
 import { connect, type AddressInfo, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -131,3 +132,79 @@
   socket.setTimeout(300, () => socket.destroy());
   t.regex(await readAll(socket), /^HTTP\/1.1 200 /);
 });
+
+const smallChunks = `POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n${'1\r\nx\r\n'.repeat(5_000)}`;
+
+/** Answers with the length and the digest of a request's body. */
+const digestBody: RequestListener = (request, response) => {
+  const hash = createHash('sha256');
+  let bytes = 0;
+  request.on('data', (chunk: Buffer) => {
+    bytes += chunk.byteLength;
+    hash.update(chunk);
+  });
+  request.on('end', () => response.end(`${bytes} ${hash.digest('hex')}`));
+};
+
+function digestOf(body: Buffer): string {
+  return `${body.byteLength} ${createHash('sha256').update(body).digest('hex')}`;
+}
+
+// Guards against bytes that are lost, doubled or out of order while reads are sliced.
+test('requests are whole beside one in very small chunks', async (t) => {
+  const { open } = await listen(t, digestBody);
+  const early = open();
+  await sleep(20);
+  open().write(smallChunks);
+  await sleep(50);
+  for (const socket of [early, open()]) {
+    const bodies = [3, 70_000, 400_000, 9_000].map((size, index) =>
+      Buffer.alloc(size, `b${index}`),
+    );
+    const answers: string[] = [];
+    let text = '';
+    socket.on('data', (bytes) => {
+      text += bytes.toString('latin1');
+      answers.splice(0, Infinity, ...(text.match(/^\d+ [0-9a-f]{64}/gm) ?? []));
+    });
+    for (const [index, body] of bodies.entries()) {
+      socket.write(`POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: ${body.byteLength}\r\n\r\n`);
+      socket.write(body);
+      while (answers.length <= index) await sleep(5);
+    }
+    t.deepEqual(answers, bodies.map(digestOf));
+  }
+});
+
+// Guards against an end that is taken for the end of a request, or is never seen, while reads are sliced.
+test('a client that ends its side after its request gets its response while reads are sliced', async (t) => {
+  const { open, connections } = await listen(t, digestBody);
+  open().write(smallChunks);
+  await sleep(50);
+  const body = Buffer.alloc(100_000, 'e');
+  const socket = open();
+  socket.end(
+    Buffer.concat([
+      Buffer.from(`POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: ${body.byteLength}\r\n\r\n`),
+      body,
+    ]),
+  );
+  const text = await readAll(socket);
+  t.true(text.includes(digestOf(body)), text);
+  await sleep(20);
+  t.is(connections.connectionCount, 1);
+});
+
+test('requests ahead are limited while reads are sliced', async (t) => {
+  let began = 0;
+  const { open } = await listen(t, (request) => {
+    began += 1;
+    request.resume();
+  });
+  open().write(smallChunks);
+  await sleep(50);
+  const socket = open();
+  socket.write(plain.repeat(5_000));
+  await readAll(socket);
+  t.true(began <= 1 + limits.maxRequestsAhead, `${began}`);
+});
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -33,3 +33,4 @@
 export * from './ClosedClients/index.js';
 export * from './readMachineLimits/index.js';
 export * from './collectGarbage/index.js';
+export * from './ReadSlicer/index.js';
--- a/packages/callers/src/ConnectionBacklog/index.ts
+++ b/packages/callers/src/ConnectionBacklog/index.ts
@@ -1,10 +1,8 @@
 import type { Clock } from '@acaciacrank/base';
+import { maxUnreadMs } from '@acaciacrank/routing';
 import type { Server } from 'node:http';
 import type { Socket } from 'node:net';
 
-/** How long a connection may wait to be accepted before its first request counts as late, in milliseconds. */
-const maxWaitMs = 150;
-
 /**
  * Knows which connections may have waited long to be accepted.
  *
@@ -40,7 +38,7 @@
     this.#acceptedCount += 1;
     if (this.#sinceMs === undefined) this.#followTurns();
     this.#sinceMs ??= nowMs - this.#clock.unreadMs();
-    if (nowMs - this.#sinceMs > maxWaitMs) this.#late.add(socket);
+    if (nowMs - this.#sinceMs > maxUnreadMs) this.#late.add(socket);
   }
 
   /** Whether a connection may have waited long; its first request is late then, those after it are not. */
--- a/packages/routing/src/SendGate/index.ts
+++ b/packages/routing/src/SendGate/index.ts
@@ -7,7 +7,7 @@
 }
 
 /** How long the end of a caller's connection may have waited unread when its request is sent, in milliseconds. */
-const maxUnreadMs = 150;
+export const maxUnreadMs = 150;
 /** Number of requests that are let through after each read of all connections. */
 const maxPerRead = 32;
 
