--- a/packages/fleet/src/ConfigurationGossip/index.ts
+++ b/packages/fleet/src/ConfigurationGossip/index.ts
@@ -72,7 +72,7 @@
     ];
   }
 
-  /** Announces to the neighbours that a version has come into force here. */
+  /** Announces to the neighbours that a version has take effect here. */
   announce(version: number): void {
     const { links, membership } = this.#options;
     for (const id of membership.neighbours) {
--- a/packages/forwarding/src/StreamAffinity/index.ts
+++ b/packages/forwarding/src/StreamAffinity/index.ts
@@ -37,7 +37,7 @@
 const homeCount = 2;
 /** Number of instances that are queried: where a home is gone, another one follows it in the asker's view. */
 const askedCount = 3;
-/** How long origins are collected before they are informed, in milliseconds; who ends loses those not told yet. */
+/** How long origins are collected before they are informed, in milliseconds; who ends loses those not notified yet. */
 const batchDelayMs = 50;
 
 /**
@@ -53,7 +53,7 @@
   readonly #options: StreamAffinityOptions;
   readonly #questions: OriginQuestions;
   readonly #subscriptions: readonly Disposable[];
-  /** Streams whose homes are not told yet. */
+  /** Streams whose homes are not notified yet. */
   readonly #untold = new Map<StreamKey, UpstreamRun>();
   #ring: { readonly live: readonly InstanceId[]; readonly ring: HashRing<Identified> } | undefined;
 
--- a/packages/forwarding/src/_lib/ResponseMemory/test.ts
+++ b/packages/forwarding/src/_lib/ResponseMemory/test.ts
@@ -24,7 +24,7 @@
   return (await Promise.race([waiting, Promise.resolve(pending)])) === (pending as unknown);
 }
 
-/** Reads a body to its end, as far as it is not told to wait. */
+/** Reads a body to its end, unless it has to wait. */
 async function readWhole(t: ExecutionContext, body: ReadBody, bytes: number): Promise<void> {
   for (let held = 65_536; held <= bytes; held += 65_536) await body.setBytes(held);
   t.is(body.bytes, bytes);
--- a/packages/forwarding/src/_lib/StreamRelay/index.ts
+++ b/packages/forwarding/src/_lib/StreamRelay/index.ts
@@ -75,7 +75,7 @@
     return undefined;
   }
 
-  /** Whether nothing of the whole stream has come, from this upstream or another one before. */
+  /** Whether nothing of the whole stream has arrived, from this upstream or another one before. */
   get #isBareStart(): boolean {
     const { progress, head } = this.#options.call;
     return progress.events === 0 && head.resumeAfter === undefined;
--- a/packages/forwarding/src/_lib/applyStatement/test.ts
+++ b/packages/forwarding/src/_lib/applyStatement/test.ts
@@ -69,7 +69,7 @@
   t.false(isUsed());
 });
 
-// Guards against a run that is used again since its record expired in an outage of the store and came back.
+// Guards against a run that is used again since its record expired in an outage of the store and returned.
 test('a run that said that it leaves stays out of use when its record comes back', async (t) => {
   const { clock, table, hear, isUsed } = setUp();
   hear({ isLeaving: true });
--- a/packages/forwarding/src/_lib/responseHeaders/index.ts
+++ b/packages/forwarding/src/_lib/responseHeaders/index.ts
@@ -42,7 +42,7 @@
  * where this process is killed while it sends it, so that a response states its length. But where an upstream has
  * stated none, it may have been killed itself, and with a length this instance would confirm what nobody knows: its
  * response ends with the connection, as that of the upstream did, if it is sent at once. A peer that relays the response
- * is told so.
+ * gets that answer.
  */
 export function writePlainHead(
   { response, request, relayedBy }: Pick<ForwardCall, 'response' | 'request' | 'relayedBy'>,
--- a/packages/operators/src/ConfigurationObjects/index.ts
+++ b/packages/operators/src/ConfigurationObjects/index.ts
@@ -87,7 +87,7 @@
  * have the object.
  *
  * Each read from an unavailable store lasts until its timeout. A change spans several levels of the
- * tree, and one timeout per level would exceed the time within which a change must come into force.
+ * tree, and one timeout per level would exceed the time within which a change must take effect.
  * A source that failed is therefore tried last for a while. A fixed timeout would make a slow but
  * working store fail on every read, so the timeout doubles with each failure and is reset by the
  * first success.
--- a/packages/operators/src/ConfigurationWatcher/index.ts
+++ b/packages/operators/src/ConfigurationWatcher/index.ts
@@ -71,7 +71,7 @@
 
 const defaults = {
   // One poll interval, one timed-out read and a second read together stay well below the 10 s within
-  // which a change must come into force.
+  // which a change must take effect.
   pollMs: 4 * millisecondsInSecond,
   readTimeoutMs: 2 * millisecondsInSecond,
   watchTimeoutMs: 25 * millisecondsInSecond,
--- a/packages/routing/src/UpstreamReach/index.ts
+++ b/packages/routing/src/UpstreamReach/index.ts
@@ -74,7 +74,7 @@
     this.#unconnected.clear();
   }
 
-  /** Records that a connection was refused, or did not come about in time. */
+  /** Records that a connection was refused, or was not established in time. */
   recordConnectFailed(upstreamId: UpstreamId): void {
     this.#unconnected.add(upstreamId);
   }
--- a/packages/routing/src/UpstreamReach/test.ts
+++ b/packages/routing/src/UpstreamReach/test.ts
@@ -52,7 +52,7 @@
   t.is(reach.state, 'inDoubt');
 });
 
-// Guards against a link that comes and goes: each return would lose the requests that are sent at once.
+// Guards against a link that is established and lost again and again: each return would lose the requests that are sent at once.
 test('upstreams are reached again after two successful rounds of probes in a row', (t) => {
   const { reach } = createReach();
   t.true(reach.recordProbes(false));
--- a/packages/routing/src/UpstreamRegistry/test.ts
+++ b/packages/routing/src/UpstreamRegistry/test.ts
@@ -343,7 +343,7 @@
   t.is(registry.slots(service), slotsBefore - failing.limit.slots + 2);
 });
 
-// Guards against requests to an engine that has requested a backoff, and whose reports go on saying that it is live.
+// Guards against requests to an engine that has requested a backoff, and whose reports continue saying that it is live.
 test('an upstream gets no requests in the backoff that it asks for', async (t) => {
   const { clock, registry, first, engine } = await startRegistry(['e1', 'e2']);
   const request = registry.begin(first);
--- a/packages/routing/src/chooseWarmUpHolders/test.ts
+++ b/packages/routing/src/chooseWarmUpHolders/test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import { chooseWarmUpHolders } from './index.js';
 
-// Guards against a burst of all holders, and of some that were told late, beyond the bound.
+// Guards against a burst of all holders, and of some that were notified late, beyond the bound.
 test('bursts of all holders and of a few more stay within the bound', (t) => {
   for (const requestsPerSecond of [0.5, 1, 2.5, 7, 20, 60, 400]) {
     for (const [overage, slack] of [
--- a/packages/soak/src/_lib/LoadGenerator/index.ts
+++ b/packages/soak/src/_lib/LoadGenerator/index.ts
@@ -140,7 +140,7 @@
     });
   }
 
-  /** Sends one request on a connection of its own, and closes that before the answer, unless it comes sooner. */
+  /** Sends one request on a connection of its own, and closes that before the answer, unless it arrives sooner. */
   async #sendAndLeave({ port, path, method, headers }: RequestTarget, id: string): Promise<void> {
     const { departures: check } = this.#options.observations;
     const round = Math.floor(this.#callCount / departures.everyCalls);
--- a/packages/soak/src/failures/departedCallers/test.ts
+++ b/packages/soak/src/failures/departedCallers/test.ts
@@ -54,7 +54,7 @@
   t.is(exitCount, 0);
 }
 
-/** Callers that come while an instance stands still, and have left before it continues. */
+/** Callers that arrive while an instance stands still, and have left before it continues. */
 const departures = [
   { what: 'have no time left', waitMs: 300, budgetMs: 300, form: 'end' },
   { what: 'give up early', waitMs: 200, budgetMs: 3_000, form: 'end' },
--- a/packages/soak/src/runSoak/test.ts
+++ b/packages/soak/src/runSoak/test.ts
@@ -214,7 +214,7 @@
   t.is(report.faults['pauseUpstreams'], 2);
 });
 
-// Guards against streams that go on at another version than the one that began them, at other instances too.
+// Guards against streams that continue at another version than the one that began them, at other instances too.
 test.serial('streams stay at the software version that began them', async (t) => {
   const mix = { kind: 'mixVersions', durationMs: 8_000, target: 0 } as const;
   const faults = [{ ...mix, atMs: 2_000 }] as const;
--- a/packages/standins/src/configuration/acceptance/test.ts
+++ b/packages/standins/src/configuration/acceptance/test.ts
@@ -103,7 +103,7 @@
 });
 
 // Guards against reporting an outcome that cannot be known: the response is lost and the store stays
-// down. The operator must be told that the outcome is unknown.
+// down. The operator must be notified that the outcome is unknown.
 test('an outcome that cannot be confirmed is reported as unknown', async (t) => {
   const { clock, openStore, accept } = setUp();
   const store = openStore();
@@ -119,7 +119,7 @@
 });
 
 // Guards against a partly applied document when the store goes down while objects are written. The
-// operator is told that nothing changed.
+// operator is notified that nothing changed.
 test('an acceptance that fails before it writes the manifest changes nothing', async (t) => {
   const { clock, openStore, accept } = setUp();
   const store = openStore();
@@ -159,7 +159,7 @@
 }
 
 // Guards against a rollback that instances ignore: they apply only higher versions, so the old content
-// must come into force as a new version.
+// must take effect as a new version.
 test('a rollback creates a new version with the old content', async (t) => {
   const { clock, openStore, accept } = setUp();
   const store = openStore();
--- a/packages/standins/src/experiments/configuration-spread/index.ts
+++ b/packages/standins/src/experiments/configuration-spread/index.ts
@@ -178,7 +178,7 @@
   return Object.assign(fleet, { stores, accept, setInitialCache });
 }
 
-/** Collects the versions of each instance in the order in which they come into force. */
+/** Collects the versions of each instance in the order in which they take effect. */
 function watchVersions(fleet: FaultyStoreFleet): Map<string, number[]> {
   const versionsByInstance = new Map<string, number[]>();
   for (const { id, instance } of fleet.instances) {
--- a/packages/standins/src/experiments/suspects/test.ts
+++ b/packages/standins/src/experiments/suspects/test.ts
@@ -6,7 +6,7 @@
 
 const calm = { instances: 28, lossRatio: 0, isHomeGone: false, callers: 1 };
 
-// Guards against a request that ends an upstream at each instance that it comes to.
+// Guards against a request that ends an upstream at each instance that receives it.
 test('a request ends three upstreams, whichever instances its caller repeats it at', async (t) => {
   for (const instances of [2, 28, 78]) {
     t.is((await simulateSuspect({ ...calm, instances }, 1)).ends, 3);
--- a/packages/standins/src/failures/prepaidLosses/test.ts
+++ b/packages/standins/src/failures/prepaidLosses/test.ts
@@ -39,7 +39,7 @@
 });
 
 // Guards against the wrong reason for a refusal. An account is exhausted when the store becomes
-// unavailable; its callers were told that the store was unavailable, and retried in vain.
+// unavailable; its callers were answered that the store was unavailable, and retried in vain.
 test('an exhausted account is reported as exhausted while the store is unavailable, too', async (t) => {
   const simulation = createSimulation(23, 400_000);
   const holders = [0, 1, 2, 3].map((i) => startHolder(simulation, i, { lost: 0, late: 0 }));
--- a/packages/standins/src/failures/services/test.ts
+++ b/packages/standins/src/failures/services/test.ts
@@ -125,7 +125,7 @@
   t.deepEqual(await readBudgetTotals(t, fixture), { bills: 1, settledTokens: 5 });
 });
 
-// Guards against a call that cannot be retried after a short outage of its service. The caller is told
+// Guards against a call that cannot be retried after a short outage of its service. The caller is notified
 // "not run" for the whole request; a retry under the same key, at any instance, then runs once.
 test('a call that reached no service is reported as not run, costs nothing and may be retried', async (t) => {
   let isDown = true;
@@ -146,7 +146,7 @@
 
 // Guards against a claim that no record supports. The store becomes unavailable after the intent is
 // written and before the service refuses the call. The call did not run, but no record can say so: the
-// caller is told at once, for this attempt only.
+// caller is notified at once, for this attempt only.
 test('without a durable record, not run is claimed for the attempt only', async (t) => {
   const fixture = await createFixture(() => 'refused');
   await using fleet = fixture.fleet;
--- a/packages/standins/src/failures/streams/test.ts
+++ b/packages/standins/src/failures/streams/test.ts
@@ -255,7 +255,7 @@
   await assertNoTokensReserved(t, fixture);
 });
 
-// Guards against a caller that is told "not run", sends the prompt again under a new key and pays twice:
+// Guards against a caller that is answered "not run", sends the prompt again under a new key and pays twice:
 // the second engine refuses the request, but the first one had accepted it before its connection
 // broke.
 test('a refusal after a dispatch that may have run is not reported as not run', async (t) => {
@@ -452,7 +452,7 @@
 });
 
 // Guards against a caller that waits for the final frame during a store outage of ten minutes, which
-// begins while the response streams. After the deadline of its class the caller is told that the
+// begins while the response streams. After the deadline of its class the caller is notified that the
 // request ran and when to retry; the retry gets the complete response, and there is one bill.
 test('a caller does not wait for a bill beyond the deadline', async (t) => {
   const fixture = await createFixture(noFaults);
--- a/packages/standins/src/faults/_lib/endAfterSilence/index.ts
+++ b/packages/standins/src/faults/_lib/endAfterSilence/index.ts
@@ -1,7 +1,7 @@
 import { RouterError, type ManualClock } from '@acaciacrank/base';
 import type { Instance } from '@acaciacrank/router';
 
-/** How long nothing may come until the mutated instance gives a request up, in milliseconds. */
+/** How long nothing may arrive before the mutated instance gives a request up, in milliseconds. */
 const silenceLimitMs = 1_000;
 
 /**
--- a/packages/store/src/MemoryPlatform/index.ts
+++ b/packages/store/src/MemoryPlatform/index.ts
@@ -240,7 +240,7 @@
   responsesToLose: number;
 }
 
-/** How long a client waits for a response that does not come, beyond the wait of a watch, in milliseconds. */
+/** How long a client waits for a response that does not arrive, beyond the wait of a watch, in milliseconds. */
 const silentCallMs = 600;
 
 /** In-process object store of one client. */
--- a/packages/upstreams/src/_lib/checkRequestId/index.ts
+++ b/packages/upstreams/src/_lib/checkRequestId/index.ts
@@ -25,7 +25,7 @@
 ): void {
   const told = answer.headers[requestIdHeader];
   if (told === undefined || told === requestId) return;
-  // The connection is closed with the rest of the body: the own response would come on it as that to the next request.
+  // The connection is closed with the rest of the body: the own response would arrive on it as that to the next request.
   answer.body.on('error', () => undefined).destroy();
   throw new RouterError(kind, 'response to a different request');
 }
--- a/packages/upstreams/src/hedgeReads/index.ts
+++ b/packages/upstreams/src/hedgeReads/index.ts
@@ -8,7 +8,7 @@
   /** Opens another one that continues after the last item. */
   reopen: (signal: AbortSignal) => AsyncIterable<Item>;
   /**
-   * Returns for how long nothing may come until another connection is opened, in milliseconds; called again for
+   * Returns for how long nothing may arrive before another connection is opened, in milliseconds; called again for
    * each item, and with the number of connections opened in vain since the last one.
    */
   limitMs: (openedInVain: number) => number;
