Machine limits: one function for both programs; unread responses are measured only while they wait

runInstance and runOnPlatform each laid what the settings say over what the system says; readMachineLimits takes the stated values now, and reads only what they leave out. The check each 100 ms reads the counters of a busy socket only if a whole response waits for its client.

--- a/packages/base/src/ClientConnections/index.ts
+++ b/packages/base/src/ClientConnections/index.ts
@@ -241,9 +241,12 @@
     const { socket, responses, stall } = connection;
     const [response] = responses;
     const isWaiting = response?.writableEnded === true && !response.writableFinished;
+    if (!isWaiting) {
+      connection.stall = undefined;
+      return;
+    }
     const sentBytes = socket.bytesWritten - socket.writableLength;
-    if (!isWaiting) connection.stall = undefined;
-    else if (stall?.sentBytes !== sentBytes) connection.stall = { sentBytes, sinceMs: nowMs };
+    if (stall?.sentBytes !== sentBytes) connection.stall = { sentBytes, sinceMs: nowMs };
     else if (nowMs - stall.sinceMs >= this.#options.limits.stallTimeoutMs)
       this.#close(connection, 'responseNotRead');
   }
--- a/packages/router/src/runInstance/index.ts
+++ b/packages/router/src/runInstance/index.ts
@@ -1,5 +1,4 @@
 import {
-  bytesInMebibyte,
   ClosedClients,
   createLog,
   createRandom,
@@ -12,7 +11,6 @@
   type FailureDomainId,
   type InstanceId,
   type Log,
-  type MachineLimits,
 } from '@acaciacrank/base';
 import { createCallerServer } from '@acaciacrank/callers';
 import {
@@ -61,7 +59,7 @@
     level: settings.logLevel,
     fields: { instanceId: settings.instanceId, failureDomain: settings.failureDomain },
   });
-  const limits = planClientLimits(machineLimits(settings));
+  const limits = planClientLimits(readMachineLimits(settings.machine));
   const metrics = new Metrics();
   const closedClients = new ClosedClients({ clock: new SystemClock(), log, metrics });
   const clients: Clients = {
@@ -111,16 +109,6 @@
   readonly onClosedAt: (port: ClientPort) => (reason: ClientCloseReason) => void;
 }
 
-/** What the settings say of the machine, or else the operating system. */
-function machineLimits({ machine }: InstanceSettings): MachineLimits {
-  const found = readMachineLimits();
-  const { memoryMb, maxDescriptors } = machine ?? {};
-  return {
-    memoryBytes: memoryMb === undefined ? found.memoryBytes : memoryMb * bytesInMebibyte,
-    descriptors: maxDescriptors ?? found.descriptors,
-  };
-}
-
 interface InstanceDependencies {
   readonly log: Log;
   readonly metrics: Metrics;
