--- a/packages/soak/src/failures/floods/callers/test.ts
+++ b/packages/soak/src/failures/floods/callers/test.ts
@@ -4,6 +4,7 @@
 import test from 'ava';
 import { accounts, host } from '../../../_lib/buildSoakConfiguration/index.js';
 import type { Flood } from '../../../_lib/FloodingClients/index.js';
+import { checkFloodOutcome } from '../../../_lib/checkFloodOutcome/index.js';
 import { playFlood, silentId } from '../../../_lib/playFlood/index.js';
 
 const machine = { memoryMb: 160, maxFds: 512 };
@@ -72,13 +73,7 @@
   const flood = { ...rest, connections };
   test.serial(`an instance bears ${flood.name}`, async (t) => {
     const outcome = await playFlood('front', flood, machine);
-    t.log(outcome);
-    t.is(outcome.exitCount, 0);
-    t.true(outcome.peakMb <= machine.memoryMb, `${outcome.peakMb} MiB`);
-    t.true(outcome.maxDescriptors <= machine.maxFds, `${outcome.maxDescriptors} descriptors`);
-    t.is(outcome.statusBeside, 200);
-    t.is(outcome.statusAfter, 200);
-    t.is(outcome.statusOfLarge, 200);
+    checkFloodOutcome(t, outcome, machine);
   });
 }
 
@@ -87,22 +82,12 @@
   const start = head('POST /pay/x', `${key}X-Request-Id: n\r\nContent-Length: 4000000\r\n`);
   const flood = { name: 'announced bodies', connections: 200, start, repeated: 'x', times: 1 };
   const outcome = await playFlood('front', flood, machine);
-  t.log(outcome);
-  t.is(outcome.exitCount, 0);
-  t.true(outcome.peakMb <= machine.memoryMb, `${outcome.peakMb} MiB`);
-  t.true(outcome.maxDescriptors <= machine.maxFds, `${outcome.maxDescriptors} descriptors`);
-  t.is(outcome.statusBeside, 200);
-  t.is(outcome.statusAfter, 200);
+  checkFloodOutcome(t, outcome, machine);
 });
 
 // Guards against connections that take all descriptors of an instance, so that it reaches neither its store nor upstreams.
 test.serial('an instance bears connections that send nothing', async (t) => {
   const idle = { name: 'connections', connections: 600, start: '', repeated: '', times: 0 };
   const outcome = await playFlood('front', idle, machine);
-  t.log(outcome);
-  t.is(outcome.exitCount, 0);
-  t.true(outcome.maxDescriptors <= machine.maxFds, `${outcome.maxDescriptors} descriptors`);
-  t.is(outcome.statusBeside, 200);
-  t.is(outcome.statusAfter, 200);
-  t.is(outcome.statusOfLarge, 200);
+  checkFloodOutcome(t, outcome, machine);
 });
--- a/packages/soak/src/failures/floods/otherPorts/test.ts
+++ b/packages/soak/src/failures/floods/otherPorts/test.ts
@@ -4,6 +4,7 @@
 import test from 'ava';
 import type { Flood } from '../../../_lib/FloodingClients/index.js';
 import type { InstancePorts } from '../../../_lib/InstanceProcess/index.js';
+import { checkFloodOutcome } from '../../../_lib/checkFloodOutcome/index.js';
 import { playFlood } from '../../../_lib/playFlood/index.js';
 
 const machine = { memoryMb: 160, maxFds: 512 };
@@ -43,24 +44,13 @@
   for (const flood of floodsAt(path)) {
     test.serial(`an instance bears ${flood.name} at its ${port} port`, async (t) => {
       const outcome = await playFlood(port, flood, machine);
-      t.log(outcome);
-      t.is(outcome.exitCount, 0);
-      t.true(outcome.peakMb <= machine.memoryMb, `${outcome.peakMb} MiB`);
-      t.true(outcome.maxDescriptors <= machine.maxFds, `${outcome.maxDescriptors} descriptors`);
-      t.is(outcome.statusBeside, 200);
-      t.is(outcome.statusAfter, 200);
-      t.is(outcome.statusOfLarge, 200);
+      checkFloodOutcome(t, outcome, machine);
     });
   }
 
   test.serial(`an instance bears connections that send nothing at its ${port} port`, async (t) => {
     const idle = { name: 'connections', connections: 600, start: '', repeated: '', times: 0 };
     const outcome = await playFlood(port, idle, machine);
-    t.log(outcome);
-    t.is(outcome.exitCount, 0);
-    t.true(outcome.maxDescriptors <= machine.maxFds, `${outcome.maxDescriptors} descriptors`);
-    t.is(outcome.statusBeside, 200);
-    t.is(outcome.statusAfter, 200);
-    t.is(outcome.statusOfLarge, 200);
+    checkFloodOutcome(t, outcome, machine);
   });
 }
