--- a/packages/callers/src/BufferPressure/test.ts
+++ b/packages/callers/src/BufferPressure/test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import { bytesInMebibyte, collectGarbage, ManualClock } from '@acaciacrank/base';
+import { getHeapStatistics } from 'node:v8';
 import { BufferPressure } from './index.js';
 
 function createRig() {
@@ -42,3 +43,11 @@
   collectGarbage();
   t.true(process.memoryUsage().arrayBuffers < before + 10 * bytesInMebibyte);
 });
+
+// Guards against ordinary bodies that are refused for buffers that were released before.
+test('the pressure is low at once when released buffers are collected', (t) => {
+  const maxBytes = getHeapStatistics().external_memory + 10 * bytesInMebibyte;
+  const pressure = new BufferPressure({ clock: new ManualClock(), maxBytes });
+  for (let count = 0; count < 20; count += 1) Buffer.alloc(bytesInMebibyte, count);
+  t.false(pressure.isHighAfter(bytesInMebibyte));
+});
