--- a/packages/base/src/ClientConnections/index.ts
+++ b/packages/base/src/ClientConnections/index.ts
@@ -146,8 +146,7 @@
     this.#all.delete(socket);
     if (connection.isClosing) this.#closingCount -= 1;
     else this.#removeFromSets(connection);
-    this.#requestCount -= connection.requestCount;
-    connection.requestCount = 0;
+    this.#countRequests(connection, -connection.requestCount);
     connection.responses.clear();
   }
 
@@ -207,6 +206,7 @@
   }
 
   #countRequests(connection: Connection, count: number): void {
+    if (connection.isClosing) return;
     connection.requestCount += count;
     this.#requestCount += count;
   }
@@ -273,9 +273,10 @@
     return this.#all.size - this.#closingCount;
   }
 
-  /** Its requests count until its socket is closed. */
+  /** Its requests leave room at once for the one for which it gives way: they end in the same turn of the event loop. */
   #close(connection: Connection, reason: ClientCloseReason): void {
     if (connection.isClosing) return;
+    this.#countRequests(connection, -connection.requestCount);
     connection.isClosing = true;
     this.#closingCount += 1;
     this.#removeFromSets(connection);
--- a/packages/base/src/ClientConnections/test.ts
+++ b/packages/base/src/ClientConnections/test.ts
@@ -74,7 +74,7 @@
 });
 
 // Guards against a crowd with one request each that never becomes whole.
-test('a connection with a request that is not whole gives way to a new one, and to a request', (t) => {
+test('a connection with a request that is not whole gives way to a new one', (t) => {
   const { connect } = createRig();
   const ordinary = connect();
   ordinary.begin();
@@ -84,8 +84,23 @@
   const next = connect();
   t.true(first.isDestroyed);
   next.begin();
-  t.true(second.isDestroyed);
-  t.false(next.isDestroyed || ordinary.isDestroyed);
+  t.false([second, next, ordinary].some(({ isDestroyed }) => isDestroyed));
+});
+
+// Guards against an ordinary request that is refused although another connection has given way to it.
+test('a connection with a request that is not whole gives way to a request, which has room at once', (t) => {
+  const { connections, connect } = createRig({ maxConnections: 10 });
+  const ordinary = connect();
+  ordinary.begin();
+  const [first, second, next] = [connect(), connect(), connect()];
+  first.begin(false);
+  second.begin(false);
+  next.begin();
+  t.true(first.isDestroyed);
+  t.true(connections.hasRoom);
+  t.false([second, next, ordinary].some(({ isDestroyed }) => isDestroyed));
+  first.close();
+  t.is(connections.requestCount, 3);
 });
 
 test('a new connection is closed if all others wait for one response each', (t) => {
