--- a/packages/base/src/ClientConnections/index.ts
+++ b/packages/base/src/ClientConnections/index.ts
@@ -7,7 +7,10 @@
 export interface ClientLimits {
   /** Number of connections. */
   readonly maxConnections: number;
-  /** Number of unanswered requests of one connection; one with many headers counts as several. */
+  /**
+   * Number of unanswered requests of one connection; one with many headers counts as several. Also the number of requests
+   * in one read of it: they were sent before any of them was answered.
+   */
   readonly maxRequestsAhead: number;
   /** Number of unanswered requests of all connections, counted alike. */
   readonly maxRequests: number;
@@ -54,6 +57,8 @@
   requestCount: number;
   /** Bytes that had been read when its last request ended. */
   bytesReadBefore: number;
+  /** Bytes that had been read when its last request began, and how many have begun since that read. */
+  lastRead: { readonly bytes: number; requestCount: number };
   /** Bytes that had been sent, and since when there are no more, while a complete response waits for its client. */
   stall: { readonly sentBytes: number; readonly sinceMs: number } | undefined;
   isClosing: boolean;
@@ -131,6 +136,7 @@
       responses: new Set(),
       requestCount: 0,
       bytesReadBefore: socket.bytesRead,
+      lastRead: { bytes: socket.bytesRead, requestCount: 0 },
       stall: undefined,
       isClosing: false,
     };
@@ -153,12 +159,14 @@
   /**
    * Records that the head of a request was received.
    *
-   * @returns false if its connection is to be closed, since too many of its requests are unanswered
+   * @returns false if its connection is to be closed, since it has sent too many requests ahead
    */
   beginRequest(socket: ClientSocketLike): boolean {
     const connection = this.#all.get(socket);
     if (connection === undefined || connection.isClosing) return false;
-    return connection.requestCount < this.#options.limits.maxRequestsAhead;
+    const { maxRequestsAhead } = this.#options.limits;
+    if (countInRead(connection) > maxRequestsAhead) return false;
+    return connection.requestCount < maxRequestsAhead;
   }
 
   /** Records the response to a request that has begun. */
@@ -292,6 +300,20 @@
   }
 }
 
+/**
+ * Counts a request that begins, and returns how many have begun in the same read.
+ *
+ * Guards against requests that are answered while the rest of their read is parsed: however few of them are unanswered at
+ * a time, hundreds keep all other clients waiting.
+ */
+function countInRead(connection: Connection): number {
+  const { bytesRead } = connection.socket;
+  if (connection.lastRead.bytes !== bytesRead)
+    connection.lastRead = { bytes: bytesRead, requestCount: 0 };
+  connection.lastRead.requestCount += 1;
+  return connection.lastRead.requestCount;
+}
+
 /** Guards against requests with thousands of headers, each of which holds as much as many ordinary ones. */
 function requestsOf({ req }: ClientResponseLike): number {
   return Math.max(1, Math.ceil(req.rawHeaders.length / headerTextsPerRequest));
--- a/packages/base/src/createBoundedServer/test.ts
+++ b/packages/base/src/createBoundedServer/test.ts
@@ -67,6 +67,20 @@
   });
 }
 
+// Guards against requests that are answered one by one while the rest of their read is parsed.
+test('requests ahead with bodies, each answered at once, are parsed up to the limit only', async (t) => {
+  let began = 0;
+  const { open, reasons } = await listen(t, (request, response) => {
+    began += 1;
+    request.resume().once('end', () => response.end('fine'));
+  });
+  const socket = open();
+  socket.write('POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx'.repeat(1_000));
+  await readAll(socket);
+  t.true(began <= limits.maxRequestsAhead, `${began}`);
+  t.deepEqual(reasons, ['tooManyRequestsAhead']);
+});
+
 test('requests that follow each other are not limited', async (t) => {
   const { open, reasons } = await listen(t, (_request, response) => response.end('fine'));
   const socket = open();
--- a/packages/soak/src/failures/floods/callers/test.ts
+++ b/packages/soak/src/failures/floods/callers/test.ts
@@ -65,6 +65,18 @@
     times: 7,
     connections: 200,
   },
+  {
+    name: 'requests ahead with an expectation that is not known',
+    start: '',
+    repeated: `${head('POST /pay/x', `${key}Expect: nothing\r\nContent-Length: 1\r\n`)}x`,
+    times: 20_000,
+  },
+  {
+    name: 'small bodies ahead to a host without routes',
+    start: '',
+    repeated: 'POST / HTTP/1.1\r\nHost: none.example\r\nContent-Length: 1\r\n\r\nx',
+    times: 20_000,
+  },
   { name: 'heads without an end', start: 'GET /', repeated: 'x', times: 16_000 },
 ];
 
