--- a/packages/base/src/createBoundedServer/index.ts
+++ b/packages/base/src/createBoundedServer/index.ts
@@ -26,6 +26,8 @@
   readonly refuse?: RequestListener;
   /** Takes over connections to another protocol; requests for one are answered as any other by default. */
   readonly upgrade?: UpgradeListener;
+  /** Whether requests may have bodies; true by default. Otherwise one with a body is answered 413, and nothing of it is read. */
+  readonly takesBodies?: boolean;
   /** Sizes and timeouts of the server. */
   readonly server?: Omit<ServerOptions, 'IncomingMessage' | 'ServerResponse'>;
 }
@@ -59,7 +61,7 @@
   options: CreateBoundedServerOptions,
   listener: RequestListener,
 ): Server {
-  const { connections, refuse = refuseForWantOfRoom, upgrade } = options;
+  const { connections, refuse = refuseForWantOfRoom, upgrade, takesBodies = true } = options;
   const slicer = new ReadSlicer({
     clock: connections.clock,
     maxUnparsedBytes,
@@ -70,7 +72,12 @@
   const settings: ServerOptions = {
     connectionsCheckingInterval: timeoutCheckIntervalMs,
     ...options.server,
-    ...createMessageClasses({ connections, slicer, allowsUpgrades: upgrade !== undefined }),
+    ...createMessageClasses({
+      connections,
+      slicer,
+      allowsUpgrades: upgrade !== undefined,
+      takesBodies,
+    }),
   };
   const server = createServer(settings, (request, response) => {
     if (connections.hasRoom) listener(request, response);
@@ -88,6 +95,10 @@
       connections.close(request.socket, 'tooManyRequestsAhead');
       return;
     }
+    if (isBodyRefused(request)) {
+      refuseBody(request.socket);
+      return;
+    }
     connections.remove(request.socket);
     upgrade?.(request, socket, head);
   });
@@ -95,13 +106,20 @@
   return server;
 }
 
-/** A request that may be past the limit of its connection. */
-interface CountedRequest extends IncomingMessage {
+/** A request at which the parser may stop. */
+interface CheckedRequest extends IncomingMessage {
+  /** Whether it is past the limit of its connection. */
   readonly isBeyondLimit: boolean;
+  /** Whether it has a body, and the server takes none. */
+  readonly isBodyRefused: boolean;
 }
 
 function isBeyondLimit(request: IncomingMessage): boolean {
-  return (request as CountedRequest).isBeyondLimit;
+  return (request as CheckedRequest).isBeyondLimit;
+}
+
+function isBodyRefused(request: IncomingMessage): boolean {
+  return (request as CheckedRequest).isBodyRefused;
 }
 
 interface MessageOptions {
@@ -109,11 +127,13 @@
   readonly slicer: ReadSlicer;
   /** Whether requests for another protocol are passed on as such. */
   readonly allowsUpgrades: boolean;
+  readonly takesBodies: boolean;
 }
 
 /** Classes of the messages of one server, which count each request that is parsed, whoever answers it. */
-function createMessageClasses({ connections, slicer, allowsUpgrades }: MessageOptions) {
-  class BoundedRequest extends IncomingMessage implements CountedRequest {
+function createMessageClasses(options: MessageOptions) {
+  const { connections, slicer, allowsUpgrades, takesBodies } = options;
+  class BoundedRequest extends IncomingMessage implements CheckedRequest {
     readonly isBeyondLimit: boolean;
     #chunkCount = 0;
     /** Whether the client asks for another protocol; set by the parser, also while the class above is constructed. */
@@ -132,9 +152,13 @@
       return super.push(chunk);
     }
 
+    get isBodyRefused(): boolean {
+      return !takesBodies && hasBody(this);
+    }
+
     /** Read by the parser once the head is complete: it stops there if this is true. */
     get upgrade(): boolean {
-      if (this.isBeyondLimit) return true;
+      if (this.isBeyondLimit || this.isBodyRefused) return true;
       const isWanted = this.isUpgradeWanted === true;
       return isWanted && (allowsUpgrades || this.method === 'CONNECT');
     }
@@ -160,6 +184,15 @@
   return { IncomingMessage: BoundedRequest, ServerResponse: BoundedResponse };
 }
 
+function hasBody({ headers }: IncomingMessage): boolean {
+  return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
+}
+
+function refuseBody(socket: Socket): void {
+  socket.on('error', ignoreError);
+  socket.end('HTTP/1.1 413 Payload Too Large\r\nConnection: close\r\n\r\n', () => socket.destroy());
+}
+
 /** A write that races with the close of its connection fails; the close ends the request. */
 function ignoreError(): void {
   return undefined;
--- a/packages/base/src/createBoundedServer/test.ts
+++ b/packages/base/src/createBoundedServer/test.ts
@@ -5,7 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { ClientConnections, type ClientCloseReason } from '../ClientConnections/index.js';
 import { ManualClock } from '../ManualClock/index.js';
-import { createBoundedServer } from './index.js';
+import { createBoundedServer, type CreateBoundedServerOptions } from './index.js';
 
 const limits = {
   maxConnections: 10,
@@ -16,11 +16,15 @@
 };
 const plain = 'GET /x HTTP/1.1\r\nHost: h\r\n\r\n';
 
-async function listen(t: ExecutionContext, listener: RequestListener) {
+async function listen(
+  t: ExecutionContext,
+  listener: RequestListener,
+  options: Pick<CreateBoundedServerOptions, 'takesBodies'> = {},
+) {
   const reasons: ClientCloseReason[] = [];
   const onClosed = (reason: ClientCloseReason) => reasons.push(reason);
   const connections = new ClientConnections({ limits, clock: new ManualClock(), onClosed });
-  const server = createBoundedServer({ connections }, listener);
+  const server = createBoundedServer({ ...options, connections }, listener);
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
@@ -81,6 +85,34 @@
   t.deepEqual(reasons, ['tooManyRequestsAhead']);
 });
 
+// Guards against bodies that take the processor's time at a port that needs none.
+for (const [name, field] of [
+  ['with a length', 'Content-Length: 10'],
+  ['in chunks', 'Transfer-Encoding: chunked'],
+] as const) {
+  test(`a body ${name} is refused with its head where none is taken`, async (t) => {
+    let began = 0;
+    const listener: RequestListener = (_request, response) => {
+      began += 1;
+      response.end('fine');
+    };
+    const { open, connections } = await listen(t, listener, { takesBodies: false });
+    const socket = open();
+    socket.write(`POST /x HTTP/1.1\r\nHost: h\r\n${field}\r\n\r\n`);
+    t.regex(await readAll(socket), /^HTTP\/1.1 413 /);
+    t.is(began, 0);
+    t.is(connections.connectionCount, 0);
+  });
+}
+
+test('a request without a body is answered where none is taken', async (t) => {
+  const listener: RequestListener = (_request, response) => response.end('fine');
+  const { open } = await listen(t, listener, { takesBodies: false });
+  const socket = open();
+  socket.end('POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n');
+  t.regex(await readAll(socket), /fine$/);
+});
+
 test('requests that follow each other are not limited', async (t) => {
   const { open, reasons } = await listen(t, (_request, response) => response.end('fine'));
   const socket = open();
--- a/packages/fleet/src/WsFleetLinks/index.ts
+++ b/packages/fleet/src/WsFleetLinks/index.ts
@@ -285,6 +285,7 @@
       {
         connections,
         server: httpTimeouts,
+        takesBodies: false,
         upgrade: (request: IncomingMessage, socket, head) => {
           webSockets.handleUpgrade(request, socket, head, (webSocket) => {
             webSockets.emit('connection', webSocket, request);
