--- a/packages/base/src/ClientConnections/index.ts
+++ b/packages/base/src/ClientConnections/index.ts
@@ -8,7 +8,7 @@
   /** Number of connections. */
   readonly maxConnections: number;
   /**
-   * Number of unanswered requests of one connection; one with many headers counts as several. Also the number of requests
+   * Number of unanswered requests of one connection; one with a large head counts as several. Also the number of requests
    * in one read of it: they were sent before any of them was answered.
    */
   readonly maxRequestsAhead: number;
@@ -20,8 +20,8 @@
   readonly stallTimeoutMs: number;
 }
 
-/** Names and values of headers of an ordinary request, at most. */
-const headerTextsPerRequest = 128;
+/** Names and values of headers of an ordinary request, at most, and their size in characters. */
+const ordinaryHead = { headerTexts: 128, characters: 8_192 } as const;
 
 /** Why the connection of a client was closed. */
 export type ClientCloseReason =
@@ -42,8 +42,12 @@
 
 /** The part of a response that is needed here. */
 export interface ClientResponseLike {
-  /** Its request: whether that was received whole, and the names and values of its headers. */
-  readonly req: { readonly complete: boolean; readonly rawHeaders: readonly string[] };
+  /** Its request: whether that was received whole, its target, and the names and values of its headers. */
+  readonly req: {
+    readonly complete: boolean;
+    readonly url?: string | undefined;
+    readonly rawHeaders: readonly string[];
+  };
   readonly writableEnded: boolean;
   readonly writableFinished: boolean;
 }
@@ -51,9 +55,9 @@
 /** One connection of a client. */
 interface Connection {
   readonly socket: ClientSocketLike;
-  /** Responses that are not sent whole, in the order of their requests. */
-  readonly responses: Set<ClientResponseLike>;
-  /** Number of their requests; one with many headers counts as several. */
+  /** Responses that are not sent whole, in the order of their requests, and as how many requests those count. */
+  readonly responses: Map<ClientResponseLike, number>;
+  /** Number of their requests; one with a large head counts as several. */
   requestCount: number;
   /** Bytes that had been read when its last request ended. */
   bytesReadBefore: number;
@@ -133,7 +137,7 @@
     if (this.#openCount >= maxConnections) this.#makeRoom();
     const connection: Connection = {
       socket,
-      responses: new Set(),
+      responses: new Map(),
       requestCount: 0,
       bytesReadBefore: socket.bytesRead,
       lastRead: { bytes: socket.bytesRead, requestCount: 0 },
@@ -173,8 +177,9 @@
   addResponse(socket: ClientSocketLike, response: ClientResponseLike): void {
     const connection = this.#all.get(socket);
     if (connection === undefined) return;
-    connection.responses.add(response);
-    this.#countRequests(connection, requestsOf(response));
+    const count = requestsOf(response);
+    connection.responses.set(response, count);
+    this.#countRequests(connection, count);
     if (connection.isClosing) return;
     this.#setBusy(connection);
     if (connection.requestCount > 1) this.#ahead.add(connection);
@@ -184,8 +189,10 @@
   /** Records that a response was sent whole, or is given up. */
   removeResponse(socket: ClientSocketLike, response: ClientResponseLike): void {
     const connection = this.#all.get(socket);
-    if (connection?.responses.delete(response) !== true) return;
-    this.#countRequests(connection, -requestsOf(response));
+    const count = connection?.responses.get(response);
+    if (connection === undefined || count === undefined) return;
+    connection.responses.delete(response);
+    this.#countRequests(connection, -count);
     connection.stall = undefined;
     if (connection.isClosing) return;
     if (connection.requestCount <= 1) this.#ahead.delete(connection);
@@ -197,7 +204,7 @@
 
   /** Responses of a connection that are not sent whole. */
   responsesOf(socket: ClientSocketLike): readonly ClientResponseLike[] {
-    return [...(this.#all.get(socket)?.responses ?? [])];
+    return [...(this.#all.get(socket)?.responses.keys() ?? [])];
   }
 
   /** Closes a connection for a reason. */
@@ -240,14 +247,14 @@
   /** Returns the oldest connection with a request that is not whole. */
   #findReceiving(): Connection | undefined {
     for (const connection of this.#busy) {
-      for (const { req } of connection.responses) if (!req.complete) return connection;
+      for (const { req } of connection.responses.keys()) if (!req.complete) return connection;
     }
     return undefined;
   }
 
   #checkStall(connection: Connection, nowMs: number): void {
     const { socket, responses, stall } = connection;
-    const [response] = responses;
+    const [response] = responses.keys();
     const isWaiting = response?.writableEnded === true && !response.writableFinished;
     if (!isWaiting) {
       connection.stall = undefined;
@@ -314,9 +321,15 @@
   return connection.lastRead.requestCount;
 }
 
-/** Guards against requests with thousands of headers, each of which holds as much as many ordinary ones. */
-function requestsOf({ req }: ClientResponseLike): number {
-  return Math.max(1, Math.ceil(req.rawHeaders.length / headerTextsPerRequest));
+/** Guards against requests with thousands of headers, or large ones, each of which holds as much as many ordinary ones. */
+function requestsOf({ req: { url = '', rawHeaders } }: ClientResponseLike): number {
+  let characters = url.length;
+  for (const text of rawHeaders) characters += text.length;
+  return Math.max(
+    1,
+    Math.ceil(rawHeaders.length / ordinaryHead.headerTexts),
+    Math.ceil(characters / ordinaryHead.characters),
+  );
 }
 
 /** Bytes of a head that is not complete, at most. */
--- a/packages/base/src/ClientConnections/test.ts
+++ b/packages/base/src/ClientConnections/test.ts
@@ -31,9 +31,9 @@
     this.#connections.remove(this);
   }
 
-  begin(isWhole = true, headerTexts = 10) {
+  begin(isWhole = true, headerTexts = 10, text = 'h') {
     const response = {
-      req: { complete: isWhole, rawHeaders: Array<string>(headerTexts).fill('h') },
+      req: { complete: isWhole, url: '/x', rawHeaders: Array<string>(headerTexts).fill(text) },
       writableEnded: false,
       writableFinished: false,
     };
@@ -154,6 +154,16 @@
   t.is(connections.requestCount, 2);
 });
 
+// Guards against heads of tens of kilobytes, each of which holds as much as many ordinary ones.
+test('a request with a large head counts as several', (t) => {
+  const { connections, connect } = createRig();
+  const heavy = connect();
+  heavy.begin(true, 1, 'h'.repeat(8_192));
+  t.is(connections.requestCount, 2);
+  heavy.close();
+  t.is(connections.requestCount, 0);
+});
+
 test('where requests are too many and none is ahead, there is no room', (t) => {
   const { connections, connect } = createRig({ maxConnections: 10 });
   for (let count = 0; count < 3; count += 1) connect().begin();
