--- a/packages/base/src/collectGarbage/index.ts
+++ b/packages/base/src/collectGarbage/index.ts
@@ -21,6 +21,19 @@
   collect({ type: 'minor' });
 }
 
+/**
+ * Collects what was created a short while ago and is not referenced any more, at once. It takes some 3 ms.
+ *
+ * @example
+ * collectYoungGarbage();
+ */
+export function collectYoungGarbage(): void {
+  collect ??= findCollector();
+  // The second one waits for the release of what the first one found.
+  collect({ type: 'minor' });
+  collect({ type: 'minor' });
+}
+
 /** V8 offers it only to scripts of a context that was created under this option. */
 function findCollector(): Collector {
   setFlagsFromString('--expose-gc');
--- a/packages/base/src/createBoundedServer/index.ts
+++ b/packages/base/src/createBoundedServer/index.ts
@@ -28,6 +28,8 @@
   readonly upgrade?: UpgradeListener;
   /** Whether requests may have bodies; true by default. Otherwise one with a body is answered 413, and nothing of it is read. */
   readonly takesBodies?: boolean;
+  /** Whether there is room for a body of so many bytes, 0 if unknown; there is by default. It is refused before it is read. */
+  readonly hasRoomForBody?: (bytes: number) => boolean;
   /** Sizes and timeouts of the server. */
   readonly server?: Omit<ServerOptions, 'IncomingMessage' | 'ServerResponse'>;
 }
@@ -61,7 +63,8 @@
   options: CreateBoundedServerOptions,
   listener: RequestListener,
 ): Server {
-  const { connections, refuse = refuseForWantOfRoom, upgrade, takesBodies = true } = options;
+  const { connections, refuse = refuseForWantOfRoom, upgrade } = options;
+  const { takesBodies = true, hasRoomForBody = () => true } = options;
   const slicer = new ReadSlicer({
     clock: connections.clock,
     maxUnparsedBytes,
@@ -77,6 +80,7 @@
       slicer,
       allowsUpgrades: upgrade !== undefined,
       takesBodies,
+      hasRoomForBody,
     }),
   };
   const server = createServer(settings, (request, response) => {
@@ -91,35 +95,31 @@
     });
   });
   server.on('upgrade', (request, socket, head) => {
-    if (isBeyondLimit(request)) {
+    const reason = stopReasonOf(request);
+    if (reason === undefined) {
+      connections.remove(request.socket);
+      upgrade?.(request, socket, head);
+    } else if (reason === 'beyondLimit' || connections.responsesOf(request.socket).length > 0) {
+      // The next response on the connection belongs to an earlier request.
       connections.close(request.socket, 'tooManyRequestsAhead');
-      return;
+    } else {
+      refuseAtHead(request, reason === 'noRoomForBody' ? refuse : refuseBody);
     }
-    if (isBodyRefused(request)) {
-      refuseBody(request.socket);
-      return;
-    }
-    connections.remove(request.socket);
-    upgrade?.(request, socket, head);
   });
   checkWhileListening(server, connections);
   return server;
 }
 
+/** Why the parser stops at a request: it is past a limit, or its body is not to be read. */
+type StopReason = 'beyondLimit' | 'bodyNotTaken' | 'noRoomForBody';
+
 /** A request at which the parser may stop. */
 interface CheckedRequest extends IncomingMessage {
-  /** Whether it is past the limit of its connection. */
-  readonly isBeyondLimit: boolean;
-  /** Whether it has a body, and the server takes none. */
-  readonly isBodyRefused: boolean;
+  readonly stopReason: StopReason | undefined;
 }
 
-function isBeyondLimit(request: IncomingMessage): boolean {
-  return (request as CheckedRequest).isBeyondLimit;
-}
-
-function isBodyRefused(request: IncomingMessage): boolean {
-  return (request as CheckedRequest).isBodyRefused;
+function stopReasonOf(request: IncomingMessage): StopReason | undefined {
+  return (request as CheckedRequest).stopReason;
 }
 
 interface MessageOptions {
@@ -128,20 +128,22 @@
   /** Whether requests for another protocol are passed on as such. */
   readonly allowsUpgrades: boolean;
   readonly takesBodies: boolean;
+  readonly hasRoomForBody: (bytes: number) => boolean;
 }
 
 /** Classes of the messages of one server, which count each request that is parsed, whoever answers it. */
 function createMessageClasses(options: MessageOptions) {
-  const { connections, slicer, allowsUpgrades, takesBodies } = options;
+  const { connections, slicer, allowsUpgrades } = options;
   class BoundedRequest extends IncomingMessage implements CheckedRequest {
-    readonly isBeyondLimit: boolean;
+    stopReason: StopReason | undefined;
+    #isBodyChecked = false;
     #chunkCount = 0;
     /** Whether the client asks for another protocol; set by the parser, also while the class above is constructed. */
     declare private isUpgradeWanted: boolean | null;
 
     constructor(socket: Socket) {
       super(socket);
-      this.isBeyondLimit = !connections.beginRequest(socket);
+      if (!connections.beginRequest(socket)) this.stopReason = 'beyondLimit';
     }
 
     /** Called by the parser with each chunk. */
@@ -152,13 +154,11 @@
       return super.push(chunk);
     }
 
-    get isBodyRefused(): boolean {
-      return !takesBodies && hasBody(this);
-    }
-
-    /** Read by the parser once the head is complete: it stops there if this is true. */
+    /** Read by the parser once the head is complete, more than once: it stops there if this is true. */
     get upgrade(): boolean {
-      if (this.isBeyondLimit || this.isBodyRefused) return true;
+      if (!this.#isBodyChecked) this.stopReason ??= findBodyStop(options, this);
+      this.#isBodyChecked = true;
+      if (this.stopReason !== undefined) return true;
       const isWanted = this.isUpgradeWanted === true;
       return isWanted && (allowsUpgrades || this.method === 'CONNECT');
     }
@@ -184,15 +184,34 @@
   return { IncomingMessage: BoundedRequest, ServerResponse: BoundedResponse };
 }
 
-function hasBody({ headers }: IncomingMessage): boolean {
-  return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
+function findBodyStop(
+  { takesBodies, hasRoomForBody }: MessageOptions,
+  { headers }: IncomingMessage,
+): StopReason | undefined {
+  const bytes = Number(headers['content-length'] ?? 0);
+  if (!(bytes > 0) && headers['transfer-encoding'] === undefined) return undefined;
+  if (!takesBodies) return 'bodyNotTaken';
+  return hasRoomForBody(bytes) ? undefined : 'noRoomForBody';
 }
 
-function refuseBody(socket: Socket): void {
+/** Answers a request of which only the head was read, and closes its connection. */
+function refuseAtHead(request: IncomingMessage, refuse: RequestListener): void {
+  const { socket } = request;
+  const response = new ServerResponse(request);
+  response.shouldKeepAlive = false;
   socket.on('error', ignoreError);
-  socket.end('HTTP/1.1 413 Payload Too Large\r\nConnection: close\r\n\r\n', () => socket.destroy());
+  response.on('error', ignoreError);
+  response.assignSocket(socket);
+  response.once('finish', () => {
+    socket.end(() => socket.destroy());
+  });
+  refuse(request, response);
 }
 
+const refuseBody: RequestListener = (_request, response) => {
+  response.writeHead(413, { connection: 'close', 'content-length': 0 }).end();
+};
+
 /** A write that races with the close of its connection fails; the close ends the request. */
 function ignoreError(): void {
   return undefined;
--- a/packages/base/src/createBoundedServer/test.ts
+++ b/packages/base/src/createBoundedServer/test.ts
@@ -19,7 +19,7 @@
 async function listen(
   t: ExecutionContext,
   listener: RequestListener,
-  options: Pick<CreateBoundedServerOptions, 'takesBodies'> = {},
+  options: Pick<CreateBoundedServerOptions, 'takesBodies' | 'hasRoomForBody'> = {},
 ) {
   const reasons: ClientCloseReason[] = [];
   const onClosed = (reason: ClientCloseReason) => reasons.push(reason);
@@ -105,6 +105,29 @@
   });
 }
 
+// Guards against bodies that fill the memory before they are refused.
+test('a body for which there is no room is refused with its head', async (t) => {
+  const asked: number[] = [];
+  const hasRoomForBody = (bytes: number) => {
+    asked.push(bytes);
+    return false;
+  };
+  const { open } = await listen(t, () => t.fail(), { hasRoomForBody });
+  const socket = open();
+  socket.write('POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n');
+  t.regex(await readAll(socket), /^HTTP\/1.1 503 /);
+  t.deepEqual(asked, [10]);
+});
+
+// Guards against a refusal that is taken for the response to the request before it.
+test('a body that is refused behind an unanswered request closes the connection', async (t) => {
+  const { open, connections } = await listen(t, () => undefined, { takesBodies: false });
+  const socket = open();
+  socket.write(`${plain}POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n`);
+  t.is(await readAll(socket), '');
+  t.is(connections.connectionCount, 0);
+});
+
 test('a request without a body is answered where none is taken', async (t) => {
   const listener: RequestListener = (_request, response) => response.end('fine');
   const { open } = await listen(t, listener, { takesBodies: false });
--- a/packages/callers/src/BodyMemory/index.ts
+++ b/packages/callers/src/BodyMemory/index.ts
@@ -12,6 +12,8 @@
   readonly pressure?: Pick<BufferPressure, 'isHighAfter'>;
 }
 
+/** Bodies of up to this size are not refused for the buffers of the process, in bytes: requests are few enough for them. */
+const smallBodyBytes = 4_096;
 /** Number of bodies in very small chunks that are received at a time; each may take much of the processor's time. */
 const maxFragmentedBodies = 8;
 
@@ -69,13 +71,27 @@
   }
 
   /**
-   * Checks that there is room for buffers, for a body that does not arrive at once. One alone always has it.
+   * Whether there is room for a body that is not read yet. The bodies that are incomplete give way to it.
+   *
+   * @param bytes - its size; 0 if unknown
+   */
+  hasRoomFor(bytes: number): boolean {
+    const isSmall = bytes > 0 && bytes <= smallBodyBytes;
+    const isAlone = this.#heldBytes === 0 && this.#incomplete.size === 0;
+    if (isSmall || isAlone) return true;
+    if (this.#pressure?.isHighAfter(0) === true) return false;
+    return this.#incomplete.size > 0 || this.#heldBytes + bytes <= this.#maxBytes;
+  }
+
+  /**
+   * Checks that there is room for the buffers of a body. One alone always has it.
    *
    * @throws RouterError `overloaded` if the buffers of the process are too large
    */
-  checkBuffers(bytes: number): void {
-    const isHigh = this.#pressure?.isHighAfter(bytes) === true;
-    if (isHigh && this.#incomplete.size > 1) throw createOverloadedError();
+  checkBuffers(bytes: number, ownBytes: number): void {
+    if (this.#pressure?.isHighAfter(bytes) !== true) return;
+    const isAlone = this.#heldBytes === ownBytes && this.#incomplete.size <= 1;
+    if (!isAlone && ownBytes + bytes > smallBodyBytes) throw createOverloadedError();
   }
 
   /**
@@ -113,6 +129,7 @@
    * @throws RouterError `overloaded` if it would exceed the limit
    */
   take(bytes: number): void {
+    this.#memory.checkBuffers(bytes, this.#bytes);
     this.#memory.makeRoom(bytes, this);
     this.add(bytes);
   }
@@ -126,16 +143,6 @@
     this.#memory.count(bytes);
   }
 
-  /**
-   * Counts a further part of a request body.
-   *
-   * @throws RouterError `overloaded` if it would exceed the limit
-   */
-  takeMore(bytes: number): void {
-    this.#memory.checkBuffers(bytes);
-    this.take(bytes);
-  }
-
   /** Lets the body give way to others until {@link endReading}. */
   beginReading(onGiveWay: (error: RouterError) => void): void {
     this.#memory.addIncomplete(this, onGiveWay);
--- a/packages/callers/src/BodyMemory/test.ts
+++ b/packages/callers/src/BodyMemory/test.ts
@@ -51,21 +51,45 @@
   );
 });
 
-test('a body that comes in parts is refused while the buffers of the process are too large', (t) => {
+test('a body is refused while the buffers of the process are too large, unless it is small or alone', (t) => {
   let isHigh = false;
-  const memory = new BodyMemory({ maxBytes: 100, pressure: { isHighAfter: () => isHigh } });
-  const { held } = openIncomplete(memory, 1);
-  const { held: other } = openIncomplete(memory, 1);
-  held.takeMore(1);
+  const memory = new BodyMemory({ maxBytes: 100_000, pressure: { isHighAfter: () => isHigh } });
+  const { held } = openIncomplete(memory, 5_000);
+  const { held: other } = openIncomplete(memory, 5_000);
+  held.take(1);
   isHigh = true;
   t.throws(() => {
-    held.takeMore(1);
+    held.take(1);
+  });
+  t.throws(() => {
+    memory.open().take(5_000);
   });
-  other.endReading();
   t.notThrows(() => {
-    held.takeMore(1);
+    memory.open().take(1_000);
   });
+  other[Symbol.dispose]();
+  held[Symbol.dispose]();
+});
+
+test('a body alone is not refused for the buffers of the process', (t) => {
+  const memory = new BodyMemory({ maxBytes: 100_000, pressure: { isHighAfter: () => true } });
+  const { held } = openIncomplete(memory, 50_000);
   t.notThrows(() => {
-    memory.open().take(1);
+    held.take(10_000);
   });
 });
+
+test('there is room for a body that is not read yet if others give way, or it is small or alone', (t) => {
+  let isHigh = true;
+  const memory = new BodyMemory({ maxBytes: 100_000, pressure: { isHighAfter: () => isHigh } });
+  t.true(memory.hasRoomFor(50_000));
+  const { held } = openIncomplete(memory, 80_000);
+  t.false(memory.hasRoomFor(50_000));
+  t.false(memory.hasRoomFor(0));
+  t.true(memory.hasRoomFor(1_000));
+  isHigh = false;
+  t.true(memory.hasRoomFor(50_000));
+  held.endReading();
+  t.false(memory.hasRoomFor(50_000));
+  t.true(memory.hasRoomFor(10_000));
+});
--- a/packages/callers/src/BufferPressure/index.ts
+++ b/packages/callers/src/BufferPressure/index.ts
@@ -1,4 +1,9 @@
-import { bytesInMebibyte, collectGarbage, type Clock } from '@acaciacrank/base';
+import {
+  bytesInMebibyte,
+  collectGarbage,
+  collectYoungGarbage,
+  type Clock,
+} from '@acaciacrank/base';
 import { getHeapStatistics } from 'node:v8';
 
 /** Options of {@link BufferPressure}. */
@@ -10,12 +15,16 @@
   readonly measureBytes?: () => number;
   /** Frees what is released. */
   readonly collect?: () => void;
+  /** Frees what is released and was created a short while ago. */
+  readonly collectYoung?: () => void;
 }
 
 /** The buffers are measured again after so many bytes. */
 const measureIntervalBytes = bytesInMebibyte / 4;
-/** Minimum time between two collections, each of which stops the process for some 20 ms, in milliseconds. */
+/** Minimum time between two collections of everything, each of which stops the process for some 20 ms, in milliseconds. */
 const minCollectIntervalMs = 500;
+/** Between them, what is young is collected after so many bytes. */
+const youngIntervalBytes = 8 * bytesInMebibyte;
 
 /**
  * Knows whether the buffers of the process take too much of its memory.
@@ -31,11 +40,13 @@
   #unmeasuredBytes = 0;
   #isHigh = false;
   #lastCollectMs = -Infinity;
+  #uncollectedBytes = 0;
 
   constructor(options: BufferPressureOptions) {
     this.#options = {
       measureBytes: () => getHeapStatistics().external_memory,
       collect: collectGarbage,
+      collectYoung: collectYoungGarbage,
       ...options,
     };
   }
@@ -43,6 +54,7 @@
   /** Whether the buffers are too large, now that so many more bytes were received. */
   isHighAfter(bytes: number): boolean {
     this.#unmeasuredBytes += bytes;
+    this.#uncollectedBytes += bytes;
     if (this.#unmeasuredBytes < measureIntervalBytes && !this.#isHigh) return false;
     this.#unmeasuredBytes = 0;
     this.#isHigh = this.#isTooLarge;
@@ -55,10 +67,14 @@
   }
 
   #collect(): void {
-    const nowMs = this.#options.clock.monotonicMs();
-    if (nowMs - this.#lastCollectMs < minCollectIntervalMs) return;
-    this.#lastCollectMs = nowMs;
-    this.#options.collect();
+    const { clock, collect, collectYoung } = this.#options;
+    const nowMs = clock.monotonicMs();
+    const isDue = nowMs - this.#lastCollectMs >= minCollectIntervalMs;
+    if (!isDue && this.#uncollectedBytes < youngIntervalBytes) return;
+    this.#uncollectedBytes = 0;
+    if (isDue) this.#lastCollectMs = nowMs;
+    if (isDue) collect();
+    else collectYoung();
     this.#isHigh = this.#isTooLarge;
   }
 }
--- a/packages/callers/src/BufferPressure/test.ts
+++ b/packages/callers/src/BufferPressure/test.ts
@@ -5,7 +5,7 @@
 
 function createRig() {
   const clock = new ManualClock();
-  const buffers = { bytes: 0, collectedTo: 0, collections: 0 };
+  const buffers = { bytes: 0, collectedTo: 0, collections: 0, youngCollections: 0 };
   const pressure = new BufferPressure({
     clock,
     maxBytes: 100,
@@ -14,6 +14,10 @@
       buffers.collections += 1;
       buffers.bytes = buffers.collectedTo;
     },
+    collectYoung: () => {
+      buffers.youngCollections += 1;
+      buffers.bytes = buffers.collectedTo;
+    },
   });
   return { clock, buffers, isHigh: () => pressure.isHighAfter(bytesInMebibyte) };
 }
@@ -37,6 +41,18 @@
   t.false(isHigh());
 });
 
+// Guards against a crowd that fills the memory with refused bodies from one collection to the next.
+test('what is young is collected between them, after so many bytes', (t) => {
+  const { buffers, isHigh } = createRig();
+  buffers.bytes = 101;
+  buffers.collectedTo = 101;
+  for (let count = 0; count < 9; count += 1) t.true(isHigh());
+  t.is(buffers.collections, 1);
+  t.is(buffers.youngCollections, 1);
+  buffers.bytes = 50;
+  t.false(isHigh());
+});
+
 test('released buffers are collected', (t) => {
   const before = process.memoryUsage().arrayBuffers;
   for (let count = 0; count < 20; count += 1) Buffer.alloc(bytesInMebibyte, count);
--- a/packages/callers/src/createCallerServer/index.ts
+++ b/packages/callers/src/createCallerServer/index.ts
@@ -157,7 +157,12 @@
     writeError(response, createOverloadError(), random);
   };
   const server = createBoundedServer(
-    { connections, refuse, server: serverOptions(limits) },
+    {
+      connections,
+      refuse,
+      hasRoomForBody: (bytes) => bytes > limits.maxBodyBytes || context.bodies.hasRoomFor(bytes),
+      server: serverOptions(limits),
+    },
     guardRequests(handle, countFailure),
   );
   context.backlog.watch(server);
--- a/packages/callers/src/readBody/index.ts
+++ b/packages/callers/src/readBody/index.ts
@@ -72,8 +72,7 @@
       try {
         const allocatedBytes = body.append(chunk);
         if (body.bytes > maxBytes) throw tooLarge(maxBytes);
-        if (body.bytes === chunk.byteLength) held.take(allocatedBytes);
-        else held.takeMore(allocatedBytes);
+        held.take(allocatedBytes);
         if (body.isFragmented && !request.complete) held.recordFragmented();
       } catch (error) {
         fail(error as Error);
--- a/packages/forwarding/src/ForwardHandler/index.ts
+++ b/packages/forwarding/src/ForwardHandler/index.ts
@@ -163,6 +163,11 @@
     return this.#options.clock.monotonicMs() < this.#tokenShortageUntilMs;
   }
 
+  /** Whether a body of so many bytes, 0 if unknown, is to be read; one that is too large is refused once it is handled. */
+  hasRoomForBody(bytes: number): boolean {
+    return bytes > this.#maxBodyBytes || this.#bodyMemory.hasRoomFor(bytes);
+  }
+
   /** Discards the assumed cache contents of an upstream after its restart. */
   forgetCachedParts(upstreamId: UpstreamId): void {
     this.#dispatchDependencies.promptPartLocations.removeEngine(upstreamId);
@@ -201,12 +206,15 @@
   /** A request whose body is not whole when its time budget ends can't be answered in time. */
   #readBody(request: IncomingMessage, { budgetMs }: RequestHead, held: HeldBytes) {
     const { clock } = this.#options;
-    const limits = this.#options.routes()?.configuration.limits;
-    const maxBytes = limits?.bodyBytes ?? defaultMaxBodyBytes;
+    const maxBytes = this.#maxBodyBytes;
     const timeoutMs = Math.min(budgetMs ?? maxBodyTimeoutMs, maxBodyTimeoutMs);
     return readBody(request, { maxBytes, held, clock, timeoutMs });
   }
 
+  get #maxBodyBytes(): number {
+    return this.#options.routes()?.configuration.limits.bodyBytes ?? defaultMaxBodyBytes;
+  }
+
   /** Guards against work for a caller whose departure has not been read. */
   async #waitForReads(disconnect: CallerDisconnect, trace: RequestTrace): Promise<void> {
     const unreadMs = Math.round(this.#options.clock.unreadMs());
--- a/packages/forwarding/src/createForwardServer/index.ts
+++ b/packages/forwarding/src/createForwardServer/index.ts
@@ -11,7 +11,7 @@
 
 /** Options of {@link createForwardServer}. */
 export interface CreateForwardServerOptions extends ClientConnectionsOptions {
-  handler: Pick<ForwardHandler, 'handle' | 'connections'>;
+  handler: Pick<ForwardHandler, 'handle' | 'connections' | 'hasRoomForBody'>;
   /** Called with what the handler throws; it is a defect. */
   onHandlerFailed: (thrown: unknown) => void;
   /** Called for bytes that are not a valid HTTP request. */
@@ -47,6 +47,7 @@
         options.onRefused();
         writeError(response, createOverloadError(), options.random);
       },
+      hasRoomForBody: (bytes) => options.handler.hasRoomForBody(bytes),
     },
     guardRequests(
       (request, response) => options.handler.handle(request, response),
