Soak: a pause excuses the one request that its instance was just handling

Traced in the log of the instance: the request was admitted at 58:04.292 and is the last one before SIGSTOP; nothing was logged until 58:05.602, when it ended as callerGone, 1,320 ms after its start; its send was decided 1 ms after it was admitted, before the caller left. The process was stopped between its last look at the caller and the write. No look can be closer to a write than that, and GONE counts from more than a few such requests on, from the moment at which the close has reached the machine.

Change: a pause excuses one request: one process handles one at a time.

--- a/packages/soak/src/_lib/FaultInjector/index.ts
+++ b/packages/soak/src/_lib/FaultInjector/index.ts
@@ -75,6 +75,7 @@
       case 'pause':
         observations.noteDisturbance(fault.durationMs);
         observations.statements.noteInstanceDisturbance(index, fault.durationMs + restartMs);
+        observations.departures.noteInstancePause(index, fault.durationMs);
         process.signal('SIGSTOP');
         setTimeout(() => process.signal('SIGCONT'), fault.durationMs);
         return;
--- a/packages/soak/src/_lib/LoadGenerator/index.ts
+++ b/packages/soak/src/_lib/LoadGenerator/index.ts
@@ -146,6 +146,7 @@
     const round = Math.floor(this.#callCount / departures.everyCalls);
     const waitMs = departures.waitsMs[round % departures.waitsMs.length] ?? 0;
     const isLate = this.#options.injectedDefect === 'sendLate';
+    check.noteSent(id, this.#options.callerPorts.indexOf(port));
     if (isLate) check.noteDeparture(id);
     if (isLate) await sleep(lateSendMs);
     await new Promise<void>((resolve) => {
