--- a/packages/base/src/createBoundedServer/index.ts
+++ b/packages/base/src/createBoundedServer/index.ts
@@ -3,14 +3,16 @@
  */
 import {
   createServer,
-  IncomingMessage,
-  ServerResponse,
+  type IncomingMessage,
   type RequestListener,
   type Server,
   type ServerOptions,
+  type ServerResponse,
 } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
+import { createMessageClasses, stopReasonOf } from '../_lib/createMessageClasses/index.js';
+import { refuseAtHead, refuseBody } from '../_lib/refuseAtHead/index.js';
 import type { ClientConnections } from '../ClientConnections/index.js';
 import { bytesInMebibyte } from '../constants/index.js';
 import { ReadSlicer } from '../ReadSlicer/index.js';
@@ -40,8 +42,6 @@
 const timeoutCheckIntervalMs = 1_000;
 /** Size of what was read while reads are sliced, and is not parsed, in bytes. */
 const maxUnparsedBytes = 4 * bytesInMebibyte;
-/** Number of chunks of one request from which on a read counts as expensive. */
-const expensiveChunks = 1_024;
 /** When a client that was refused for want of room may return, in seconds. */
 const retryAfterS = 1;
 
@@ -110,113 +110,6 @@
   return server;
 }
 
-/** Why the parser stops at a request: it is past a limit, or its body is not to be read. */
-type StopReason = 'beyondLimit' | 'bodyNotTaken' | 'noRoomForBody';
-
-/** A request at which the parser may stop. */
-interface CheckedRequest extends IncomingMessage {
-  readonly stopReason: StopReason | undefined;
-}
-
-function stopReasonOf(request: IncomingMessage): StopReason | undefined {
-  return (request as CheckedRequest).stopReason;
-}
-
-interface MessageOptions {
-  readonly connections: ClientConnections;
-  readonly slicer: ReadSlicer;
-  /** Whether requests for another protocol are passed on as such. */
-  readonly allowsUpgrades: boolean;
-  readonly takesBodies: boolean;
-  readonly hasRoomForBody: (bytes: number) => boolean;
-}
-
-/** Classes of the messages of one server, which count each request that is parsed, whoever answers it. */
-function createMessageClasses(options: MessageOptions) {
-  const { connections, slicer, allowsUpgrades } = options;
-  class BoundedRequest extends IncomingMessage implements CheckedRequest {
-    stopReason: StopReason | undefined;
-    #isBodyChecked = false;
-    #chunkCount = 0;
-    /** Whether the client asks for another protocol; set by the parser, also while the class above is constructed. */
-    declare private isUpgradeWanted: boolean | null;
-
-    constructor(socket: Socket) {
-      super(socket);
-      if (!connections.beginRequest(socket)) this.stopReason = 'beyondLimit';
-    }
-
-    /** Called by the parser with each chunk. */
-    override push(chunk: unknown): boolean {
-      this.#chunkCount += 1;
-      if (this.#chunkCount === expensiveChunks)
-        slicer.begin(connections.withoutRequests as Iterable<Socket>);
-      return super.push(chunk);
-    }
-
-    /** Read by the parser once the head is complete, more than once: it stops there if this is true. */
-    get upgrade(): boolean {
-      if (!this.#isBodyChecked) this.stopReason ??= findBodyStop(options, this);
-      this.#isBodyChecked = true;
-      if (this.stopReason !== undefined) return true;
-      const isWanted = this.isUpgradeWanted === true;
-      return isWanted && (allowsUpgrades || this.method === 'CONNECT');
-    }
-
-    set upgrade(isWanted: boolean | null) {
-      this.isUpgradeWanted = isWanted;
-    }
-  }
-
-  class BoundedResponse<
-    Request extends IncomingMessage = IncomingMessage,
-  > extends ServerResponse<Request> {
-    constructor(...options: ConstructorParameters<typeof ServerResponse<Request>>) {
-      super(...options);
-      const [{ socket }] = options;
-      connections.addResponse(socket, this);
-      this.on('error', ignoreError);
-      this.once('close', () => {
-        connections.removeResponse(socket, this);
-      });
-    }
-  }
-  return { IncomingMessage: BoundedRequest, ServerResponse: BoundedResponse };
-}
-
-function findBodyStop(
-  { takesBodies, hasRoomForBody }: MessageOptions,
-  { headers }: IncomingMessage,
-): StopReason | undefined {
-  const bytes = Number(headers['content-length'] ?? 0);
-  if (!(bytes > 0) && headers['transfer-encoding'] === undefined) return undefined;
-  if (!takesBodies) return 'bodyNotTaken';
-  return hasRoomForBody(bytes) ? undefined : 'noRoomForBody';
-}
-
-/** Answers a request of which only the head was read, and closes its connection. */
-function refuseAtHead(request: IncomingMessage, refuse: RequestListener): void {
-  const { socket } = request;
-  const response = new ServerResponse(request);
-  response.shouldKeepAlive = false;
-  socket.on('error', ignoreError);
-  response.on('error', ignoreError);
-  response.assignSocket(socket);
-  response.once('finish', () => {
-    socket.end(() => socket.destroy());
-  });
-  refuse(request, response);
-}
-
-const refuseBody: RequestListener = (_request, response) => {
-  response.writeHead(413, { connection: 'close', 'content-length': 0 }).end();
-};
-
-/** A write that races with the close of its connection fails; the close ends the request. */
-function ignoreError(): void {
-  return undefined;
-}
-
 /** Guards against work for requests of a closed connection: Node closes only the response that is being sent. */
 function endConnection(connections: ClientConnections, socket: Socket): void {
   const responses = connections.responsesOf(socket) as readonly ServerResponse[];
