Attempt: which run it reaches is found out by RunProof

Behaviour as before: 115 tests of forwarding, versions, rejoined instances, ended streams, silence and relays pass.

--- a/packages/forwarding/src/_lib/Attempt/index.ts
+++ b/packages/forwarding/src/_lib/Attempt/index.ts
@@ -12,7 +12,6 @@
 import { hasNoBody, rawHeaderValue } from '@acaciacrank/callers';
 import {
   livedOnMs,
-  needsRunCheck,
   ResponseProgress,
   type ResendDecision,
   type SendGate,
@@ -29,7 +28,6 @@
   lengthOf,
   type ForeignReason,
 } from '../checkResponse/index.js';
-import { checkRun, type RunCheck } from '../checkRun/index.js';
 import { BodyCollector } from '../BodyCollector/index.js';
 import { AbortedError } from '../AbortedError/index.js';
 import {
@@ -54,6 +52,7 @@
 import { responseHeaders } from '../responseHeaders/index.js';
 import { splitStatement } from '../splitStatement/index.js';
 import { maxBodyBytes, type ReadBody, type ResponseMemory } from '../ResponseMemory/index.js';
+import { RunProof } from '../RunProof/index.js';
 import { StreamRelay } from '../StreamRelay/index.js';
 import type { PrefillEstimate, InFlightRequest, Upstream } from '../Upstream/index.js';
 import type { UpstreamConnection } from '../UpstreamConnection/index.js';
@@ -112,16 +111,8 @@
   inactivityTimeoutMs: number | undefined;
 }
 
-/** A connection that leads to a known run, and how often it had been opened when that was known. */
-interface ProvenConnection {
-  readonly connection: UpstreamConnection;
-  readonly openCount: number;
-}
-
 const unprovenEnd = 'the response of the peer ended with its connection';
 const anotherRun = 'the upstream is another run than that of its record';
-/** How long an upstream may take to say which run it is until another one is tried, in milliseconds. */
-const runCheckPatienceMs = 300;
 
 /** From this size on an event that is not complete counts with the bodies that are being read, in bytes. */
 const minHeldEventBytes = 65_536;
@@ -147,12 +138,6 @@
   #bodyHandling: BodyHandling | undefined;
   #abortReason: AbortReason | undefined;
   #hasEnded = false;
-  /** The connection, if it is known which run it leads to. */
-  #provenConnection: ProvenConnection | undefined;
-  /** Whether a new connection would have to be checked. */
-  #isNewConnectionDoubted = false;
-  /** Whether the upstream may be another run than that of its record. */
-  #isRunUnproven = false;
   #inactivityTimer: InactivityTimer | undefined;
   /** Ends what precedes the request: the run check, and opening the connection. */
   readonly #preparation = new AbortController();
@@ -173,6 +158,7 @@
    * frames all that it sends, and closes its connections in good order also when it is killed.
    */
   #isProvenWhole = true;
+  readonly #runProof: RunProof;
   readonly #responseProgress: ResponseProgress;
   readonly #heldBytes: ReadBody;
 
@@ -180,6 +166,15 @@
     super();
     this.#options = options;
     this.#responseProgress = new ResponseProgress(options.call.route);
+    this.#runProof = new RunProof(options, {
+      signal: this.#preparation.signal,
+      onAsked: (patienceMs) => {
+        this.#startInactivityTimer(patienceMs);
+      },
+      onContact: () => {
+        this.#recordContact();
+      },
+    });
     this.#heldBytes = options.responseMemory.open({
       isSuspect: () => options.upstream.isSuspect,
       onGiveWay: (error) => this.#exchange?.fail(error),
@@ -204,10 +199,10 @@
     });
     let isReusable = false;
     try {
-      const check = await this.#checkRun(connection);
+      const check = await this.#runProof.check(connection);
       if (this.#abortReason !== undefined) return this.#classifyError(new AbortedError(false));
       if (check === 'other') return { kind: 'notSent', reason: anotherRun, isOtherRun: true };
-      if (check === 'unproven' && this.#isResumption)
+      if (check === 'unproven' && this.#runProof.isResumption)
         return { kind: 'notSent', reason: 'it is not known which run the upstream is' };
       const decision = this.#options.decideSend();
       // Whoever starts an attempt has asked before; this is the last place to keep a request from running twice.
@@ -268,53 +263,6 @@
     else if (call.deadlineMs - clock.monotonicMs() <= responseMarginMs) this.#abort('deadline');
   }
 
-  get #isResumption(): boolean {
-    return this.#options.call.progress.origin !== undefined;
-  }
-
-  /** Finds out, where that is in doubt, whether the upstream is the run of its record. */
-  async #checkRun(connection: UpstreamConnection): Promise<RunCheck | 'unproven' | undefined> {
-    const { call, clock, upstream, codec, relayedBy, isMixed, isRecordStale } = this.#options;
-    if (call.route.kind !== 'stream' || relayedBy !== undefined) return undefined;
-    const isDoubted = upstream.isRunDoubted || isRecordStale;
-    const evidence = { isResumption: this.#isResumption, isDoubted, isMixed };
-    this.#isNewConnectionDoubted = needsRunCheck({ ...evidence, isConnected: false });
-    const { isOpen: isConnected, openCount } = connection;
-    if (isConnected) this.#provenConnection = { connection, openCount };
-    if (!needsRunCheck({ ...evidence, isConnected })) return undefined;
-    const startedMs = clock.monotonicMs();
-    this.#startInactivityTimer(runCheckPatienceMs);
-    const { check, why } = await checkRun(connection, upstream.record.startedAtMs, codec, {
-      clock,
-      signal: this.#preparation.signal,
-      // A stream that has begun continues only where the run is known, so that there is no use in sending it unasked.
-      timeoutMs: this.#isResumption ? undefined : runCheckPatienceMs,
-    });
-    const tookMs = Math.round(clock.monotonicMs() - startedMs);
-    call.trace.add('runCheck', { upstreamId: upstream.id, check, why, tookMs, isDoubted });
-    this.#provenConnection = { connection, openCount: connection.openCount };
-    if (check === 'same') upstream.confirmRun();
-    if (check !== 'notStated') this.#recordContact();
-    const isUnknown = check === 'notStated';
-    // The request would open another connection, maybe to another run.
-    const isLost = this.#isResumption && !connection.isOpen;
-    this.#isRunUnproven = isUnknown && (isDoubted || isLost);
-    return this.#isRunUnproven ? 'unproven' : check;
-  }
-
-  /**
-   * Guards against a connection that was opened anew after the check, maybe to another run: a stream does not continue
-   * there, and one that begins there has no known version.
-   */
-  #recheckConnection(): void {
-    const { connection, openCount } = this.#provenConnection ?? {};
-    if (connection === undefined || connection.openCount === openCount) return;
-    if (!this.#isNewConnectionDoubted) return;
-    if (this.#isResumption)
-      throw new RouterError('upstreamFailed', 'the connection ended before the response');
-    this.#isRunUnproven = true;
-  }
-
   /** Guards against bytes without end that are no answer, before a head, in a body or between its chunks. */
   #recordRead(bytes: number): void {
     const reason = this.#responseProgress.recordRead(bytes, this.#options.clock.monotonicMs());
@@ -337,7 +285,7 @@
     this.#checkOwner(head, response);
     const isBounded = call.route.kind !== 'stream' && lengthOf(headers) > 0;
     this.#responseProgress.recordHead({ isBounded });
-    this.#recheckConnection();
+    this.#runProof.recheckConnection();
     const isSuccess = status >= 200 && status < 300;
     if (isSuccess && call.route.kind === 'stream' && !isEventStream(headers))
       throw new NoAnswerError('noEventStream');
@@ -443,19 +391,13 @@
     // A peer that names no run, as earlier releases do, leaves the version unknown.
     const run =
       relayedBy === undefined
-        ? this.#ownRun
+        ? this.#runProof.run
         : (parseOrigin(rawHeaderValue(headers, relayOriginHeader)) ?? upstream.run);
     const { softwareVersion } = run;
     call.trace.add('firstEvent', { upstreamId: upstream.id, softwareVersion });
     onStreamBegun(run);
   }
 
-  get #ownRun(): UpstreamRun {
-    const { run } = this.#options.upstream;
-    if (!this.#isRunUnproven) return run;
-    return { ...run, startedAtMs: undefined, softwareVersion: undefined };
-  }
-
   #finish({ longestGapMs }: InFlightRequest): AttemptResult {
     const handling = this.#bodyHandling;
     if (handling === undefined)
