Bodies and buffers: one place for what was written twice; a test has its last step back

BodyMemory moved a response to the end of its order in two places, one method does now; HeldBytes#add has no caller outside and is private; BufferPressure asked the same condition twice around its collection of everything.

The test of bodies beside large buffers ended with two disposals that checked nothing, where the one before it checked that the remaining body is taken again.

--- a/packages/base/src/ClientConnections/index.ts
+++ b/packages/base/src/ClientConnections/index.ts
@@ -85,7 +85,8 @@
  * Guards against clients that keep no limit: past a bound a connection is closed rather than read later, since what waits
  * in the kernel counts as memory too. Connections whose clients are less likely to wait for anything go first, the oldest of
  * them: without any request, with a request that is not whole, idle, with several unanswered requests, with a response that
- * is not read. So a client with one request at a time is served beside them. Addresses do not count, since many clients may share one.
+ * is not read. So a client with one request at a time is served beside them. Addresses do not count, since many clients
+ * may share one.
  *
  * @example
  * connections.add(socket);
--- a/packages/callers/src/BodyMemory/index.ts
+++ b/packages/callers/src/BodyMemory/index.ts
@@ -71,8 +71,7 @@
   addResponse(held: HeldBytes, bytes: number, response: ClosableResponse): void {
     this.#pressure?.isHighAfter(bytes);
     this.#responseBytes += bytes;
-    this.#responses.delete(held);
-    this.#responses.set(held, response);
+    this.#setLast(held, response);
     while (this.#responseBytes > this.#maxBytes * maxResponseShare) {
       const [oldest] = this.#responses.keys();
       if (oldest === undefined || oldest === held) return;
@@ -83,9 +82,7 @@
   /** Records that some of a response was read. */
   recordRead(held: HeldBytes): void {
     const response = this.#responses.get(held);
-    if (response === undefined) return;
-    this.#responses.delete(held);
-    this.#responses.set(held, response);
+    if (response !== undefined) this.#setLast(held, response);
   }
 
   /** Records that a response has ended. */
@@ -149,6 +146,11 @@
     }
   }
 
+  #setLast(held: HeldBytes, response: ClosableResponse): void {
+    this.#responses.delete(held);
+    this.#responses.set(held, response);
+  }
+
   #closeResponse(held: HeldBytes): void {
     const response = this.#responses.get(held);
     held[Symbol.dispose]();
@@ -181,18 +183,18 @@
   take(bytes: number): void {
     this.#memory.checkBuffers(bytes, this.#bytes);
     this.#memory.makeRoom(bytes, this);
-    this.add(bytes);
+    this.#add(bytes);
   }
 
   /** Counts what is in memory already. */
-  add(bytes: number): void {
+  #add(bytes: number): void {
     this.#bytes += bytes;
     this.#memory.count(bytes);
   }
 
   /** Counts part of a response body, which may be closed when others need the memory. */
   addResponse(bytes: number, response: ClosableResponse): void {
-    this.add(bytes);
+    this.#add(bytes);
     this.#responseBytes += bytes;
     this.#memory.addResponse(this, bytes, response);
   }
--- a/packages/callers/src/BodyMemory/test.ts
+++ b/packages/callers/src/BodyMemory/test.ts
@@ -64,11 +64,15 @@
   t.throws(() => {
     memory.open().take(5_000);
   });
+  const small = memory.open();
   t.notThrows(() => {
-    memory.open().take(1_000);
+    small.take(1_000);
   });
+  small[Symbol.dispose]();
   other[Symbol.dispose]();
-  held[Symbol.dispose]();
+  t.notThrows(() => {
+    held.take(1);
+  });
 });
 
 test('a body alone is not refused for the buffers of the process', (t) => {
--- a/packages/callers/src/BufferPressure/index.ts
+++ b/packages/callers/src/BufferPressure/index.ts
@@ -74,13 +74,11 @@
   }
 
   #collect(): void {
-    const { collect, collectYoung } = this.#options;
     const isDue = this.#isCollectDue;
     if (!isDue && this.#youngBytes < youngIntervalBytes) return;
     this.#youngBytes = 0;
-    if (isDue) this.#recordCollect();
-    if (isDue) collect();
-    else collectYoung();
+    if (isDue) this.#collectAll();
+    else this.#options.collectYoung();
     this.#isHigh = this.#isTooLarge;
   }
 
@@ -90,8 +88,9 @@
     return elapsedMs >= (isMuch ? collectIntervalMs.least : collectIntervalMs.usual);
   }
 
-  #recordCollect(): void {
+  #collectAll(): void {
     this.#lastCollectMs = this.#options.clock.monotonicMs();
     this.#uncollectedBytes = 0;
+    this.#options.collect();
   }
 }
