--- a/review/lib-2/clients.mjs
+++ b/review/lib-2/clients.mjs
@@ -91,7 +91,8 @@
       why,
       ...(kind.isStream && seen),
     });
-    return { requestId, ...answer, ...seen, body: answer.body.slice(0, 200), isServed };
+    const body = kind.keepsBody ? answer.body : answer.body.slice(0, 200);
+    return { requestId, ...answer, ...seen, bytes: answer.body.length, body, isServed };
   }
 
   #send(address, kind, headers, untilMs) {
--- a/review/lib-2/server.mjs
+++ b/review/lib-2/server.mjs
@@ -16,7 +16,8 @@
    * @param options.workMs - how long a plain request takes
    * @param options.events - number of events of a stream
    * @param options.eventMs - time between two events
-   * @param options.isUnframed - whether streams have neither a length nor chunks and end with their channel
+   * @param options.bodyBytes - size of a plain answer, about; sent in parts if it is large
+   * @param options.isUnframed - whether answers have neither a length nor chunks and end with their channel
    * @param note - called with each event: what arrives, runs and ends
    */
   constructor(options, note) {
@@ -115,20 +116,33 @@
   async #answer(requestId, seal, response) {
     await sleep(this.options.workMs);
     this.note({ what: 'answers', id: this.options.id, requestId });
+    const { bodyBytes = 0, isUnframed } = this.options;
+    if (isUnframed) return this.#answerInParts(requestId, bodyBytes, seal, response);
     const body = `${requestId} whole`;
     response
       .writeHead(200, { ...seal, 'content-type': 'text/plain', 'content-length': body.length })
       .end(body);
   }
 
+  /** A body without a length, in ten parts; its first and last words tell whether it is whole. */
+  async #answerInParts(requestId, bodyBytes, seal, response) {
+    const partBytes = Math.ceil(bodyBytes / 10);
+    endWithChannel(response);
+    response.writeHead(200, { ...seal, 'content-type': 'text/plain' });
+    for (let part = 1; part <= 10; part += 1) {
+      if (response.destroyed) return;
+      response.write(`part ${part} of 10 of ${requestId} `.padEnd(partBytes, '.'));
+      await sleep(this.options.eventMs);
+    }
+    this.note({ what: 'sent all', id: this.options.id, requestId });
+    response.end();
+  }
+
   async #stream(requestId, after, seal, response) {
     const { id, events, eventMs, firstMs, isUnframed } = this.options;
     await sleep(firstMs);
     if (response.destroyed) return;
-    if (isUnframed) {
-      response.shouldKeepAlive = false;
-      response.useChunkedEncodingByDefault = false;
-    }
+    if (isUnframed) endWithChannel(response);
     response.writeHead(200, {
       ...seal,
       'content-type': 'text/event-stream',
@@ -145,6 +159,11 @@
   }
 }
 
+function endWithChannel(response) {
+  response.shouldKeepAlive = false;
+  response.useChunkedEncodingByDefault = false;
+}
+
 if (import.meta.url === pathToFileURL(process.argv[1]).href) {
   const server = new Server(JSON.parse(process.argv[2]), (event) => {
     process.stdout.write(`${JSON.stringify({ atMs: Date.now(), ...event })}\n`);
--- a/review/lib-2/world.mjs
+++ b/review/lib-2/world.mjs
@@ -1,7 +1,10 @@
 /** A small deployment: four machines in three zones, the store, servers and the operator's desired state. */
+import { spawn } from 'node:child_process';
 import { appendFileSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { createInterface } from 'node:readline';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { chooseNetwork, Fleet } from './fleet.mjs';
+import { chooseNetwork, Fleet, root } from './fleet.mjs';
 import { Server } from './server.mjs';
 import { Store } from './store.mjs';
 
@@ -86,6 +89,41 @@
     await sleep(1_500);
   }
 
+  /** Starts a server as a process of its own, so that it can be killed. */
+  async startProcess(options) {
+    const program = join(root, 'review', 'lib-2', 'server.mjs');
+    const all = { ...options, host: `${this.network}.${100 + this.servers.length}` };
+    const child = spawn(process.execPath, [program, JSON.stringify(all)], {
+      stdio: ['ignore', 'pipe', 'inherit'],
+    });
+    const server = {
+      options: { slots: 64, ...all },
+      born: Date.now(),
+      child,
+      close: () => child.kill('SIGKILL'),
+    };
+    const lines = createInterface({ input: child.stdout });
+    await new Promise((resolve) => {
+      lines.on('line', (line) => {
+        const event = JSON.parse(line);
+        if (event.what !== 'listens')
+          return this.record.note({ ...event, atMs: this.record.now() });
+        server.port = event.port;
+        resolve();
+      });
+    });
+    this.servers.push(server);
+    this.register(server);
+    return server;
+  }
+
+  /** Kills the process of a server, which is lost for good; its entry goes after three heartbeats of silence. */
+  killServer(server) {
+    server.isGone = true;
+    server.child.kill('SIGKILL');
+    setTimeout(() => this.store.delete('servers', server.options.id), 3 * heartbeatMs);
+  }
+
   /** The operator's next desired state. */
   configure(changes) {
     this.version += 3;
